Serve routed calls on the users' platform: the thin whole path

Cause: foxhall spoke only its own interface and could not run where its users do. Change: platform/ decodes settings, the object store, routes, replicas and both dialects; gateway, routing, mirror, httpconn and node are the product's side, with the product's scheduler choosing replicas. No kept turns or budgets yet.

--- a/command/command.go
+++ b/command/command.go
@@ -49,6 +49,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		serveCommand(),
+		runCommand(),
 		demoCommand(),
 		loadCommand(),
 		checkCommand(),
--- /dev/null
+++ b/command/run.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/urfave/cli/v3"
+
+	"foxhall/platform"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "run an instance on the users' platform",
+		Description: `The settings file is the platform's. An instance whose settings give it callers
+takes calls; one with a data folder keeps turns. SIGTERM is a graceful shutdown.`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Sources: cli.EnvVars(platform.SettingsVariable), Usage: "settings `FILE`"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least `LEVEL` of log lines: debug, info, warn or error"},
+		},
+		Action: runOnPlatform,
+	}
+}
+
+func runOnPlatform(ctx context.Context, c *cli.Command) error {
+	level, err := log.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return cli.Exit(err.Error(), ExitUsage)
+	}
+	logger := &log.Logger{Handler: json.New(os.Stdout), Level: level}
+	// A reload changes nothing that is read at the start; without a handler
+	// the signal would end the process.
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.Run(ctx, c.String("settings"), logger)
+}
--- /dev/null
+++ b/internal/gateway/blocks.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxhall/internal/engine"
+)
+
+// blocksOf returns the chained hashes of a prompt's blocks. Each covers its
+// block and all before it, so equal hashes mean equal prefixes.
+func blocksOf(service string, prompt []Part) []uint64 {
+	if len(prompt) == 0 {
+		return nil
+	}
+	chain := xxhash.Sum64String(service)
+	var blocks []uint64
+	tokens := 0
+	for _, p := range prompt {
+		tokens += p.Tokens
+		for i := uint64(0); len(blocks) < tokens/engine.BlockTokens; i++ {
+			chain = mix(chain, p.ID, i)
+			blocks = append(blocks, chain)
+		}
+	}
+	return blocks
+}
+
+func mix(chain, part, i uint64) uint64 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], chain)
+	binary.LittleEndian.PutUint64(b[8:], part)
+	binary.LittleEndian.PutUint64(b[16:], i)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/routing"
+	"foxhall/internal/scheduler"
+	"foxhall/internal/step"
+)
+
+const (
+	// notReadyAfter is when a caller may come again to an instance that does
+	// not know its configuration yet; it takes about that long to read it.
+	notReadyAfter = 500 * time.Millisecond
+	// sendsMost bounds the replicas asked for one call. A replica that refuses
+	// has not run it, so that it may go on to others, but not for ever.
+	sendsMost = 4
+	// leastLeft is the least time worth giving to a replica.
+	leastLeft = 5 * time.Millisecond
+)
+
+// Gateway serves calls. It is safe for concurrent use.
+type Gateway struct {
+	settings  Settings
+	scheduler *scheduler.Scheduler
+	replicas  Replicas
+	turns     Turns
+	logger    log.Interface
+
+	latency  metrics.Histogram
+	outcomes [Gone + 1]metrics.Counter
+}
+
+// Settings are what a gateway is told by the instance that it serves in.
+type Settings struct {
+	// Table returns the configuration in force, or nil before the first.
+	Table func() *routing.Table
+	// Instances returns the number of instances that send to replicas, which
+	// share what a replica allows.
+	Instances func() int
+	// Stopping reports that the instance is about to stop.
+	Stopping func() bool
+}
+
+// latencySample is the number of recent calls that the histogram keeps.
+const latencySample = 1028
+
+// New returns a gateway.
+func New(s Settings, sched *scheduler.Scheduler, replicas Replicas, turns Turns, logger log.Interface, registry metrics.Registry) *Gateway {
+	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger}
+	g.latency = metrics.GetOrRegisterHistogram("gateway.call.us", registry, metrics.NewUniformSample(latencySample))
+	for o := range g.outcomes {
+		g.outcomes[o] = metrics.GetOrRegisterCounter("gateway.calls."+Outcome(o).String(), registry)
+	}
+	return g
+}
+
+// Serve takes a call to its end. ctx ends when the caller leaves.
+func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) Result {
+	f := &flight{gateway: g, call: call, caller: caller, gone: ctx}
+	result := f.serve(ctx)
+	if ctx.Err() != nil && result.Outcome != Answered {
+		result.Outcome, result.Reason = Gone, CallerLeft
+	}
+	g.latency.Update(time.Since(call.Arrived).Microseconds())
+	g.outcomes[result.Outcome].Inc(1)
+	f.logEnd(&result)
+	return result
+}
+
+// flight is one call under way.
+type flight struct {
+	gateway *Gateway
+	call    *Call
+	caller  Caller
+	// gone ends when the caller leaves.
+	gone     context.Context
+	table    *routing.Table
+	route    *routing.Route
+	service  *routing.Service
+	deadline time.Time
+	// body is what replicas are to receive.
+	body   []byte
+	blocks []uint64
+	tried  []string
+	sends  int
+	// replica is the one that was sent to last.
+	replica string
+	// begun says that the answer's head was passed on.
+	begun bool
+	// firstAt is when the first event was passed on.
+	firstAt time.Time
+}
+
+func (f *flight) serve(ctx context.Context) Result {
+	f.table = f.gateway.settings.Table()
+	if f.table == nil {
+		return refused(NoConfiguration, notReadyAfter)
+	}
+	f.route = f.table.Match(f.call.Host, f.call.Path)
+	if f.route == nil {
+		return refused(NoRoute, 0)
+	}
+	f.service = f.table.Service(f.route.Choose(f.key()))
+	if f.service == nil {
+		return refused(NoReplica, notReadyAfter)
+	}
+	f.deadline = f.call.Arrived.Add(f.route.Timeout)
+	if !f.call.Deadline.IsZero() && f.call.Deadline.Before(f.deadline) {
+		f.deadline = f.call.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel()
+	f.body = f.call.Body
+	f.blocks = blocksOf(f.service.Name, f.call.Prompt)
+	if f.route.Repeat != routing.Stream {
+		return f.exchange(ctx)
+	}
+	if f.gateway.turns != nil && (f.route.KeepsTurns || f.call.Program.Budget > 0) {
+		return f.turn(ctx)
+	}
+	return f.stream(ctx, &record{})
+}
+
+// key is what a call's service is chosen by: a program stays with one.
+func (f *flight) key() uint64 {
+	if f.call.Program.ID != "" {
+		return xxhash.Sum64String(f.call.Program.ID)
+	}
+	return xxhash.Sum64String(f.call.ID)
+}
+
+// acquire gets a replica from the scheduler.
+func (f *flight) acquire(ctx context.Context) (*scheduler.Grant, *scheduler.Refusal) {
+	r := scheduler.Request{
+		Program:      f.call.Program.ID,
+		Priority:     priorityMost - min(priorityMost, f.route.Priority),
+		Deadline:     f.deadline,
+		Tried:        f.tried,
+		MaxTokens:    f.call.MaxOutput,
+		OutputHint:   min(f.call.OutputHint, f.call.MaxOutput),
+		Blocks:       f.blocks,
+		PromptTokens: f.call.PromptTokens,
+		Plan:         f.route.Name,
+		Repeatable:   f.route.Repeatable(),
+	}
+	if r.Program == "" {
+		r.Program = f.call.ID
+	}
+	if f.service.Engine != nil {
+		r.Model = f.service.Name
+	} else {
+		r.Service = f.service.Name
+	}
+	return f.gateway.scheduler.Acquire(ctx, r)
+}
+
+// priorityMost is the scheduler's highest priority; routes count from 0, the first.
+const priorityMost = 9
+
+// refusal is the end of a call for which there is no replica.
+func (f *flight) refusal(r *scheduler.Refusal) Result {
+	reason := Overloaded
+	if r.Code == step.CodeNoUpstream || r.Code == step.CodeModelNotFound {
+		reason = NoReplica
+	}
+	result := refused(reason, r.RetryAfter)
+	result.Sends, result.Replica = f.sends, f.replica
+	return result
+}
+
+// sendTo sends the call once to the granted replica.
+func (f *flight) sendTo(ctx context.Context, g *scheduler.Grant, resumeAfter string) (*Answer, error) {
+	f.replica = g.Upstream
+	f.sends++
+	g.Sent()
+	s := &Send{
+		Call:        f.call,
+		Target:      Target{ID: g.Upstream, Address: g.Address},
+		Body:        f.body,
+		Left:        time.Until(f.deadline),
+		Priority:    f.route.Priority,
+		ResumeAfter: resumeAfter,
+		Limit:       f.connections(),
+	}
+	return f.gateway.replicas.Send(ctx, s)
+}
+
+// connections is this instance's part of what a replica accepts from all.
+func (f *flight) connections() int {
+	if f.service.MaxConnections == 0 {
+		return unlimited
+	}
+	return max(1, f.service.MaxConnections/max(1, f.gateway.settings.Instances()))
+}
+
+// unlimited is the number of connections to a replica that names no bound.
+const unlimited = 1 << 10
+
+func (f *flight) end(outcome Outcome, reason Reason, status int) Result {
+	return Result{Outcome: outcome, Reason: reason, Status: status, Replica: f.replica, Sends: f.sends}
+}
+
+func (f *flight) late() bool { return time.Until(f.deadline) < leastLeft }
+
+// logEnd writes the one line from which the call's course can be told.
+func (f *flight) logEnd(r *Result) {
+	fields := log.Fields{
+		"request": f.call.ID,
+		"outcome": r.Outcome.String(),
+		"ms":      time.Since(f.call.Arrived).Milliseconds(),
+		"sends":   r.Sends,
+	}
+	if f.call.Program.ID != "" {
+		fields["program"] = f.call.Program.ID
+	}
+	if f.table != nil {
+		fields["version"] = f.table.Version
+	}
+	if f.route != nil {
+		fields["route"] = f.route.Name
+	}
+	if r.Replica != "" {
+		fields["replica"] = r.Replica
+	}
+	if r.Status != 0 {
+		fields["status"] = r.Status
+	}
+	if !f.firstAt.IsZero() {
+		fields["first_ms"] = f.firstAt.Sub(f.call.Arrived).Milliseconds()
+	}
+	if r.Reason != "" {
+		fields["reason"] = string(r.Reason)
+		fields["retry_ms"] = r.RetryAfter.Milliseconds()
+		fields["left_ms"] = time.Until(f.deadline).Milliseconds()
+	}
+	f.gateway.logger.WithFields(fields).Info("call")
+}
+
+// MaxBody returns the largest body that callers may send, or otherwise before
+// the first configuration.
+func (g *Gateway) MaxBody(otherwise int64) int64 {
+	if t := g.settings.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/gateway/replica.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Target is the replica that a call is sent to.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Send is one sending of a call.
+type Send struct {
+	Call   *Call
+	Target Target
+	// Body is what the replica is to receive.
+	Body []byte
+	// Left is the time that the replica may take.
+	Left time.Duration
+	// Priority is the rank at an engine, 0 the first.
+	Priority int
+	// ResumeAfter is the last event of an earlier run that was passed on; empty for none.
+	ResumeAfter string
+	// Limit is the number of connections that this instance may have there.
+	Limit int
+}
+
+// Answer is a replica's answer, its body still to be read. Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length, or -1.
+	Length int64
+	Body   io.Reader
+	// Verified says that the answer bears the replica's signature.
+	Verified bool
+	// Run is false where the replica says that it did not run the call.
+	Run bool
+	// Misdirected says that another replica has the address.
+	Misdirected bool
+	// Encoded says that the body was changed on the way.
+	Encoded bool
+	// Leaving says that the replica drains.
+	Leaving bool
+	close   func()
+}
+
+// NewAnswer returns an answer that is ended by the function.
+func NewAnswer(a Answer, end func()) *Answer {
+	a.close = end
+	return &a
+}
+
+// Close ends the answer; a body not read to its end tells the replica to stop.
+func (a *Answer) Close() { a.close() }
+
+// Replicas sends calls to replicas. An error that is httpconn.ErrNotSent says
+// that no byte of the call left.
+type Replicas interface {
+	Send(ctx context.Context, s *Send) (*Answer, error)
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"foxhall/internal/scheduler"
+)
+
+const readSize = 16 << 10
+
+// record is what was passed on of a stream, over all its runs.
+type record struct {
+	// keep says that the events' data are needed afterwards.
+	keep   bool
+	events int
+	data   [][]byte
+	lastID string
+	// sent says that some replica may have run the call.
+	sent bool
+	// settle is called before the end of a whole answer is passed on; nil for none.
+	settle func() bool
+}
+
+func (r *record) add(e Event) {
+	r.events++
+	if e.ID != "" {
+		r.lastID = e.ID
+	}
+	if r.keep {
+		r.data = append(r.data, e.Data)
+	}
+}
+
+// stream serves a call whose answer is a stream of events.
+func (f *flight) stream(ctx context.Context, rec *record) Result {
+	runs := 0
+	for {
+		grant, refusal := f.acquire(ctx)
+		if refusal != nil {
+			if rec.sent {
+				return f.broken(rec, lost)
+			}
+			return f.refusal(refusal)
+		}
+		v, result := f.run(ctx, grant, rec)
+		switch v {
+		case whole:
+			return result
+		case notRun:
+			f.tried = append(f.tried, grant.Upstream)
+			if f.sends >= sendsMost || f.late() {
+				if rec.sent {
+					return f.broken(rec, lost)
+				}
+				return f.giveUp(0, nil)
+			}
+		default:
+			rec.sent = true
+			runs++
+			f.tried = append(f.tried, grant.Upstream)
+			if !f.mayResume(runs) || ctx.Err() != nil {
+				return f.broken(rec, v)
+			}
+		}
+	}
+}
+
+func (f *flight) mayResume(runs int) bool {
+	return f.route.Resumable && runs < f.route.Attempts && !f.late()
+}
+
+// broken ends a stream that could not be finished.
+func (f *flight) broken(rec *record, v verdict) Result {
+	if !f.begun {
+		return f.failed(v)
+	}
+	result := f.failed(v)
+	result.Outcome = BrokenOff
+	return result
+}
+
+// run sends the call once and passes events on until the stream ends.
+func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, Result) {
+	started := time.Now()
+	answer, err := f.sendTo(ctx, g, f.resumePoint(rec))
+	if err != nil {
+		return f.sendFailed(ctx, g, err), Result{}
+	}
+	defer answer.Close()
+	if v := judge(answer); v != whole {
+		f.feedback(g, answer, v)
+		return v, Result{}
+	}
+	rec.sent = true
+	if answer.Status >= 300 {
+		return f.passFailure(ctx, g, answer)
+	}
+	return f.relay(ctx, g, answer, rec, started)
+}
+
+func (f *flight) resumePoint(rec *record) string {
+	if rec.lastID != "" {
+		return rec.lastID
+	}
+	return f.call.ResumeAfter
+}
+
+// passFailure passes on a replica's own failure.
+func (f *flight) passFailure(ctx context.Context, g *scheduler.Grant, a *Answer) (verdict, Result) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
+	if err != nil || f.begun {
+		f.lostOn(ctx, g)
+		return lost, Result{}
+	}
+	g.Done(scheduler.Feedback{Cancelled: true})
+	return whole, f.pass(a, body)
+}
+
+// relay passes on whole events as they come.
+func (f *flight) relay(ctx context.Context, g *scheduler.Grant, a *Answer, rec *record, started time.Time) (verdict, Result) {
+	var split splitter
+	var first time.Duration
+	before := rec.events
+	buffer := make([]byte, readSize)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			events := split.add(buffer[:n])
+			if len(events) > 0 {
+				if first == 0 {
+					first = time.Since(started)
+					g.FirstToken()
+				}
+				g.Progress()
+			}
+			if !f.passEvents(a, events, rec) {
+				g.Done(scheduler.Feedback{Cancelled: true})
+				return whole, f.end(Gone, CallerLeft, a.Status)
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF || split.rest() {
+			f.lostOn(ctx, g)
+			return lost, Result{}
+		}
+		made := (rec.events - before) * f.tokensPerEvent()
+		g.Done(scheduler.Feedback{
+			Prompt: f.call.PromptTokens, Cached: g.Cached(), Output: made,
+			FirstToken: first, Total: time.Since(started),
+		})
+		return whole, f.finish(a, rec)
+	}
+}
+
+// finish ends a whole stream. A turn must be durable before its answer's end
+// is passed on, since from then on the caller may continue from it.
+func (f *flight) finish(a *Answer, rec *record) Result {
+	if !f.begin(a) {
+		return f.end(Gone, CallerLeft, a.Status)
+	}
+	if rec.settle != nil && !rec.settle() {
+		return f.end(BrokenOff, NotKept, a.Status)
+	}
+	return f.end(Answered, "", a.Status)
+}
+
+func (f *flight) tokensPerEvent() int {
+	if f.service.Engine == nil {
+		return 1
+	}
+	return f.service.Engine.TokensPerEvent
+}
+
+// begin passes the head on, once: a resumed stream keeps its first replica's.
+func (f *flight) begin(a *Answer) bool {
+	if f.begun {
+		return true
+	}
+	f.begun = true
+	f.firstAt = time.Now()
+	return f.caller.Begin(a.Status, a.Header, -1) == nil
+}
+
+func (f *flight) passEvents(a *Answer, events []Event, rec *record) bool {
+	for _, e := range events {
+		if !f.begin(a) {
+			return false
+		}
+		// It counts before it is written: a caller that leaves may have it.
+		rec.add(e)
+		if f.caller.Write(e.Raw) != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/mirror/follow.go
@@ -0,0 +1,192 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"foxhall/internal/store"
+)
+
+const (
+	// pollWait is how long a question for changes waits at the store. A silent
+	// connection is found by keep-alive probes, so it may be long; each
+	// question is paid for.
+	pollWait = 25 * time.Second
+	// retryFirst and retryMost are the waits between failed calls.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 700 * time.Millisecond
+	// returnTime is how long living replicas need to enter themselves again
+	// after the store was away.
+	returnTime = 2500 * time.Millisecond
+	// outageAfter is how long the store must have been away for entries to
+	// lapse, with a margin: three heartbeats of a replica take over 3 s.
+	outageAfter = time.Second
+)
+
+// Follower keeps a mirror up to date from the store itself while it is active.
+type Follower struct {
+	mirror *Mirror
+	store  store.Poller
+	logger log.Interface
+	// lost is, for each kind, since when the store has not answered, in Unix
+	// nanoseconds; 0 while it does.
+	lost   []atomic.Int64
+	active atomic.Bool
+}
+
+// NewFollower returns a follower that is not yet active.
+func NewFollower(m *Mirror, s store.Poller, logger log.Interface) *Follower {
+	return &Follower{mirror: m, store: s, logger: logger, lost: make([]atomic.Int64, len(Kinds))}
+}
+
+// Active reports whether the follower is running.
+func (f *Follower) Active() bool { return f.active.Load() }
+
+// LostFor returns how long the store has not answered; 0 while it does.
+func (f *Follower) LostFor(now time.Time) time.Duration {
+	worst := time.Duration(0)
+	for i := range f.lost {
+		if at := f.lost[i].Load(); at != 0 {
+			worst = max(worst, now.Sub(time.Unix(0, at)))
+		}
+	}
+	return worst
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.active.Store(true)
+	defer f.active.Store(false)
+	done := make(chan struct{}, len(Kinds))
+	for i, k := range Kinds {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			f.follow(ctx, i, k)
+		}()
+	}
+	for range Kinds {
+		<-done
+	}
+	for i := range f.lost {
+		f.lost[i].Store(0)
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, i int, k Kind) {
+	waits := newBackOff()
+	for ctx.Err() == nil {
+		err := f.step(ctx, k)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil || errors.Is(err, store.ErrGone) {
+			f.regained(i, k)
+			waits.Reset()
+			if err == nil {
+				continue
+			}
+			f.list(ctx, i, k)
+			continue
+		}
+		f.noteLost(i, k, err)
+		sleep(ctx, waits.NextBackOff())
+	}
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = retryFirst
+	waits.MaxInterval = retryMost
+	return waits
+}
+
+func (f *Follower) step(ctx context.Context, k Kind) error {
+	from, known := f.mirror.AsOf(k)
+	if !known {
+		return f.snapshot(ctx, k)
+	}
+	changes, err := f.store.Poll(ctx, string(k), from, pollWait)
+	if err != nil {
+		return err
+	}
+	f.mirror.Apply(settle(k, from, changes))
+	return nil
+}
+
+// settle keeps only the last event of each name: an object may be removed and
+// written again within one answer. A removal may carry the revision of the
+// object's last write, so it counts as of the whole answer.
+func settle(k Kind, from store.Version, changes store.Changes) Delta {
+	last := map[string]store.Event{}
+	for _, e := range changes.Events {
+		last[e.Object.Key.Name] = e
+	}
+	d := Delta{Kind: k, From: from, AsOf: changes.AsOf}
+	for name, e := range last {
+		if e.Deleted {
+			d.Removed = append(d.Removed, Entry{Name: name, Revision: changes.AsOf})
+			continue
+		}
+		d.Entries = append(d.Entries, Entry{Name: name, Revision: e.Object.Version, Value: e.Object.Value})
+	}
+	return d
+}
+
+func (f *Follower) snapshot(ctx context.Context, k Kind) error {
+	listing, err := f.store.Snapshot(ctx, string(k))
+	if err != nil {
+		return err
+	}
+	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf}
+	for _, o := range listing.Objects {
+		d.Entries = append(d.Entries, Entry{Name: o.Key.Name, Revision: o.Version, Value: o.Value})
+	}
+	f.mirror.Apply(d)
+	return nil
+}
+
+// list reads the whole kind again after its history was lost.
+func (f *Follower) list(ctx context.Context, i int, k Kind) {
+	waits := newBackOff()
+	for ctx.Err() == nil {
+		err := f.snapshot(ctx, k)
+		if err == nil {
+			f.regained(i, k)
+			return
+		}
+		f.noteLost(i, k, err)
+		sleep(ctx, waits.NextBackOff())
+	}
+}
+
+func (f *Follower) noteLost(i int, k Kind, err error) {
+	if f.lost[i].CompareAndSwap(0, time.Now().UnixNano()) {
+		f.logger.WithError(err).WithField("kind", string(k)).Warn("store lost")
+	}
+}
+
+func (f *Follower) regained(i int, k Kind) {
+	at := f.lost[i].Swap(0)
+	if at == 0 {
+		return
+	}
+	away := time.Since(time.Unix(0, at))
+	f.logger.WithField("kind", string(k)).WithField("away_ms", away.Milliseconds()).Info("store back")
+	if away >= outageAfter {
+		f.mirror.SetUnsettled(time.Now().Add(returnTime))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,239 @@
+// Package mirror holds an instance's copy of the store's kinds. A few
+// instances follow the store itself; the others take what changed from them,
+// in the same form, so that calls to the store grow with changes and data
+// centres and not with instances.
+package mirror
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"foxhall/internal/store"
+)
+
+// Kind names a kind of object that is mirrored.
+type Kind string
+
+// The mirrored kinds.
+const (
+	// Config holds the operators' configuration, as one object.
+	Config Kind = "config"
+	// Replicas holds one entry for each replica that is alive or leaving.
+	Replicas Kind = "replicas"
+	// Retirements holds the operators' orders to empty an instance.
+	Retirements Kind = "retirements"
+	// Fleet holds what instances agree on among themselves.
+	Fleet Kind = "fleet"
+)
+
+// Kinds lists all mirrored kinds.
+var Kinds = []Kind{Config, Replicas, Retirements, Fleet}
+
+// keptRemovals bounds the removals that are remembered for peers that lag. One
+// that lags further is sent the whole kind.
+const keptRemovals = 512
+
+// Entry is one object at its last change.
+type Entry struct {
+	Name     string
+	Revision store.Version
+	Value    []byte
+}
+
+// Delta is what changed in a kind after From and up to AsOf.
+type Delta struct {
+	Kind Kind
+	// Full says that Entries are all of the kind, whatever From is.
+	Full       bool
+	From, AsOf store.Version
+	Entries    []Entry
+	Removed    []Entry
+}
+
+// Copy is the mirrored state of one kind.
+type copyOf struct {
+	known   bool
+	asOf    store.Version
+	entries map[string]Entry
+	removed []Entry
+	// since is the version from which on removed is complete.
+	since store.Version
+}
+
+// Mirror is the copy of all kinds. It is safe for concurrent use.
+type Mirror struct {
+	mu     sync.Mutex
+	kinds  map[Kind]*copyOf
+	notify []func(Kind)
+	// unsettledUntil is until when a removed replica may only be unheard of.
+	unsettledUntil time.Time
+}
+
+// New returns an empty mirror.
+func New() *Mirror {
+	m := &Mirror{kinds: map[Kind]*copyOf{}}
+	for _, k := range Kinds {
+		m.kinds[k] = &copyOf{entries: map[string]Entry{}}
+	}
+	return m
+}
+
+// OnChange adds a function that is called, without a lock held, after a kind
+// has changed. It must be called before the mirror is shared.
+func (m *Mirror) OnChange(f func(Kind)) { m.notify = append(m.notify, f) }
+
+// AsOf returns the version up to which the kind is known, and whether it is known at all.
+func (m *Mirror) AsOf(k Kind) (store.Version, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[k]
+	return c.asOf, c.known
+}
+
+// Entries returns the kind's entries in the order of their names.
+func (m *Mirror) Entries(k Kind) []Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kinds[k].sorted()
+}
+
+// Get returns one entry.
+func (m *Mirror) Get(k Kind, name string) (Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.kinds[k].entries[name]
+	return e, ok
+}
+
+// Since returns what changed in the kind after a version; false if nothing did.
+func (m *Mirror) Since(k Kind, from store.Version, known bool) (Delta, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[k]
+	if !c.known || known && from >= c.asOf {
+		return Delta{}, false
+	}
+	d := Delta{Kind: k, From: from, AsOf: c.asOf}
+	if !known || from < c.since {
+		d.Full = true
+		d.Entries = c.sorted()
+		return d, true
+	}
+	for _, e := range c.sorted() {
+		if e.Revision > from {
+			d.Entries = append(d.Entries, e)
+		}
+	}
+	for _, e := range c.removed {
+		if e.Revision > from {
+			d.Removed = append(d.Removed, e)
+		}
+	}
+	return d, true
+}
+
+// Apply takes in a delta, and reports whether anything changed. What is older
+// than the copy changes nothing, so that a late answer never takes it back.
+func (m *Mirror) Apply(d Delta) bool {
+	m.mu.Lock()
+	changed, renewed := m.kinds[d.Kind].apply(d)
+	m.mu.Unlock()
+	if changed || renewed {
+		for _, f := range m.notify {
+			f(d.Kind)
+		}
+	}
+	return changed
+}
+
+// apply reports whether entries changed, and whether the kind became known.
+func (c *copyOf) apply(d Delta) (changed, renewed bool) {
+	switch {
+	case c.known && d.AsOf <= c.asOf:
+		return false, false
+	case d.Full:
+		changed = c.replace(d)
+	case !c.known || d.From > c.asOf:
+		return false, false
+	default:
+		changed = c.merge(d)
+	}
+	renewed = !c.known
+	c.known, c.asOf = true, d.AsOf
+	return changed, renewed
+}
+
+func (c *copyOf) replace(d Delta) bool {
+	changed := false
+	next := map[string]Entry{}
+	for _, e := range d.Entries {
+		changed = changed || c.entries[e.Name].Revision != e.Revision
+		next[e.Name] = e
+	}
+	changed = changed || len(next) != len(c.entries)
+	c.entries = next
+	c.removed, c.since = nil, d.AsOf
+	return changed
+}
+
+func (c *copyOf) merge(d Delta) bool {
+	changed := false
+	for _, e := range d.Entries {
+		if e.Revision > c.entries[e.Name].Revision {
+			c.entries[e.Name] = e
+			changed = true
+		}
+	}
+	for _, e := range d.Removed {
+		if e.Revision <= c.asOf {
+			continue
+		}
+		if old, ok := c.entries[e.Name]; ok && old.Revision <= e.Revision {
+			delete(c.entries, e.Name)
+			changed = true
+		}
+		c.removed = append(c.removed, Entry{Name: e.Name, Revision: e.Revision})
+	}
+	if over := len(c.removed) - keptRemovals; over > 0 {
+		c.since = c.removed[over-1].Revision
+		c.removed = slices.Clone(c.removed[over:])
+	}
+	return changed
+}
+
+func (c *copyOf) sorted() []Entry {
+	entries := make([]Entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		switch {
+		case a.Name < b.Name:
+			return -1
+		case a.Name > b.Name:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return entries
+}
+
+// Unsettled returns how much longer a removed replica may only be unheard of:
+// entries lapse while the store is away, and those of living replicas are back
+// a moment after its return.
+func (m *Mirror) Unsettled(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(0, m.unsettledUntil.Sub(now))
+}
+
+// SetUnsettled notes that entries may be missing until then.
+func (m *Mirror) SetUnsettled(until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until.After(m.unsettledUntil) {
+		m.unsettledUntil = until
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,41 @@
+// Package node runs one instance of foxhall in front of a platform's replicas:
+// an entry, which takes callers' calls, or a keeper, which has a disk.
+package node
+
+import (
+	"net"
+	"strconv"
+	"time"
+)
+
+// Settings are what an instance is told at its start.
+type Settings struct {
+	// Instance names the instance; the name lasts over restarts.
+	Instance string
+	IP       string
+	// DataCentre is where it stands, DataCentres how many there are.
+	DataCentre  string
+	DataCentres int
+	// Callers and Ready are the addresses served by an entry.
+	Callers, Ready string
+	// PeerPort is where instances talk to each other, MetricsPort where metrics
+	// are read; the same on all instances.
+	PeerPort, MetricsPort int
+	// Seeds are IP numbers of other instances, which may be out of date.
+	Seeds []string
+	// FirstStart is true only when the whole system starts with empty disks.
+	FirstStart bool
+	// DataFolder is empty on an instance without a disk.
+	DataFolder string
+	// Memory is the memory that the process may use, in bytes.
+	Memory int64
+	// Grace is the time between the order to stop and the end of the process.
+	Grace time.Duration
+	// Store is the address of the platform's object store.
+	Store string
+}
+
+// peerAddress is where the instance at the IP number listens for others.
+func (s *Settings) peerAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.PeerPort))
+}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -254,3 +254,6 @@
 		s.view.Sent(g.cell.Upstream.ID, engine.Blocks(nil, g.waiter.seed, messages)[len(g.waiter.chain):])
 	}
 }
+
+// Cached returns the prompt's tokens that the upstream was expected to hold.
+func (g *Grant) Cached() int { return g.cached }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -72,9 +72,15 @@
 	w := &waiter{request: r, enqueued: now, granted: make(chan *Grant, 1), refused: make(chan *Refusal, 1)}
 	if r.Model != "" {
 		w.seed = s.seed(r.Model)
-		w.chain = engine.Blocks(nil, w.seed, r.Messages)
-		w.prompt = engine.PromptTokens(r.Messages)
-		w.step.Output = s.outputs.expect(r.Plan, r.Model, r.MaxTokens)
+		w.chain, w.prompt = r.Blocks, r.PromptTokens
+		if w.chain == nil {
+			w.chain = engine.Blocks(nil, w.seed, r.Messages)
+			w.prompt = engine.PromptTokens(r.Messages)
+		}
+		w.step.Output = r.OutputHint
+		if w.step.Output == 0 {
+			w.step.Output = s.outputs.expect(r.Plan, r.Model, r.MaxTokens)
+		}
 	}
 	s.describe(w, now)
 	return w
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,8 +64,15 @@
 	// Priority is the plan's, from 0 to 9.
 	Priority int
 	// Messages is the whole conversation of a model call.
-	Messages  []chat.Message
-	MaxTokens int
+	Messages []chat.Message
+	// Blocks are the chained hashes of the prompt and PromptTokens its length,
+	// for a caller that names the prompt's parts in place of Messages.
+	Blocks       []uint64
+	PromptTokens int
+	// OutputHint is the expected number of output tokens; 0 where only the
+	// plan's earlier answers tell.
+	OutputHint int
+	MaxTokens  int
 	// Whole says that the engine is asked for a whole answer and not a stream,
 	// so that it shows no progress before the end.
 	Whole bool
