--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -129,6 +129,7 @@
 
 // sendFailed feeds back a sending without an answer.
 func (f *flight) sendFailed(ctx context.Context, g *scheduler.Grant, err error) verdict {
+	f.gateway.logger.WithError(err).WithField("request", f.call.ID).WithField("replica", g.Upstream).Info("send failed")
 	if errors.Is(err, httpconn.ErrFull) {
 		g.Done(scheduler.Feedback{Failure: &upstream.Failure{Kind: upstream.Refused}})
 		return notRun
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -26,6 +26,8 @@
 		Most:     f.call.MaxOutput,
 		Budget:   f.call.Program.Budget,
 		Deadline: f.deadline,
+
+		Retention: f.route.Retention,
 	}
 	reserved, err := f.gateway.turns.Reserve(ctx, reservation)
 	switch {
@@ -38,10 +40,14 @@
 	}
 	f.body = chainBody(reserved.Chain, f.call.Body)
 	rec := &record{keep: f.route.KeepsTurns}
+	var foreign []Turn
+	if reserved.Foreign {
+		foreign = reserved.Chain
+	}
 	settled := false
 	rec.settle = func() bool {
 		settled = true
-		return f.settle(ctx, rec, reserved.Chain, true) == nil
+		return f.settle(ctx, rec, foreign, true) == nil
 	}
 	result := f.stream(ctx, rec)
 	if !settled {
@@ -76,7 +82,7 @@
 		Retention: f.route.Retention,
 	}
 	if complete && rec.keep {
-		e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data}
+		e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data, Ended: time.Now()}
 		e.Chain = chain
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -14,6 +14,7 @@
 	Input    []byte
 	// Events are the data of the turn's events, in order.
 	Events [][]byte
+	Ended  time.Time
 }
 
 // Reservation asks to run a turn within its program's tokens.
@@ -28,12 +29,16 @@
 	Budget int
 	// Deadline is when the caller gives up.
 	Deadline time.Time
+	// Retention is how long the account is kept after its last turn.
+	Retention time.Duration
 }
 
 // Reserved is a granted reservation.
 type Reserved struct {
 	// Chain holds the turns before this one, the oldest first.
 	Chain []Turn
+	// Foreign says that the chain is another program's.
+	Foreign bool
 }
 
 // Ending settles a reservation.
--- /dev/null
+++ b/internal/history/client.go
@@ -0,0 +1,279 @@
+package history
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/gateway"
+	"foxhall/internal/history/historypb"
+)
+
+const (
+	// callTime bounds one call to a keeper, which waits for two disks.
+	callTime = 900 * time.Millisecond
+	// reserveTime bounds all tries of a reservation: a change of keepers takes
+	// about a second, and a caller that is refused sooner would come back into it.
+	reserveTime = 1800 * time.Millisecond
+	// retryPause is the pause between two tries.
+	retryPause = 60 * time.Millisecond
+	// releaseTime is how long a reservation that may have been made in vain is
+	// given back; then it counts as spent.
+	releaseTime = 20 * time.Second
+)
+
+// ErrUnreached says that no keeper of the slice could be asked in time.
+var ErrUnreached = errors.New("history: no keeper reached")
+
+// Keepers calls keepers by name.
+type Keepers interface {
+	Keeper(name string) (historypb.Keeper, bool)
+}
+
+// Client reserves and settles turns at the keepers. It is safe for concurrent use.
+type Client struct {
+	keepers Keepers
+	// assignment returns the newest known one; false before the first.
+	assignment func() (Assignment, bool)
+
+	mu sync.Mutex
+	// newer holds roles that keepers told before the assignment came.
+	newer [SliceCount]Role
+}
+
+var _ gateway.Turns = (*Client)(nil)
+
+// NewClient returns a client.
+func NewClient(keepers Keepers, assignment func() (Assignment, bool)) *Client {
+	return &Client{keepers: keepers, assignment: assignment}
+}
+
+func (c *Client) role(slice uint32) Role {
+	a, _ := c.assignment()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newer[slice].Epoch > a.Slices[slice].Epoch {
+		return c.newer[slice]
+	}
+	return a.Slices[slice]
+}
+
+// learn takes in a keeper's word on a slice's role.
+func (c *Client) learn(slice uint32, r *historypb.Role) {
+	if r == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Epoch > c.newer[slice].Epoch {
+		c.newer[slice] = Role{Epoch: r.Epoch, Primary: r.Primary, Partner: r.Partner}
+	}
+}
+
+// ask calls the slice's primary, and its partner where that one does not
+// answer, until a call settles the matter or the time is over.
+func (c *Client) ask(ctx context.Context, slice uint32, limit time.Duration, call func(context.Context, historypb.Keeper) (settled bool)) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for try := 0; ctx.Err() == nil; try++ {
+		role := c.role(slice)
+		name := role.Primary
+		if try%2 == 1 {
+			name = role.Partner
+		}
+		if keeper, ok := c.keepers.Keeper(name); ok {
+			if c.askOne(ctx, keeper, call) {
+				return nil
+			}
+		}
+		sleep(ctx, retryPause)
+	}
+	return ErrUnreached
+}
+
+func (c *Client) askOne(ctx context.Context, k historypb.Keeper, call func(context.Context, historypb.Keeper) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return call(ctx, k)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Reserve implements gateway.Turns.
+func (c *Client) Reserve(ctx context.Context, r gateway.Reservation) (gateway.Reserved, error) {
+	request := &historypb.ReserveRequest{
+		Slice:       SliceOf(r.Program),
+		Program:     r.Program,
+		Turn:        r.Turn,
+		Previous:    r.Previous,
+		Most:        int64(r.Most),
+		Budget:      int64(r.Budget),
+		RetentionMs: r.Retention.Milliseconds(),
+	}
+	response, err := c.reserve(ctx, request)
+	if err != nil {
+		return gateway.Reserved{}, err
+	}
+	if response.Verdict != historypb.Verdict_NO_TURN {
+		return gateway.Reserved{Chain: turns(response.Chain)}, verdictError(response.Verdict)
+	}
+	chain, err := c.find(ctx, r.Previous)
+	if err != nil {
+		return gateway.Reserved{}, err
+	}
+	request.Foreign = true
+	response, err = c.reserve(ctx, request)
+	if err != nil {
+		return gateway.Reserved{}, err
+	}
+	return gateway.Reserved{Chain: turns(chain), Foreign: true}, verdictError(response.Verdict)
+}
+
+func verdictError(v historypb.Verdict) error {
+	switch v {
+	case historypb.Verdict_DONE:
+		return nil
+	case historypb.Verdict_SPENT:
+		return gateway.ErrBudgetSpent
+	case historypb.Verdict_NO_TURN:
+		return gateway.ErrNoSuchTurn
+	default:
+		return ErrUnreached
+	}
+}
+
+func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
+	var answer *historypb.ReserveResponse
+	err := c.ask(ctx, r.Slice, reserveTime, func(ctx context.Context, k historypb.Keeper) bool {
+		response, err := k.Reserve(ctx, r)
+		if err != nil {
+			return false
+		}
+		c.learn(r.Slice, response.Role)
+		answer = response
+		return response.Verdict != historypb.Verdict_MOVED && response.Verdict != historypb.Verdict_NOT_NOW
+	})
+	if err != nil {
+		c.giveBack(r)
+		return nil, err
+	}
+	return answer, nil
+}
+
+// giveBack ends a reservation that may have been made without our hearing of
+// it. The turn was not sent to any replica.
+func (c *Client) giveBack(r *historypb.ReserveRequest) {
+	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Turn: r.Turn}
+	go func() {
+		// An error leaves the tokens counted as spent, which harms the program
+		// alone; its budget still holds.
+		_ = c.settle(context.Background(), settle, releaseTime)
+	}()
+}
+
+// Settle implements gateway.Turns.
+func (c *Client) Settle(ctx context.Context, e gateway.Ending) error {
+	request := &historypb.SettleRequest{
+		Slice:       SliceOf(e.Program),
+		Program:     e.Program,
+		Turn:        e.Turn,
+		Made:        int64(e.Made),
+		RetentionMs: e.Retention.Milliseconds(),
+	}
+	if e.Kept != nil {
+		request.Kept = wireTurn(e.Kept, e.Retention)
+	}
+	for i := range e.Chain {
+		request.Chain = append(request.Chain, wireTurn(&e.Chain[i], e.Retention))
+	}
+	return c.settle(ctx, request, releaseTime)
+}
+
+func (c *Client) settle(ctx context.Context, r *historypb.SettleRequest, limit time.Duration) error {
+	return c.ask(ctx, r.Slice, limit, func(ctx context.Context, k historypb.Keeper) bool {
+		response, err := k.Settle(ctx, r)
+		if err != nil {
+			return false
+		}
+		c.learn(r.Slice, response.Role)
+		return response.Verdict == historypb.Verdict_DONE
+	})
+}
+
+// find looks a turn up in all slices: a program may continue another's turn.
+// Only when each slice's primary has said so is the turn certainly not there.
+func (c *Client) find(ctx context.Context, turn string) ([]*historypb.Turn, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTime)
+	defer cancel()
+	absent := map[uint32]bool{}
+	for ctx.Err() == nil {
+		for _, name := range c.holders(absent) {
+			keeper, ok := c.keepers.Keeper(name)
+			if !ok {
+				continue
+			}
+			response, err := keeper.Find(ctx, &historypb.FindRequest{Turn: turn})
+			if err != nil {
+				continue
+			}
+			if len(response.Chain) > 0 {
+				return response.Chain, nil
+			}
+			for _, s := range response.Absent {
+				absent[s] = true
+			}
+		}
+		if len(absent) == SliceCount {
+			return nil, gateway.ErrNoSuchTurn
+		}
+		sleep(ctx, retryPause)
+	}
+	return nil, ErrUnreached
+}
+
+// holders returns the keepers of the slices that have not said yet.
+func (c *Client) holders(absent map[uint32]bool) []string {
+	var names []string
+	seen := map[string]bool{}
+	for s := range uint32(SliceCount) {
+		role := c.role(s)
+		if absent[s] {
+			continue
+		}
+		for _, name := range []string{role.Primary, role.Partner} {
+			if name != "" && !seen[name] {
+				seen[name] = true
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+func turns(wire []*historypb.Turn) []gateway.Turn {
+	out := make([]gateway.Turn, 0, len(wire))
+	for _, t := range wire {
+		out = append(out, gateway.Turn{ID: t.Id, Previous: t.Previous, Input: t.Input, Events: t.Events, Ended: time.UnixMilli(t.EndedUnixMs)})
+	}
+	return out
+}
+
+func wireTurn(t *gateway.Turn, retention time.Duration) *historypb.Turn {
+	return &historypb.Turn{
+		Id:          t.ID,
+		Previous:    t.Previous,
+		Input:       t.Input,
+		Events:      t.Events,
+		EndedUnixMs: t.Ended.UnixMilli(),
+		RetentionMs: retention.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/history/keeper.go
@@ -0,0 +1,435 @@
+package history
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"foxhall/internal/history/historypb"
+	"foxhall/internal/store"
+)
+
+const (
+	// opTime bounds the wait for one operation to become durable: longer than a
+	// change of keepers takes, so that most callers do not notice one.
+	opTime = 1500 * time.Millisecond
+	// appendTime bounds one call to a partner: its disk takes 5 ms, and a
+	// partner that needs this long is replaced.
+	appendTime = 600 * time.Millisecond
+	// appendPause is the pause after a failed call to a partner.
+	appendPause = 40 * time.Millisecond
+	// fillBytes is about the size of one message that fills a partner.
+	fillBytes = 256 << 10
+	// expireEvery is how often what is no longer kept is forgotten.
+	expireEvery = 5 * time.Second
+)
+
+// Peers calls other keepers by name.
+type Peers interface {
+	Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error)
+	Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error)
+}
+
+// Assignments reads and changes the assignment in the platform's store.
+type Assignments interface {
+	// Read returns the assignment as the store has it now; version 0 if there is none.
+	Read(ctx context.Context) (Assignment, store.Version, error)
+	// Write replaces the assignment if its version is still base.
+	Write(ctx context.Context, a Assignment, base store.Version) (store.Version, error)
+}
+
+// Settings configure a keeper.
+type Settings struct {
+	Name       string
+	DataCentre string
+	// Folder is where the log is kept.
+	Folder string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	// Keepers returns the keepers that are registered, this one among them.
+	Keepers func() []Candidate
+	// Retiring reports that operators want a keeper emptied.
+	Retiring func(name string) bool
+	Logger   log.Interface
+}
+
+// Keeper holds slices on this instance's disk. It is safe for concurrent use.
+type Keeper struct {
+	settings    Settings
+	peers       Peers
+	assignments Assignments
+	log         *diskLog
+	started     time.Time
+
+	mu     sync.Mutex
+	slices [SliceCount]*slice
+	known  Assignment
+	// version is the store's of the known assignment.
+	version store.Version
+	// verified says that this instance may take records for epochs that it has
+	// not seen: it has its own marks on disk, or has read the assignment since.
+	verified bool
+	views    map[string]*view
+	leaving  bool
+	// writes wait for the disk.
+	writes       []write
+	writingSince time.Time
+	senders      map[string]chan struct{}
+	ctx          context.Context
+
+	wakeWriter chan struct{}
+	wakeRoles  chan struct{}
+	wakeRead   chan struct{}
+}
+
+// slice is one slice as this keeper holds it. The keeper's lock guards it.
+type slice struct {
+	number uint32
+	state  *state
+	// mark is up to which epoch this keeper follows the slice; a primary of a
+	// lower epoch is refused.
+	mark mark
+	role Role
+	// entries wait for the partner, in order.
+	entries []*entry
+	filling bool
+	// filled is the epoch for which the partner has all of the slice.
+	filled uint64
+	// marking says that a mark is on its way to the disk.
+	marking bool
+	// lostSince is since when neither keeper has all of the slice, and
+	// primaryLostSince since when the primary does not.
+	lostSince, primaryLostSince time.Time
+}
+
+// entry is one change on its way to both disks. The keeper's lock guards it
+// until done is closed.
+type entry struct {
+	records []*historypb.Record
+	// waits is the number of disks that have not taken it yet.
+	waits   int
+	dropped bool
+	done    chan struct{}
+}
+
+type write struct {
+	records []*historypb.Record
+	done    func()
+}
+
+// Open reads the log and returns a keeper that is not yet running.
+func Open(s Settings, peers Peers, assignments Assignments) (*Keeper, error) {
+	k := &Keeper{
+		settings:    s,
+		peers:       peers,
+		assignments: assignments,
+		started:     time.Now(),
+		views:       map[string]*view{},
+		senders:     map[string]chan struct{}{},
+		wakeWriter:  make(chan struct{}, 1),
+		wakeRoles:   make(chan struct{}, 1),
+		wakeRead:    make(chan struct{}, 1),
+	}
+	for i := range k.slices {
+		k.slices[i] = &slice{number: uint32(i), state: newState()}
+	}
+	l, err := openLog(s.Folder, k.replay)
+	if err != nil {
+		return nil, err
+	}
+	k.log = l
+	if err := l.compact(k.everything()); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// replay takes in a record from the disk.
+func (k *Keeper) replay(r *historypb.Record) {
+	if r.Slice >= SliceCount {
+		return
+	}
+	s := k.slices[r.Slice]
+	if m := r.GetMark(); m != nil {
+		if m.Epoch > s.mark.Epoch || m.Epoch == s.mark.Epoch && m.Synced {
+			s.mark.Epoch, s.mark.Synced = m.Epoch, m.Synced
+		}
+		k.verified = true
+		return
+	}
+	s.state.apply(r)
+}
+
+// everything returns all records that are kept; the lock is held or not needed.
+func (k *Keeper) everything() []*historypb.Record {
+	now := time.Now()
+	var all []*historypb.Record
+	for _, s := range k.slices {
+		s.state.expire(now)
+		if s.mark.Epoch > 0 {
+			all = append(all, markRecord(s.number, s.mark.Epoch, s.mark.Synced))
+		}
+		all = append(all, s.state.records(s.number)...)
+	}
+	return all
+}
+
+// Run keeps slices until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.mu.Lock()
+	k.ctx = ctx
+	k.mu.Unlock()
+	var group sync.WaitGroup
+	for _, f := range []func(context.Context){k.runWriter, k.runRoles, k.runViews, k.runReads} {
+		group.Go(func() { f(ctx) })
+	}
+	group.Wait()
+	return k.log.close()
+}
+
+// primary reports that this keeper decides for the slice.
+func (k *Keeper) primary(s *slice) bool {
+	return s.role.Primary == k.settings.Name && s.role.Epoch > 0 && s.mark.Epoch == s.role.Epoch && s.mark.Synced
+}
+
+// submit sends a change to both disks; the lock is held. Without records it
+// only asks the partner whether this keeper is still the primary.
+func (k *Keeper) submit(s *slice, records []*historypb.Record) *entry {
+	e := &entry{records: records, waits: 1, done: make(chan struct{})}
+	s.entries = append(s.entries, e)
+	if len(records) > 0 {
+		e.waits++
+		k.persist(records, func() { k.arrived(e) })
+	}
+	k.wakeSender(s.role.Partner)
+	return e
+}
+
+// arrived counts one disk; the lock is held.
+func (k *Keeper) arrived(e *entry) {
+	if e.waits--; e.waits == 0 && !e.dropped {
+		close(e.done)
+	}
+}
+
+// drop ends what waits in a slice that this keeper no longer decides for. Its
+// callers hear that it may not last, and ask the new primary.
+func (s *slice) drop() {
+	for _, e := range s.entries {
+		e.dropped = true
+		close(e.done)
+	}
+	s.entries = nil
+}
+
+// persist queues records for this instance's disk; the lock is held, and done
+// is called with it held.
+func (k *Keeper) persist(records []*historypb.Record, done func()) {
+	k.writes = append(k.writes, write{records: records, done: done})
+	notify(k.wakeWriter)
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns whether the change is durable on both disks.
+func wait(ctx context.Context, e *entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, opTime)
+	defer cancel()
+	select {
+	case <-e.done:
+		return !e.dropped
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runWriter writes what is queued, all at once, again and again.
+func (k *Keeper) runWriter(ctx context.Context) {
+	for {
+		select {
+		case <-k.wakeWriter:
+		case <-ctx.Done():
+			return
+		}
+		k.mu.Lock()
+		batch := k.writes
+		k.writes = nil
+		k.writingSince = time.Now()
+		k.mu.Unlock()
+		k.writeBatch(ctx, batch)
+		k.mu.Lock()
+		k.writingSince = time.Time{}
+		for _, w := range batch {
+			if w.done != nil {
+				w.done()
+			}
+		}
+		k.mu.Unlock()
+		k.compactIfLarge()
+	}
+}
+
+// writeBatch writes until the disk has taken the batch. After a failed write
+// the segment's end is not known, so the batch goes to a new one.
+func (k *Keeper) writeBatch(ctx context.Context, batch []write) {
+	var framed []byte
+	for _, w := range batch {
+		for _, r := range w.records {
+			next, err := frame(framed, r)
+			if err != nil {
+				panic(errors.Wrap(err, "a record that can't be encoded"))
+			}
+			framed = next
+		}
+	}
+	if len(framed) == 0 {
+		return
+	}
+	err := k.log.write(framed)
+	for err != nil && ctx.Err() == nil {
+		k.settings.Logger.WithError(err).Error("disk refuses records")
+		time.Sleep(appendPause)
+		if err = k.log.next(); err == nil {
+			err = k.log.write(framed)
+		}
+	}
+}
+
+func (k *Keeper) compactIfLarge() {
+	if k.log.size < segmentBytes {
+		return
+	}
+	k.mu.Lock()
+	all := k.everything()
+	k.mu.Unlock()
+	if err := k.log.compact(all); err != nil {
+		k.settings.Logger.WithError(err).Error("log not compacted")
+	}
+}
+
+// wakeSender makes the partner's sender look for entries; the lock is held.
+func (k *Keeper) wakeSender(partner string) {
+	if partner == "" || k.ctx == nil {
+		return
+	}
+	wake := k.senders[partner]
+	if wake == nil {
+		wake = make(chan struct{}, 1)
+		k.senders[partner] = wake
+		go k.runSender(k.ctx, partner, wake)
+	}
+	notify(wake)
+}
+
+// runSender sends entries to one partner, all that wait at once. What is not
+// acknowledged is sent again, until this keeper is no longer the primary.
+func (k *Keeper) runSender(ctx context.Context, partner string, wake chan struct{}) {
+	for {
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return
+		}
+		for ctx.Err() == nil {
+			request, counts := k.gather(partner)
+			if request == nil {
+				break
+			}
+			if !k.sendEntries(ctx, partner, request, counts) {
+				time.Sleep(appendPause)
+			}
+		}
+	}
+}
+
+func (k *Keeper) gather(partner string) (*historypb.AppendRequest, map[uint32]int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	request := &historypb.AppendRequest{From: k.settings.Name}
+	counts := map[uint32]int{}
+	for _, s := range k.slices {
+		if len(s.entries) == 0 || s.role.Partner != partner || !k.primary(s) {
+			continue
+		}
+		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch}
+		for _, e := range s.entries {
+			a.Records = append(a.Records, e.records...)
+		}
+		counts[s.number] = len(s.entries)
+		request.Slices = append(request.Slices, a)
+	}
+	if len(request.Slices) == 0 {
+		return nil, nil
+	}
+	return request, counts
+}
+
+func (k *Keeper) sendEntries(ctx context.Context, partner string, r *historypb.AppendRequest, counts map[uint32]int) bool {
+	ctx, cancel := context.WithTimeout(ctx, appendTime)
+	defer cancel()
+	response, err := k.peers.Append(ctx, partner, r)
+	if err != nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	refused := k.noteRefused(response)
+	for _, a := range r.Slices {
+		s := k.slices[a.Slice]
+		if refused[a.Slice] || s.role.Epoch != a.Epoch {
+			continue
+		}
+		for _, e := range s.entries[:counts[a.Slice]] {
+			k.arrived(e)
+		}
+		s.entries = s.entries[counts[a.Slice]:]
+	}
+	return len(refused) == 0
+}
+
+// noteRefused returns the refused slices, and has the assignment read again
+// where a newer epoch than the known one shows that this keeper was replaced.
+func (k *Keeper) noteRefused(response *historypb.AppendResponse) map[uint32]bool {
+	refused := map[uint32]bool{}
+	for _, m := range response.Refused {
+		refused[m.Slice] = true
+		if m.Slice < SliceCount && m.Epoch > k.slices[m.Slice].role.Epoch {
+			notify(k.wakeRead)
+		}
+	}
+	return refused
+}
+
+// runReads reads the assignment from the store when it is asked for.
+func (k *Keeper) runReads(ctx context.Context) {
+	for {
+		select {
+		case <-k.wakeRead:
+		case <-ctx.Done():
+			return
+		}
+		a, version, err := k.assignments.Read(ctx)
+		if err != nil {
+			k.settings.Logger.WithError(err).Warn("assignment not read")
+			time.Sleep(readPause)
+			continue
+		}
+		k.mu.Lock()
+		k.verified = true
+		k.mu.Unlock()
+		k.Adopt(a, version)
+		// A burst of refusals asks for one read.
+		time.Sleep(readPause)
+	}
+}
+
+// readPause is the least time between two reads of the assignment.
+const readPause = 100 * time.Millisecond
--- /dev/null
+++ b/internal/history/roles.go
@@ -0,0 +1,438 @@
+package history
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foxhall/internal/history/historypb"
+	"foxhall/internal/store"
+)
+
+const (
+	// rolesEvery is how often the roles are looked at without an event.
+	rolesEvery = 100 * time.Millisecond
+	// statusEvery is how often other keepers are asked how they stand.
+	statusEvery = 200 * time.Millisecond
+	// statusTime bounds one such question.
+	statusTime = 400 * time.Millisecond
+	// suspectAfter is how long a keeper may be silent before it is replaced: a
+	// pause of the process or a lost packet passes, a loss does not. A needless
+	// change costs the filling of a slice and no more.
+	suspectAfter = 800 * time.Millisecond
+	// stalledAfter is how long a disk may take for one write; it takes 5 ms.
+	stalledAfter = 500 * time.Millisecond
+	// bootTime is how long after its start a keeper judges no other by silence.
+	bootTime = 1200 * time.Millisecond
+	// abandonAfter is how long neither keeper of a slice may have all of it
+	// before it begins anew. Both disks are lost then, or it never began.
+	abandonAfter = 10 * time.Second
+)
+
+// mark says up to which epoch a keeper follows a slice, and whether it has all of it.
+type mark struct {
+	Epoch  uint64
+	Synced bool
+}
+
+// view is what is known of another keeper.
+type view struct {
+	heard  time.Time
+	status *historypb.StatusResponse
+}
+
+// opinion is what a decision about roles needs of another keeper.
+type opinion struct {
+	// out says that it should hold nothing: it is silent, stalled or leaving.
+	out bool
+	// heard says that its marks are known.
+	heard bool
+	marks [SliceCount]mark
+}
+
+// Adopt takes in an assignment of the store; an older one changes nothing.
+func (k *Keeper) Adopt(a Assignment, version store.Version) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version <= k.version {
+		return
+	}
+	k.known, k.version = a, version
+	for _, s := range k.slices {
+		if next := a.Slices[s.number]; next.Epoch > s.role.Epoch {
+			k.assign(s, next)
+		}
+	}
+	notify(k.wakeRoles)
+}
+
+// assign puts a slice's newer role in force; the lock is held.
+func (k *Keeper) assign(s *slice, next Role) {
+	k.settings.Logger.WithField("slice", s.number).WithField("epoch", next.Epoch).
+		WithField("primary", next.Primary).WithField("partner", next.Partner).
+		WithField("mark", s.mark.Epoch).WithField("synced", s.mark.Synced).Info("slice assigned")
+	s.role = next
+	s.lostSince, s.primaryLostSince = time.Time{}, time.Time{}
+	if next.Primary != k.settings.Name {
+		s.drop()
+		return
+	}
+	k.raise(s)
+}
+
+// raise makes the keeper that proposed an epoch its primary, once its own mark
+// is on the disk. It must have had all of the slice in the epoch before.
+func (k *Keeper) raise(s *slice) {
+	epoch := s.role.Epoch
+	first := epoch == 1 && k.settings.FirstStart && s.mark.Epoch == 0
+	if s.marking || s.mark.Epoch >= epoch || !first && (!s.mark.Synced || s.mark.Epoch != epoch-1) {
+		return
+	}
+	s.marking = true
+	k.persist([]*historypb.Record{markRecord(s.number, epoch, true)}, func() {
+		s.marking = false
+		if s.mark.Epoch < epoch {
+			s.mark.Epoch, s.mark.Synced = epoch, true
+		}
+		notify(k.wakeRoles)
+	})
+}
+
+// runRoles keeps each slice on two keepers.
+func (k *Keeper) runRoles(ctx context.Context) {
+	ticker := time.NewTicker(rolesEvery)
+	defer ticker.Stop()
+	expired := time.Now()
+	for {
+		select {
+		case <-k.wakeRoles:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if time.Since(expired) > expireEvery {
+			expired = time.Now()
+			k.expire()
+		}
+		k.reconcile(ctx)
+	}
+}
+
+func (k *Keeper) expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.slices {
+		s.state.expire(time.Now())
+	}
+}
+
+// reconcile fills partners that lack records and proposes what must change.
+func (k *Keeper) reconcile(ctx context.Context) {
+	k.mu.Lock()
+	if k.version == 0 {
+		k.mu.Unlock()
+		k.begin(ctx)
+		return
+	}
+	opinions := k.opinions(time.Now())
+	next, changed := k.propose(opinions, time.Now())
+	base := k.version
+	for _, s := range k.slices {
+		if k.primary(s) {
+			k.fillIfNeeded(ctx, s, opinions[s.role.Partner])
+		}
+	}
+	k.mu.Unlock()
+	if changed {
+		k.write(ctx, next, base)
+	}
+}
+
+// begin makes the first assignment. The keeper with the lowest name does it;
+// should two do it, the store takes one.
+func (k *Keeper) begin(ctx context.Context) {
+	keepers := k.settings.Keepers()
+	if time.Since(k.started) < bootTime || len(keepers) == 0 || keepers[0].Name != k.settings.Name {
+		if time.Since(k.started) > bootTime {
+			notify(k.wakeRead)
+		}
+		return
+	}
+	a, version, err := k.assignments.Read(ctx)
+	if err != nil {
+		return
+	}
+	if version > 0 {
+		k.Adopt(a, version)
+		return
+	}
+	if first, ok := First(keepers); ok {
+		k.write(ctx, first, 0)
+	}
+}
+
+// write proposes an assignment. A lost answer is settled by reading.
+func (k *Keeper) write(ctx context.Context, a Assignment, base store.Version) {
+	version, err := k.assignments.Write(ctx, a, base)
+	if err == nil {
+		k.Adopt(a, version)
+		return
+	}
+	if !errors.Is(err, store.ErrConflict) {
+		k.settings.Logger.WithError(err).Warn("assignment not written")
+	}
+	notify(k.wakeRead)
+}
+
+// opinions judges the other keepers; the lock is held.
+func (k *Keeper) opinions(now time.Time) map[string]opinion {
+	opinions := map[string]opinion{}
+	for name, v := range k.views {
+		o := opinion{}
+		silent := now.Sub(v.heard) > suspectAfter && now.Sub(k.started) > bootTime
+		o.out = silent || k.settings.Retiring(name)
+		if v.status != nil {
+			o.heard = !silent
+			o.out = o.out || v.status.Leaving || v.status.StalledMs > stalledAfter.Milliseconds()
+			for _, m := range v.status.Slices {
+				if m.Slice < SliceCount {
+					o.marks[m.Slice] = mark{Epoch: m.Epoch, Synced: m.Synced}
+				}
+			}
+		}
+		opinions[name] = o
+	}
+	return opinions
+}
+
+// propose returns the assignment that this keeper wants, where it differs; the
+// lock is held. Only a keeper that has all of a slice may change its holders.
+func (k *Keeper) propose(opinions map[string]opinion, now time.Time) (Assignment, bool) {
+	next, changed := k.known, false
+	if k.leavingNow() || k.stalled() > stalledAfter {
+		return next, false
+	}
+	me := Candidate{Name: k.settings.Name, DataCentre: k.settings.DataCentre}
+	keepers := k.settings.Keepers()
+	out := func(name string) bool {
+		o, known := opinions[name]
+		return !known || !o.heard || o.out
+	}
+	for _, s := range k.slices {
+		if !k.mustChange(s, opinions, now) {
+			continue
+		}
+		partner, ok := next.partnerFor(me, keepers, out)
+		if !ok {
+			continue
+		}
+		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partner: partner}
+		changed = true
+	}
+	return next, changed
+}
+
+func (k *Keeper) leavingNow() bool { return k.leaving || k.settings.Retiring(k.settings.Name) }
+
+func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
+	if s.role.Epoch == 0 || s.mark.Epoch != s.role.Epoch {
+		return k.abandoned(s, opinions, now)
+	}
+	switch {
+	case !s.mark.Synced:
+		return k.abandoned(s, opinions, now)
+	case s.role.Primary == k.settings.Name:
+		o, known := opinions[s.role.Partner]
+		return !known && now.Sub(k.started) > bootTime || o.out
+	case s.role.Partner == k.settings.Name:
+		o, known := opinions[s.role.Primary]
+		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o, now)
+	default:
+		return false
+	}
+}
+
+// primaryLost reports that the primary lives and has lost its disk. What is
+// known of it lags, so that it must stay so for some rounds.
+func (s *slice) primaryLost(o opinion, now time.Time) bool {
+	if !o.heard || o.has(int(s.number), s.role.Epoch) {
+		s.primaryLostSince = time.Time{}
+		return false
+	}
+	if s.primaryLostSince.IsZero() {
+		s.primaryLostSince = now
+	}
+	return now.Sub(s.primaryLostSince) > lostRounds*statusEvery
+}
+
+// lostRounds is the number of rounds in which a primary must lack its slice.
+const lostRounds = 3
+
+// abandoned reports that no keeper has all of a slice and that this one, its
+// primary, has to begin it anew. It comes to that only when both disks are
+// lost, or before the slice's first record.
+func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
+	o := opinions[s.role.Partner]
+	if s.role.Epoch == 0 || s.role.Primary != k.settings.Name || s.marking || !k.verified ||
+		!o.heard || o.has(int(s.number), s.role.Epoch) {
+		s.lostSince = time.Time{}
+		return false
+	}
+	if s.lostSince.IsZero() {
+		s.lostSince = now
+	}
+	if now.Sub(s.lostSince) < abandonAfter {
+		return false
+	}
+	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).Error("slice lost on both disks, begun anew")
+	s.mark.Epoch, s.mark.Synced = s.role.Epoch, true
+	s.lostSince = time.Time{}
+	return true
+}
+
+// fillIfNeeded sends the whole slice to a partner that lacks it; the lock is held.
+func (k *Keeper) fillIfNeeded(ctx context.Context, s *slice, partner opinion) {
+	if s.filling || !partner.heard || partner.has(int(s.number), s.role.Epoch) {
+		return
+	}
+	s.filling = true
+	go k.fill(ctx, s, s.role, s.state.records(s.number))
+}
+
+// fill sends records in parts, the last with the word that they are all. What
+// changes meanwhile goes to the partner as it happens.
+func (k *Keeper) fill(ctx context.Context, s *slice, role Role, records []*historypb.Record) {
+	defer func() {
+		k.mu.Lock()
+		s.filling = false
+		k.mu.Unlock()
+	}()
+	for {
+		n, size := 0, 0
+		for n < len(records) && size < fillBytes {
+			size += proto.Size(records[n])
+			n++
+		}
+		part := &historypb.SliceAppend{Slice: s.number, Epoch: role.Epoch, Records: records[:n], Complete: n == len(records)}
+		if !k.sendPart(ctx, role.Partner, part) {
+			return
+		}
+		if part.Complete {
+			break
+		}
+		records = records[n:]
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v := k.views[role.Partner]; v != nil && v.status != nil {
+		for _, m := range v.status.Slices {
+			if m.Slice == s.number {
+				m.Epoch, m.Synced = role.Epoch, true
+			}
+		}
+	}
+}
+
+func (k *Keeper) sendPart(ctx context.Context, partner string, part *historypb.SliceAppend) bool {
+	ctx, cancel := context.WithTimeout(ctx, opTime)
+	defer cancel()
+	r := &historypb.AppendRequest{From: k.settings.Name, Slices: []*historypb.SliceAppend{part}}
+	response, err := k.peers.Append(ctx, partner, r)
+	if err != nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.noteRefused(response)) == 0
+}
+
+// runViews asks the other keepers how they stand.
+func (k *Keeper) runViews(ctx context.Context) {
+	ticker := time.NewTicker(statusEvery)
+	defer ticker.Stop()
+	asking := map[string]chan struct{}{}
+	for {
+		for _, c := range k.settings.Keepers() {
+			if c.Name == k.settings.Name {
+				continue
+			}
+			if asking[c.Name] == nil {
+				asking[c.Name] = make(chan struct{}, 1)
+			}
+			select {
+			case asking[c.Name] <- struct{}{}:
+				go func() {
+					defer func() { <-asking[c.Name] }()
+					k.ask(ctx, c.Name)
+				}()
+			default:
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *Keeper) ask(ctx context.Context, name string) {
+	k.mu.Lock()
+	if k.views[name] == nil {
+		k.views[name] = &view{heard: time.Now()}
+	}
+	k.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	status, err := k.peers.Status(ctx, name, &historypb.StatusRequest{From: k.settings.Name})
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.views[name]
+	v.heard, v.status = time.Now(), status
+	notify(k.wakeRoles)
+}
+
+// Leave hands over what this keeper holds, until it holds nothing or ctx ends.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	ticker := time.NewTicker(rolesEvery)
+	defer ticker.Stop()
+	for !k.Empty() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Empty reports that each slice is whole on two other keepers.
+func (k *Keeper) Empty() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.version == 0 {
+		return false
+	}
+	opinions := k.opinions(time.Now())
+	for number, r := range k.known.Slices {
+		if r.Epoch == 0 || r.Primary == k.settings.Name || r.Partner == k.settings.Name {
+			return false
+		}
+		if !opinions[r.Primary].has(number, r.Epoch) || !opinions[r.Partner].has(number, r.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// has reports that the keeper is known to have all of a slice in the epoch.
+func (o opinion) has(slice int, epoch uint64) bool {
+	return o.heard && o.marks[slice].Synced && o.marks[slice].Epoch == epoch
+}
--- /dev/null
+++ b/internal/history/serve.go
@@ -0,0 +1,199 @@
+package history
+
+import (
+	"context"
+	"time"
+
+	"foxhall/internal/history/historypb"
+)
+
+var _ historypb.Keeper = (*Keeper)(nil)
+
+// Reserve implements historypb.Keeper.
+func (k *Keeper) Reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
+	k.mu.Lock()
+	s := k.sliceFor(r.Slice)
+	if s == nil || !k.primary(s) {
+		defer k.mu.Unlock()
+		return &historypb.ReserveResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
+	}
+	var chain []*historypb.Turn
+	if r.Previous != "" && !r.Foreign {
+		found, ok := s.state.chain(r.Previous)
+		if !ok {
+			e := k.submit(s, nil)
+			k.mu.Unlock()
+			return &historypb.ReserveResponse{Verdict: certain(ctx, e, historypb.Verdict_NO_TURN)}, nil
+		}
+		chain = found
+	}
+	verdict, account := s.state.reserve(r, time.Now())
+	if verdict != historypb.Verdict_DONE {
+		defer k.mu.Unlock()
+		response := &historypb.ReserveResponse{Verdict: verdict}
+		if a := s.state.accounts[r.Program]; a != nil {
+			response.Spent, response.Open = a.Spent, openTokens(a)
+		}
+		return response, nil
+	}
+	e := k.submit(s, []*historypb.Record{accountRecord(r.Slice, account)})
+	k.mu.Unlock()
+	return &historypb.ReserveResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE), Chain: chain}, nil
+}
+
+// certain returns the verdict once it is certain that it holds.
+func certain(ctx context.Context, e *entry, v historypb.Verdict) historypb.Verdict {
+	if !wait(ctx, e) {
+		return historypb.Verdict_NOT_NOW
+	}
+	return v
+}
+
+// Settle implements historypb.Keeper.
+func (k *Keeper) Settle(ctx context.Context, r *historypb.SettleRequest) (*historypb.SettleResponse, error) {
+	k.mu.Lock()
+	s := k.sliceFor(r.Slice)
+	if s == nil || !k.primary(s) {
+		defer k.mu.Unlock()
+		return &historypb.SettleResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
+	}
+	// A repeat changes nothing, but what it repeats may not be durable yet, so
+	// it waits for its own turn behind it.
+	e := k.submit(s, s.state.settle(r, time.Now()))
+	k.mu.Unlock()
+	return &historypb.SettleResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE)}, nil
+}
+
+// Find implements historypb.Keeper. A turn that is not durable yet was never
+// named to anybody who could ask for it.
+func (k *Keeper) Find(ctx context.Context, r *historypb.FindRequest) (*historypb.FindResponse, error) {
+	k.mu.Lock()
+	asked := map[uint32]*entry{}
+	for _, s := range k.slices {
+		if chain, ok := s.state.chain(r.Turn); ok {
+			k.mu.Unlock()
+			return &historypb.FindResponse{Chain: chain}, nil
+		}
+		if k.primary(s) {
+			asked[s.number] = k.submit(s, nil)
+		}
+	}
+	k.mu.Unlock()
+	response := &historypb.FindResponse{}
+	ctx, cancel := context.WithTimeout(ctx, opTime)
+	defer cancel()
+	for number, e := range asked {
+		if wait(ctx, e) {
+			response.Absent = append(response.Absent, number)
+		}
+	}
+	return response, nil
+}
+
+// Append implements historypb.Keeper.
+func (k *Keeper) Append(ctx context.Context, r *historypb.AppendRequest) (*historypb.AppendResponse, error) {
+	response := &historypb.AppendResponse{}
+	durable := make(chan struct{})
+	k.mu.Lock()
+	var records []*historypb.Record
+	var complete []*slice
+	var epochs []uint64
+	for _, a := range r.Slices {
+		s := k.sliceFor(a.Slice)
+		if s == nil || !k.accepts(s, a.Epoch) {
+			response.Refused = append(response.Refused, k.refusal(a, s))
+			continue
+		}
+		if a.Epoch > s.mark.Epoch {
+			k.follow(s, a.Epoch)
+			records = append(records, markRecord(s.number, a.Epoch, false))
+		}
+		for _, record := range a.Records {
+			s.state.apply(record)
+		}
+		records = append(records, a.Records...)
+		if a.Complete {
+			records = append(records, markRecord(s.number, a.Epoch, true))
+			complete, epochs = append(complete, s), append(epochs, a.Epoch)
+		}
+	}
+	k.persist(records, func() {
+		// Only what is on the disk may be relied on: after a crash this keeper
+		// must know by itself that it has all of the slice.
+		for i, s := range complete {
+			if s.mark.Epoch == epochs[i] {
+				s.mark.Synced = true
+			}
+		}
+		close(durable)
+	})
+	k.mu.Unlock()
+	select {
+	case <-durable:
+		return response, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// accepts reports whether a primary of the epoch may be followed. A keeper
+// that lost its disk knows nothing of later epochs, so it first reads the
+// assignment: a primary that was replaced long ago could else win it over.
+func (k *Keeper) accepts(s *slice, epoch uint64) bool {
+	if !k.verified {
+		notify(k.wakeRead)
+		return false
+	}
+	return epoch >= s.mark.Epoch && epoch >= s.role.Epoch
+}
+
+func (k *Keeper) refusal(a *historypb.SliceAppend, s *slice) *historypb.SliceMark {
+	m := &historypb.SliceMark{Slice: a.Slice}
+	if s != nil && k.verified {
+		m.Epoch = max(s.mark.Epoch, s.role.Epoch)
+	}
+	return m
+}
+
+// follow makes this keeper a partner in a newer epoch; the lock is held. It
+// has all of the slice only when the primary says so.
+func (k *Keeper) follow(s *slice, epoch uint64) {
+	s.mark.Epoch, s.mark.Synced = epoch, false
+	s.drop()
+	if epoch > s.role.Epoch {
+		notify(k.wakeRead)
+	}
+}
+
+// Status implements historypb.Keeper.
+func (k *Keeper) Status(context.Context, *historypb.StatusRequest) (*historypb.StatusResponse, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.leaving, StalledMs: k.stalled().Milliseconds()}
+	for _, s := range k.slices {
+		response.Slices = append(response.Slices, &historypb.SliceMark{Slice: s.number, Epoch: s.mark.Epoch, Synced: s.mark.Synced})
+	}
+	return response, nil
+}
+
+// stalled is for how long the disk has not finished a write; the lock is held.
+func (k *Keeper) stalled() time.Duration {
+	if k.writingSince.IsZero() {
+		return 0
+	}
+	return time.Since(k.writingSince)
+}
+
+func (k *Keeper) sliceFor(number uint32) *slice {
+	if number >= SliceCount {
+		return nil
+	}
+	return k.slices[number]
+}
+
+func (k *Keeper) roleOf(s *slice) *historypb.Role {
+	if s == nil {
+		return nil
+	}
+	return &historypb.Role{Epoch: s.role.Epoch, Primary: s.role.Primary, Partner: s.role.Partner}
+}
--- /dev/null
+++ b/internal/history/state.go
@@ -0,0 +1,195 @@
+package history
+
+import (
+	"slices"
+	"time"
+
+	"foxhall/internal/history/historypb"
+)
+
+const (
+	// keepMargin is how much longer than asked turns and accounts are kept: the
+	// clocks of instances differ, and may step by seconds.
+	keepMargin = 20 * time.Second
+	// settledMost bounds the settled turns that an account remembers. A repeat
+	// comes within seconds, in which a program ends a few turns.
+	settledMost = 16
+)
+
+// state is what is kept of one slice. Its rules are pure: they change the
+// state and return the records that make the change durable.
+type state struct {
+	accounts map[string]*historypb.Account
+	turns    map[string]*keptTurn
+}
+
+type keptTurn struct {
+	turn    *historypb.Turn
+	expires int64
+}
+
+func newState() *state {
+	return &state{accounts: map[string]*historypb.Account{}, turns: map[string]*keptTurn{}}
+}
+
+// reserve opens a turn in the program's account.
+func (s *state) reserve(r *historypb.ReserveRequest, now time.Time) (historypb.Verdict, *historypb.Account) {
+	old := s.accounts[r.Program]
+	if old != nil {
+		if slices.ContainsFunc(old.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn }) {
+			return historypb.Verdict_DONE, old
+		}
+		if slices.Contains(old.Settled, r.Turn) {
+			// The caller has given the turn up; this request was late.
+			return historypb.Verdict_NOT_NOW, nil
+		}
+		if r.Budget > 0 && old.Spent+openTokens(old)+r.Most > r.Budget {
+			return historypb.Verdict_SPENT, nil
+		}
+	} else if r.Budget > 0 && r.Most > r.Budget {
+		return historypb.Verdict_SPENT, nil
+	}
+	next := copyAccount(old, r.Program)
+	next.Open = append(next.Open, &historypb.OpenTurn{Id: r.Turn, Most: r.Most})
+	next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
+	s.accounts[r.Program] = next
+	return historypb.Verdict_DONE, next
+}
+
+// settle closes a turn and counts what it made. A turn that is not open may
+// have been opened by a primary whose record was lost; it counts all the same.
+func (s *state) settle(r *historypb.SettleRequest, now time.Time) []*historypb.Record {
+	var records []*historypb.Record
+	old := s.accounts[r.Program]
+	if old == nil || !slices.Contains(old.Settled, r.Turn) {
+		next := copyAccount(old, r.Program)
+		next.Open = slices.DeleteFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn })
+		next.Spent += r.Made
+		next.Settled = append(next.Settled, r.Turn)
+		if over := len(next.Settled) - settledMost; over > 0 {
+			next.Settled = next.Settled[over:]
+		}
+		next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
+		s.accounts[r.Program] = next
+		records = append(records, accountRecord(r.Slice, next))
+	}
+	for _, t := range r.Chain {
+		if s.turns[t.Id] == nil {
+			records = append(records, s.keep(r.Slice, t))
+		}
+	}
+	if r.Kept != nil && s.turns[r.Kept.Id] == nil {
+		records = append(records, s.keep(r.Slice, r.Kept))
+	}
+	return records
+}
+
+func (s *state) keep(slice uint32, t *historypb.Turn) *historypb.Record {
+	s.addTurn(t)
+	return turnRecord(slice, t)
+}
+
+// addTurn keeps a turn, and the chain before it as long as itself.
+func (s *state) addTurn(t *historypb.Turn) {
+	if s.turns[t.Id] == nil {
+		s.turns[t.Id] = &keptTurn{turn: t}
+	}
+	expires := t.EndedUnixMs + t.RetentionMs + keepMargin.Milliseconds()
+	for k := s.turns[t.Id]; k != nil && k.expires < expires; k = s.turns[k.turn.Previous] {
+		k.expires = expires
+	}
+}
+
+// chain returns the turns up to and with the named one, the oldest first;
+// false if any of them is not here.
+func (s *state) chain(id string) ([]*historypb.Turn, bool) {
+	var chain []*historypb.Turn
+	for id != "" {
+		k := s.turns[id]
+		if k == nil || len(chain) > len(s.turns) {
+			return nil, false
+		}
+		chain = append(chain, k.turn)
+		id = k.turn.Previous
+	}
+	slices.Reverse(chain)
+	return chain, true
+}
+
+// apply takes in a record of a primary. Records may come twice and out of
+// order: turns never change, and of an account the higher version counts.
+func (s *state) apply(r *historypb.Record) {
+	switch b := r.Body.(type) {
+	case *historypb.Record_Turn:
+		s.addTurn(b.Turn)
+	case *historypb.Record_Account:
+		if old := s.accounts[b.Account.Program]; old == nil || old.Version < b.Account.Version {
+			s.accounts[b.Account.Program] = b.Account
+		}
+	}
+}
+
+// expire forgets what need not be kept any longer.
+func (s *state) expire(now time.Time) {
+	at := now.UnixMilli()
+	for id, k := range s.turns {
+		if k.expires < at {
+			delete(s.turns, id)
+		}
+	}
+	for program, a := range s.accounts {
+		if a.TouchedUnixMs+max(a.RetentionMs, defaultRetention.Milliseconds())+keepMargin.Milliseconds() < at {
+			delete(s.accounts, program)
+		}
+	}
+}
+
+// defaultRetention is how long an account is kept whose turns name no time.
+const defaultRetention = time.Minute
+
+// records returns all of the slice.
+func (s *state) records(slice uint32) []*historypb.Record {
+	records := make([]*historypb.Record, 0, len(s.turns)+len(s.accounts))
+	for _, a := range s.accounts {
+		records = append(records, accountRecord(slice, a))
+	}
+	for _, k := range s.turns {
+		records = append(records, turnRecord(slice, k.turn))
+	}
+	return records
+}
+
+func copyAccount(old *historypb.Account, program string) *historypb.Account {
+	if old == nil {
+		return &historypb.Account{Program: program, Version: 1}
+	}
+	return &historypb.Account{
+		Program:       program,
+		Version:       old.Version + 1,
+		Spent:         old.Spent,
+		Open:          slices.Clone(old.Open),
+		Settled:       slices.Clone(old.Settled),
+		TouchedUnixMs: old.TouchedUnixMs,
+		RetentionMs:   old.RetentionMs,
+	}
+}
+
+func openTokens(a *historypb.Account) int64 {
+	n := int64(0)
+	for _, o := range a.Open {
+		n += o.Most
+	}
+	return n
+}
+
+func accountRecord(slice uint32, a *historypb.Account) *historypb.Record {
+	return &historypb.Record{Slice: slice, Body: &historypb.Record_Account{Account: a}}
+}
+
+func turnRecord(slice uint32, t *historypb.Turn) *historypb.Record {
+	return &historypb.Record{Slice: slice, Body: &historypb.Record_Turn{Turn: t}}
+}
+
+func markRecord(slice uint32, epoch uint64, synced bool) *historypb.Record {
+	return &historypb.Record{Slice: slice, Body: &historypb.Record_Mark{Mark: &historypb.Mark{Epoch: epoch, Synced: synced}}}
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -70,6 +70,7 @@
 	Body   io.Reader
 
 	conn *conn
+	call int
 }
 
 // Pool keeps the connections to one address.
@@ -96,6 +97,10 @@
 	since   time.Time
 
 	mu sync.Mutex
+	// calls counts the calls on the connection. Each end of a call names the
+	// call that it ends: an answer is closed once more after its connection
+	// was given to the next call, which that must not touch.
+	calls int
 	// unwritten says that the body is still being written.
 	unwritten bool
 	done      bool
@@ -132,7 +137,7 @@
 	c.begin(ctx)
 	answer, err := c.exchange(call)
 	if err != nil {
-		c.discard()
+		c.discard(c.calls)
 		return nil, err
 	}
 	return answer, nil
@@ -142,6 +147,7 @@
 func (c *conn) begin(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.calls++
 	c.done, c.unwritten = false, false
 	c.stop = context.AfterFunc(ctx, func() { c.net.Close() })
 }
@@ -291,11 +297,11 @@
 
 func (c *conn) answer(r *http.Response) *Answer {
 	c.noteIdle(r.Header.Get("Keep-Alive"))
-	a := &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c}
+	a := &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, call: c.calls}
 	a.Body = &body{answer: a, from: r.Body, close: r.Close}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		a.Body = http.NoBody
-		c.release(r.Close)
+		c.release(a.call, r.Close)
 	}
 	return a
 }
@@ -320,18 +326,18 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.from.Read(p)
 	if err == io.EOF {
-		b.answer.conn.release(b.close)
+		b.answer.conn.release(b.answer.call, b.close)
 	}
 	return n, err
 }
 
 // Close ends the answer. A body that was not read to its end costs its
 // connection, which tells the other side to stop.
-func (a *Answer) Close() { a.conn.discard() }
+func (a *Answer) Close() { a.conn.discard(a.call) }
 
 // release puts the connection back if it can serve another call.
-func (c *conn) release(closing bool) {
-	if !c.finish() {
+func (c *conn) release(call int, closing bool) {
+	if !c.finish(call) {
 		return
 	}
 	c.mu.Lock()
@@ -351,18 +357,18 @@
 	p.idle = append(p.idle, c)
 }
 
-func (c *conn) discard() {
-	if !c.finish() {
+func (c *conn) discard(call int) {
+	if !c.finish(call) {
 		return
 	}
 	c.pool.forget(c)
 }
 
-// finish ends the connection's present call, once.
-func (c *conn) finish() bool {
+// finish ends the call of that number, once.
+func (c *conn) finish(call int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.done {
+	if c.done || c.calls != call {
 		return false
 	}
 	c.done = true
--- /dev/null
+++ b/internal/httpconn/httpconn_test.go
@@ -0,0 +1,114 @@
+package httpconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func get(target string) *Call {
+	return &Call{Method: "GET", Target: target, Host: "a.example", Header: http.Header{}}
+}
+
+// An answer is read to its end, which frees its connection; the next call takes
+// the connection, and only then is the first answer closed. The next caller
+// sees its answer lost if that close reaches the connection. It must not.
+func TestCloseAfterReuseSparesTheNextCall(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	pool := NewPool(server.Listener.Addr().String())
+	first, err := pool.Do(context.Background(), get("/quick"), 1)
+	is.NoErr(err)
+	_, err = io.ReadAll(first.Body)
+	is.NoErr(err)
+	answered := make(chan error, 1)
+	started := make(chan struct{})
+	go func() {
+		close(started)
+		second, err := pool.Do(context.Background(), get("/slow"), 1)
+		if err == nil {
+			_, err = io.ReadAll(second.Body)
+		}
+		answered <- err
+	}()
+	<-started
+	for pool.inUse() == 0 {
+	}
+	first.Close()
+	close(release)
+	is.NoErr(<-answered)
+	is.Equal(pool.Opened(), int64(1))
+}
+
+func (p *Pool) inUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open - len(p.idle)
+}
+
+// A replica sends an answer to an earlier call where this one's is expected,
+// and then this one's. The caller must get its own.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, 1<<10)
+		_, _ = c.Read(buffer)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 3\r\n\r\nold")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 3\r\n\r\nnew")
+	}()
+	call := get("/")
+	call.Mine = func(h http.Header) bool { return h.Get("Call") == "2" }
+	answer, err := NewPool(listener.Addr().String()).Do(context.Background(), call, 1)
+	is.NoErr(err)
+	body, err := io.ReadAll(answer.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "new")
+}
+
+// A replica sends bytes behind a whole answer. They belong to no call: the
+// connection must not be used again, or the next call takes them for its own.
+func TestBytesBehindAnAnswerCostTheConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			buffer := make([]byte, 1<<10)
+			_, _ = c.Read(buffer)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+		}
+	}()
+	pool := NewPool(listener.Addr().String())
+	for range 2 {
+		answer, err := pool.Do(context.Background(), get("/"), 1)
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+	}
+	is.Equal(pool.Opened(), int64(2))
+}
--- /dev/null
+++ b/internal/mirror/relay.go
@@ -0,0 +1,276 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"foxhall/internal/mirror/mirrorpb"
+	"foxhall/internal/store"
+)
+
+const (
+	// relayEvery is the time between two rounds. With one peer chosen by chance
+	// a change reaches some hundred instances in a few rounds even where every
+	// message sent at the change was lost.
+	relayEvery = 300 * time.Millisecond
+	// relayTime bounds one exchange.
+	relayTime = 400 * time.Millisecond
+	// fanOut is the number of peers that hear of a change at once.
+	fanOut = 3
+	// silentRounds is how many rounds in a row the instances that should follow
+	// the store must be silent before this one does it.
+	silentRounds = 2
+	// followsLeast is how long an instance follows at least, so that two that
+	// hear of each other by turns do not both start and stop.
+	followsLeast = 2 * time.Second
+	// lostMost is how long the store may not answer a follower that others rely on.
+	lostMost = 700 * time.Millisecond
+)
+
+// Peer is another instance.
+type Peer struct {
+	Name       string
+	DataCentre string
+	Relay      mirrorpb.Relay
+}
+
+// Relay exchanges a mirror's state with other instances, and decides whether
+// this instance follows the store itself: in each data centre the first by
+// name that is answered does. Two that do it for a while do no harm.
+type Relay struct {
+	name       string
+	dataCentre string
+	mirror     *Mirror
+	follower   *Follower
+	peers      func() []Peer
+	logger     log.Interface
+
+	wake chan struct{}
+	// silent counts the rounds in which no other follower of the data centre answered.
+	silent      int
+	followStop  context.CancelFunc
+	followDone  chan struct{}
+	followSince time.Time
+}
+
+var _ mirrorpb.Relay = (*Relay)(nil)
+
+// NewRelay returns a relay that is not yet running. peers returns the other
+// instances known now.
+func NewRelay(name, dataCentre string, m *Mirror, f *Follower, peers func() []Peer, logger log.Interface) *Relay {
+	r := &Relay{name: name, dataCentre: dataCentre, mirror: m, follower: f, peers: peers, logger: logger, wake: make(chan struct{}, 1)}
+	m.OnChange(func(Kind) {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	})
+	return r
+}
+
+// Run exchanges until ctx ends. It begins as a follower: until others are
+// known there is nobody else to learn from.
+func (r *Relay) Run(ctx context.Context) {
+	ticker := time.NewTicker(relayEvery)
+	defer ticker.Stop()
+	r.follow(ctx)
+	defer r.unfollow()
+	for {
+		select {
+		case <-ticker.C:
+			r.round(ctx)
+		case <-r.wake:
+			r.spread(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round talks to those that should follow the store here, and to one peer of
+// any data centre, through which a data centre without the store stays current.
+func (r *Relay) round(ctx context.Context) {
+	peers := r.peers()
+	better := false
+	for _, p := range r.before(peers) {
+		if following, ok := r.exchange(ctx, p); ok && following {
+			better = true
+			break
+		}
+	}
+	if len(peers) > 0 {
+		r.exchange(ctx, peers[rand.IntN(len(peers))])
+	}
+	if better {
+		r.silent = 0
+		if r.followStop != nil && time.Since(r.followSince) >= followsLeast {
+			r.unfollow()
+		}
+		return
+	}
+	if r.silent++; r.silent >= silentRounds {
+		r.follow(ctx)
+	}
+}
+
+// before returns the peers of the data centre that should follow the store
+// sooner than this instance, the first of all first.
+func (r *Relay) before(peers []Peer) []Peer {
+	var before []Peer
+	for _, p := range peers {
+		if p.DataCentre == r.dataCentre && p.Name < r.name {
+			before = append(before, p)
+		}
+	}
+	slices.SortFunc(before, func(a, b Peer) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return before
+}
+
+// spread tells some peers of a change at once.
+func (r *Relay) spread(ctx context.Context) {
+	peers := r.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(fanOut, len(peers))] {
+		go r.exchange(ctx, p)
+	}
+}
+
+func (r *Relay) follow(ctx context.Context) {
+	if r.followStop != nil {
+		return
+	}
+	r.logger.Info("following the store")
+	ctx, cancel := context.WithCancel(ctx)
+	r.followStop, r.followSince = cancel, time.Now()
+	done := make(chan struct{})
+	r.followDone = done
+	go func() {
+		defer close(done)
+		r.follower.Run(ctx)
+	}()
+}
+
+func (r *Relay) unfollow() {
+	if r.followStop == nil {
+		return
+	}
+	r.logger.Info("leaving the store to others")
+	r.followStop()
+	<-r.followDone
+	r.followStop = nil
+}
+
+// exchange takes what the peer knows and this instance does not, and gives it
+// what it lacks. It reports whether the peer follows the store and is answered.
+func (r *Relay) exchange(ctx context.Context, p Peer) (following, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, relayTime)
+	defer cancel()
+	request := &mirrorpb.ExchangeRequest{
+		From:        r.name,
+		Versions:    r.versions(),
+		UnsettledMs: r.mirror.Unsettled(time.Now()).Milliseconds(),
+	}
+	response, err := p.Relay.Exchange(ctx, request)
+	if err != nil {
+		return false, false
+	}
+	r.take(response.Deltas, response.UnsettledMs)
+	if deltas := r.lacking(response.Versions); len(deltas) > 0 {
+		push := &mirrorpb.ExchangeRequest{From: r.name, Versions: r.versions(), Deltas: deltas}
+		// A lost push is made good by a later round.
+		_, _ = p.Relay.Exchange(ctx, push)
+	}
+	return response.Following, true
+}
+
+// Exchange implements mirrorpb.Relay.
+func (r *Relay) Exchange(_ context.Context, request *mirrorpb.ExchangeRequest) (*mirrorpb.ExchangeResponse, error) {
+	r.take(request.Deltas, request.UnsettledMs)
+	now := time.Now()
+	return &mirrorpb.ExchangeResponse{
+		Versions:    r.versions(),
+		Deltas:      r.lacking(request.Versions),
+		Following:   r.follower.Active() && r.follower.LostFor(now) < lostMost,
+		UnsettledMs: r.mirror.Unsettled(now).Milliseconds(),
+	}, nil
+}
+
+func (r *Relay) versions() []*mirrorpb.Version {
+	var versions []*mirrorpb.Version
+	for _, k := range Kinds {
+		if asOf, known := r.mirror.AsOf(k); known {
+			versions = append(versions, &mirrorpb.Version{Kind: string(k), AsOf: uint64(asOf)})
+		}
+	}
+	return versions
+}
+
+// lacking returns what an instance with these versions does not know.
+func (r *Relay) lacking(versions []*mirrorpb.Version) []*mirrorpb.Delta {
+	known := map[Kind]store.Version{}
+	for _, v := range versions {
+		known[Kind(v.Kind)] = store.Version(v.AsOf)
+	}
+	var deltas []*mirrorpb.Delta
+	for _, k := range Kinds {
+		from, ok := known[k]
+		if d, lacks := r.mirror.Since(k, from, ok); lacks {
+			deltas = append(deltas, wireDelta(d))
+		}
+	}
+	return deltas
+}
+
+func (r *Relay) take(deltas []*mirrorpb.Delta, unsettledMs int64) {
+	if unsettledMs > 0 {
+		r.mirror.SetUnsettled(time.Now().Add(time.Duration(unsettledMs) * time.Millisecond))
+	}
+	for _, d := range deltas {
+		if k := Kind(d.Kind); slices.Contains(Kinds, k) {
+			r.mirror.Apply(Delta{
+				Kind:    k,
+				Full:    d.Full,
+				From:    store.Version(d.From),
+				AsOf:    store.Version(d.AsOf),
+				Entries: entries(d.Entries),
+				Removed: entries(d.Removed),
+			})
+		}
+	}
+}
+
+func wireDelta(d Delta) *mirrorpb.Delta {
+	return &mirrorpb.Delta{
+		Kind:    string(d.Kind),
+		Full:    d.Full,
+		From:    uint64(d.From),
+		AsOf:    uint64(d.AsOf),
+		Entries: wireEntries(d.Entries),
+		Removed: wireEntries(d.Removed),
+	}
+}
+
+func wireEntries(list []Entry) []*mirrorpb.Entry {
+	out := make([]*mirrorpb.Entry, 0, len(list))
+	for _, e := range list {
+		out = append(out, &mirrorpb.Entry{Name: e.Name, Revision: uint64(e.Revision), Value: e.Value})
+	}
+	return out
+}
+
+func entries(list []*mirrorpb.Entry) []Entry {
+	out := make([]Entry, 0, len(list))
+	for _, e := range list {
+		out = append(out, Entry{Name: e.Name, Revision: store.Version(e.Revision), Value: e.Value})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/history"
+	"foxhall/internal/history/historypb"
+	"foxhall/internal/mirror"
+	"foxhall/internal/mirror/mirrorpb"
+	"foxhall/internal/netdial"
+	"foxhall/internal/store"
+)
+
+const (
+	// instancePrefix begins the names of the objects by which instances find
+	// each other; assignmentName is the one that tells who holds which slice.
+	instancePrefix = "instance-"
+	assignmentName = "assignment"
+	// peerIdle is how long a connection between instances is kept without use.
+	peerIdle = time.Minute
+	// registerPause is the pause between two tries to register.
+	registerPause = 300 * time.Millisecond
+)
+
+// member is an instance as it is registered in the store.
+type member struct {
+	Name       string `json:"name"`
+	IP         string `json:"ip"`
+	DataCentre string `json:"data_centre"`
+	// Entry says that it takes callers, Keeper that it has a disk.
+	Entry  bool `json:"entry"`
+	Keeper bool `json:"keeper"`
+}
+
+// fleet is what this instance knows of the others.
+type fleet struct {
+	settings *Settings
+	mirror   *mirror.Mirror
+	objects  Objects
+	client   *http.Client
+
+	mu      sync.Mutex
+	members map[string]member
+	keepers map[string]historypb.Keeper
+	relays  map[string]mirrorpb.Relay
+}
+
+func newFleet(s *Settings, m *mirror.Mirror, o Objects) *fleet {
+	transport := &http.Transport{
+		DialContext:         netdial.Dial,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     peerIdle,
+		DisableCompression:  true,
+	}
+	return &fleet{
+		settings: s,
+		mirror:   m,
+		objects:  o,
+		client:   &http.Client{Transport: transport},
+		members:  map[string]member{},
+		keepers:  map[string]historypb.Keeper{},
+		relays:   map[string]mirrorpb.Relay{},
+	}
+}
+
+func (f *fleet) self() member {
+	return member{
+		Name:       f.settings.Instance,
+		IP:         f.settings.IP,
+		DataCentre: f.settings.DataCentre,
+		Entry:      f.settings.Callers != "",
+		Keeper:     f.settings.DataFolder != "",
+	}
+}
+
+// refresh takes in the registered instances.
+func (f *fleet) refresh() {
+	members := map[string]member{}
+	for _, e := range f.mirror.Entries(mirror.Fleet) {
+		var m member
+		if !strings.HasPrefix(e.Name, instancePrefix) || json.Unmarshal(e.Value, &m) != nil || m.Name == "" {
+			continue
+		}
+		members[m.Name] = m
+	}
+	members[f.settings.Instance] = f.self()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = members
+}
+
+// entries returns the number of instances that take callers.
+func (f *fleet) entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		if m.Entry {
+			n++
+		}
+	}
+	return n
+}
+
+// entryAddresses returns where the other entries take datagrams.
+func (f *fleet) entryAddresses() []*net.UDPAddr {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*net.UDPAddr
+	for _, m := range f.members {
+		if m.Entry && m.Name != f.settings.Instance {
+			list = append(list, &net.UDPAddr{IP: net.ParseIP(m.IP), Port: f.settings.PeerPort})
+		}
+	}
+	return list
+}
+
+// candidates returns the instances that have a disk, by name.
+func (f *fleet) candidates() []history.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []history.Candidate
+	for _, m := range f.members {
+		if m.Keeper {
+			list = append(list, history.Candidate{Name: m.Name, DataCentre: m.DataCentre})
+		}
+	}
+	slices.SortFunc(list, func(a, b history.Candidate) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// peers returns the other instances, and those at the seeds' addresses while
+// no others are known.
+func (f *fleet) peers() []mirror.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []mirror.Peer
+	for _, m := range f.members {
+		if m.Name != f.settings.Instance {
+			list = append(list, mirror.Peer{Name: m.Name, DataCentre: m.DataCentre, Relay: f.relay(m.IP)})
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, ip := range f.settings.Seeds {
+		if ip != f.settings.IP {
+			list = append(list, mirror.Peer{Name: ip, Relay: f.relay(ip)})
+		}
+	}
+	return list
+}
+
+// relay returns the client of the instance at the IP number; the lock is held.
+func (f *fleet) relay(ip string) mirrorpb.Relay {
+	if f.relays[ip] == nil {
+		f.relays[ip] = mirrorpb.NewRelayProtobufClient("http://"+f.settings.peerAddress(ip), f.client)
+	}
+	return f.relays[ip]
+}
+
+// Keeper implements history.Keepers.
+func (f *fleet) Keeper(name string) (historypb.Keeper, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[name]
+	if !ok {
+		return nil, false
+	}
+	if f.keepers[m.IP] == nil {
+		f.keepers[m.IP] = historypb.NewKeeperProtobufClient("http://"+f.settings.peerAddress(m.IP), f.client)
+	}
+	return f.keepers[m.IP], true
+}
+
+var errNoInstance = errors.New("node: no such instance")
+
+// Append implements history.Peers.
+func (f *fleet) Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error) {
+	k, ok := f.Keeper(name)
+	if !ok {
+		return nil, errNoInstance
+	}
+	return k.Append(ctx, r)
+}
+
+// Status implements history.Peers.
+func (f *fleet) Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error) {
+	k, ok := f.Keeper(name)
+	if !ok {
+		return nil, errNoInstance
+	}
+	return k.Status(ctx, r)
+}
+
+var assignmentKey = store.Key{Kind: string(mirror.Fleet), Name: assignmentName}
+
+// Read implements history.Assignments.
+func (f *fleet) Read(ctx context.Context) (history.Assignment, store.Version, error) {
+	object, err := f.objects.Get(ctx, assignmentKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return history.Assignment{}, 0, nil
+	}
+	if err != nil {
+		return history.Assignment{}, 0, err
+	}
+	a, err := history.DecodeAssignment(object.Value)
+	return a, object.Version, err
+}
+
+// Write implements history.Assignments.
+func (f *fleet) Write(ctx context.Context, a history.Assignment, base store.Version) (store.Version, error) {
+	data, err := a.Encode()
+	if err != nil {
+		return 0, err
+	}
+	return f.objects.Put(ctx, assignmentKey, data, base)
+}
+
+// assignment returns the newest mirrored assignment.
+func (f *fleet) assignment() (history.Assignment, store.Version, bool) {
+	e, ok := f.mirror.Get(mirror.Fleet, assignmentName)
+	if !ok {
+		return history.Assignment{}, 0, false
+	}
+	a, err := history.DecodeAssignment(e.Value)
+	return a, e.Revision, err == nil
+}
+
+// register keeps this instance's entry in the store, so that others find it.
+// It writes only where the entry is missing or says something else.
+func (f *fleet) register(ctx context.Context) error {
+	self := f.self()
+	key := store.Key{Kind: string(mirror.Fleet), Name: instancePrefix + self.Name}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "register")
+	}
+	for ctx.Err() == nil {
+		if _, known := f.mirror.AsOf(mirror.Fleet); !known {
+			pause(ctx, registerPause)
+			continue
+		}
+		e, exists := f.mirror.Get(mirror.Fleet, key.Name)
+		var listed member
+		if exists && json.Unmarshal(e.Value, &listed) == nil && listed == self {
+			return nil
+		}
+		if _, err := f.objects.Put(ctx, key, value, e.Revision); err == nil {
+			return nil
+		}
+		pause(ctx, registerPause)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -15,8 +16,12 @@
 
 	"foxhall/internal/cache"
 	"foxhall/internal/gateway"
+	"foxhall/internal/history"
+	"foxhall/internal/history/historypb"
 	"foxhall/internal/mirror"
+	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/netdial"
+	"foxhall/internal/peerload"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/store"
@@ -71,19 +76,23 @@
 	registry metrics.Registry
 
 	mirror   *mirror.Mirror
-	follower *mirror.Follower
+	fleet    *fleet
+	relay    *mirror.Relay
+	keeper   *history.Keeper
 	table    atomic.Pointer[routing.Table]
 	upstream *upstream.Table
 	gateway  *gateway.Gateway
 	stopping atomic.Bool
 
-	changed  chan struct{}
+	changed chan struct{}
+	// assigned is the newest assignment of slices.
+	assigned atomic.Pointer[history.Assignment]
 	replicas []routing.Replica
 	lapse    lapse
 }
 
 // New returns a node that is not yet running.
-func New(s Settings, d Dialect, logger log.Interface) *Node {
+func New(s Settings, d Dialect, logger log.Interface) (*Node, error) {
 	n := &Node{
 		settings: s,
 		dialect:  d,
@@ -93,21 +102,53 @@
 		upstream: upstream.NewTable(),
 		changed:  make(chan struct{}, 1),
 	}
-	n.follower = mirror.NewFollower(n.mirror, d.Objects, n.logger)
+	n.fleet = newFleet(&n.settings, n.mirror, d.Objects)
 	n.mirror.OnChange(func(mirror.Kind) { n.wake() })
-	ways := map[string]time.Duration{}
+	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
+	n.relay = mirror.NewRelay(s.Instance, s.DataCentre, n.mirror, follower, n.fleet.peers, n.logger)
+	if s.DataFolder != "" {
+		if err := n.openKeeper(); err != nil {
+			return nil, err
+		}
+	}
+	n.openGateway()
+	return n, nil
+}
+
+func (n *Node) openGateway() {
 	sched := scheduler.New(scheduler.Settings{
-		DataCentre: s.DataCentre,
-		Ways:       ways,
+		DataCentre: n.settings.DataCentre,
 		Logger:     n.logger,
+		Random:     rand.Uint64,
 		Remote:     func(string) time.Duration { return 0 },
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: viewBlocks}))
+	turns := history.NewClient(n.fleet, n.assignment)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:     n.table.Load,
-		Instances: func() int { return 9 },
+		Instances: n.fleet.entries,
 		Stopping:  n.stopping.Load,
-	}, sched, d.Replicas, nil, n.logger, n.registry)
-	return n
+	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
+}
+
+func (n *Node) openKeeper() error {
+	k, err := history.Open(history.Settings{
+		Name:       n.settings.Instance,
+		DataCentre: n.settings.DataCentre,
+		Folder:     n.settings.DataFolder,
+		FirstStart: n.settings.FirstStart,
+		Keepers:    n.fleet.candidates,
+		Retiring:   func(string) bool { return false },
+		Logger:     n.logger,
+	}, n.fleet, n.fleet)
+	n.keeper = k
+	return err
+}
+
+func (n *Node) assignment() (history.Assignment, bool) {
+	if a := n.assigned.Load(); a != nil {
+		return *a, true
+	}
+	return history.Assignment{}, false
 }
 
 func (n *Node) wake() {
@@ -120,21 +161,79 @@
 // Run serves until ctx ends, then stops without cutting a call off.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory)))
-	n.logger.WithField("version", "").Info("start")
+	n.logger.WithField("keeper", n.keeper != nil).Info("start")
 	// Serving outlasts ctx: a planned stop first ends what is under way.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	n.fleet.refresh()
 	var group errgroup.Group
-	group.Go(func() error { n.follower.Run(serving); return nil })
+	group.Go(func() error { n.relay.Run(serving); return nil })
 	group.Go(func() error { n.control(serving); return nil })
+	group.Go(func() error { return n.fleet.register(serving) })
+	group.Go(func() error { return n.servePeers(serving) })
+	if n.keeper != nil {
+		group.Go(func() error { return n.keeper.Run(serving) })
+	}
+	group.Go(func() error {
+		defer stop()
+		if n.settings.Callers == "" {
+			return n.leave(ctx)
+		}
+		return n.serveEntry(ctx, serving)
+	})
 	if n.settings.Callers != "" {
-		group.Go(func() error { defer stop(); return n.serveEntry(ctx, serving) })
+		group.Go(func() error { return n.exchangeLoad(serving) })
 	}
 	err := group.Wait()
 	n.logger.Info("stop")
 	return err
 }
 
+// exchangeLoad tells the other entries what this one has under way.
+func (n *Node) exchangeLoad(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp", n.settings.peerAddress(n.settings.IP))
+	if err != nil {
+		return errors.Wrap(err, "load exchange")
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return errors.Wrap(err, "load exchange")
+	}
+	peerload.New(n.settings.Instance, n.upstream, n.fleet.entryAddresses, n.logger).Run(ctx, conn)
+	return nil
+}
+
+// leave waits for the order to stop and hands over what this instance keeps.
+func (n *Node) leave(ctx context.Context) error {
+	<-ctx.Done()
+	n.logger.Info("stopping")
+	if n.keeper == nil {
+		return nil
+	}
+	limit, cancel := context.WithTimeout(context.Background(), n.settings.Grace-handOverMargin)
+	defer cancel()
+	n.keeper.Leave(limit)
+	return nil
+}
+
+// handOverMargin is left of the grace after a hand-over.
+const handOverMargin = 1500 * time.Millisecond
+
+// servePeers serves other instances.
+func (n *Node) servePeers(ctx context.Context) error {
+	mux := http.NewServeMux()
+	relay := mirrorpb.NewRelayServer(n.relay)
+	mux.Handle(relay.PathPrefix(), relay)
+	if n.keeper != nil {
+		keeper := historypb.NewKeeperServer(n.keeper)
+		mux.Handle(keeper.PathPrefix(), keeper)
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	return n.listen(ctx, server, n.settings.peerAddress(n.settings.IP))
+}
+
 // control is the goroutine that owns what this instance believes.
 func (n *Node) control(ctx context.Context) {
 	ticker := time.NewTicker(refreshEvery)
@@ -155,6 +254,8 @@
 
 // refresh puts the mirror's state in force.
 func (n *Node) refresh() {
+	n.fleet.refresh()
+	n.refreshAssignment()
 	n.refreshTable()
 	table := n.table.Load()
 	if table == nil {
@@ -171,6 +272,17 @@
 	n.dialect.Replicas.Keep(targetsOf(n.replicas))
 }
 
+func (n *Node) refreshAssignment() {
+	a, version, ok := n.fleet.assignment()
+	if !ok {
+		return
+	}
+	n.assigned.Store(&a)
+	if n.keeper != nil {
+		n.keeper.Adopt(a, version)
+	}
+}
+
 // configName is the object that holds the configuration.
 const configName = "main"
 
--- /dev/null
+++ b/internal/peerload/peerload.go
@@ -0,0 +1,161 @@
+// Package peerload tells instances what the others have under way at the same
+// upstreams, by small datagrams that may be lost.
+//
+// The failure it prevents: instances that know only their own calls all take
+// the same engine for idle, or the one that holds a shared prefix, and queue
+// there while others stand idle.
+package peerload
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"foxhall/internal/peerload/peerloadpb"
+	"foxhall/internal/upstream"
+)
+
+const (
+	// sendEvery is the time between two datagrams to a peer; an engine takes
+	// about as long for a prompt.
+	sendEvery = 60 * time.Millisecond
+	// quietEvery is the time between them while nothing is under way.
+	quietEvery = 500 * time.Millisecond
+	// life is how long a peer's load counts without a newer datagram.
+	life = 1500 * time.Millisecond
+	// peersMost bounds the peers that hear from an instance, so that the cost
+	// of an instance stays the same whatever the size of the fleet. Receivers
+	// scale what they hear to the number of peers.
+	peersMost = 24
+	// maxDatagram fits some hundred upstreams.
+	maxDatagram = 8 << 10
+)
+
+// Exchange sends this instance's load and takes in the others'.
+type Exchange struct {
+	name  string
+	table *upstream.Table
+	// peers returns the addresses of the other instances that send calls.
+	peers  func() []*net.UDPAddr
+	logger log.Interface
+
+	mu    sync.Mutex
+	heard map[string]heard
+}
+
+type heard struct {
+	load *peerloadpb.Load
+	at   time.Time
+}
+
+// New returns an exchange that is not yet running.
+func New(name string, table *upstream.Table, peers func() []*net.UDPAddr, logger log.Interface) *Exchange {
+	return &Exchange{name: name, table: table, peers: peers, logger: logger, heard: map[string]heard{}}
+}
+
+// Run exchanges over the socket until ctx ends.
+func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	go x.receive(ctx, conn)
+	ticker := time.NewTicker(sendEvery)
+	defer ticker.Stop()
+	var sent time.Time
+	busy := false
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		load := x.own()
+		// One empty datagram after the last call tells that it is over.
+		if len(load.Upstreams) == 0 && !busy && time.Since(sent) < quietEvery {
+			continue
+		}
+		busy, sent = len(load.Upstreams) > 0, time.Now()
+		x.send(conn, load)
+	}
+}
+
+func (x *Exchange) own() *peerloadpb.Load {
+	load := &peerloadpb.Load{From: x.name}
+	now := time.Now().UnixNano()
+	for _, u := range x.table.Members().All {
+		l := u.Load(now)
+		if l.Own == 0 {
+			continue
+		}
+		load.Upstreams = append(load.Upstreams, xxhash.Sum64String(u.Name))
+		load.Calls = append(load.Calls, uint32(l.Own))
+		load.Backlog = append(load.Backlog, uint32(max(0, l.OwnBacklog)))
+	}
+	return load
+}
+
+func (x *Exchange) send(conn *net.UDPConn, load *peerloadpb.Load) {
+	data, err := proto.Marshal(load)
+	if err != nil {
+		x.logger.WithError(err).Warn("load not encoded")
+		return
+	}
+	peers := x.peers()
+	if len(peers) > peersMost {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:peersMost]
+	}
+	for _, p := range peers {
+		// A lost datagram is made good by the next.
+		_, _ = conn.WriteToUDP(data, p)
+	}
+}
+
+func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := conn.ReadFromUDP(buffer)
+		if err != nil {
+			continue
+		}
+		load := &peerloadpb.Load{}
+		if proto.Unmarshal(buffer[:n], load) != nil || len(load.Calls) != len(load.Upstreams) || len(load.Backlog) != len(load.Upstreams) {
+			continue
+		}
+		x.take(load, time.Now())
+	}
+}
+
+// take puts what the others have into the table.
+func (x *Exchange) take(load *peerloadpb.Load, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.heard[load.From] = heard{load: load, at: now}
+	calls, backlog := map[uint64]int{}, map[uint64]int{}
+	known := 0
+	for from, h := range x.heard {
+		if now.Sub(h.at) > life {
+			delete(x.heard, from)
+			continue
+		}
+		known++
+		for i, hash := range h.load.Upstreams {
+			calls[hash] += int(h.load.Calls[i])
+			backlog[hash] += int(h.load.Backlog[i])
+		}
+	}
+	scale := max(1, float64(len(x.peers()))/float64(max(1, known)))
+	if known < peersMost/2 {
+		// Few peers: those not heard from are down or cut off, and send nothing.
+		scale = 1
+	}
+	for _, u := range x.table.Members().All {
+		hash := xxhash.Sum64String(u.Name)
+		u.OthersHave(int(scale*float64(calls[hash])), int(scale*float64(backlog[hash])), now.Add(life))
+	}
+}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -134,13 +134,15 @@
 
 func (p *pool) drainTime() time.Duration { return max(time.Second, p.expectedWait()) }
 
-// serviceTime is the mean time of one call over the usable upstreams.
+// serviceTime is the mean time of one call over the usable upstreams that have
+// answered one; 0 while none has, since a guess must not refuse a step.
 func (p *pool) serviceTime() time.Duration {
 	now := time.Now().UnixNano()
 	sum, n := 0.0, 0
 	for _, cell := range p.scheduler.cells(p.key) {
-		if cell.Upstream.Load(now).Condition <= upstream.Full {
-			sum += cell.Speed().Call
+		speed := cell.Speed()
+		if speed.Samples > 0 && cell.Upstream.Load(now).Condition <= upstream.Full {
+			sum += speed.Call
 			n++
 		}
 	}
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -64,3 +64,11 @@
 	}
 	u.present(now)
 }
+
+// OthersHave notes what other instances have there by their own word, which
+// counts until then.
+func (u *Upstream) OthersHave(calls, backlog int, until time.Time) {
+	u.others.Store(int32(calls))
+	u.othersBacklog.Store(int64(backlog))
+	u.othersUntil.Store(until.UnixNano())
+}
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -71,7 +71,9 @@
 	next.Samples++
 	learnPrefill(&next, s)
 	c.speed.learnDecode(&next, s)
-	next.Call += callWeight * (s.Total.Seconds() - next.Call)
+	// The first answers outweigh the prior, which may be far off.
+	weight := max(callWeight, 1/float64(next.Samples))
+	next.Call += weight * (s.Total.Seconds() - next.Call)
 	c.speed.current.Store(&next)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,9 +23,11 @@
 	inFlight atomic.Int32
 	// backlog is the number of prompt tokens sent and not yet prefilled.
 	backlog atomic.Int64
-	// others is the number of calls that other instances have there, by the last report.
-	others      atomic.Int32
-	othersUntil atomic.Int64
+	// others is the number of calls that other instances have there, by the
+	// last report or their own word, and othersBacklog their prompt tokens.
+	others        atomic.Int32
+	othersBacklog atomic.Int64
+	othersUntil   atomic.Int64
 	// lastProgress and patience are in nanoseconds; see stalled.
 	lastProgress atomic.Int64
 	patience     atomic.Int64
@@ -106,8 +108,9 @@
 	Own, Total int
 	// Limit is the number of calls that it may have at present.
 	Limit int
-	// Backlog is the number of this instance's prompt tokens not yet prefilled.
-	Backlog int
+	// OwnBacklog is the number of this instance's prompt tokens not yet
+	// prefilled; Backlog includes the others' where they tell it.
+	OwnBacklog, Backlog int
 	// Slowness multiplies expected times; 1 is as expected.
 	Slowness float64
 }
@@ -116,10 +119,13 @@
 func (u *Upstream) Load(now int64) Load {
 	own := int(u.inFlight.Load())
 	total := own
+	backlog := int(u.backlog.Load())
+	l := Load{Own: own, Limit: u.limit(now), OwnBacklog: backlog, Slowness: u.slow(now)}
 	if now < u.othersUntil.Load() {
 		total += int(u.others.Load())
+		backlog += int(u.othersBacklog.Load())
 	}
-	l := Load{Own: own, Total: total, Limit: u.limit(now), Backlog: int(u.backlog.Load()), Slowness: u.slow(now)}
+	l.Total, l.Backlog = total, backlog
 	l.Condition = u.condition(now, l)
 	return l
 }
