Check configuration and replicas beside the watches; let seeds follow the store first

Change: a follower reads the configuration's object and the list anew every 1.3 s; a listing is merged so that peers are sent only what changed; instances at the seeds' addresses follow first, the others when those are silent.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,11 @@
 	// connection is found by keep-alive probes, so it may be long; each
 	// question is paid for.
 	pollWait = 25 * time.Second
+	// checkEvery is how often what must be in force soon is read anew beside the
+	// questions for changes, which the store may leave unanswered for seconds
+	// while it drops its history. It is below the 2 s within which a change has
+	// to be in force, with a margin for passing it on.
+	checkEvery = 1300 * time.Millisecond
 	// retryFirst and retryMost are the waits between failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
@@ -62,21 +68,44 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.active.Store(true)
 	defer f.active.Store(false)
-	done := make(chan struct{}, len(Kinds))
+	var group sync.WaitGroup
 	for i, k := range Kinds {
-		go func() {
-			defer func() { done <- struct{}{} }()
-			f.follow(ctx, i, k)
-		}()
-	}
-	for range Kinds {
-		<-done
+		group.Go(func() { f.follow(ctx, i, k) })
 	}
+	group.Go(func() { f.check(ctx) })
+	group.Wait()
 	for i := range f.lost {
 		f.lost[i].Store(0)
 	}
 }
 
+// check reads the configuration and the replicas anew from time to time.
+func (f *Follower) check(ctx context.Context) {
+	for sleep(ctx, checkEvery); ctx.Err() == nil; sleep(ctx, checkEvery) {
+		if err := f.checkConfig(ctx); err != nil {
+			f.logger.WithError(err).Debug("configuration not checked")
+		}
+		if err := f.snapshot(ctx, Replicas); err != nil {
+			f.logger.WithError(err).Debug("replicas not checked")
+		}
+	}
+}
+
+// checkConfig reads the one object of its kind, which is cheaper than a listing.
+func (f *Follower) checkConfig(ctx context.Context) error {
+	asOf, known := f.mirror.AsOf(Config)
+	if !known {
+		return nil
+	}
+	object, err := f.store.Get(ctx, store.Key{Kind: string(Config), Name: ConfigName})
+	if err != nil || object.Version <= asOf {
+		return err
+	}
+	entry := Entry{Name: ConfigName, Revision: object.Version, Value: object.Value}
+	f.mirror.Apply(Delta{Kind: Config, From: asOf, AsOf: object.Version, Entries: []Entry{entry}})
+	return nil
+}
+
 func (f *Follower) follow(ctx context.Context, i int, k Kind) {
 	waits := newBackOff()
 	for ctx.Err() == nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -30,6 +30,9 @@
 // Kinds lists all mirrored kinds.
 var Kinds = []Kind{Config, Replicas, Retirements, Fleet}
 
+// ConfigName is the one object of the kind Config.
+const ConfigName = "main"
+
 // keptRemovals bounds the removals that are remembered for peers that lag. One
 // that lags further is sent the whole kind.
 const keptRemovals = 512
@@ -51,7 +54,7 @@
 	Removed    []Entry
 }
 
-// Copy is the mirrored state of one kind.
+// copyOf is the mirrored state of one kind.
 type copyOf struct {
 	known   bool
 	asOf    store.Version
@@ -164,17 +167,26 @@
 	return changed, renewed
 }
 
+// replace takes in a whole listing. What it lacks was removed at some revision
+// up to its own; told so, peers need not be sent the whole kind again.
 func (c *copyOf) replace(d Delta) bool {
-	changed := false
-	next := map[string]Entry{}
+	if !c.known {
+		for _, e := range d.Entries {
+			c.entries[e.Name] = e
+		}
+		c.since = d.AsOf
+		return len(d.Entries) > 0
+	}
+	listed := map[string]bool{}
 	for _, e := range d.Entries {
-		changed = changed || c.entries[e.Name].Revision != e.Revision
-		next[e.Name] = e
+		listed[e.Name] = true
 	}
-	changed = changed || len(next) != len(c.entries)
-	c.entries = next
-	c.removed, c.since = nil, d.AsOf
-	return changed
+	for name := range c.entries {
+		if !listed[name] {
+			d.Removed = append(d.Removed, Entry{Name: name, Revision: d.AsOf})
+		}
+	}
+	return c.merge(d)
 }
 
 func (c *copyOf) merge(d Delta) bool {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -72,12 +72,14 @@
 	return r
 }
 
-// Run exchanges until ctx ends. It begins as a follower: until others are
-// known there is nobody else to learn from.
-func (r *Relay) Run(ctx context.Context) {
+// Run exchanges until ctx ends. An instance at a seed's address follows the
+// store at once, since the others come to it; they follow when it is silent.
+func (r *Relay) Run(ctx context.Context, seed bool) {
 	ticker := time.NewTicker(relayEvery)
 	defer ticker.Stop()
-	r.follow(ctx)
+	if seed {
+		r.follow(ctx)
+	}
 	defer r.unfollow()
 	for {
 		select {
@@ -103,7 +105,10 @@
 		}
 	}
 	if len(peers) > 0 {
-		r.exchange(ctx, peers[rand.IntN(len(peers))])
+		_, answered := r.exchange(ctx, peers[rand.IntN(len(peers))])
+		// Before the others of the data centre are known, any that answers will do.
+		_, known := r.mirror.AsOf(Fleet)
+		better = better || answered && !known
 	}
 	if better {
 		r.silent = 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,6 @@
 type Objects interface {
 	store.Poller
 	store.StatusWriter
-	Get(ctx context.Context, key store.Key) (store.Object, error)
 	Put(ctx context.Context, key store.Key, value []byte, base store.Version) (store.Version, error)
 }
 
@@ -167,7 +166,7 @@
 	defer stop()
 	n.fleet.refresh()
 	var group errgroup.Group
-	group.Go(func() error { n.relay.Run(serving); return nil })
+	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed()); return nil })
 	group.Go(func() error { n.control(serving); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
 	group.Go(func() error { return n.servePeers(serving) })
@@ -283,11 +282,8 @@
 	}
 }
 
-// configName is the object that holds the configuration.
-const configName = "main"
-
 func (n *Node) refreshTable() {
-	e, ok := n.mirror.Get(mirror.Config, configName)
+	e, ok := n.mirror.Get(mirror.Config, mirror.ConfigName)
 	if !ok {
 		return
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -39,3 +40,5 @@
 func (s *Settings) peerAddress(ip string) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.PeerPort))
 }
+
+func (s *Settings) isSeed() bool { return slices.Contains(s.Seeds, s.IP) }
--- a/internal/store/poll.go
+++ b/internal/store/poll.go
@@ -22,6 +22,7 @@
 // Poll waits up to wait for a first event. ErrGone says that the history since
 // from is no longer kept; the kind must be listed again.
 type Poller interface {
+	Get(ctx context.Context, key Key) (Object, error)
 	Snapshot(ctx context.Context, kind string) (Listing, error)
 	Poll(ctx context.Context, kind string, from Version, wait time.Duration) (Changes, error)
 }
