Notice cut-off data centres by silence, reach keepers through other entries, price new engines by the others

Change: all instances send the load datagram, and a data centre not heard for 450 ms is no candidate; a keeper not heard is asked through another entry; the mean of the learned speeds is the prior; the same replica is asked once more; unacknowledged bytes end a connection after 0.9 s; a keeper that hears no other says so at once.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,12 +23,17 @@
 const (
 	// whole says that the replica's whole answer is here.
 	whole verdict = iota
-	// notRun says that the call did not run there.
+	// notRun says that the replica refused the call.
 	notRun
+	// full says that no connection was free, notSent that none could be made.
+	full
+	notSent
 	// lost says that it may have run.
 	lost
 	// spoiled says that it ran and its answer is no use.
 	spoiled
+	// cutOff says that the replica stopped answering anything; it may have run.
+	cutOff
 )
 
 // exchange serves a call with a plain answer.
@@ -43,21 +48,35 @@
 		switch v {
 		case whole:
 			return f.pass(answer, body)
-		case notRun:
+		case notRun, full, notSent:
 			f.tried = append(f.tried, grant.Upstream)
 			if f.sends >= sendsMost || f.late() {
 				return f.giveUp(ran, nil)
 			}
 		default:
+			f.noteRun(v)
 			ran++
 			f.tried = append(f.tried, grant.Upstream)
-			if !f.mayRepeat(ran) {
+			if f.route.Repeat != routing.Idempotent || !f.mayGoOn() {
 				return f.failed(v)
 			}
 		}
 	}
 }
 
+// noteRun counts a replica that may have run the call. One that is cut off
+// does not count against the route's attempts: what it does reaches nobody.
+func (f *flight) noteRun(v verdict) {
+	if v != cutOff {
+		f.ran++
+	}
+}
+
+// mayGoOn reports whether the route allows one more replica.
+func (f *flight) mayGoOn() bool {
+	return f.ran < f.route.Attempts && f.sends < sendsMost && !f.late()
+}
+
 // giveUp ends a call for which no replica is left. Where an earlier sending
 // may have run, "not run" would be untrue.
 func (f *flight) giveUp(ran int, refusal *scheduler.Refusal) Result {
@@ -87,26 +106,35 @@
 	return f.end(Unknown, reason, 0)
 }
 
-func (f *flight) mayRepeat(ran int) bool {
-	return f.route.Repeat == routing.Idempotent && ran < f.route.Attempts && !f.late()
+// try sends the call and reads the whole answer. An idempotent call whose
+// answer was lost is sent to the same replica once more: that is no further
+// replica, and one that lost an answer mostly still runs.
+func (f *flight) try(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
+	answer, body, v := f.sendOnce(ctx, g)
+	again := f.route.Repeat == routing.Idempotent && (v == lost || v == spoiled)
+	if again && ctx.Err() == nil && !f.late() {
+		answer, body, v = f.sendOnce(ctx, g)
+	}
+	if v == whole {
+		return answer, body, v
+	}
+	f.report(ctx, g, answer, v)
+	return nil, nil, v
 }
 
-// try sends the call once and reads the whole answer.
-func (f *flight) try(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
+func (f *flight) sendOnce(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
 	started := time.Now()
 	answer, err := f.sendTo(ctx, g, "")
 	if err != nil {
-		return nil, nil, f.sendFailed(ctx, g, err)
+		return nil, nil, f.sendFailed(g, err)
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
-		f.feedback(g, answer, v)
-		return nil, nil, v
+		return answer, nil, v
 	}
 	g.FirstToken()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil || answer.Length >= 0 && int64(len(body)) != answer.Length {
-		f.lostOn(ctx, g)
 		return nil, nil, spoiled
 	}
 	g.Done(scheduler.Feedback{Total: time.Since(started), FirstToken: time.Since(started)})
@@ -127,40 +155,38 @@
 	}
 }
 
-// sendFailed feeds back a sending without an answer.
-func (f *flight) sendFailed(ctx context.Context, g *scheduler.Grant, err error) verdict {
+// sendFailed tells what a sending without an answer came to.
+func (f *flight) sendFailed(g *scheduler.Grant, err error) verdict {
 	f.gateway.logger.WithError(err).WithField("request", f.call.ID).WithField("replica", g.Upstream).Info("send failed")
-	if errors.Is(err, httpconn.ErrFull) {
-		g.Done(scheduler.Feedback{Failure: &upstream.Failure{Kind: upstream.Refused}})
-		return notRun
-	}
-	if errors.Is(err, httpconn.ErrNotSent) {
-		if ctx.Err() != nil {
-			g.Done(scheduler.Feedback{Cancelled: true})
-			return notRun
-		}
-		g.Done(scheduler.Feedback{Failure: &upstream.Failure{Kind: upstream.NotSent}})
-		return notRun
+	switch {
+	case errors.Is(err, httpconn.ErrFull):
+		return full
+	case errors.Is(err, httpconn.ErrNotSent):
+		return notSent
+	case errors.Is(err, httpconn.ErrSilent):
+		return cutOff
+	default:
+		return lost
 	}
-	f.lostOn(ctx, g)
-	return lost
 }
 
-// lostOn feeds back that the answer was lost, unless this side ended the call.
-func (f *flight) lostOn(ctx context.Context, g *scheduler.Grant) {
+// report feeds back what a sending came to, unless this side ended the call.
+func (f *flight) report(ctx context.Context, g *scheduler.Grant, a *Answer, v verdict) {
 	if ctx.Err() != nil {
 		g.Done(scheduler.Feedback{Cancelled: true})
 		return
 	}
-	g.Done(scheduler.Feedback{Failure: &upstream.Failure{Kind: upstream.Lost}})
-}
-
-func (f *flight) feedback(g *scheduler.Grant, a *Answer, v verdict) {
-	kind := upstream.Lost
-	if v == notRun {
-		kind = upstream.Refused
+	failure := upstream.Failure{Kind: upstream.Lost}
+	switch v {
+	case notRun, full:
+		failure.Kind = upstream.Refused
+	case notSent:
+		failure.Kind = upstream.NotSent
+	case cutOff:
+		failure.Kind = upstream.Silent
 	}
-	g.Done(scheduler.Feedback{Failure: &upstream.Failure{Kind: kind, Leaving: a.Leaving || a.Misdirected}})
+	failure.Leaving = a != nil && (a.Leaving || a.Misdirected)
+	g.Done(scheduler.Feedback{Failure: &failure})
 }
 
 // pass hands a whole answer to the caller.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,8 @@
 	body   []byte
 	blocks []uint64
 	tried  []string
-	sends  int
+	// sends counts sendings, ran the replicas that may have run the call.
+	sends, ran int
 	// replica is the one that was sent to last.
 	replica string
 	// begun says that the answer's head was passed on.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
 )
 
@@ -35,69 +36,78 @@
 
 // stream serves a call whose answer is a stream of events.
 func (f *flight) stream(ctx context.Context, rec *record) Result {
-	runs := 0
 	for {
 		grant, refusal := f.acquire(ctx)
 		if refusal != nil {
 			if rec.sent {
-				return f.broken(rec, lost)
+				return f.broken(lost)
 			}
 			return f.refusal(refusal)
 		}
-		v, result := f.run(ctx, grant, rec)
+		v, result := f.runOn(ctx, grant, rec)
 		switch v {
 		case whole:
 			return result
-		case notRun:
+		case notRun, full, notSent:
 			f.tried = append(f.tried, grant.Upstream)
-			if f.sends >= sendsMost || f.late() {
-				if rec.sent {
-					return f.broken(rec, lost)
-				}
-				return f.giveUp(0, nil)
+			if f.sends < sendsMost && !f.late() {
+				continue
 			}
-		default:
-			rec.sent = true
-			runs++
-			f.tried = append(f.tried, grant.Upstream)
-			if !f.mayResume(runs) || ctx.Err() != nil {
-				return f.broken(rec, v)
+			if rec.sent {
+				return f.broken(lost)
 			}
+			return f.giveUp(0, nil)
+		}
+		rec.sent = true
+		f.noteRun(v)
+		f.tried = append(f.tried, grant.Upstream)
+		if !f.route.Resumable || !f.mayGoOn() || ctx.Err() != nil {
+			return f.broken(v)
 		}
 	}
 }
 
-func (f *flight) mayResume(runs int) bool {
-	return f.route.Resumable && runs < f.route.Attempts && !f.late()
+// runOn runs the stream on the granted replica. A stream that may be resumed
+// goes on there once more after a broken answer: the replica has its prompt.
+func (f *flight) runOn(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, Result) {
+	v, answer, result := f.run(ctx, g, rec)
+	again := f.route.Resumable && (v == lost || v == spoiled)
+	if again && ctx.Err() == nil && !f.late() {
+		v, answer, result = f.run(ctx, g, rec)
+	}
+	if v != whole {
+		f.report(ctx, g, answer, v)
+	}
+	return v, result
 }
 
 // broken ends a stream that could not be finished.
-func (f *flight) broken(rec *record, v verdict) Result {
-	if !f.begun {
-		return f.failed(v)
-	}
+func (f *flight) broken(v verdict) Result {
 	result := f.failed(v)
-	result.Outcome = BrokenOff
+	if f.begun {
+		result.Outcome = BrokenOff
+	}
 	return result
 }
 
 // run sends the call once and passes events on until the stream ends.
-func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, Result) {
+func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	started := time.Now()
 	answer, err := f.sendTo(ctx, g, f.resumePoint(rec))
 	if err != nil {
-		return f.sendFailed(ctx, g, err), Result{}
+		return f.sendFailed(g, err), nil, Result{}
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
-		f.feedback(g, answer, v)
-		return v, Result{}
+		return v, answer, Result{}
 	}
 	rec.sent = true
 	if answer.Status >= 300 {
-		return f.passFailure(ctx, g, answer)
+		v, result := f.passFailure(g, answer)
+		return v, answer, result
 	}
-	return f.relay(ctx, g, answer, rec, started)
+	v, result := f.relay(g, answer, rec, started)
+	return v, answer, result
 }
 
 func (f *flight) resumePoint(rec *record) string {
@@ -108,10 +118,9 @@
 }
 
 // passFailure passes on a replica's own failure.
-func (f *flight) passFailure(ctx context.Context, g *scheduler.Grant, a *Answer) (verdict, Result) {
+func (f *flight) passFailure(g *scheduler.Grant, a *Answer) (verdict, Result) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil || f.begun {
-		f.lostOn(ctx, g)
 		return lost, Result{}
 	}
 	g.Done(scheduler.Feedback{Cancelled: true})
@@ -119,7 +128,7 @@
 }
 
 // relay passes on whole events as they come.
-func (f *flight) relay(ctx context.Context, g *scheduler.Grant, a *Answer, rec *record, started time.Time) (verdict, Result) {
+func (f *flight) relay(g *scheduler.Grant, a *Answer, rec *record, started time.Time) (verdict, Result) {
 	var split splitter
 	var first time.Duration
 	before := rec.events
@@ -144,8 +153,7 @@
 			continue
 		}
 		if err != io.EOF || split.rest() {
-			f.lostOn(ctx, g)
-			return lost, Result{}
+			return brokenBy(err), Result{}
 		}
 		made := (rec.events - before) * f.tokensPerEvent()
 		g.Done(scheduler.Feedback{
@@ -156,6 +164,13 @@
 	}
 }
 
+func brokenBy(err error) verdict {
+	if netdial.Silent(err) {
+		return cutOff
+	}
+	return lost
+}
+
 // finish ends a whole stream. A turn must be durable before its answer's end
 // is passed on, since from then on the caller may continue from it.
 func (f *flight) finish(a *Answer, rec *record) Result {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -12,6 +12,9 @@
 	// unreachedAfter is when to come again while the keepers of turns change:
 	// a change takes about a second.
 	unreachedAfter = 400 * time.Millisecond
+	// isolatedAfter is when to come again while this data centre is cut off:
+	// cuts last seconds, and a caller has few tries.
+	isolatedAfter = 2 * time.Second
 	// settleTime bounds the keeping of a turn past the caller's deadline.
 	settleTime = 2 * time.Second
 )
@@ -35,6 +38,8 @@
 		return refused(BudgetSpent, 0)
 	case errors.Is(err, ErrNoSuchTurn):
 		return refused(NoSuchTurn, 0)
+	case errors.Is(err, ErrIsolated):
+		return refused(TurnsUnreached, isolatedAfter)
 	case err != nil:
 		return refused(TurnsUnreached, unreachedAfter)
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -59,6 +59,8 @@
 var (
 	ErrBudgetSpent = errors.New("gateway: the program's tokens are spent")
 	ErrNoSuchTurn  = errors.New("gateway: no such turn")
+	// ErrIsolated says that turns can't be kept from here before a cut heals.
+	ErrIsolated = errors.New("gateway: cut off from the keepers of turns")
 )
 
 // Turns keeps turns and counts programs' tokens for all instances.
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -27,7 +27,7 @@
 // ErrUnreached says that no keeper of the slice could be asked in time.
 var ErrUnreached = errors.New("history: no keeper reached")
 
-// Keepers calls keepers by name.
+// Keepers calls keepers by name. It returns false for one that is out of reach.
 type Keepers interface {
 	Keeper(name string) (historypb.Keeper, bool)
 }
@@ -73,21 +73,27 @@
 }
 
 // ask calls the slice's primary, and its partner where that one does not
-// answer, until a call settles the matter or the time is over.
-func (c *Client) ask(ctx context.Context, slice uint32, limit time.Duration, call func(context.Context, historypb.Keeper) (settled bool)) error {
+// answer, until a call settles the matter or the time is over. With giveUp it
+// ends at once where both are out of reach.
+func (c *Client) ask(ctx context.Context, slice uint32, limit time.Duration, giveUp bool, call func(context.Context, historypb.Keeper) (settled bool)) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for try := 0; ctx.Err() == nil; try++ {
+	for ctx.Err() == nil {
 		role := c.role(slice)
-		name := role.Primary
-		if try%2 == 1 {
-			name = role.Partner
-		}
-		if keeper, ok := c.keepers.Keeper(name); ok {
+		reached := false
+		for _, name := range []string{role.Primary, role.Partner} {
+			keeper, ok := c.keepers.Keeper(name)
+			if !ok {
+				continue
+			}
+			reached = true
 			if c.askOne(ctx, keeper, call) {
 				return nil
 			}
 		}
+		if !reached && giveUp {
+			return gateway.ErrIsolated
+		}
 		sleep(ctx, retryPause)
 	}
 	return ErrUnreached
@@ -146,6 +152,8 @@
 		return gateway.ErrBudgetSpent
 	case historypb.Verdict_NO_TURN:
 		return gateway.ErrNoSuchTurn
+	case historypb.Verdict_ISOLATED:
+		return gateway.ErrIsolated
 	default:
 		return ErrUnreached
 	}
@@ -153,7 +161,7 @@
 
 func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
 	var answer *historypb.ReserveResponse
-	err := c.ask(ctx, r.Slice, reserveTime, func(ctx context.Context, k historypb.Keeper) bool {
+	err := c.ask(ctx, r.Slice, reserveTime, true, func(ctx context.Context, k historypb.Keeper) bool {
 		response, err := k.Reserve(ctx, r)
 		if err != nil {
 			return false
@@ -199,7 +207,7 @@
 }
 
 func (c *Client) settle(ctx context.Context, r *historypb.SettleRequest, limit time.Duration) error {
-	return c.ask(ctx, r.Slice, limit, func(ctx context.Context, k historypb.Keeper) bool {
+	return c.ask(ctx, r.Slice, limit, false, func(ctx context.Context, k historypb.Keeper) bool {
 		response, err := k.Settle(ctx, r)
 		if err != nil {
 			return false
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -17,6 +17,10 @@
 		defer k.mu.Unlock()
 		return &historypb.ReserveResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
 	}
+	if k.isolated() {
+		defer k.mu.Unlock()
+		return &historypb.ReserveResponse{Verdict: historypb.Verdict_ISOLATED}, nil
+	}
 	var chain []*historypb.Turn
 	if r.Previous != "" && !r.Foreign {
 		found, ok := s.state.chain(r.Previous)
@@ -49,6 +53,17 @@
 	return v
 }
 
+// isolated reports that no other keeper has been heard for as long as it takes
+// to replace one; the lock is held. What waited then would wait in vain.
+func (k *Keeper) isolated() bool {
+	for _, v := range k.views {
+		if time.Since(v.heard) < suspectAfter {
+			return false
+		}
+	}
+	return len(k.views) > 0
+}
+
 // Settle implements historypb.Keeper.
 func (k *Keeper) Settle(ctx context.Context, r *historypb.SettleRequest) (*historypb.SettleResponse, error) {
 	k.mu.Lock()
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -28,6 +28,9 @@
 	ErrFull = errors.Wrap(ErrNotSent, "all connections in use")
 	// ErrLost says that the call was sent and no answer to it came: it may have run.
 	ErrLost = errors.New("httpconn: answer lost")
+	// ErrSilent is an ErrLost: the other side answers nothing any more, so that
+	// other calls to it would be lost too.
+	ErrSilent = errors.Wrap(ErrLost, "no sign of life")
 )
 
 const (
@@ -219,7 +222,7 @@
 	for range strayMost {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, errors.Wrap(ErrLost, err.Error())
+			return nil, lost(err)
 		}
 		if response.StatusCode < 200 {
 			continue
@@ -284,10 +287,17 @@
 	case n == 0:
 		return errors.Wrap(ErrNotSent, err.Error())
 	default:
-		return errors.Wrap(ErrLost, err.Error())
+		return lost(err)
 	}
 }
 
+func lost(err error) error {
+	if netdial.Silent(err) {
+		return errors.Wrap(ErrSilent, err.Error())
+	}
+	return errors.Wrap(ErrLost, err.Error())
+}
+
 func (c *conn) writeRest(data []byte) {
 	_, err := c.net.Write(data)
 	c.mu.Lock()
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -109,7 +109,12 @@
 func (f *Follower) follow(ctx context.Context, i int, k Kind) {
 	waits := newBackOff()
 	for ctx.Err() == nil {
-		err := f.step(ctx, k)
+		wait := pollWait
+		if f.lost[i].Load() != 0 {
+			// The first answer after a loss tells at once that the store is back.
+			wait = 0
+		}
+		err := f.step(ctx, k, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -134,12 +139,12 @@
 	return waits
 }
 
-func (f *Follower) step(ctx context.Context, k Kind) error {
+func (f *Follower) step(ctx context.Context, k Kind, wait time.Duration) error {
 	from, known := f.mirror.AsOf(k)
 	if !known {
 		return f.snapshot(ctx, k)
 	}
-	changes, err := f.store.Poll(ctx, string(k), from, pollWait)
+	changes, err := f.store.Poll(ctx, string(k), from, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -153,7 +153,7 @@
 // apply reports whether entries changed, and whether the kind became known.
 func (c *copyOf) apply(d Delta) (changed, renewed bool) {
 	switch {
-	case c.known && d.AsOf <= c.asOf:
+	case c.known && (d.AsOf < c.asOf || d.AsOf == c.asOf && !d.Full):
 		return false, false
 	case d.Full:
 		changed = c.replace(d)
@@ -198,7 +198,7 @@
 		}
 	}
 	for _, e := range d.Removed {
-		if e.Revision <= c.asOf {
+		if e.Revision < c.asOf {
 			continue
 		}
 		if old, ok := c.entries[e.Name]; ok && old.Revision <= e.Revision {
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -17,11 +19,12 @@
 	dialTimeout = 700 * time.Millisecond
 	// silence is how long sent bytes or probes may stay unacknowledged. A
 	// partition or a machine without power answers nothing, and without this
-	// bound a call hangs until its own deadline.
-	silence = 2 * time.Second
+	// bound a call hangs until its own deadline. It leaves room for two
+	// retransmissions, of 200 and 400 ms, so that single lost packets pass.
+	silence = 900 * time.Millisecond
 	// probeInterval is the time between keep-alive probes on an idle connection.
 	probeInterval = time.Second
-	probeCount    = 2
+	probeCount    = 1
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
@@ -39,6 +42,12 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+// Silent reports that a connection failed since the other side no longer
+// answers at all: it has no power, or the way to it is cut.
+func Silent(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EHOSTUNREACH)
+}
+
 func control(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -47,6 +48,8 @@
 	mirror   *mirror.Mirror
 	objects  Objects
 	client   *http.Client
+	// hears reports whether an instance was heard from lately.
+	hears func(name string) bool
 
 	mu      sync.Mutex
 	members map[string]member
@@ -111,8 +114,8 @@
 	return n
 }
 
-// entryAddresses returns where the other entries take datagrams.
-func (f *fleet) entryAddresses() []*net.UDPAddr {
+// datagramAddresses returns where the other entries take datagrams.
+func (f *fleet) datagramAddresses() []*net.UDPAddr {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*net.UDPAddr
@@ -168,25 +171,67 @@
 	return f.relays[ip]
 }
 
-// Keeper implements history.Keepers.
-func (f *fleet) Keeper(name string) (historypb.Keeper, bool) {
+// keeper returns a client of the keeper of that name.
+func (f *fleet) keeper(name string) (historypb.Keeper, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.members[name]
 	if !ok {
 		return nil, false
 	}
-	if f.keepers[m.IP] == nil {
-		f.keepers[m.IP] = historypb.NewKeeperProtobufClient("http://"+f.settings.peerAddress(m.IP), f.client)
+	return f.keeperAt("http://" + f.settings.peerAddress(m.IP)), true
+}
+
+// keeperAt returns the client at a base URL; the lock is held.
+func (f *fleet) keeperAt(base string) historypb.Keeper {
+	if f.keepers[base] == nil {
+		f.keepers[base] = historypb.NewKeeperProtobufClient(base, f.client)
+	}
+	return f.keepers[base]
+}
+
+// Keeper implements history.Keepers. A keeper that this instance no longer
+// hears is asked through another entry: the way to the keepers may be cut while
+// the ways to the other entries, and theirs to the keepers, stand.
+func (f *fleet) Keeper(name string) (historypb.Keeper, bool) {
+	direct, ok := f.keeper(name)
+	if !ok || f.hears(name) {
+		return direct, ok
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []member
+	for _, m := range f.members {
+		if m.Entry && m.Name != f.settings.Instance && f.hears(m.Name) {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return nil, false
+	}
+	other := others[rand.IntN(len(others))]
+	return f.keeperAt("http://" + f.settings.peerAddress(other.IP) + viaPath + name), true
+}
+
+// viaPath begins the path at which an entry passes calls on to a keeper.
+const viaPath = "/via/"
+
+// serveVia passes a call on to the keeper named in its path.
+func (f *fleet) serveVia(w http.ResponseWriter, r *http.Request) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, viaPath), "/")
+	keeper, ok := f.keeper(name)
+	if !ok {
+		http.NotFound(w, r)
+		return
 	}
-	return f.keepers[m.IP], true
+	http.StripPrefix(viaPath+name, historypb.NewKeeperServer(keeper)).ServeHTTP(w, r)
 }
 
 var errNoInstance = errors.New("node: no such instance")
 
 // Append implements history.Peers.
 func (f *fleet) Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error) {
-	k, ok := f.Keeper(name)
+	k, ok := f.keeper(name)
 	if !ok {
 		return nil, errNoInstance
 	}
@@ -195,7 +240,7 @@
 
 // Status implements history.Peers.
 func (f *fleet) Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error) {
-	k, ok := f.Keeper(name)
+	k, ok := f.keeper(name)
 	if !ok {
 		return nil, errNoInstance
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,10 @@
 	stopMargin = 400 * time.Millisecond
 	// viewBlocks bounds the entry's view of the engines' caches: 24 MB.
 	viewBlocks = 1 << 17
+	// cutAfter is how long nothing may be heard from another data centre before
+	// no more calls go there: three datagrams in a row from each of its
+	// instances are lost then.
+	cutAfter = 450 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -77,6 +81,7 @@
 	mirror   *mirror.Mirror
 	fleet    *fleet
 	relay    *mirror.Relay
+	load     *peerload.Exchange
 	keeper   *history.Keeper
 	table    atomic.Pointer[routing.Table]
 	upstream *upstream.Table
@@ -110,6 +115,8 @@
 			return nil, err
 		}
 	}
+	n.load = peerload.New(s.Instance, s.DataCentre, n.upstream, n.fleet.datagramAddresses, n.logger)
+	n.fleet.hears = func(name string) bool { return n.load.Hears(name, cutAfter) }
 	n.openGateway()
 	return n, nil
 }
@@ -119,7 +126,8 @@
 		DataCentre: n.settings.DataCentre,
 		Logger:     n.logger,
 		Random:     rand.Uint64,
-		Remote:     func(string) time.Duration { return 0 },
+		Remote:     n.load.Silence,
+		MaxViewAge: cutAfter,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: viewBlocks}))
 	turns := history.NewClient(n.fleet, n.assignment)
 	n.gateway = gateway.New(gateway.Settings{
@@ -180,15 +188,14 @@
 		}
 		return n.serveEntry(ctx, serving)
 	})
-	if n.settings.Callers != "" {
-		group.Go(func() error { return n.exchangeLoad(serving) })
-	}
+	group.Go(func() error { return n.exchangeLoad(serving) })
 	err := group.Wait()
 	n.logger.Info("stop")
 	return err
 }
 
-// exchangeLoad tells the other entries what this one has under way.
+// exchangeLoad tells the entries what this instance has under way, and that it
+// lives: from a data centre that is cut off they hear nothing.
 func (n *Node) exchangeLoad(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp", n.settings.peerAddress(n.settings.IP))
 	if err != nil {
@@ -198,7 +205,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load exchange")
 	}
-	peerload.New(n.settings.Instance, n.upstream, n.fleet.entryAddresses, n.logger).Run(ctx, conn)
+	n.load.Run(ctx, conn)
 	return nil
 }
 
@@ -223,6 +230,9 @@
 	mux := http.NewServeMux()
 	relay := mirrorpb.NewRelayServer(n.relay)
 	mux.Handle(relay.PathPrefix(), relay)
+	if n.settings.Callers != "" {
+		mux.HandleFunc(viaPath, n.fleet.serveVia)
+	}
 	if n.keeper != nil {
 		keeper := historypb.NewKeeperServer(n.keeper)
 		mux.Handle(keeper.PathPrefix(), keeper)
@@ -266,7 +276,10 @@
 			listed = append(listed, r)
 		}
 	}
-	n.replicas = n.lapse.merge(n.replicas, listed, n.mirror.Unsettled(time.Now()))
+	before := n.replicas
+	n.replicas = n.lapse.merge(before, listed, n.mirror.Unsettled(time.Now()))
+	asOf, _ := n.mirror.AsOf(mirror.Replicas)
+	n.logReplicas(before, n.replicas, uint64(asOf))
 	n.upstream.Apply(upstreamsOf(table, n.replicas), time.Now())
 	n.dialect.Replicas.Keep(targetsOf(n.replicas))
 }
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -30,6 +30,32 @@
 	return list
 }
 
+// logReplicas writes a line for each replica that came, changed or went.
+func (n *Node) logReplicas(before, now []routing.Replica, revision uint64) {
+	old := map[string]routing.Replica{}
+	for _, r := range before {
+		old[r.Name()] = r
+	}
+	say := func(r *routing.Replica, what string) {
+		n.logger.WithField("replica", r.Name()).WithField("service", r.Service).WithField("address", r.Address).
+			WithField("revision", revision).Info(what)
+	}
+	for i := range now {
+		r := &now[i]
+		was, known := old[r.Name()]
+		delete(old, r.Name())
+		switch {
+		case !known:
+			say(r, "replica added")
+		case was.Draining != r.Draining:
+			say(r, "replica draining")
+		}
+	}
+	for _, r := range old {
+		say(&r, "replica removed")
+	}
+}
+
 // targetsOf returns the connections worth keeping: also those to draining
 // replicas, which still answer.
 func targetsOf(replicas []routing.Replica) map[gateway.Target]bool {
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -26,7 +26,7 @@
 	// about as long for a prompt.
 	sendEvery = 60 * time.Millisecond
 	// quietEvery is the time between them while nothing is under way.
-	quietEvery = 500 * time.Millisecond
+	quietEvery = 150 * time.Millisecond
 	// life is how long a peer's load counts without a newer datagram.
 	life = 1500 * time.Millisecond
 	// peersMost bounds the peers that hear from an instance, so that the cost
@@ -39,14 +39,18 @@
 
 // Exchange sends this instance's load and takes in the others'.
 type Exchange struct {
-	name  string
-	table *upstream.Table
+	name       string
+	dataCentre string
+	table      *upstream.Table
 	// peers returns the addresses of the other instances that send calls.
 	peers  func() []*net.UDPAddr
 	logger log.Interface
 
 	mu    sync.Mutex
 	heard map[string]heard
+	// signs are when anything was last heard from each data centre, and lives
+	// from each instance.
+	signs, lives map[string]time.Time
 }
 
 type heard struct {
@@ -55,8 +59,23 @@
 }
 
 // New returns an exchange that is not yet running.
-func New(name string, table *upstream.Table, peers func() []*net.UDPAddr, logger log.Interface) *Exchange {
-	return &Exchange{name: name, table: table, peers: peers, logger: logger, heard: map[string]heard{}}
+func New(name, dataCentre string, table *upstream.Table, peers func() []*net.UDPAddr, logger log.Interface) *Exchange {
+	return &Exchange{
+		name: name, dataCentre: dataCentre, table: table, peers: peers, logger: logger,
+		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]time.Time{},
+	}
+}
+
+// Silence returns for how long nothing was heard from a data centre; 0 for one
+// that was never heard from, of which nothing can be said.
+func (x *Exchange) Silence(dataCentre string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, ok := x.signs[dataCentre]
+	if !ok || dataCentre == x.dataCentre {
+		return 0
+	}
+	return time.Since(at)
 }
 
 // Run exchanges over the socket until ctx ends.
@@ -84,8 +103,17 @@
 	}
 }
 
+// Hears reports whether an instance was heard from lately, or never at all, of
+// which nothing can be said.
+func (x *Exchange) Hears(instance string, lately time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, ok := x.lives[instance]
+	return !ok || time.Since(at) < lately
+}
+
 func (x *Exchange) own() *peerloadpb.Load {
-	load := &peerloadpb.Load{From: x.name}
+	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
 	now := time.Now().UnixNano()
 	for _, u := range x.table.Members().All {
 		l := u.Load(now)
@@ -136,6 +164,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.heard[load.From] = heard{load: load, at: now}
+	x.signs[load.DataCentre], x.lives[load.From] = now, now
 	calls, backlog := map[uint64]int{}, map[uint64]int{}
 	known := 0
 	for from, h := range x.heard {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,12 +84,16 @@
 	// MoveSpeed is the rate in tokens a second at which the program's cache can
 	// be moved to another engine; 0 where it can't.
 	MoveSpeed float64
+	// MaxViewAge is how old the view of another data centre may be; 0 for the
+	// package's default.
+	MaxViewAge time.Duration
 	// WantedReplicas is how many engines should hold the step's shared prefix,
 	// and SharedTokens its length.
 	WantedReplicas, SharedTokens int
 }
 
-// MaxViewAge is how old the view of another data centre may be. Past it the
+// MaxViewAge is how old the view of another data centre may be where a step
+// names no bound. Past it the
 // other side may be gone or full, and a step sent there may come back late.
 const MaxViewAge = 5 * time.Second
 
@@ -126,11 +130,14 @@
 func (e Estimate) Total() float64 { return e.Wait + e.Prefill + e.Decode }
 
 // Filter sets the candidates' Refused and counts the reasons.
-func Filter(candidates []Candidate, d *Decision) {
+func Filter(candidates []Candidate, maxViewAge time.Duration, d *Decision) {
+	if maxViewAge == 0 {
+		maxViewAge = MaxViewAge
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Refused == Allowed {
-			c.Refused = reasonOf(c)
+			c.Refused = reasonOf(c, maxViewAge)
 		}
 		d.Out[c.Refused]++
 		if c.Refused == Allowed || c.Refused == IsFull {
@@ -139,7 +146,7 @@
 	}
 }
 
-func reasonOf(c *Candidate) Reason {
+func reasonOf(c *Candidate, maxViewAge time.Duration) Reason {
 	switch c.Load.Condition {
 	case upstream.Leaving:
 		return IsLeaving
@@ -149,7 +156,7 @@
 		return IsStalled
 	}
 	switch {
-	case c.ViewAge > MaxViewAge:
+	case c.ViewAge > maxViewAge:
 		return ViewTooOld
 	case c.Load.Condition == upstream.Full:
 		return IsFull
@@ -161,7 +168,7 @@
 // Decide filters the candidates and chooses one by the policy.
 func Decide(policy Policy, candidates []Candidate, s *Step) Decision {
 	d := Decision{Chosen: -1}
-	Filter(candidates, &d)
+	Filter(candidates, s.MaxViewAge, &d)
 	switch policy {
 	case RoundRobin:
 		chooseNth(candidates, s.Turn, &d)
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -78,7 +78,7 @@
 		ID:     u.ID,
 		Slots:  max(1, u.Slots),
 		Load:   u.Load(now.UnixNano()),
-		Speed:  cell.Speed(),
+		Speed:  p.speedOf(cell, cells, now),
 		Cached: p.matches.Depth(u.ID) * engine.BlockTokens,
 	}
 	p.scheduler.restrict(&c, cell, w.request)
@@ -106,3 +106,40 @@
 	}
 	return 0
 }
+
+// meanEvery is how often the mean speed of a pool is worked out anew.
+const meanEvery = 200 * time.Millisecond
+
+// speedOf returns the learned speed of an upstream, or of one that has not
+// answered yet the mean of the others. With a fixed guess a fleet of fast
+// engines leaves its new ones idle while the old ones queue.
+func (p *pool) speedOf(cell *upstream.Cell, cells []*upstream.Cell, now time.Time) upstream.Speed {
+	speed := cell.Speed()
+	if speed.Samples > 0 {
+		return speed
+	}
+	if now.Sub(p.meanAt) > meanEvery {
+		p.mean, p.meanAt = meanSpeed(cells), now
+	}
+	return p.mean
+}
+
+func meanSpeed(cells []*upstream.Cell) upstream.Speed {
+	var sum upstream.Speed
+	n := 0.0
+	for _, c := range cells {
+		s := c.Speed()
+		if s.Samples == 0 {
+			continue
+		}
+		n++
+		sum.Prefill += s.Prefill
+		sum.TokenBase += s.TokenBase
+		sum.TokenPerCall += s.TokenPerCall
+		sum.Call += s.Call
+	}
+	if n == 0 {
+		return upstream.Prior
+	}
+	return upstream.Speed{Prefill: sum.Prefill / n, TokenBase: sum.TokenBase / n, TokenPerCall: sum.TokenPerCall / n, Call: sum.Call / n}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -50,6 +50,9 @@
 	// turn is where the next pass goes on behind the first steps.
 	turn    int
 	matches cache.Matches
+	// mean is the mean of the learned speeds, as of meanAt.
+	mean   upstream.Speed
+	meanAt time.Time
 }
 
 type waiter struct {
@@ -89,6 +92,7 @@
 func (s *Scheduler) describe(w *waiter, now time.Time) {
 	r := w.request
 	w.step.Prompt = w.prompt
+	w.step.MaxViewAge = s.settings.MaxViewAge
 	w.step.Latency, w.step.Cache = weights(r)
 	w.step.Key = keyOf(r)
 	w.step.Random = s.random()
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	left := time.Until(w.request.Deadline)
-	need := p.expectedWait() + p.serviceTime()
+	need := p.expectedWait() + p.learnedTime()
 	if left >= need {
 		return nil
 	}
@@ -134,9 +134,18 @@
 
 func (p *pool) drainTime() time.Duration { return max(time.Second, p.expectedWait()) }
 
-// serviceTime is the mean time of one call over the usable upstreams that have
-// answered one; 0 while none has, since a guess must not refuse a step.
+// serviceTime is the mean time of one call over the usable upstreams, by which
+// the queue's length counts as time.
 func (p *pool) serviceTime() time.Duration {
+	if learned := p.learnedTime(); learned > 0 {
+		return learned
+	}
+	return time.Duration(upstream.Prior.Call * float64(time.Second))
+}
+
+// learnedTime is the same over those that have answered a call; 0 while none
+// has: a guess must not refuse a step that nothing stands before.
+func (p *pool) learnedTime() time.Duration {
 	now := time.Now().UnixNano()
 	sum, n := 0.0, 0
 	for _, cell := range p.scheduler.cells(p.key) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,8 @@
 	Random func() uint64
 	// Remote tells how old the view of another data centre is; nil for never fresh.
 	Remote func(dataCentre string) time.Duration
+	// MaxViewAge is how old that view may be; 0 for placement.MaxViewAge.
+	MaxViewAge time.Duration
 	// Mover moves programs' caches between engines; nil for no moves.
 	Mover Mover
 	// Release asks engines to give up a program's memory; nil for none. It must not block.
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -89,7 +89,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.breaker.failures++
-	u.breaker.refused = f.Kind == NotSent
+	u.breaker.refused = f.Kind == NotSent || f.Kind == Silent
 	if u.breaker.open || u.breaker.failures >= tripAfter || u.breaker.refused {
 		u.trip(now)
 	}
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -21,6 +21,9 @@
 	Refused
 	// Invalid says that the request was at fault, and nothing about the upstream.
 	Invalid
+	// Silent says that the upstream stopped answering anything: the call may
+	// have run, and others sent there now would be lost like it.
+	Silent
 )
 
 // Failure is a failed call as the table sees it.
