--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -96,8 +96,6 @@
 	// entries wait for the partner, in order.
 	entries []*entry
 	filling bool
-	// filled is the epoch for which the partner has all of the slice.
-	filled uint64
 	// marking says that a mark is on its way to the disk.
 	marking bool
 	// lostSince is since when neither keeper has all of the slice, and
