Prefer idle connections, send hanging idempotent calls again, judge keepers sooner

Change: a new connection counts 15 ms in a placement; an idempotent call is sent again after four times the mean call, a resumable stream is resumed after a hang; keepers are suspected after 0.55 s, or two refused connections.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,13 +107,13 @@
 }
 
 // try sends the call and reads the whole answer. An idempotent call whose
-// answer was lost is sent to the same replica once more: that is no further
-// replica, and one that lost an answer mostly still runs.
+// answer was lost is sent to the same replica once more where the route allows
+// no other: that is no further replica, and one that lost an answer mostly
+// still runs.
 func (f *flight) try(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
-	answer, body, v := f.sendOnce(ctx, g)
-	again := f.route.Repeat == routing.Idempotent && (v == lost || v == spoiled)
-	if again && ctx.Err() == nil && !f.late() {
-		answer, body, v = f.sendOnce(ctx, g)
+	answer, body, v := f.sendOnce(ctx, g, f.patience(g))
+	if f.sameAgain(ctx, v) {
+		answer, body, v = f.sendOnce(ctx, g, 0)
 	}
 	if v == whole {
 		return answer, body, v
@@ -122,7 +122,35 @@
 	return nil, nil, v
 }
 
-func (f *flight) sendOnce(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
+func (f *flight) sameAgain(ctx context.Context, v verdict) bool {
+	return f.route.Repeat == routing.Idempotent && (v == lost || v == spoiled) &&
+		f.ran+1 >= f.route.Attempts && ctx.Err() == nil && !f.late()
+}
+
+const (
+	// patienceFactor times the mean time of a call is how long an idempotent
+	// call is left with a replica before it is sent again: nine in ten calls
+	// take less, and an answer that is lost never comes.
+	patienceFactor = 4
+	patienceLeast  = 200 * time.Millisecond
+)
+
+// patience is how long the first sending of an idempotent call may take; 0 for
+// as long as the caller waits.
+func (f *flight) patience(g *scheduler.Grant) time.Duration {
+	mean := g.MeanCall()
+	if f.route.Repeat != routing.Idempotent || mean == 0 {
+		return 0
+	}
+	return max(patienceLeast, patienceFactor*mean)
+}
+
+func (f *flight) sendOnce(ctx context.Context, g *scheduler.Grant, limit time.Duration) (*Answer, []byte, verdict) {
+	if limit > 0 {
+		limited, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		ctx = limited
+	}
 	started := time.Now()
 	answer, err := f.sendTo(ctx, g, "")
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,6 +93,8 @@
 // run sends the call once and passes events on until the stream ends.
 func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	started := time.Now()
+	ctx, watch := f.watch(ctx, g)
+	defer watch.stop()
 	answer, err := f.sendTo(ctx, g, f.resumePoint(rec))
 	if err != nil {
 		return f.sendFailed(g, err), nil, Result{}
@@ -106,7 +108,7 @@
 		v, result := f.passFailure(g, answer)
 		return v, answer, result
 	}
-	v, result := f.relay(g, answer, rec, started)
+	v, result := f.relay(g, answer, rec, started, watch)
 	return v, answer, result
 }
 
@@ -128,7 +130,7 @@
 }
 
 // relay passes on whole events as they come.
-func (f *flight) relay(g *scheduler.Grant, a *Answer, rec *record, started time.Time) (verdict, Result) {
+func (f *flight) relay(g *scheduler.Grant, a *Answer, rec *record, started time.Time, watch *watchdog) (verdict, Result) {
 	var split splitter
 	var first time.Duration
 	before := rec.events
@@ -143,6 +145,7 @@
 					g.FirstToken()
 				}
 				g.Progress()
+				watch.progress()
 			}
 			if !f.passEvents(a, events, rec) {
 				g.Done(scheduler.Feedback{Cancelled: true})
@@ -164,6 +167,49 @@
 	}
 }
 
+const (
+	// A stream that may be resumed is left without an event for firstFactor
+	// times the expected time to the first, or gapFactor times the longest
+	// pause that is on time, before its connection is closed and it is resumed.
+	// An answer that is lost never comes; a replica that is only slow loses the
+	// prefill of one prompt, which it still has cached.
+	firstFactor = 4
+	firstLeast  = 800 * time.Millisecond
+	gapFactor   = 2
+)
+
+// watchdog ends a run that makes no progress.
+type watchdog struct {
+	timer  *time.Timer
+	gap    time.Duration
+	cancel context.CancelFunc
+}
+
+// watch returns a context that ends when the run hangs, where it may be resumed.
+func (f *flight) watch(ctx context.Context, g *scheduler.Grant) (context.Context, *watchdog) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watchdog{cancel: cancel, gap: gapFactor * f.route.GapObjective}
+	if f.route.Resumable && w.gap > 0 {
+		e := g.Decision.Estimate
+		expected := time.Duration((e.Wait + e.Prefill) * float64(time.Second))
+		w.timer = time.AfterFunc(max(firstLeast, firstFactor*expected), cancel)
+	}
+	return ctx, w
+}
+
+func (w *watchdog) progress() {
+	if w.timer != nil {
+		w.timer.Reset(w.gap)
+	}
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.cancel()
+}
+
 func brokenBy(err error) verdict {
 	if netdial.Silent(err) {
 		return cutOff
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,13 +16,16 @@
 	// rolesEvery is how often the roles are looked at without an event.
 	rolesEvery = 100 * time.Millisecond
 	// statusEvery is how often other keepers are asked how they stand.
-	statusEvery = 200 * time.Millisecond
+	statusEvery = 150 * time.Millisecond
 	// statusTime bounds one such question.
-	statusTime = 400 * time.Millisecond
+	statusTime = 300 * time.Millisecond
 	// suspectAfter is how long a keeper may be silent before it is replaced: a
 	// pause of the process or a lost packet passes, a loss does not. A needless
 	// change costs the filling of a slice and no more.
-	suspectAfter = 800 * time.Millisecond
+	suspectAfter = 550 * time.Millisecond
+	// refusedMost is the number of refused connections in a row that show that a
+	// keeper's process is gone, which silence would show later.
+	refusedMost = 2
 	// stalledAfter is how long a disk may take for one write; it takes 5 ms.
 	stalledAfter = 500 * time.Millisecond
 	// bootTime is how long after its start a keeper judges no other by silence.
@@ -41,6 +45,8 @@
 type view struct {
 	heard  time.Time
 	status *historypb.StatusResponse
+	// refused counts the refused connections since it was heard.
+	refused int
 }
 
 // opinion is what a decision about roles needs of another keeper.
@@ -191,7 +197,7 @@
 	opinions := map[string]opinion{}
 	for name, v := range k.views {
 		o := opinion{}
-		silent := now.Sub(v.heard) > suspectAfter && now.Sub(k.started) > bootTime
+		silent := (now.Sub(v.heard) > suspectAfter || v.refused >= refusedMost) && now.Sub(k.started) > bootTime
 		o.out = silent || k.settings.Retiring(name)
 		if v.status != nil {
 			o.heard = !silent
@@ -387,13 +393,16 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTime)
 	defer cancel()
 	status, err := k.peers.Status(ctx, name, &historypb.StatusRequest{From: k.settings.Name})
-	if err != nil {
-		return
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	v := k.views[name]
-	v.heard, v.status = time.Now(), status
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			v.refused++
+		}
+		return
+	}
+	v.heard, v.status, v.refused = time.Now(), status, 0
 	notify(k.wakeRoles)
 }
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -117,6 +117,14 @@
 	return p.opened
 }
 
+// Idle reports whether a connection is open and unused.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && time.Since(p.idle[n-1].since) < p.idle[n-1].idleFor
+}
+
 // Close closes idle connections; those in use end with their calls.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 type Replicas interface {
 	gateway.Replicas
 	Keep(targets map[gateway.Target]bool)
+	Idle(name, address string) bool
 }
 
 // Dialect is how the platform's parties are spoken to.
@@ -67,6 +68,10 @@
 	// no more calls go there: three datagrams in a row from each of its
 	// instances are lost then.
 	cutAfter = 450 * time.Millisecond
+	// connectCost is what a new connection to a replica is taken to cost: the
+	// way, the replica's handshake, and a place among those that it allows. It
+	// lies above the margin within which candidates count as equal.
+	connectCost = 15 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -126,6 +131,8 @@
 		DataCentre: n.settings.DataCentre,
 		Logger:     n.logger,
 		Random:     rand.Uint64,
+		Idle:       n.dialect.Replicas.Idle,
+		Connect:    connectCost,
 		Remote:     n.load.Silence,
 		MaxViewAge: cutAfter,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: viewBlocks}))
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -30,7 +30,7 @@
 	batch := min(c.Load.Total+1, max(1, c.Slots))
 	tokenTime := c.Speed.TokenTime(batch)
 	e := Estimate{Slowness: c.Load.Slowness, Moved: moved}
-	e.Wait = moveTime(moved, s) + c.Way.Seconds() + c.Load.Slowness*(queueTime(c)+float64(c.Load.Backlog)/c.Speed.Prefill)
+	e.Wait = moveTime(moved, s) + c.Way.Seconds() + c.Connect.Seconds() + c.Load.Slowness*(queueTime(c)+float64(c.Load.Backlog)/c.Speed.Prefill)
 	e.Prefill = c.Load.Slowness * uncached / c.Speed.Prefill
 	e.Decode = c.Load.Slowness * float64(s.Output) * tokenTime
 	e.Others = othersTime(c, s, e.Prefill)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,8 @@
 	Way time.Duration
 	// ViewAge is the age of what is known of another data centre; 0 in this one.
 	ViewAge time.Duration
+	// Connect is the cost of a new connection, where none is idle.
+	Connect time.Duration
 	// Estimate is set by a decision.
 	Estimate Estimate
 	// Refused is why the candidate is out, or Allowed.
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -81,6 +81,9 @@
 		Speed:  p.speedOf(cell, cells, now),
 		Cached: p.matches.Depth(u.ID) * engine.BlockTokens,
 	}
+	if idle := p.scheduler.settings.Idle; idle != nil && !idle(u.Name, u.Address) {
+		c.Connect = p.scheduler.settings.Connect
+	}
 	p.scheduler.restrict(&c, cell, w.request)
 	p.candidates = append(p.candidates, c)
 }
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -257,3 +257,13 @@
 
 // Cached returns the prompt's tokens that the upstream was expected to hold.
 func (g *Grant) Cached() int { return g.cached }
+
+// MeanCall returns the learned mean time of a whole call at the upstream; 0
+// before the first.
+func (g *Grant) MeanCall() time.Duration {
+	speed := g.cell.Speed()
+	if speed.Samples == 0 {
+		return 0
+	}
+	return time.Duration(speed.Call * float64(time.Second))
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,10 @@
 	Random func() uint64
 	// Remote tells how old the view of another data centre is; nil for never fresh.
 	Remote func(dataCentre string) time.Duration
+	// Idle reports whether a connection to an upstream is open and unused, and
+	// Connect is what a new one costs; nil where connections cost nothing.
+	Idle    func(upstream, address string) bool
+	Connect time.Duration
 	// MaxViewAge is how old that view may be; 0 for placement.MaxViewAge.
 	MaxViewAge time.Duration
 	// Mover moves programs' caches between engines; nil for no moves.
