Follow orders to empty a keeper; share the store's confirmations between followers

Change: a keeper under an order hands its slices over and says so once each is whole on two others; the age of the store's last word goes with each exchange; a pause follows an answer with changes.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +23,15 @@
 	// questions for changes, which the store may leave unanswered for seconds
 	// while it drops its history. It is below the 2 s within which a change has
 	// to be in force, with a margin for passing it on.
-	checkEvery = 1300 * time.Millisecond
+	checkEvery = 1100 * time.Millisecond
+	// checkSpread keeps followers from asking all at the same moment, so that
+	// those that ask later hear of the answer first.
+	checkSpread = 350 * time.Millisecond
+	// checkTick is how often it is looked at whether a check is due.
+	checkTick = 60 * time.Millisecond
+	// mergePause is the pause after an answer with changes: a burst of changes,
+	// as at the start of all replicas, costs a few questions and not one each.
+	mergePause = 250 * time.Millisecond
 	// retryFirst and retryMost are the waits between failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
@@ -79,28 +88,46 @@
 	}
 }
 
-// check reads the configuration and the replicas anew from time to time.
+// check reads the configuration and the replicas anew where the store has told
+// no instance about them for a while.
 func (f *Follower) check(ctx context.Context) {
-	for sleep(ctx, checkEvery); ctx.Err() == nil; sleep(ctx, checkEvery) {
-		if err := f.checkConfig(ctx); err != nil {
-			f.logger.WithError(err).Debug("configuration not checked")
+	spread := rand.N(checkSpread)
+	for sleep(ctx, checkTick); ctx.Err() == nil; sleep(ctx, checkTick) {
+		if f.mirror.Age(Config, time.Now()) > checkEvery+spread {
+			f.checked(ctx, Config, f.checkConfig(ctx))
+			spread = rand.N(checkSpread)
 		}
-		if err := f.snapshot(ctx, Replicas); err != nil {
-			f.logger.WithError(err).Debug("replicas not checked")
+		if f.mirror.Age(Replicas, time.Now()) > checkEvery+spread {
+			f.checked(ctx, Replicas, f.snapshot(ctx, Replicas))
+			spread = rand.N(checkSpread)
 		}
 	}
 }
 
+func (f *Follower) checked(ctx context.Context, k Kind, err error) {
+	if err == nil {
+		return
+	}
+	// The question for changes that waits beside it says that the store is lost.
+	f.logger.WithError(err).WithField("kind", string(k)).Debug("not checked")
+	sleep(ctx, retryMost)
+}
+
 // checkConfig reads the one object of its kind, which is cheaper than a listing.
 func (f *Follower) checkConfig(ctx context.Context) error {
 	asOf, known := f.mirror.AsOf(Config)
 	if !known {
 		return nil
 	}
+	asked := time.Now()
 	object, err := f.store.Get(ctx, store.Key{Kind: string(Config), Name: ConfigName})
-	if err != nil || object.Version <= asOf {
+	if err != nil {
 		return err
 	}
+	f.mirror.Confirm(Config, asked)
+	if object.Version <= asOf {
+		return nil
+	}
 	entry := Entry{Name: ConfigName, Revision: object.Version, Value: object.Value}
 	f.mirror.Apply(Delta{Kind: Config, From: asOf, AsOf: object.Version, Entries: []Entry{entry}})
 	return nil
@@ -149,6 +176,9 @@
 		return err
 	}
 	f.mirror.Apply(settle(k, from, changes))
+	if len(changes.Events) > 0 {
+		sleep(ctx, mergePause)
+	}
 	return nil
 }
 
@@ -172,10 +202,12 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context, k Kind) error {
+	asked := time.Now()
 	listing, err := f.store.Snapshot(ctx, string(k))
 	if err != nil {
 		return err
 	}
+	f.mirror.Confirm(k, asked)
 	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf}
 	for _, o := range listing.Objects {
 		d.Entries = append(d.Entries, Entry{Name: o.Key.Name, Revision: o.Version, Value: o.Value})
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,6 +62,8 @@
 	removed []Entry
 	// since is the version from which on removed is complete.
 	since store.Version
+	// confirmed is when the store last said what the kind holds.
+	confirmed time.Time
 }
 
 // Mirror is the copy of all kinds. It is safe for concurrent use.
@@ -94,6 +96,23 @@
 	return c.asOf, c.known
 }
 
+// Age returns how long ago the store last said what the kind holds, to this
+// instance or to one that told it.
+func (m *Mirror) Age(k Kind, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.kinds[k].confirmed)
+}
+
+// Confirm notes that the store said so at the time.
+func (m *Mirror) Confirm(k Kind, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.kinds[k]; at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
+
 // Entries returns the kind's entries in the order of their names.
 func (m *Mirror) Entries(k Kind) []Entry {
 	m.mu.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -24,6 +25,9 @@
 	// silentRounds is how many rounds in a row the instances that should follow
 	// the store must be silent before this one does it.
 	silentRounds = 2
+	// silentRoundsAtStart is the same for an instance that has heard of no
+	// other yet: all start at once, and those at the seeds' addresses may be late.
+	silentRoundsAtStart = 4
 	// followsLeast is how long an instance follows at least, so that two that
 	// hear of each other by turns do not both start and stop.
 	followsLeast = 2 * time.Second
@@ -50,6 +54,11 @@
 	logger     log.Interface
 
 	wake chan struct{}
+
+	mu sync.Mutex
+	// followers are the peers that follow the store, by their last word.
+	followers map[string]Peer
+
 	// silent counts the rounds in which no other follower of the data centre answered.
 	silent      int
 	followStop  context.CancelFunc
@@ -62,7 +71,7 @@
 // NewRelay returns a relay that is not yet running. peers returns the other
 // instances known now.
 func NewRelay(name, dataCentre string, m *Mirror, f *Follower, peers func() []Peer, logger log.Interface) *Relay {
-	r := &Relay{name: name, dataCentre: dataCentre, mirror: m, follower: f, peers: peers, logger: logger, wake: make(chan struct{}, 1)}
+	r := &Relay{name: name, dataCentre: dataCentre, mirror: m, follower: f, peers: peers, logger: logger, wake: make(chan struct{}, 1), followers: map[string]Peer{}}
 	m.OnChange(func(Kind) {
 		select {
 		case r.wake <- struct{}{}:
@@ -104,8 +113,8 @@
 			break
 		}
 	}
-	if len(peers) > 0 {
-		_, answered := r.exchange(ctx, peers[rand.IntN(len(peers))])
+	if p, ok := r.partner(peers); ok {
+		_, answered := r.exchange(ctx, p)
 		// Before the others of the data centre are known, any that answers will do.
 		_, known := r.mirror.AsOf(Fleet)
 		better = better || answered && !known
@@ -117,7 +126,11 @@
 		}
 		return
 	}
-	if r.silent++; r.silent >= silentRounds {
+	patience := silentRounds
+	if _, known := r.mirror.AsOf(Fleet); !known {
+		patience = silentRoundsAtStart
+	}
+	if r.silent++; r.silent >= patience {
 		r.follow(ctx)
 	}
 }
@@ -186,9 +199,12 @@
 	}
 	response, err := p.Relay.Exchange(ctx, request)
 	if err != nil {
+		r.noteFollowing(p, false)
 		return false, false
 	}
 	r.take(response.Deltas, response.UnsettledMs)
+	r.confirm(response.Versions)
+	r.noteFollowing(p, response.Following)
 	if deltas := r.lacking(response.Versions); len(deltas) > 0 {
 		push := &mirrorpb.ExchangeRequest{From: r.name, Versions: r.versions(), Deltas: deltas}
 		// A lost push is made good by a later round.
@@ -200,6 +216,7 @@
 // Exchange implements mirrorpb.Relay.
 func (r *Relay) Exchange(_ context.Context, request *mirrorpb.ExchangeRequest) (*mirrorpb.ExchangeResponse, error) {
 	r.take(request.Deltas, request.UnsettledMs)
+	r.confirm(request.Versions)
 	now := time.Now()
 	return &mirrorpb.ExchangeResponse{
 		Versions:    r.versions(),
@@ -209,11 +226,57 @@
 	}, nil
 }
 
+// confirm takes in when the store spoke last to another instance, of what this
+// one holds too.
+func (r *Relay) confirm(versions []*mirrorpb.Version) {
+	now := time.Now()
+	for _, v := range versions {
+		k := Kind(v.Kind)
+		if !slices.Contains(Kinds, k) {
+			continue
+		}
+		if asOf, known := r.mirror.AsOf(k); known && uint64(asOf) >= v.AsOf {
+			r.mirror.Confirm(k, now.Add(-time.Duration(v.AgeMs)*time.Millisecond))
+		}
+	}
+}
+
+func (r *Relay) noteFollowing(p Peer, following bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if following {
+		r.followers[p.Name] = p
+		return
+	}
+	delete(r.followers, p.Name)
+}
+
+// partner chooses whom to exchange with in a round. Followers often choose each
+// other, so that what one of them has asked the store the others need not ask.
+func (r *Relay) partner(peers []Peer) (Peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.followStop != nil && len(r.followers) > 0 && rand.IntN(4) > 0 {
+		n := rand.IntN(len(r.followers))
+		for _, p := range r.followers {
+			if n--; n < 0 {
+				return p, true
+			}
+		}
+	}
+	if len(peers) == 0 {
+		return Peer{}, false
+	}
+	return peers[rand.IntN(len(peers))], true
+}
+
 func (r *Relay) versions() []*mirrorpb.Version {
 	var versions []*mirrorpb.Version
+	now := time.Now()
 	for _, k := range Kinds {
 		if asOf, known := r.mirror.AsOf(k); known {
-			versions = append(versions, &mirrorpb.Version{Kind: string(k), AsOf: uint64(asOf)})
+			age := r.mirror.Age(k, now).Milliseconds()
+			versions = append(versions, &mirrorpb.Version{Kind: string(k), AsOf: uint64(asOf), AgeMs: age})
 		}
 	}
 	return versions
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	// Table and Replica decode what operators and replicas write into the store.
 	Table   func(data []byte) (*routing.Table, error)
 	Replica func(id string, data []byte) (routing.Replica, bool)
+	// RetirementStatus encodes what is said of an order to empty an instance.
+	RetirementStatus func(done bool) []byte
 	// Callers serves callers through the gateway.
 	Callers func(g *gateway.Gateway, stopping func() bool) http.Handler
 }
@@ -151,7 +153,7 @@
 		Folder:     n.settings.DataFolder,
 		FirstStart: n.settings.FirstStart,
 		Keepers:    n.fleet.candidates,
-		Retiring:   func(string) bool { return false },
+		Retiring:   n.retiring,
 		Logger:     n.logger,
 	}, n.fleet, n.fleet)
 	n.keeper = k
@@ -187,6 +189,7 @@
 	group.Go(func() error { return n.servePeers(serving) })
 	if n.keeper != nil {
 		group.Go(func() error { return n.keeper.Run(serving) })
+		group.Go(func() error { n.retire(serving); return nil })
 	}
 	group.Go(func() error {
 		defer stop()
