--- /dev/null
+++ b/internal/history/machine_test.go
@@ -0,0 +1,354 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"foxhall/internal/gateway"
+)
+
+// action is one step of a plan, drawn before the run so that it can be replayed.
+type action struct {
+	Kind string
+	A, B int
+	For  time.Duration
+}
+
+var actionKinds = []string{
+	"turn", "turn", "turn", "turn", "turn", "turn", "abandon", "unknown",
+	"kill", "power", "wipe", "freeze", "cut", "store", "lose", "powerall", "wait",
+}
+
+func drawPlan(rt *rapid.T) []action {
+	kind := rapid.SampledFrom(actionKinds)
+	one := rapid.Custom(func(rt *rapid.T) action {
+		return action{
+			Kind: kind.Draw(rt, "kind"),
+			A:    rapid.IntRange(0, 1000).Draw(rt, "a"),
+			B:    rapid.IntRange(0, 1000).Draw(rt, "b"),
+			For:  time.Duration(rapid.IntRange(20, 4000).Draw(rt, "ms")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 10, 50).Draw(rt, "plan")
+}
+
+const (
+	testBudget = 100
+	testMost   = 20
+	// settledIn is how long keepers take at the most to be whole again after
+	// all faults are over: they notice a loss, change keepers and fill the new one.
+	settledIn = 5 * time.Second
+	programs  = 3
+)
+
+// oracle is what callers were told.
+type oracle struct {
+	mu       sync.Mutex
+	failures []string
+	// kept are the acknowledged turns of each program, with their chains.
+	kept [programs][]keptAnswer
+	// made counts the tokens that callers of each program may have got.
+	made  [programs]int
+	turns int
+	calls sync.WaitGroup
+}
+
+type keptAnswer struct {
+	id    string
+	chain []string
+}
+
+func (o *oracle) fail(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures = append(o.failures, fmt.Sprintf(format, args...))
+}
+
+type run struct {
+	*world
+	oracle
+	seen map[string]int
+	// lostUntil is until when one disk counts as lost, after which another may be.
+	lostUntil time.Time
+}
+
+// TestKeepersMachine runs random plans of turns and faults over four keepers, of
+// which one at a time may lose its disk. A turn whose end was acknowledged is
+// found with its whole chain, or nothing is said of it; "no such turn" is only
+// said of one that never was; a program's turns never make more than its
+// budget; and some seconds after the last fault everything is served.
+func TestKeepersMachine(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt)
+		var failures []string
+		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, plan, seen) })
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures[:min(3, len(failures))])
+		}
+	})
+	t.Log(seen)
+}
+
+func runPlan(t *testing.T, plan []action, seen map[string]int) []string {
+	r := &run{world: newWorld(t, 4), seen: seen}
+	r.startAll()
+	time.Sleep(settledIn)
+	for _, a := range plan {
+		r.trace.say("%s %v", a.Kind, a)
+		r.act(a)
+		seen[a.Kind]++
+		time.Sleep(30 * time.Millisecond)
+	}
+	r.calls.Wait()
+	r.healAll()
+	time.Sleep(settledIn)
+	r.checkAll()
+	r.stopAll()
+	time.Sleep(releaseTime)
+	if len(r.failures) > 0 {
+		t.Log(strings.Join(r.trace.lines, "\n"))
+	}
+	return r.failures
+}
+
+func (r *run) act(a action) {
+	m := r.machines[a.A%len(r.machines)]
+	switch a.Kind {
+	case "turn", "abandon":
+		r.calls.Go(func() { r.turn(a) })
+	case "unknown":
+		r.calls.Go(func() { r.unknownTurn(a) })
+	case "kill":
+		m.stop()
+		r.later(a.For, m.restart)
+	case "power":
+		m.powerOff(float64(a.B) / 1000)
+		r.later(a.For, m.restart)
+	case "wipe":
+		r.wipeOne(m, a.For/4)
+	case "freeze":
+		m.freeze()
+		r.later(a.For, m.unfreeze)
+	case "cut":
+		other := r.machines[a.B%len(r.machines)]
+		r.cut(m.name, other.name, true)
+		r.later(a.For, func() { r.cut(m.name, other.name, false) })
+	case "store":
+		r.setStore(true)
+		r.later(a.For, func() { r.setStore(false) })
+	case "lose":
+		r.world.mu.Lock()
+		r.loseWrites = 1 + a.B%2
+		r.world.mu.Unlock()
+	case "powerall":
+		for _, m := range r.machines {
+			m.powerOff(float64(a.B) / 1000)
+		}
+		r.later(a.For, func() {
+			for _, m := range r.machines {
+				m.restart()
+			}
+		})
+	case "wait":
+		time.Sleep(a.For)
+	}
+}
+
+// wipeOne empties a disk if no other disk is lost: what is on one keeper alone
+// until it is copied must not be lost too.
+func (r *run) wipeOne(m *machine, away time.Duration) {
+	if time.Now().Before(r.lostUntil) || !r.calm() {
+		return
+	}
+	r.seen["wiped"]++
+	m.wipe()
+	time.Sleep(away)
+	m.restart()
+	r.lostUntil = time.Now().Add(settledIn)
+}
+
+// calm reports that all keepers run and reach each other and the store, and
+// have done so for long enough to be whole.
+func (r *run) calm() bool {
+	if !r.undisturbed() {
+		return false
+	}
+	time.Sleep(settledIn)
+	return r.undisturbed()
+}
+
+func (r *run) undisturbed() bool {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	for _, m := range r.machines {
+		if m.process == nil || m.frozen != nil {
+			return false
+		}
+	}
+	for _, on := range r.cuts {
+		if on {
+			return false
+		}
+	}
+	return !r.storeDown
+}
+
+func (r *run) later(after time.Duration, f func()) {
+	r.calls.Go(func() {
+		time.Sleep(after)
+		f()
+	})
+}
+
+func (m *machine) restart() {
+	m.running.Lock()
+	defer m.running.Unlock()
+	m.world.mu.Lock()
+	running := m.process != nil
+	m.world.mu.Unlock()
+	if !running {
+		m.startLocked()
+	}
+}
+
+func (r *run) healAll() {
+	r.world.mu.Lock()
+	clear(r.cuts)
+	r.storeDown, r.loseWrites = false, 0
+	r.world.mu.Unlock()
+	for _, m := range r.machines {
+		m.unfreeze()
+		m.restart()
+	}
+}
+
+func programName(i int) string { return fmt.Sprintf("program-%d", i) }
+
+// turn runs one turn of a program, continuing one of its kept turns.
+func (r *run) turn(a action) {
+	p := a.A % programs
+	r.oracle.mu.Lock()
+	r.turns++
+	id := fmt.Sprintf("turn-%d", r.turns)
+	var before keptAnswer
+	if n := len(r.kept[p]); n > 0 && a.B%3 > 0 {
+		before = r.kept[p][a.B%n]
+	}
+	r.oracle.mu.Unlock()
+	client := r.client(fmt.Sprintf("entry-%d", a.B%3))
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	reserved, err := client.Reserve(ctx, gateway.Reservation{
+		Program: programName(p), Turn: id, Previous: before.id, Most: testMost, Budget: testBudget, Retention: time.Hour,
+	})
+	if err != nil {
+		r.judgeRefusal(err, before)
+		return
+	}
+	r.judgeChain(reserved.Chain, before)
+	r.count(p, testMost)
+	time.Sleep(a.For / 20)
+	ending := gateway.Ending{Program: programName(p), Turn: id, Made: testMost, Retention: time.Hour}
+	if a.Kind == "turn" {
+		ending.Made = a.B % testMost
+		r.count(p, ending.Made-testMost)
+		ending.Kept = &gateway.Turn{ID: id, Previous: before.id, Input: []byte(id), Ended: time.Now()}
+	}
+	err = client.Settle(ctx, ending)
+	r.trace.say("%s of %s in slice %d after %q settled: %v", id, programName(p), SliceOf(programName(p)), before.id, err)
+	if err == nil && ending.Kept != nil {
+		r.oracle.mu.Lock()
+		r.kept[p] = append(r.kept[p], keptAnswer{id: id, chain: append(append([]string(nil), before.chain...), id)})
+		r.oracle.mu.Unlock()
+	}
+}
+
+// count adds what a turn made, and checks the budget.
+func (r *run) count(p, tokens int) {
+	r.oracle.mu.Lock()
+	r.made[p] += tokens
+	made := r.made[p]
+	r.oracle.mu.Unlock()
+	if made > testBudget {
+		r.fail("program %d made %d of %d tokens", p, made, testBudget)
+	}
+}
+
+func (r *run) judgeRefusal(err error, before keptAnswer) {
+	if errors.Is(err, gateway.ErrNoSuchTurn) {
+		r.fail("turn %s was kept and is denied", before.id)
+	}
+	r.oracle.mu.Lock()
+	defer r.oracle.mu.Unlock()
+	r.seen[err.Error()]++
+}
+
+func (r *run) judgeChain(chain []gateway.Turn, before keptAnswer) {
+	var ids []string
+	for _, t := range chain {
+		ids = append(ids, t.ID)
+	}
+	if fmt.Sprint(ids) != fmt.Sprint(before.chain) {
+		r.fail("chain %v in place of %v", ids, before.chain)
+	}
+	r.oracle.mu.Lock()
+	defer r.oracle.mu.Unlock()
+	r.seen["served"]++
+}
+
+// unknownTurn continues a turn that never was.
+func (r *run) unknownTurn(a action) {
+	client := r.client("entry-0")
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	_, err := client.Reserve(ctx, gateway.Reservation{
+		Program: programName(programs + a.A), Turn: fmt.Sprintf("after-nothing-%d", a.B), Previous: "nothing", Most: 1, Budget: 10,
+	})
+	if err == nil {
+		r.fail("a turn that never was is continued")
+	}
+}
+
+// checkAll asks for everything that was acknowledged, from another program, so
+// that all slices are asked.
+func (r *run) checkAll() {
+	client := r.client("entry-9")
+	for p := range programs {
+		for i, k := range r.kept[p] {
+			reserved, err := client.Reserve(context.Background(), gateway.Reservation{
+				Program: fmt.Sprintf("heir-%d-%d", p, i), Turn: "heir", Previous: k.id, Most: 1, Budget: 10,
+			})
+			if err != nil {
+				r.fail("turn %s not served after the faults: %v%s", k.id, err, r.whereIs(k.id))
+				continue
+			}
+			r.judgeChain(reserved.Chain, k)
+		}
+	}
+}
+
+// whereIs tells which keepers hold a turn, and what they take themselves for.
+func (r *run) whereIs(turn string) string {
+	var b strings.Builder
+	for _, m := range r.machines {
+		k := m.process.keeper
+		k.mu.Lock()
+		for _, s := range k.slices {
+			if s.state.turns[turn] != nil || s.number == SliceOf(programName(0)) {
+				fmt.Fprintf(&b, "; %s slice %d: here %v, mark %v, role %v, primary %v, waiting %d",
+					m.name, s.number, s.state.turns[turn] != nil, s.mark, s.role, k.primary(s), len(s.entries))
+			}
+		}
+		k.mu.Unlock()
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/history/main_test.go
@@ -0,0 +1,13 @@
+package history
+
+import (
+	"os"
+	"testing"
+
+	"foxhall/internal/fuzzing"
+)
+
+func TestMain(m *testing.M) {
+	fuzzing.Fix(20261203, 60)
+	os.Exit(m.Run())
+}
