Take a slice back from a pair that lacks it; name the disk that is filled

Cause, found by reasoning over late answers of the store: a proposal that takes effect after its proposer lost its disk leaves out the keeper that has all of the slice, which was then begun anew after 10 s; and a disk lost in the middle of a filling was taken for whole. Change: a keeper that had all of the epoch before fetches from the new partner what was acknowledged since and proposes itself; records that complete a slice name the disk.

--- /dev/null
+++ b/internal/history/failure_test.go
@@ -0,0 +1,140 @@
+package history
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"foxhall/internal/gateway"
+	"foxhall/internal/history/historypb"
+)
+
+// inWorld runs a test on virtual time over four keepers that are whole.
+func inWorld(t *testing.T, test func(w *world, fail func(error))) {
+	var failed error
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.startAll()
+		time.Sleep(settledIn)
+		test(w, func(err error) {
+			if failed == nil {
+				failed = err
+			}
+		})
+		w.stopAll()
+		time.Sleep(releaseTime)
+	})
+	is.New(t).NoErr(failed)
+}
+
+func keep(c *Client, program, turn, previous string) error {
+	ctx := context.Background()
+	_, err := c.Reserve(ctx, gateway.Reservation{Program: program, Turn: turn, Previous: previous, Most: 1, Retention: time.Hour})
+	if err != nil {
+		return err
+	}
+	kept := &gateway.Turn{ID: turn, Previous: previous, Input: []byte(turn), Ended: time.Now()}
+	return c.Settle(ctx, gateway.Ending{Program: program, Turn: turn, Kept: kept, Retention: time.Hour})
+}
+
+func (w *world) role(program string) Role {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.assignment.Slices[SliceOf(program)]
+}
+
+// A caller's next turn is denied. The primary of its slice proposed another
+// partner, the store's answer was late, and the primary lost its disk; then the
+// proposal took effect, which left the old partner, with all turns, out. It
+// must see that neither of the new pair has them, and take the slice back.
+func TestLateProposalOfALostPrimaryLosesNothing(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		if err := keep(c, "p", "first", ""); err != nil {
+			fail(err)
+			return
+		}
+		role := w.role("p")
+		w.machine(role.Primary).wipe()
+		w.mu.Lock()
+		other := ""
+		for _, m := range w.machines {
+			if m.name != role.Primary && m.name != role.Partner {
+				other = m.name
+			}
+		}
+		w.assignment.Slices[SliceOf("p")] = Role{Epoch: role.Epoch + 1, Primary: role.Primary, Partner: other}
+		w.version++
+		w.mu.Unlock()
+		w.machine(role.Primary).start()
+		time.Sleep(2 * abandonAfter)
+		fail(keep(c, "p", "second", "first"))
+	})
+}
+
+// A caller's next turn is denied. The slice's partner lost its disk while it
+// was being filled; the rest of the filling went to the empty disk, whose
+// keeper took itself for whole. What fills must name the disk that it fills.
+func TestFillingOfALostDiskDoesNotMakeItWhole(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		role := w.role("p")
+		partner := w.machine(role.Partner)
+		ctx := context.Background()
+		before, err := partner.process.keeper.Status(ctx, &historypb.StatusRequest{})
+		if err != nil {
+			fail(err)
+			return
+		}
+		w.cut(role.Primary, role.Partner, true)
+		partner.wipe()
+		partner.start()
+		k := partner.process.keeper
+		last := &historypb.AppendRequest{Disk: before.Disk, Slices: []*historypb.SliceAppend{
+			{Slice: SliceOf("p"), Epoch: role.Epoch, Complete: true},
+		}}
+		// The first has it read the assignment, without which it follows nobody.
+		for range 2 {
+			if _, err := k.Append(ctx, last); err != nil {
+				fail(err)
+			}
+			time.Sleep(mirrorTime)
+		}
+		after, err := k.Status(ctx, &historypb.StatusRequest{})
+		if err != nil || after.Slices[SliceOf("p")].Synced {
+			fail(errors.New("an empty disk counts as whole"))
+		}
+	})
+}
+
+// A program's tokens are handed out twice. Its primary was frozen and did not
+// notice that it was replaced; callers that still ask it must get no
+// reservation from it, and the new primary counts on from where it stood.
+func TestFrozenPrimaryReservesNothing(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		ctx := context.Background()
+		role := w.role("p")
+		if _, err := c.Reserve(ctx, gateway.Reservation{Program: "p", Turn: "one", Most: 60, Budget: 100}); err != nil {
+			fail(err)
+			return
+		}
+		old := w.machine(role.Primary)
+		old.freeze()
+		time.Sleep(3 * suspectAfter)
+		if _, err := c.Reserve(ctx, gateway.Reservation{Program: "p", Turn: "two", Most: 40, Budget: 100}); err != nil {
+			fail(err)
+			return
+		}
+		old.unfreeze()
+		response, err := old.process.keeper.Reserve(ctx, &historypb.ReserveRequest{
+			Slice: SliceOf("p"), Program: "p", Turn: "three", Most: 40, Budget: 100,
+		})
+		if err != nil || response.Verdict == historypb.Verdict_DONE {
+			fail(ErrUnreached)
+		}
+	})
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +33,7 @@
 type Peers interface {
 	Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error)
 	Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error)
+	Fetch(ctx context.Context, name string, r *historypb.FetchRequest) (*historypb.FetchResponse, error)
 }
 
 // Assignments reads and changes the assignment in the platform's store.
@@ -62,7 +65,9 @@
 	peers       Peers
 	assignments Assignments
 	log         *diskLog
-	started     time.Time
+	// disk names the disk; a lost one is followed by one of another name.
+	disk    string
+	started time.Time
 
 	mu     sync.Mutex
 	slices [SliceCount]*slice
@@ -100,6 +105,10 @@
 	// the present epoch. A primary that was killed may have records on its disk
 	// that its partner never got; a repeated call would find them done.
 	filled bool
+	// salvaging says that records are being fetched from the partner of an
+	// epoch whose primary is lost, and salvaged for which epoch they are here.
+	salvaging bool
+	salvaged  uint64
 	// marking says that a mark is on its way to the disk.
 	marking bool
 	// lostSince is since when neither keeper has all of the slice, and
@@ -143,6 +152,9 @@
 		return nil, err
 	}
 	k.log = l
+	if k.disk == "" {
+		k.disk = strconv.FormatUint(rand.Uint64(), 36)
+	}
 	if err := l.compact(k.everything()); err != nil {
 		return nil, err
 	}
@@ -151,6 +163,10 @@
 
 // replay takes in a record from the disk.
 func (k *Keeper) replay(r *historypb.Record) {
+	if name := r.GetDisk(); name != "" {
+		k.disk = name
+		return
+	}
 	if r.Slice >= SliceCount {
 		return
 	}
@@ -168,7 +184,7 @@
 // everything returns all records that are kept; the lock is held or not needed.
 func (k *Keeper) everything() []*historypb.Record {
 	now := time.Now()
-	var all []*historypb.Record
+	all := []*historypb.Record{{Body: &historypb.Record_Disk{Disk: k.disk}}}
 	for _, s := range k.slices {
 		s.state.expire(now)
 		if s.mark.Epoch > 0 {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -56,6 +56,8 @@
 	// heard says that its marks are known.
 	heard bool
 	marks [SliceCount]mark
+	// disk names its disk.
+	disk string
 }
 
 // Adopt takes in an assignment of the store; an older one changes nothing.
@@ -93,7 +95,8 @@
 func (k *Keeper) raise(s *slice) {
 	epoch := s.role.Epoch
 	first := epoch == 1 && k.settings.FirstStart && s.mark.Epoch == 0
-	if s.marking || s.mark.Epoch >= epoch || !first && (!s.mark.Synced || s.mark.Epoch != epoch-1) {
+	had := s.mark.Synced && (s.mark.Epoch == epoch-1 || s.salvaged == epoch-1 && s.mark.Epoch == epoch-2)
+	if s.marking || s.mark.Epoch >= epoch || !first && !had {
 		return
 	}
 	s.marking = true
@@ -200,7 +203,7 @@
 		silent := (now.Sub(v.heard) > suspectAfter || v.refused >= refusedMost) && now.Sub(k.started) > bootTime
 		o.out = silent || k.settings.Retiring(name)
 		if v.status != nil {
-			o.heard = !silent
+			o.heard, o.disk = !silent, v.status.Disk
 			o.out = o.out || v.status.Leaving || v.status.StalledMs > stalledAfter.Milliseconds()
 			for _, m := range v.status.Slices {
 				if m.Slice < SliceCount {
@@ -243,6 +246,9 @@
 func (k *Keeper) leavingNow() bool { return k.leaving || k.settings.Retiring(k.settings.Name) }
 
 func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
+	if s.mark.Synced && s.role.Epoch > 1 && s.mark.Epoch == s.role.Epoch-1 && s.role.Primary != k.settings.Name {
+		return k.orphaned(s, opinions, now)
+	}
 	if s.role.Epoch == 0 || s.mark.Epoch != s.role.Epoch {
 		return k.abandoned(s, opinions, now)
 	}
@@ -276,13 +282,68 @@
 // lostRounds is the number of rounds in which a primary must lack its slice.
 const lostRounds = 3
 
+// orphaned reports that this keeper, which had all of the slice in the epoch
+// before, has to take it over from one that holds it no longer. It comes to
+// that when a proposal takes effect late, after its proposer lost its disk: the
+// slice's primary has nothing then, and its partner only what was acknowledged
+// since. That is fetched first; together they are all of the slice.
+func (k *Keeper) orphaned(s *slice, opinions map[string]opinion, now time.Time) bool {
+	primary, partner := opinions[s.role.Primary], opinions[s.role.Partner]
+	number, epoch := int(s.number), s.role.Epoch
+	if !s.primaryLost(primary, now) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
+		return false
+	}
+	if !partner.heard || partner.has(number, epoch) {
+		return false
+	}
+	if s.salvaged == epoch {
+		return true
+	}
+	if !s.salvaging {
+		s.salvaging = true
+		go k.salvage(s, s.role)
+	}
+	return false
+}
+
+// salvage fetches what the partner of a lost primary has.
+func (k *Keeper) salvage(s *slice, role Role) {
+	ctx, cancel := context.WithTimeout(k.ctx, opTime)
+	defer cancel()
+	response, err := k.peers.Fetch(ctx, role.Partner, &historypb.FetchRequest{Slice: s.number})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		s.salvaging = false
+		k.settings.Logger.WithError(err).WithField("slice", s.number).Warn("slice not salvaged")
+		return
+	}
+	for _, r := range response.Records {
+		s.state.apply(r)
+	}
+	k.persist(response.Records, func() {
+		s.salvaging, s.salvaged = false, role.Epoch
+		notify(k.wakeRoles)
+	})
+}
+
+// heldBefore reports that some keeper had all of the slice in the epoch before.
+func heldBefore(s *slice, opinions map[string]opinion) bool {
+	for _, o := range opinions {
+		if o.marks[s.number].Synced && o.marks[s.number].Epoch+1 == s.role.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // abandoned reports that no keeper has all of a slice and that this one, its
 // primary, has to begin it anew. It comes to that only when both disks are
 // lost, or before the slice's first record.
 func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
 	o := opinions[s.role.Partner]
 	if s.role.Epoch == 0 || s.role.Primary != k.settings.Name || s.marking || !k.verified ||
-		!o.heard || o.has(int(s.number), s.role.Epoch) {
+		!o.heard || o.has(int(s.number), s.role.Epoch) || heldBefore(s, opinions) {
 		s.lostSince = time.Time{}
 		return false
 	}
@@ -304,12 +365,12 @@
 		return
 	}
 	s.filling = true
-	go k.fill(ctx, s, s.role, s.state.records(s.number))
+	go k.fill(ctx, s, s.role, partner.disk, s.state.records(s.number))
 }
 
 // fill sends records in parts, the last with the word that they are all. What
 // changes meanwhile goes to the partner as it happens.
-func (k *Keeper) fill(ctx context.Context, s *slice, role Role, records []*historypb.Record) {
+func (k *Keeper) fill(ctx context.Context, s *slice, role Role, disk string, records []*historypb.Record) {
 	defer func() {
 		k.mu.Lock()
 		s.filling = false
@@ -322,7 +383,7 @@
 			n++
 		}
 		part := &historypb.SliceAppend{Slice: s.number, Epoch: role.Epoch, Records: records[:n], Complete: n == len(records)}
-		if !k.sendPart(ctx, role.Partner, part) {
+		if !k.sendPart(ctx, role.Partner, disk, part) {
 			return
 		}
 		if part.Complete {
@@ -342,10 +403,10 @@
 	}
 }
 
-func (k *Keeper) sendPart(ctx context.Context, partner string, part *historypb.SliceAppend) bool {
+func (k *Keeper) sendPart(ctx context.Context, partner, disk string, part *historypb.SliceAppend) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
-	r := &historypb.AppendRequest{From: k.settings.Name, Slices: []*historypb.SliceAppend{part}}
+	r := &historypb.AppendRequest{From: k.settings.Name, Disk: disk, Slices: []*historypb.SliceAppend{part}}
 	response, err := k.peers.Append(ctx, partner, r)
 	if err != nil {
 		return false
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -110,6 +110,14 @@
 	response := &historypb.AppendResponse{}
 	durable := make(chan struct{})
 	k.mu.Lock()
+	if r.Disk != "" && r.Disk != k.disk {
+		// The parts before this one went to a disk that is lost.
+		defer k.mu.Unlock()
+		for _, a := range r.Slices {
+			response.Refused = append(response.Refused, &historypb.SliceMark{Slice: a.Slice})
+		}
+		return response, nil
+	}
 	var records []*historypb.Record
 	var complete []*slice
 	var epochs []uint64
@@ -180,11 +188,22 @@
 	}
 }
 
+// Fetch implements historypb.Keeper.
+func (k *Keeper) Fetch(_ context.Context, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.sliceFor(r.Slice)
+	if s == nil {
+		return &historypb.FetchResponse{}, nil
+	}
+	return &historypb.FetchResponse{Records: s.state.records(s.number)}, nil
+}
+
 // Status implements historypb.Keeper.
 func (k *Keeper) Status(context.Context, *historypb.StatusRequest) (*historypb.StatusResponse, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.leaving, StalledMs: k.stalled().Milliseconds()}
+	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.leaving, StalledMs: k.stalled().Milliseconds(), Disk: k.disk}
 	for _, s := range k.slices {
 		response.Slices = append(response.Slices, &historypb.SliceMark{Slice: s.number, Epoch: s.mark.Epoch, Synced: s.mark.Synced})
 	}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -309,6 +309,16 @@
 	})
 }
 
+// Fetch implements Peers.
+func (m *machine) Fetch(ctx context.Context, name string, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
+	if err := m.pass(ctx); err != nil {
+		return nil, err
+	}
+	return call(ctx, m.world, m.name, name, func(ctx context.Context, k *Keeper) (*historypb.FetchResponse, error) {
+		return k.Fetch(ctx, r)
+	})
+}
+
 // Read implements Assignments.
 func (m *machine) Read(ctx context.Context) (Assignment, store.Version, error) {
 	if err := m.pass(ctx); err != nil {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -247,6 +247,15 @@
 	return k.Status(ctx, r)
 }
 
+// Fetch implements history.Peers.
+func (f *fleet) Fetch(ctx context.Context, name string, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
+	k, ok := f.keeper(name)
+	if !ok {
+		return nil, errNoInstance
+	}
+	return k.Fetch(ctx, r)
+}
+
 var assignmentKey = store.Key{Kind: string(mirror.Fleet), Name: assignmentName}
 
 // Read implements history.Assignments.
