Write log lines from a goroutine of their own, and serve metrics

Cause: a line was written by the goroutine of the call, which a stalled reader of standard output would hold up; counters could not be read.

--- a/command/run.go
+++ b/command/run.go
@@ -7,9 +7,9 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/urfave/cli/v3"
 
+	"foxhall/internal/logging"
 	"foxhall/platform"
 )
 
@@ -32,11 +32,37 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
-	logger := &log.Logger{Handler: json.New(os.Stdout), Level: level}
-	// A reload changes nothing that is read at the start; without a handler
-	// the signal would end the process.
-	signal.Ignore(syscall.SIGHUP)
+	writer := logging.New()
+	logger := &log.Logger{Handler: writer, Level: level}
+	lines, written := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		writer.Run(lines, os.Stdout)
+	}()
+	defer func() {
+		written()
+		<-ended
+	}()
+	noteReloads(ctx, logger)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return platform.Run(ctx, c.String("settings"), logger)
 }
+
+// noteReloads logs each SIGHUP. A reload changes nothing that is read at the
+// start; without a handler the signal would end the process.
+func noteReloads(ctx context.Context, logger log.Interface) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-reloads:
+				logger.Info("reload: the settings in force hold until the next start")
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,107 @@
+// Package logging writes structured log lines to an output without ever
+// holding up the code that logs.
+package logging
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// queued is the number of lines that may wait for the output. A reader that
+	// has stalled costs lines beyond it, not calls.
+	queued = 2048
+	// perSecond and burst bound the lines of an instance: some ten times what it
+	// writes at its highest load so far, of 60 calls a second.
+	perSecond = 1500
+	burst     = 3000
+	// dropsEvery is how often dropped lines are told.
+	dropsEvery = time.Second
+)
+
+// Writer is a log.Handler that writes lines of JSON from a goroutine of its own.
+type Writer struct {
+	lines   chan line
+	limit   *rate.Limiter
+	dropped atomic.Int64
+}
+
+type line struct {
+	Time    time.Time  `json:"time"`
+	Level   string     `json:"level"`
+	Message string     `json:"message"`
+	Fields  log.Fields `json:"fields,omitempty"`
+}
+
+// New returns a writer; Run must be called.
+func New() *Writer {
+	return &Writer{lines: make(chan line, queued), limit: rate.NewLimiter(perSecond, burst)}
+}
+
+// HandleLog implements log.Handler. It never blocks: a line that has no room
+// is counted, and the count is told later. Warnings and errors are not limited
+// by the rate.
+func (w *Writer) HandleLog(e *log.Entry) error {
+	if e.Level < log.WarnLevel && !w.limit.Allow() {
+		w.dropped.Add(1)
+		return nil
+	}
+	select {
+	case w.lines <- line{Time: e.Timestamp, Level: e.Level.String(), Message: e.Message, Fields: e.Fields}:
+	default:
+		w.dropped.Add(1)
+	}
+	return nil
+}
+
+// Run writes lines until ctx ends, and then those that wait.
+func (w *Writer) Run(ctx context.Context, to io.Writer) {
+	out := bufio.NewWriter(to)
+	defer out.Flush()
+	encoder := json.NewEncoder(out)
+	ticker := time.NewTicker(dropsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case l := <-w.lines:
+			write(encoder, l)
+			if len(w.lines) == 0 {
+				out.Flush()
+			}
+		case <-ticker.C:
+			w.tellDropped(encoder)
+			out.Flush()
+		case <-ctx.Done():
+			for len(w.lines) > 0 {
+				write(encoder, <-w.lines)
+			}
+			return
+		}
+	}
+}
+
+// write encodes a line; one whose fields can't be encoded is told without them.
+func write(encoder *json.Encoder, l line) {
+	for name, value := range l.Fields {
+		if err, ok := value.(error); ok {
+			l.Fields[name] = err.Error()
+		}
+	}
+	if encoder.Encode(l) != nil {
+		l.Fields = log.Fields{"unencodable": true}
+		_ = encoder.Encode(l)
+	}
+}
+
+func (w *Writer) tellDropped(encoder *json.Encoder) {
+	if n := w.dropped.Swap(0); n > 0 {
+		write(encoder, line{Time: time.Now(), Level: "warn", Message: "log lines dropped", Fields: log.Fields{"lines": n}})
+	}
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,56 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// A caller's call hangs since the reader of standard output has stalled. Lines
+// beyond the queue must be dropped at once, and told when it reads again.
+func TestStalledOutputHoldsUpNobody(t *testing.T) {
+	var out bytes.Buffer
+	var took time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		w := New()
+		logger := &log.Logger{Handler: w, Level: log.InfoLevel}
+		began := time.Now()
+		for range 3 * queued {
+			logger.WithField("request", "r").Warn("call")
+		}
+		took = time.Since(began)
+		ctx, cancel := context.WithCancel(context.Background())
+		go w.Run(ctx, &out)
+		time.Sleep(2 * dropsEvery)
+		cancel()
+		synctest.Wait()
+	})
+	is := is.New(t)
+	is.Equal(took, time.Duration(0))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), queued+1)
+	var last line
+	is.NoErr(json.Unmarshal([]byte(lines[queued]), &last))
+	is.Equal(last.Message, "log lines dropped")
+	is.Equal(last.Fields["lines"], float64(2*queued))
+}
+
+// An operator looks for a cause and finds "{}": errors have no exported fields.
+func TestErrorsAreWrittenAsText(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New()
+	(&log.Logger{Handler: w, Level: log.InfoLevel}).WithField("cause", errors.New("gone")).Info("call")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w.Run(ctx, &out)
+	is.True(strings.Contains(out.String(), `"cause":"gone"`))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,6 +187,7 @@
 	group.Go(func() error { n.control(serving); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
 	group.Go(func() error { return n.servePeers(serving) })
+	group.Go(func() error { return n.serveMetrics(serving) })
 	if n.keeper != nil {
 		group.Go(func() error { return n.keeper.Run(serving) })
 		group.Go(func() error { n.retire(serving); return nil })
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -19,9 +19,8 @@
 	DataCentres int
 	// Callers and Ready are the addresses served by an entry.
 	Callers, Ready string
-	// PeerPort is where instances talk to each other, MetricsPort where metrics
-	// are read; the same on all instances.
-	PeerPort, MetricsPort int
+	// PeerPort is where instances talk to each other; the same on all of them.
+	PeerPort int
 	// Seeds are IP numbers of other instances, which may be out of date.
 	Seeds []string
 	// FirstStart is true only when the whole system starts with empty disks.
