--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/cache"
+	"foxhall/internal/httpconn"
+	"foxhall/internal/routing"
+	"foxhall/internal/scheduler"
+	"foxhall/internal/upstream"
+	"foxhall/internal/usage"
+)
+
+// fakeReplicas answers sendings by a script, one step for each.
+type fakeReplicas struct {
+	mu    sync.Mutex
+	steps []func(ctx context.Context, s *Send) (*Answer, error)
+	sends []Send
+}
+
+func (f *fakeReplicas) Send(ctx context.Context, s *Send) (*Answer, error) {
+	f.mu.Lock()
+	n := len(f.sends)
+	f.sends = append(f.sends, *s)
+	script := f.steps[min(n, len(f.steps)-1)]
+	f.mu.Unlock()
+	return script(ctx, s)
+}
+
+func (f *fakeReplicas) targets() []string {
+	var list []string
+	for _, s := range f.sends {
+		list = append(list, s.Target.ID)
+	}
+	return list
+}
+
+type script = func(context.Context, *Send) (*Answer, error)
+
+func fails(err error) script {
+	return func(context.Context, *Send) (*Answer, error) { return nil, err }
+}
+
+func hangs(ctx context.Context, _ *Send) (*Answer, error) {
+	<-ctx.Done()
+	return nil, errors.Wrap(httpconn.ErrLost, "cancelled")
+}
+
+func answers(a Answer, body string) script {
+	return func(context.Context, *Send) (*Answer, error) {
+		a.Body = strings.NewReader(body)
+		if a.Length == 0 {
+			a.Length = int64(len(body))
+		}
+		return NewAnswer(a, func() {}), nil
+	}
+}
+
+func good(body string) script { return answers(Answer{Status: 200, Verified: true, Run: true}, body) }
+
+var refuses = answers(Answer{Status: 503}, "full")
+
+// streams sends events and then ends, or breaks off with an error.
+func streams(err error, events ...string) script {
+	return func(context.Context, *Send) (*Answer, error) {
+		readers := []io.Reader{strings.NewReader(strings.Join(events, ""))}
+		if err != nil {
+			readers = append(readers, errorReader{err})
+		}
+		return NewAnswer(Answer{Status: 200, Verified: true, Run: true, Length: -1, Body: io.MultiReader(readers...)}, func() {}), nil
+	}
+}
+
+type errorReader struct{ err error }
+
+func (e errorReader) Read([]byte) (int, error) { return 0, e.err }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", n, n) }
+
+// fakeTurns grants or refuses, and remembers endings.
+type fakeTurns struct {
+	mu      sync.Mutex
+	err     error
+	chain   []Turn
+	settled error
+	endings []Ending
+}
+
+func (f *fakeTurns) Reserve(context.Context, Reservation) (Reserved, error) {
+	return Reserved{Chain: f.chain}, f.err
+}
+
+func (f *fakeTurns) Settle(_ context.Context, e Ending) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endings = append(f.endings, e)
+	return f.settled
+}
+
+type fakeCaller struct {
+	status int
+	body   strings.Builder
+}
+
+func (c *fakeCaller) Begin(status int, _ http.Header, _ int64) error {
+	c.status = status
+	return nil
+}
+
+func (c *fakeCaller) Write(part []byte) error {
+	c.body.Write(part)
+	return nil
+}
+
+type outcome struct {
+	result Result
+	status int
+	body   string
+	took   time.Duration
+	sends  []string
+}
+
+// serve serves one call over two replicas of a service, on virtual time.
+func serve(t *testing.T, route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
+	var out outcome
+	synctest.Test(t, func(t *testing.T) {
+		replicas := &fakeReplicas{steps: steps}
+		route.Host, route.Prefix, route.Shares = "h", "/", []routing.Share{{Service: "s", Weight: 1}}
+		if route.Timeout == 0 {
+			route.Timeout = 5 * time.Second
+		}
+		service := routing.Service{Name: "s"}
+		if route.Repeat == routing.Stream {
+			service.Engine = &routing.Engine{TokensPerEvent: 2}
+		}
+		table := routing.NewTable(1, routing.Limits{}, []routing.Route{route}, []routing.Service{service})
+		upstreams := upstream.NewTable()
+		var list []usage.Upstream
+		for _, name := range []string{"a", "b"} {
+			u := usage.Upstream{Name: name, Address: name, Kind: usage.KindService, Service: "s", Slots: 4}
+			if service.Engine != nil {
+				u.Kind, u.Service, u.Models = usage.KindEngine, "", []string{"s"}
+			}
+			list = append(list, u)
+		}
+		upstreams.Apply(list, time.Now())
+		quiet := &log.Logger{Handler: discard.Default}
+		sched := scheduler.New(scheduler.Settings{}, upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
+		g := New(Settings{
+			Table:     func() *routing.Table { return table },
+			Instances: func() int { return 1 },
+		}, sched, replicas, turns, quiet, metrics.NewRegistry())
+		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
+		caller := &fakeCaller{}
+		began := time.Now()
+		out.result = g.Serve(context.Background(), &call, caller)
+		out.took, out.status, out.body, out.sends = time.Since(began), caller.status, caller.body.String(), replicas.targets()
+		time.Sleep(settleTime)
+	})
+	return out
+}
+
+// A caller is charged twice. The replica took the call and its answer was lost,
+// so it may have run; sent again it would run again. It must end as unknown.
+func TestCallThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	for _, script := range []script{
+		fails(httpconn.ErrLost), fails(httpconn.ErrSilent), hangs,
+		answers(Answer{Status: 200, Verified: true, Run: true, Length: 99}, "cut short"),
+		answers(Answer{Status: 200, Run: true}, "unsigned"),
+		answers(Answer{Status: 200, Verified: true, Run: true, Encoded: true}, "packed"),
+	} {
+		is := is.New(t)
+		out := serve(t, routing.Route{Repeat: routing.Once, Attempts: 3}, Call{ID: "r"}, nil, script, good("second"))
+		is.Equal(out.result.Outcome, Unknown)
+		is.Equal(len(out.sends), 1)
+		is.Equal(out.body, "")
+	}
+}
+
+// A caller is refused although another replica is free. A replica that says
+// that it did not run the call, or that could not be reached, costs nothing.
+func TestCallThatHasNotRunGoesToAnother(t *testing.T) {
+	for _, script := range []script{fails(httpconn.ErrNotSent), refuses, answers(Answer{Status: 421, Run: true, Misdirected: true}, "")} {
+		is := is.New(t)
+		out := serve(t, routing.Route{Repeat: routing.Once, Attempts: 1}, Call{ID: "r"}, nil, script, good("second"))
+		is.Equal(out.result.Outcome, Answered)
+		is.Equal(out.body, "second")
+		is.True(out.sends[0] != out.sends[1])
+	}
+}
+
+// Callers are told "not run" and the call was run: an idempotent call may have
+// run at one replica before the others refused it.
+func TestRefusalAfterALostAnswerIsNotPromised(t *testing.T) {
+	is := is.New(t)
+	out := serve(t, routing.Route{Repeat: routing.Idempotent, Attempts: 2}, Call{ID: "r"}, nil, fails(httpconn.ErrLost), refuses)
+	is.Equal(out.result.Outcome, Unknown)
+}
+
+// An idempotent call is sent to more replicas than its route allows. Where only
+// one is allowed, the same is asked again.
+func TestIdempotentCallIsRepeatedWithinTheAttempts(t *testing.T) {
+	is := is.New(t)
+	out := serve(t, routing.Route{Repeat: routing.Idempotent, Attempts: 1}, Call{ID: "r"}, nil, fails(httpconn.ErrLost), good("second"))
+	is.Equal(out.body, "second")
+	is.Equal(out.sends[0], out.sends[1])
+	out = serve(t, routing.Route{Repeat: routing.Idempotent, Attempts: 2}, Call{ID: "r"}, nil, fails(httpconn.ErrLost), good("second"))
+	is.Equal(out.body, "second")
+	is.True(out.sends[0] != out.sends[1])
+}
+
+// A caller waits past the time that operators gave the route.
+func TestRouteTimeoutEndsTheCall(t *testing.T) {
+	is := is.New(t)
+	out := serve(t, routing.Route{Repeat: routing.Once, Attempts: 1, Timeout: 700 * time.Millisecond}, Call{ID: "r"}, nil, hangs)
+	is.Equal(out.result, Result{Outcome: Unknown, Reason: TimedOut, Replica: out.sends[0], Sends: 1})
+	is.Equal(out.took, 700*time.Millisecond)
+}
+
+// A caller gets an event twice, or half of one. The replica broke off within an
+// event; the stream must go on behind the last whole one, at the same replica
+// where the route allows one only.
+func TestResumedStreamHasEachEventOnce(t *testing.T) {
+	is := is.New(t)
+	broken := streams(io.ErrUnexpectedEOF, event(1), event(2), "id: 3\ndata: d")
+	out := serve(t, routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}, Call{ID: "r"}, nil, broken, streams(nil, event(3), event(4)))
+	is.Equal(out.result.Outcome, Answered)
+	is.Equal(out.body, event(1)+event(2)+event(3)+event(4))
+	is.Equal(out.sends[0], out.sends[1])
+}
+
+// A caller takes half an answer for a whole one. A stream that may not be
+// resumed must end in a way that shows it.
+func TestBrokenStreamIsNotResumedWhereItMayNot(t *testing.T) {
+	is := is.New(t)
+	out := serve(t, routing.Route{Repeat: routing.Stream, Attempts: 2}, Call{ID: "r"}, nil, streams(io.ErrUnexpectedEOF, event(1)), streams(nil, event(2)))
+	is.Equal(out.result.Outcome, BrokenOff)
+	is.Equal(len(out.sends), 1)
+}
+
+func turnCall() Call {
+	return Call{ID: "t2", Body: []byte("new"), Previous: "t1", MaxOutput: 20, Program: Program{ID: "p", Budget: 100}}
+}
+
+var turnRoute = routing.Route{Repeat: routing.Stream, Attempts: 1, KeepsTurns: true, Retention: time.Minute}
+
+// A turn reaches the engine without what was said before, or is kept without
+// what the engine said.
+func TestTurnIsSentWithItsChainAndKept(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{chain: []Turn{{ID: "t1", Input: []byte("old"), Events: [][]byte{[]byte("x"), []byte("y")}}}}
+	var body string
+	out := serve(t, turnRoute, turnCall(), turns, func(ctx context.Context, s *Send) (*Answer, error) {
+		body = string(s.Body)
+		return streams(nil, event(1), event(2))(ctx, s)
+	})
+	is.Equal(out.result.Outcome, Answered)
+	is.Equal(body, "oldx\ny\nnew")
+	is.Equal(len(turns.endings), 1)
+	is.Equal(turns.endings[0].Made, 4)
+	is.Equal(string(turns.endings[0].Kept.Input), "new")
+	is.Equal(turns.endings[0].Kept.Events, [][]byte{[]byte("d1"), []byte("d2")})
+}
+
+// A caller continues a turn that is not there. Its end may only be passed on
+// once the turn is durable.
+func TestTurnThatIsNotKeptDoesNotEnd(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{settled: errors.New("no disk")}
+	out := serve(t, turnRoute, turnCall(), turns, streams(nil, event(1)))
+	is.Equal(out.result.Outcome, BrokenOff)
+	is.Equal(out.result.Reason, NotKept)
+}
+
+// A program loses tokens that it never got: a turn that did not run gives all
+// of its reservation back, one that broke off what it did not make.
+func TestReservationIsSettledByWhatWasMade(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{}
+	out := serve(t, turnRoute, turnCall(), turns, refuses)
+	is.Equal(out.result.Outcome, NotRun)
+	is.Equal(turns.endings[0].Made, 0)
+	turns = &fakeTurns{}
+	out = serve(t, turnRoute, turnCall(), turns, streams(io.ErrUnexpectedEOF, event(1), event(2)))
+	is.Equal(out.result.Outcome, BrokenOff)
+	is.Equal(turns.endings[0].Made, 4)
+	is.True(turns.endings[0].Kept == nil)
+}
+
+// What is refused before it is sent says so, and why.
+func TestTurnsAreRefusedTruthfully(t *testing.T) {
+	for err, reason := range map[error]Reason{
+		ErrBudgetSpent: BudgetSpent, ErrNoSuchTurn: NoSuchTurn, ErrIsolated: TurnsUnreached, errors.New("x"): TurnsUnreached,
+	} {
+		is := is.New(t)
+		out := serve(t, turnRoute, turnCall(), &fakeTurns{err: err}, good("never"))
+		is.Equal(out.result.Outcome, NotRun)
+		is.Equal(out.result.Reason, reason)
+		is.Equal(len(out.sends), 0)
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,95 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxhall/internal/store"
+)
+
+// TestCopiesAgree changes a kind at random at one copy, which follows the store,
+// and lets other copies take deltas from each other at random. After each
+// exchange a copy that says it knows a version holds what the store held then.
+func TestCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		copies := []*Mirror{New(), New(), New()}
+		history := map[store.Version]string{}
+		truth := map[string]store.Version{}
+		version := store.Version(1)
+		copies[0].Apply(Delta{Kind: Replicas, Full: true, AsOf: version})
+		history[version] = show(truth)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			name := fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "name"))
+			switch rapid.SampledFrom([]string{"put", "remove", "list", "exchange", "exchange"}).Draw(rt, "step") {
+			case "put":
+				version++
+				truth[name] = version
+				copies[0].Apply(Delta{Kind: Replicas, From: version - 1, AsOf: version, Entries: []Entry{{Name: name, Revision: version}}})
+			case "remove":
+				version++
+				delete(truth, name)
+				copies[0].Apply(Delta{Kind: Replicas, From: version - 1, AsOf: version, Removed: []Entry{{Name: name, Revision: version}}})
+			case "list":
+				version++
+				d := Delta{Kind: Replicas, Full: true, AsOf: version}
+				for n, r := range truth {
+					d.Entries = append(d.Entries, Entry{Name: n, Revision: r})
+				}
+				copies[0].Apply(d)
+			case "exchange":
+				from := copies[rapid.IntRange(0, 2).Draw(rt, "from")]
+				to := copies[rapid.IntRange(1, 2).Draw(rt, "to")]
+				asOf, known := to.AsOf(Replicas)
+				if d, lacks := from.Since(Replicas, asOf, known); lacks {
+					to.Apply(d)
+				}
+			}
+			history[version] = show(truth)
+			for i, m := range copies {
+				asOf, known := m.AsOf(Replicas)
+				if held := show(versions(m)); known && held != history[asOf] {
+					rt.Fatalf("copy %d holds %s as of %d, where the store held %s", i, held, asOf, history[asOf])
+				}
+			}
+		}
+	})
+}
+
+func versions(m *Mirror) map[string]store.Version {
+	held := map[string]store.Version{}
+	for _, e := range m.Entries(Replicas) {
+		held[e.Name] = e.Revision
+	}
+	return held
+}
+
+func show(held map[string]store.Version) string { return fmt.Sprint(held) }
+
+// An instance goes back to an older configuration: a delayed answer of a peer
+// comes after a newer one. It must change nothing.
+func TestOlderDeltaChangesNothing(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Apply(Delta{Kind: Config, Full: true, AsOf: 9, Entries: []Entry{{Name: ConfigName, Revision: 9}}})
+	is.True(!m.Apply(Delta{Kind: Config, Full: true, AsOf: 7, Entries: []Entry{{Name: ConfigName, Revision: 7}}}))
+	is.True(!m.Apply(Delta{Kind: Config, From: 3, AsOf: 8, Removed: []Entry{{Name: ConfigName, Revision: 8}}}))
+	e, ok := m.Get(Config, ConfigName)
+	is.True(ok)
+	is.Equal(e.Revision, store.Version(9))
+}
+
+// A leaving replica gets calls: the store answered a question for changes
+// without it, and the listing that has it bears the same version. The listing
+// must count.
+func TestListingOfTheSameVersionCounts(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Apply(Delta{Kind: Replicas, Full: true, AsOf: 4, Entries: []Entry{{Name: "r", Revision: 3}}})
+	m.Apply(Delta{Kind: Replicas, From: 4, AsOf: 6})
+	is.True(m.Apply(Delta{Kind: Replicas, Full: true, AsOf: 6, Entries: []Entry{{Name: "r", Revision: 5}}}))
+	e, _ := m.Get(Replicas, "r")
+	is.Equal(e.Revision, store.Version(5))
+}
