Tell every instance which engine ran a program's last turn; read the store once at a restart

Cause: after all processes were killed or lost power, entries no longer knew which engine had a program's prompt cached; the herd of retries was prefilled anew elsewhere (wait estimate 544 ms, a tenth of the usual answers for 2 s), and instances waited 0.3 s for peers that were starting too. Change: keepers keep the engine with the account and the turn and return it with a reservation; the scheduler takes it for a holder of the prompt but its last part; a restarted instance reads the store once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/engine"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/step"
@@ -88,6 +89,8 @@
 	body   []byte
 	blocks []uint64
 	tried  []string
+	// home is the engine that most likely has the prompt cached.
+	home string
 	// sends counts sendings, ran the replicas that may have run the call.
 	sends, ran int
 	// replica is the one that was sent to last.
@@ -148,6 +151,8 @@
 		Blocks:       f.blocks,
 		PromptTokens: f.call.PromptTokens,
 		Plan:         f.route.Name,
+		Home:         f.home,
+		HomeBlocks:   f.sharedBlocks(),
 		Repeatable:   f.route.Repeatable(),
 	}
 	if r.Program == "" {
@@ -161,6 +166,16 @@
 	return f.gateway.scheduler.Acquire(ctx, r)
 }
 
+// sharedBlocks is the number of the prompt's blocks before its last part, which
+// is new with this call.
+func (f *flight) sharedBlocks() int {
+	tokens := 0
+	for _, p := range f.call.Prompt[:max(0, len(f.call.Prompt)-1)] {
+		tokens += p.Tokens
+	}
+	return min(len(f.blocks), tokens/engine.BlockTokens)
+}
+
 // priorityMost is the scheduler's highest priority; routes count from 0, the first.
 const priorityMost = 9
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -43,6 +43,7 @@
 	case err != nil:
 		return refused(TurnsUnreached, unreachedAfter)
 	}
+	f.home = reserved.Replica
 	f.body = chainBody(reserved.Chain, f.call.Body)
 	rec := &record{keep: f.route.KeepsTurns}
 	var foreign []Turn
@@ -86,8 +87,11 @@
 		Made:      rec.events * f.tokensPerEvent(),
 		Retention: f.route.Retention,
 	}
+	if rec.events > 0 {
+		e.Replica = f.replica
+	}
 	if complete && rec.keep {
-		e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data, Ended: time.Now()}
+		e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data, Ended: time.Now(), Replica: f.replica}
 		e.Chain = chain
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -15,6 +15,8 @@
 	// Events are the data of the turn's events, in order.
 	Events [][]byte
 	Ended  time.Time
+	// Replica is the engine that ran it.
+	Replica string
 }
 
 // Reservation asks to run a turn within its program's tokens.
@@ -39,11 +41,15 @@
 	Chain []Turn
 	// Foreign says that the chain is another program's.
 	Foreign bool
+	// Replica is the engine that most likely has the prompt cached; empty if unknown.
+	Replica string
 }
 
 // Ending settles a reservation.
 type Ending struct {
 	Program, Turn string
+	// Replica is the engine that ran the turn; empty if none did.
+	Replica string
 	// Made is the number of tokens that were passed on.
 	Made int
 	// Kept is the whole turn, where its answer is complete and is to be kept.
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -130,7 +130,7 @@
 		return gateway.Reserved{}, err
 	}
 	if response.Verdict != historypb.Verdict_NO_TURN {
-		return gateway.Reserved{Chain: turns(response.Chain)}, verdictError(response.Verdict)
+		return gateway.Reserved{Chain: turns(response.Chain), Replica: response.Replica}, verdictError(response.Verdict)
 	}
 	chain, err := c.find(ctx, r.Previous)
 	if err != nil {
@@ -141,7 +141,11 @@
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
-	return gateway.Reserved{Chain: turns(chain), Foreign: true}, verdictError(response.Verdict)
+	reserved := gateway.Reserved{Chain: turns(chain), Foreign: true, Replica: response.Replica}
+	if last := chain[len(chain)-1]; last.Replica != "" {
+		reserved.Replica = last.Replica
+	}
+	return reserved, verdictError(response.Verdict)
 }
 
 func verdictError(v historypb.Verdict) error {
@@ -196,6 +200,7 @@
 		Turn:        e.Turn,
 		Made:        int64(e.Made),
 		RetentionMs: e.Retention.Milliseconds(),
+		Replica:     e.Replica,
 	}
 	if e.Kept != nil {
 		request.Kept = wireTurn(e.Kept, e.Retention)
@@ -270,7 +275,7 @@
 func turns(wire []*historypb.Turn) []gateway.Turn {
 	out := make([]gateway.Turn, 0, len(wire))
 	for _, t := range wire {
-		out = append(out, gateway.Turn{ID: t.Id, Previous: t.Previous, Input: t.Input, Events: t.Events, Ended: time.UnixMilli(t.EndedUnixMs)})
+		out = append(out, gateway.Turn{ID: t.Id, Previous: t.Previous, Input: t.Input, Events: t.Events, Ended: time.UnixMilli(t.EndedUnixMs), Replica: t.Replica})
 	}
 	return out
 }
@@ -283,5 +288,6 @@
 		Events:      t.Events,
 		EndedUnixMs: t.Ended.UnixMilli(),
 		RetentionMs: retention.Milliseconds(),
+		Replica:     t.Replica,
 	}
 }
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -40,9 +40,10 @@
 		}
 		return response, nil
 	}
+	replica := s.state.replica(r.Program, chain)
 	e := k.submit(s, []*historypb.Record{accountRecord(r.Slice, account)})
 	k.mu.Unlock()
-	return &historypb.ReserveResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE), Chain: chain}, nil
+	return &historypb.ReserveResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE), Chain: chain, Replica: replica}, nil
 }
 
 // certain returns the verdict once it is certain that it holds.
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -65,6 +65,9 @@
 		next := copyAccount(old, r.Program)
 		next.Open = slices.DeleteFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn })
 		next.Spent += r.Made
+		if r.Replica != "" {
+			next.Replica = r.Replica
+		}
 		next.Settled = append(next.Settled, r.Turn)
 		if over := len(next.Settled) - settledMost; over > 0 {
 			next.Settled = next.Settled[over:]
@@ -116,6 +119,18 @@
 	return chain, true
 }
 
+// replica returns the engine that most likely has a turn's prompt cached: the
+// one that ran the turn before, or else the program's last.
+func (s *state) replica(program string, chain []*historypb.Turn) string {
+	if n := len(chain); n > 0 && chain[n-1].Replica != "" {
+		return chain[n-1].Replica
+	}
+	if a := s.accounts[program]; a != nil {
+		return a.Replica
+	}
+	return ""
+}
+
 // apply takes in a record of a primary. Records may come twice and out of
 // order: turns never change, and of an account the higher version counts.
 func (s *state) apply(r *historypb.Record) {
@@ -171,6 +186,7 @@
 		Settled:       slices.Clone(old.Settled),
 		TouchedUnixMs: old.TouchedUnixMs,
 		RetentionMs:   old.RetentionMs,
+		Replica:       old.Replica,
 	}
 }
 
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// Look reads all kinds once.
+func (f *Follower) Look(ctx context.Context) {
+	for _, k := range Kinds {
+		if err := f.snapshot(ctx, k); err != nil {
+			f.logger.WithError(err).WithField("kind", string(k)).Info("store not read at the start")
+		}
+	}
+}
+
 // check reads the configuration and the replicas anew where the store has told
 // no instance about them for a while.
 func (f *Follower) check(ctx context.Context) {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -81,13 +81,18 @@
 	return r
 }
 
-// Run exchanges until ctx ends. An instance at a seed's address follows the
-// store at once, since the others come to it; they follow when it is silent.
-func (r *Relay) Run(ctx context.Context, seed bool) {
+// Run exchanges until ctx ends. With seed it follows the store at once, since
+// the others come to it; they follow when it is silent. With restarted it reads
+// the store once by itself: the sooner an instance that was down knows what is
+// in force, the fewer callers it refuses.
+func (r *Relay) Run(ctx context.Context, seed, restarted bool) {
 	ticker := time.NewTicker(relayEvery)
 	defer ticker.Stop()
-	if seed {
+	switch {
+	case seed:
 		r.follow(ctx)
+	case restarted:
+		go r.follower.Look(ctx)
 	}
 	defer r.unfollow()
 	for {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	defer stop()
 	n.fleet.refresh()
 	var group errgroup.Group
-	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed()); return nil })
+	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed(), !n.settings.FirstStart); return nil })
 	group.Go(func() error { n.control(serving); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
 	group.Go(func() error { return n.servePeers(serving) })
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -86,9 +86,23 @@
 		}
 	}
 	s.describe(w, now)
+	s.noteHome(w)
 	return w
 }
 
+// noteHome takes in what other instances know of where the prompt is cached.
+// Without it an instance that has just started, or that a program has just come
+// to, prefills what stands at another engine.
+func (s *Scheduler) noteHome(w *waiter) {
+	r := w.request
+	if r.Home == "" || r.HomeBlocks == 0 {
+		return
+	}
+	if u := s.table.Members().Upstream(r.Home); u != nil {
+		s.view.Sent(u.ID, w.chain[:min(len(w.chain), r.HomeBlocks)])
+	}
+}
+
 func (s *Scheduler) describe(w *waiter, now time.Time) {
 	r := w.request
 	w.step.Prompt = w.prompt
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -75,6 +75,10 @@
 	// for a caller that names the prompt's parts in place of Messages.
 	Blocks       []uint64
 	PromptTokens int
+	// Home names the upstream that is known, from beyond this instance, to have
+	// run the program's last step, and HomeBlocks how much of the prompt it had.
+	Home       string
+	HomeBlocks int
 	// OutputHint is the expected number of output tokens; 0 where only the
 	// plan's earlier answers tell.
 	OutputHint int
