Let a call to another data centre cost 30 ms beside its load

Cause: at a cut between data centres half of the streams under way were broken off, since engines were chosen wherever they stood.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,9 @@
 	// way, the replica's handshake, and a place among those that it allows. It
 	// lies above the margin within which candidates count as equal.
 	connectCost = 15 * time.Millisecond
+	// remoteCost is what a call to another data centre is taken to cost beside
+	// its load: a cut between them breaks it off, and its bytes are paid for.
+	remoteCost = 30 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -131,6 +134,7 @@
 func (n *Node) openGateway() {
 	sched := scheduler.New(scheduler.Settings{
 		DataCentre: n.settings.DataCentre,
+		Ways:       n.settings.ways(),
 		Logger:     n.logger,
 		Random:     rand.Uint64,
 		Idle:       n.dialect.Replicas.Idle,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -14,9 +14,9 @@
 	// Instance names the instance; the name lasts over restarts.
 	Instance string
 	IP       string
-	// DataCentre is where it stands, DataCentres how many there are.
+	// DataCentre is where it stands, DataCentres are all there are.
 	DataCentre  string
-	DataCentres int
+	DataCentres []string
 	// Callers and Ready are the addresses served by an entry.
 	Callers, Ready string
 	// PeerPort is where instances talk to each other; the same on all of them.
@@ -41,3 +41,14 @@
 }
 
 func (s *Settings) isSeed() bool { return slices.Contains(s.Seeds, s.IP) }
+
+// ways gives the cost of the way to each other data centre.
+func (s *Settings) ways() map[string]time.Duration {
+	ways := map[string]time.Duration{}
+	for _, dc := range s.DataCentres {
+		if dc != s.DataCentre {
+			ways[dc] = remoteCost
+		}
+	}
+	return ways
+}
