--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -72,26 +72,40 @@
 	}
 }
 
-// ask calls the slice's primary, and its partner where that one does not
-// answer, until a call settles the matter or the time is over. With giveUp it
-// ends at once where both are out of reach.
-func (c *Client) ask(ctx context.Context, slice uint32, limit time.Duration, giveUp bool, call func(context.Context, historypb.Keeper) (settled bool)) error {
+// reply is what came of one call to a keeper.
+type reply uint8
+
+const (
+	// again says that another keeper, or this one later, may settle the matter.
+	again reply = iota
+	settled
+	// isolated says that the keeper reaches no other.
+	isolated
+)
+
+// ask calls the slice's primary, and its partner where that one does not settle
+// the matter, until one does or the time is over. With giveUp it ends at once
+// where each of them is out of reach or isolated: a keeper that is cut off alone
+// is replaced by its partner, but one that is cut off with the caller is not.
+func (c *Client) ask(ctx context.Context, slice uint32, limit time.Duration, giveUp bool, call func(context.Context, historypb.Keeper) reply) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for ctx.Err() == nil {
 		role := c.role(slice)
-		reached := false
+		hope := false
 		for _, name := range []string{role.Primary, role.Partner} {
 			keeper, ok := c.keepers.Keeper(name)
 			if !ok {
 				continue
 			}
-			reached = true
-			if c.askOne(ctx, keeper, call) {
+			switch c.askOne(ctx, keeper, call) {
+			case settled:
 				return nil
+			case again:
+				hope = true
 			}
 		}
-		if !reached && giveUp {
+		if !hope && giveUp {
 			return gateway.ErrIsolated
 		}
 		sleep(ctx, retryPause)
@@ -99,7 +113,7 @@
 	return ErrUnreached
 }
 
-func (c *Client) askOne(ctx context.Context, k historypb.Keeper, call func(context.Context, historypb.Keeper) bool) bool {
+func (c *Client) askOne(ctx context.Context, k historypb.Keeper, call func(context.Context, historypb.Keeper) reply) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	return call(ctx, k)
@@ -156,8 +170,6 @@
 		return gateway.ErrBudgetSpent
 	case historypb.Verdict_NO_TURN:
 		return gateway.ErrNoSuchTurn
-	case historypb.Verdict_ISOLATED:
-		return gateway.ErrIsolated
 	default:
 		return ErrUnreached
 	}
@@ -165,14 +177,21 @@
 
 func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
 	var answer *historypb.ReserveResponse
-	err := c.ask(ctx, r.Slice, reserveTime, true, func(ctx context.Context, k historypb.Keeper) bool {
+	err := c.ask(ctx, r.Slice, reserveTime, true, func(ctx context.Context, k historypb.Keeper) reply {
 		response, err := k.Reserve(ctx, r)
 		if err != nil {
-			return false
+			return again
 		}
 		c.learn(r.Slice, response.Role)
 		answer = response
-		return response.Verdict != historypb.Verdict_MOVED && response.Verdict != historypb.Verdict_NOT_NOW
+		switch response.Verdict {
+		case historypb.Verdict_MOVED, historypb.Verdict_NOT_NOW:
+			return again
+		case historypb.Verdict_ISOLATED:
+			return isolated
+		default:
+			return settled
+		}
 	})
 	if err != nil {
 		c.giveBack(r)
@@ -212,13 +231,16 @@
 }
 
 func (c *Client) settle(ctx context.Context, r *historypb.SettleRequest, limit time.Duration) error {
-	return c.ask(ctx, r.Slice, limit, false, func(ctx context.Context, k historypb.Keeper) bool {
+	return c.ask(ctx, r.Slice, limit, false, func(ctx context.Context, k historypb.Keeper) reply {
 		response, err := k.Settle(ctx, r)
 		if err != nil {
-			return false
+			return again
 		}
 		c.learn(r.Slice, response.Role)
-		return response.Verdict == historypb.Verdict_DONE
+		if response.Verdict != historypb.Verdict_DONE {
+			return again
+		}
+		return settled
 	})
 }
 
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -138,3 +138,54 @@
 		}
 	})
 }
+
+// A caller is refused for the whole of a cut, though the other keepers could
+// serve it: its slice's primary, which it reaches, is cut off from them and says
+// so. Its word must not count before the partner is asked, which takes over.
+func TestIsolatedPrimaryIsReplacedAndNotBelieved(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		role := w.role("p")
+		w.isolate(role.Primary)
+		time.Sleep(2 * suspectAfter)
+		// The entry, too, has not heard of the change yet.
+		c := NewClient(&entryPoint{world: w, name: "entry"}, role.alone)
+		fail(keep(c, "p", "first", ""))
+	})
+}
+
+// isolate cuts a machine off from the others and from the store.
+func (w *world) isolate(name string) {
+	for _, m := range w.machines {
+		if m.name != name {
+			w.cut(name, m.name, true)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noStore = name
+}
+
+// alone is an assignment that gives the role to all slices.
+func (r Role) alone() (Assignment, bool) {
+	var a Assignment
+	for s := range a.Slices {
+		a.Slices[s] = r
+	}
+	return a, true
+}
+
+// A caller is held until its patience is over, though nothing can serve it: its
+// data centre is cut off with one keeper. It must be refused at once.
+func TestCallerCutOffWithOneKeeperIsRefusedAtOnce(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		role := w.role("p")
+		w.isolate(role.Primary)
+		time.Sleep(2 * suspectAfter)
+		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Primary}, role.alone)
+		began := time.Now()
+		_, err := c.Reserve(context.Background(), gateway.Reservation{Program: "p", Turn: "t", Most: 1})
+		if !errors.Is(err, gateway.ErrIsolated) || time.Since(began) > 10*wayTime {
+			fail(errors.Errorf("%v after %v", err, time.Since(began)))
+		}
+	})
+}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -58,6 +58,8 @@
 	assignment Assignment
 	version    store.Version
 	storeDown  bool
+	// noStore names a machine that the store does not answer.
+	noStore    string
 	loseWrites int
 }
 
@@ -145,7 +147,7 @@
 		sleep(p.ctx, mirrorTime)
 		w := m.world
 		w.mu.Lock()
-		a, version, lost := w.assignment, w.version, w.storeDown
+		a, version, lost := w.assignment, w.version, w.storeDown || w.noStore == m.name
 		w.mu.Unlock()
 		if !lost && version > 0 {
 			p.keeper.Adopt(a, version)
@@ -328,7 +330,7 @@
 	w := m.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.storeDown {
+	if w.storeDown || w.noStore == m.name {
 		return Assignment{}, 0, store.ErrUnavailable
 	}
 	return w.assignment, w.version, nil
@@ -344,7 +346,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.storeDown:
+	case w.storeDown || w.noStore == m.name:
 		return 0, store.ErrUnavailable
 	case base != w.version:
 		return 0, store.ErrConflict
@@ -358,10 +360,12 @@
 	return w.version, nil
 }
 
-// entry is an instance that reserves and settles.
+// entryPoint is an instance that reserves and settles.
 type entryPoint struct {
 	world *world
 	name  string
+	// only, if set, is the one keeper in reach.
+	only string
 }
 
 type remoteKeeper struct {
@@ -372,7 +376,7 @@
 
 // Keeper implements Keepers.
 func (e *entryPoint) Keeper(name string) (historypb.Keeper, bool) {
-	if e.world.machine(name) == nil {
+	if e.world.machine(name) == nil || e.only != "" && e.only != name {
 		return nil, false
 	}
 	return &remoteKeeper{e: e, name: name}, true
