Refuse nothing on a guessed speed; let the first answers replace the guess

Change: no refusal before an answer was learned from; the first answers outweigh the prior of prefill and decode.

--- a/command/run.go
+++ b/command/run.go
@@ -32,6 +32,10 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
+	settings, err := platform.LoadSettings(c.String("settings"))
+	if err != nil {
+		return cli.Exit(err.Error(), ExitUsage)
+	}
 	writer := logging.New()
 	logger := &log.Logger{Handler: writer, Level: level}
 	lines, written := context.WithCancel(context.WithoutCancel(ctx))
@@ -47,7 +51,7 @@
 	noteReloads(ctx, logger)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return platform.Run(ctx, c.String("settings"), logger)
+	return platform.Run(ctx, settings, logger)
 }
 
 // noteReloads logs each SIGHUP. A reload changes nothing that is read at the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,12 +106,12 @@
 }
 
 // New returns a node that is not yet running.
-func New(s Settings, d Dialect, logger log.Interface) (*Node, error) {
+func New(s Settings, d Dialect, logger log.Interface, registry metrics.Registry) (*Node, error) {
 	n := &Node{
 		settings: s,
 		dialect:  d,
 		logger:   logger.WithField("instance", s.Instance),
-		registry: metrics.NewRegistry(),
+		registry: registry,
 		mirror:   mirror.New(),
 		upstream: upstream.NewTable(),
 		changed:  make(chan struct{}, 1),
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -137,14 +137,22 @@
 	return saved > 0 && s.Waited.Seconds() < patienceForHome*(saved+full.Wait)
 }
 
-// breakTie chooses by chance among the candidates about as good as the best.
+// breakTie chooses by chance among the candidates about as good as the best. Of
+// these, one without a connection to spare is left out where another has one:
+// a new connection costs the upstream more than the step.
 func breakTie(candidates []Candidate, best int, s *Step, d *Decision) int {
 	cost := candidates[best].Estimate.Cost
 	limit := cost + max(tieFloor, tieMargin*cost)
+	connect := candidates[best].Connect
+	for i := range candidates {
+		if tied(&candidates[i], limit) {
+			connect = min(connect, candidates[i].Connect)
+		}
+	}
 	random := s.Random
 	chosen := best
 	for i := range candidates {
-		if c := &candidates[i]; c.Refused != Allowed || c.Estimate.Cost > limit {
+		if c := &candidates[i]; !tied(c, limit) || c.Connect > connect {
 			continue
 		}
 		d.Ties++
@@ -155,6 +163,10 @@
 	return chosen
 }
 
+func tied(c *Candidate, limit float64) bool {
+	return c.Refused == Allowed && c.Estimate.Cost <= limit
+}
+
 // mix is the finalizer of SplitMix64 (Steele et al., 2014): successive
 // uniform bits from one random seed, without a lock or an allocation.
 func mix(x uint64) uint64 {
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -114,6 +114,10 @@
 	if d.Chosen < 0 || w.request.Deadline.IsZero() || p.scheduler.settings.Policy != placement.Cost {
 		return nil
 	}
+	if p.learnedTime() == 0 {
+		// All that is known is a guess, which must not refuse a step.
+		return nil
+	}
 	need := time.Duration(certainShare * d.Estimate.Total() * float64(time.Second))
 	if !now.Add(need).After(w.request.Deadline) {
 		return nil
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -38,8 +38,10 @@
 	// decodeKeep is the weight of earlier samples at each new one.
 	decodeKeep = 0.95
 	callWeight = 0.1
-	// priorWeight is the weight of the prior in the first fits.
-	priorWeight = 2
+	// priorWeight is the weight of the prior in the first fits. It gives the
+	// line a slope before batches of several sizes were seen, and no more: an
+	// engine three times as fast would else look slow for its first ten answers.
+	priorWeight = 0.2
 )
 
 // Sample is what one answer tells.
@@ -86,6 +88,8 @@
 	if rate > next.Prefill {
 		weight = prefillRise
 	}
+	// The prior is a guess about all engines; the first answers outweigh it.
+	weight = max(weight, 1/float64(next.Samples))
 	next.Prefill += weight * (rate - next.Prefill)
 }
 
@@ -155,3 +159,9 @@
 	age := float64(now-at) / float64(slownessHalf)
 	return 1 + excess/(1+max(0, age))
 }
+
+// WithoutSamples returns the speed as that of an upstream that has not answered.
+func (s Speed) WithoutSamples() Speed {
+	s.Samples = 0
+	return s
+}
