--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -216,12 +216,13 @@
 // viaPath begins the path at which an entry passes calls on to a keeper.
 const viaPath = "/via/"
 
-// serveVia passes a call on to the keeper named in its path.
+// serveVia passes a call on to the keeper named in its path. Where this instance
+// does not hear it either, the caller is told at once and asks another.
 func (f *fleet) serveVia(w http.ResponseWriter, r *http.Request) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, viaPath), "/")
 	keeper, ok := f.keeper(name)
-	if !ok {
-		http.NotFound(w, r)
+	if !ok || !f.hears(name) {
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	http.StripPrefix(viaPath+name, historypb.NewKeeperServer(keeper)).ServeHTTP(w, r)
