--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -218,6 +218,11 @@
 	return response.Following, true
 }
 
+// Following reports whether this instance follows the store and is answered.
+func (r *Relay) Following() bool {
+	return r.follower.Active() && r.follower.LostFor(time.Now()) < lostMost
+}
+
 // Exchange implements mirrorpb.Relay.
 func (r *Relay) Exchange(_ context.Context, request *mirrorpb.ExchangeRequest) (*mirrorpb.ExchangeResponse, error) {
 	r.take(request.Deltas, request.UnsettledMs)
@@ -226,7 +231,7 @@
 	return &mirrorpb.ExchangeResponse{
 		Versions:    r.versions(),
 		Deltas:      r.lacking(request.Versions),
-		Following:   r.follower.Active() && r.follower.LostFor(now) < lostMost,
+		Following:   r.Following(),
 		UnsettledMs: r.mirror.Unsettled(now).Milliseconds(),
 	}, nil
 }
--- /dev/null
+++ b/internal/mirror/relay_test.go
@@ -0,0 +1,228 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"foxhall/internal/mirror/mirrorpb"
+	"foxhall/internal/store"
+)
+
+// fakeStore holds one object of the kind Config; watches may be deaf.
+type fakeStore struct {
+	mu      sync.Mutex
+	version store.Version
+	changed chan struct{}
+	// deaf says that questions for changes are left unanswered, refused names
+	// instances that are refused.
+	deaf    bool
+	refused map[string]bool
+	calls   map[string]int
+}
+
+type storeOf struct {
+	*fakeStore
+	instance string
+}
+
+func (s storeOf) begin(what string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[what]++
+	if s.refused[s.instance] {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (s storeOf) object() store.Object {
+	return store.Object{Key: store.Key{Kind: string(Config), Name: ConfigName}, Version: s.version}
+}
+
+func (s storeOf) Get(context.Context, store.Key) (store.Object, error) {
+	if err := s.begin("get"); err != nil {
+		return store.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.object(), nil
+}
+
+func (s storeOf) Snapshot(_ context.Context, kind string) (store.Listing, error) {
+	if err := s.begin("list"); err != nil {
+		return store.Listing{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listing := store.Listing{AsOf: s.version}
+	if kind == string(Config) {
+		listing.Objects = []store.Object{s.object()}
+	}
+	return listing, nil
+}
+
+func (s storeOf) Poll(ctx context.Context, kind string, from store.Version, wait time.Duration) (store.Changes, error) {
+	if err := s.begin("poll"); err != nil {
+		return store.Changes{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		version, changed, deaf := s.version, s.changed, s.deaf
+		s.mu.Unlock()
+		if version > from && !deaf {
+			changes := store.Changes{AsOf: version}
+			if kind == string(Config) {
+				changes.Events = []store.Event{{Object: s.object()}}
+			}
+			return changes, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return store.Changes{AsOf: from}, nil
+		case <-ctx.Done():
+			return store.Changes{}, errors.Wrap(store.ErrUnknown, "cancelled")
+		}
+	}
+}
+
+func (s *fakeStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+type instance struct {
+	name   string
+	mirror *Mirror
+	relay  *Relay
+}
+
+// fleetOf runs six instances in two data centres over one store.
+func fleetOf(ctx context.Context, s *fakeStore) []*instance {
+	var all []*instance
+	for i := range 6 {
+		name := fmt.Sprintf("i%d", i)
+		n := &instance{name: name, mirror: New()}
+		peers := func() []Peer {
+			var peers []Peer
+			for j, other := range all {
+				if other != n {
+					peers = append(peers, Peer{Name: other.name, DataCentre: fmt.Sprint(j % 2), Relay: other.relay})
+				}
+			}
+			return peers
+		}
+		quiet := &log.Logger{Handler: discard.Default}
+		follower := NewFollower(n.mirror, storeOf{s, name}, quiet)
+		n.relay = NewRelay(name, fmt.Sprint(i%2), n.mirror, follower, peers, quiet)
+		all = append(all, n)
+	}
+	for i, n := range all {
+		go n.relay.Run(ctx, i < 2, false)
+	}
+	return all
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{version: 5, changed: make(chan struct{}), refused: map[string]bool{}, calls: map[string]int{}}
+}
+
+func following(all []*instance) int {
+	n := 0
+	for _, i := range all {
+		if i.relay.follower.Active() {
+			n++
+		}
+	}
+	return n
+}
+
+func behind(all []*instance, version store.Version) (list []string) {
+	for _, i := range all {
+		if e, _ := i.mirror.Get(Config, ConfigName); e.Revision != version {
+			list = append(list, i.name)
+		}
+	}
+	return list
+}
+
+var _ mirrorpb.Relay = (*Relay)(nil)
+
+func inFleet(t *testing.T, test func(s *fakeStore, all []*instance) error) {
+	var failed error
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newFakeStore()
+		all := fleetOf(ctx, s)
+		time.Sleep(5 * time.Second)
+		failed = test(s, all)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	is.New(t).NoErr(failed)
+}
+
+// One instance in each data centre asks the store, and all know what it holds.
+func TestOneFollowerInEachDataCentre(t *testing.T) {
+	inFleet(t, func(s *fakeStore, all []*instance) error {
+		s.change()
+		time.Sleep(time.Second)
+		if n, late := following(all), behind(all, 6); n != 2 || late != nil {
+			return errors.Errorf("%d follow, behind: %v", n, late)
+		}
+		before := s.calls["get"] + s.calls["list"]
+		time.Sleep(20 * time.Second)
+		if n := s.calls["get"] + s.calls["list"] - before; n > 60 {
+			return errors.Errorf("%d checks in 20 s", n)
+		}
+		return nil
+	})
+}
+
+// Callers meet an old configuration: the store refuses the instances that
+// follow it and serves the others. They must take over, and pass on.
+func TestRefusedFollowersAreReplaced(t *testing.T) {
+	inFleet(t, func(s *fakeStore, all []*instance) error {
+		s.set(func() { s.refused["i0"], s.refused["i1"] = true, true })
+		s.change()
+		time.Sleep(2 * time.Second)
+		if late := behind(all, 6); late != nil {
+			return errors.Errorf("behind: %v", late)
+		}
+		return nil
+	})
+}
+
+// Callers meet an old configuration: the store leaves questions for changes
+// unanswered while it drops its history. A check must find the change.
+func TestDeafWatchesAreChecked(t *testing.T) {
+	inFleet(t, func(s *fakeStore, all []*instance) error {
+		s.set(func() { s.deaf = true })
+		s.change()
+		time.Sleep(2 * time.Second)
+		if late := behind(all, 6); late != nil {
+			return errors.Errorf("behind: %v", late)
+		}
+		return nil
+	})
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"foxhall/internal/history"
@@ -28,8 +29,14 @@
 	assignmentName = "assignment"
 	// peerIdle is how long a connection between instances is kept without use.
 	peerIdle = time.Minute
-	// registerPause is the pause between two tries to register.
+	// registerPause is the pause before an instance registers: its entry may be
+	// on its way. registerEvery is how often it looks whether it is still there.
 	registerPause = 300 * time.Millisecond
+	registerEvery = 10 * time.Second
+	// forgetAfter is how long an instance may be silent before its entry is
+	// removed: longer than data centres lose each other.
+	forgetAfter = 30 * time.Minute
+	forgetEvery = time.Minute
 )
 
 // member is an instance as it is registered in the store.
@@ -49,7 +56,8 @@
 	objects  Objects
 	client   *http.Client
 	// hears reports whether an instance was heard from lately.
-	hears func(name string) bool
+	hears  func(name string) bool
+	logger log.Interface
 
 	mu      sync.Mutex
 	members map[string]member
@@ -57,7 +65,7 @@
 	relays  map[string]mirrorpb.Relay
 }
 
-func newFleet(s *Settings, m *mirror.Mirror, o Objects) *fleet {
+func newFleet(s *Settings, m *mirror.Mirror, o Objects, logger log.Interface) *fleet {
 	transport := &http.Transport{
 		DialContext:         netdial.Dial,
 		MaxIdleConnsPerHost: 4,
@@ -68,6 +76,7 @@
 		settings: s,
 		mirror:   m,
 		objects:  o,
+		logger:   logger,
 		client:   &http.Client{Transport: transport},
 		members:  map[string]member{},
 		keepers:  map[string]historypb.Keeper{},
@@ -301,23 +310,65 @@
 		return errors.Wrap(err, "register")
 	}
 	for ctx.Err() == nil {
-		if _, known := f.mirror.AsOf(mirror.Fleet); !known {
-			pause(ctx, registerPause)
+		if f.registered(self, key.Name) {
+			pause(ctx, registerEvery)
 			continue
 		}
-		e, exists := f.mirror.Get(mirror.Fleet, key.Name)
-		var listed member
-		if exists && json.Unmarshal(e.Value, &listed) == nil && listed == self {
-			return nil
+		pause(ctx, registerPause)
+		if _, known := f.mirror.AsOf(mirror.Fleet); !known || f.registered(self, key.Name) {
+			continue
 		}
-		if _, err := f.objects.Put(ctx, key, value, e.Revision); err == nil {
-			return nil
+		e, _ := f.mirror.Get(mirror.Fleet, key.Name)
+		if _, err := f.objects.Put(ctx, key, value, e.Revision); err != nil {
+			f.logger.WithError(err).Warn("instance not registered")
 		}
-		pause(ctx, registerPause)
 	}
 	return nil
 }
 
+func (f *fleet) registered(self member, name string) bool {
+	e, exists := f.mirror.Get(mirror.Fleet, name)
+	var listed member
+	return exists && json.Unmarshal(e.Value, &listed) == nil && listed == self
+}
+
+// forget removes the entries of instances that were not heard for long, which
+// were replaced under other names. One that lives enters itself again. Only a
+// follower does it, so that its calls do not grow with the fleet.
+func (f *fleet) forget(ctx context.Context, following func() bool, heard func(name string, lately time.Duration) bool) {
+	known := map[string]time.Time{}
+	for pause(ctx, forgetEvery); ctx.Err() == nil; pause(ctx, forgetEvery) {
+		for _, m := range f.list() {
+			if known[m.Name].IsZero() {
+				known[m.Name] = time.Now()
+			}
+			if !following() || time.Since(known[m.Name]) < forgetAfter || heard(m.Name, forgetAfter) {
+				continue
+			}
+			key := store.Key{Kind: string(mirror.Fleet), Name: instancePrefix + m.Name}
+			e, ok := f.mirror.Get(mirror.Fleet, key.Name)
+			if !ok {
+				continue
+			}
+			err := f.objects.Delete(ctx, key, e.Revision)
+			f.logger.WithField("gone", m.Name).WithField("deleted", err == nil).Info("instance not heard for long")
+		}
+	}
+}
+
+// list returns the other instances.
+func (f *fleet) list() []member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []member
+	for _, m := range f.members {
+		if m.Name != f.settings.Instance {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	store.Poller
 	store.StatusWriter
 	Put(ctx context.Context, key store.Key, value []byte, base store.Version) (store.Version, error)
+	Delete(ctx context.Context, key store.Key, base store.Version) error
 }
 
 // Replicas sends calls and keeps connections to the replicas that are there.
@@ -116,7 +117,7 @@
 		upstream: upstream.NewTable(),
 		changed:  make(chan struct{}, 1),
 	}
-	n.fleet = newFleet(&n.settings, n.mirror, d.Objects)
+	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
 	n.mirror.OnChange(func(mirror.Kind) { n.wake() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
 	n.relay = mirror.NewRelay(s.Instance, s.DataCentre, n.mirror, follower, n.fleet.peers, n.logger)
@@ -190,6 +191,10 @@
 	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed(), !n.settings.FirstStart); return nil })
 	group.Go(func() error { n.control(serving); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
+	if n.settings.Callers != "" {
+		// Keepers are sent no datagrams and can't tell who is silent.
+		group.Go(func() error { n.fleet.forget(serving, n.relay.Following, n.load.Heard); return nil })
+	}
 	group.Go(func() error { return n.servePeers(serving) })
 	group.Go(func() error { return n.serveMetrics(serving) })
 	if n.keeper != nil {
@@ -358,8 +363,10 @@
 // Bounds in force before operators' limits are known; callers stay within them.
 const (
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-	maxHeader     = 64 << 10
+	// idleTimeout is above any that operators set, since a caller may use its
+	// connection up to then.
+	idleTimeout = 5 * time.Minute
+	maxHeader   = 64 << 10
 )
 
 func (n *Node) listen(ctx context.Context, server *http.Server, address string) error {
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -104,14 +104,23 @@
 }
 
 // Hears reports whether an instance was heard from lately, or never at all, of
-// which nothing can be said.
+// which nothing can be said. In a fleet of more peers than one instance sends
+// to, each is heard so much more seldom.
 func (x *Exchange) Hears(instance string, lately time.Duration) bool {
+	lately *= time.Duration(max(1, (len(x.peers())+peersMost-1)/peersMost))
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	at, ok := x.lives[instance]
 	return !ok || time.Since(at) < lately
 }
 
+// Heard reports whether an instance was heard from lately.
+func (x *Exchange) Heard(instance string, lately time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Since(x.lives[instance]) < lately
+}
+
 func (x *Exchange) own() *peerloadpb.Load {
 	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
 	now := time.Now().UnixNano()
--- /dev/null
+++ b/internal/peerload/peerload_test.go
@@ -0,0 +1,62 @@
+package peerload
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"foxhall/internal/peerload/peerloadpb"
+	"foxhall/internal/upstream"
+	"foxhall/internal/usage"
+)
+
+func exchange() (*Exchange, *upstream.Upstream) {
+	table := upstream.NewTable()
+	table.Apply([]usage.Upstream{{Name: "u", Address: "u", Kind: usage.KindService, Service: "s", Slots: 4}}, time.Now())
+	peers := func() []*net.UDPAddr { return make([]*net.UDPAddr, 2) }
+	x := New("me", "here", table, peers, &log.Logger{Handler: discard.Default})
+	return x, table.Members().Upstream("u")
+}
+
+func loadOf(from, dataCentre string, calls uint32) *peerloadpb.Load {
+	return &peerloadpb.Load{From: from, DataCentre: dataCentre, Upstreams: []uint64{xxhash.Sum64String("u")}, Calls: []uint32{calls}, Backlog: []uint32{10 * calls}}
+}
+
+// Instances queue at one upstream while others stand idle: none knows of the
+// others' calls. What they tell must count, and no longer than it is told.
+func TestOthersCallsCountWhileTheyAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, u := exchange()
+		x.take(loadOf("a", "here", 2), time.Now())
+		x.take(loadOf("b", "there", 3), time.Now())
+		load := u.Load(time.Now().UnixNano())
+		is.Equal([]int{load.Own, load.Total, load.Backlog}, []int{0, 5, 50})
+		x.take(loadOf("a", "here", 1), time.Now())
+		is.Equal(u.Load(time.Now().UnixNano()).Total, 4)
+		time.Sleep(life)
+		is.Equal(u.Load(time.Now().UnixNano()).Total, 0)
+	})
+}
+
+// Calls go into a data centre that is cut off. It must be seen by its silence,
+// and one that was never heard must not pass for cut off.
+func TestSilenceIsOfDataCentresThatWereHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, _ := exchange()
+		is.Equal(x.Silence("there"), time.Duration(0))
+		is.True(x.Hears("b", time.Second))
+		x.take(loadOf("b", "there", 1), time.Now())
+		time.Sleep(2 * time.Second)
+		is.Equal(x.Silence("there"), 2*time.Second)
+		is.Equal(x.Silence("here"), time.Duration(0))
+		is.True(!x.Hears("b", time.Second))
+	})
+}
