Say that entries may have lapsed before the store's first word after an outage is taken in

Cause, found by reading: the word was taken in first, so that the replicas that it lacked were dropped, and only then marked as unheard of; a check could take it in without a mark. Change: the age of the store's last word decides, before it is taken in. Figures: TestFirstWordAfterAnOutageIsUnsettled red with the order reversed, green now.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -38,9 +38,10 @@
 	// returnTime is how long living replicas need to enter themselves again
 	// after the store was away.
 	returnTime = 2500 * time.Millisecond
-	// outageAfter is how long the store must have been away for entries to
-	// lapse, with a margin: three heartbeats of a replica take over 3 s.
-	outageAfter = time.Second
+	// outageAfter is how long the store must have said nothing for entries to
+	// have lapsed: three heartbeats of a replica take over 3 s, and checks keep
+	// its last word below 1.5 s.
+	outageAfter = 2500 * time.Millisecond
 )
 
 // Follower keeps a mirror up to date from the store itself while it is active.
@@ -184,7 +185,9 @@
 	if err != nil {
 		return err
 	}
+	f.noteReturn(k)
 	f.mirror.Apply(settle(k, from, changes))
+	f.mirror.Confirm(k, time.Now())
 	if len(changes.Events) > 0 {
 		sleep(ctx, mergePause)
 	}
@@ -216,6 +219,7 @@
 	if err != nil {
 		return err
 	}
+	f.noteReturn(k)
 	f.mirror.Confirm(k, asked)
 	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf}
 	for _, o := range listing.Objects {
@@ -252,8 +256,14 @@
 	}
 	away := time.Since(time.Unix(0, at))
 	f.logger.WithField("kind", string(k)).WithField("away_ms", away.Milliseconds()).Info("store back")
-	if away >= outageAfter {
-		f.mirror.SetUnsettled(time.Now().Add(returnTime))
+}
+
+// noteReturn is called before what the store says is taken in. After an outage
+// it may say that living replicas are gone, whose entries lapsed meanwhile;
+// those who hear of it have to know.
+func (f *Follower) noteReturn(k Kind) {
+	if now := time.Now(); k == Replicas && f.mirror.Age(k, now) >= outageAfter {
+		f.mirror.SetUnsettled(now.Add(returnTime))
 	}
 }
 
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -17,7 +17,7 @@
 	"foxhall/internal/store"
 )
 
-// fakeStore holds one object of the kind Config; watches may be deaf.
+// fakeStore holds one object, which each kind's watch shows; watches may be deaf.
 type fakeStore struct {
 	mu      sync.Mutex
 	version store.Version
@@ -70,7 +70,7 @@
 	return listing, nil
 }
 
-func (s storeOf) Poll(ctx context.Context, kind string, from store.Version, wait time.Duration) (store.Changes, error) {
+func (s storeOf) Poll(ctx context.Context, _ string, from store.Version, wait time.Duration) (store.Changes, error) {
 	if err := s.begin("poll"); err != nil {
 		return store.Changes{}, err
 	}
@@ -81,11 +81,7 @@
 		version, changed, deaf := s.version, s.changed, s.deaf
 		s.mu.Unlock()
 		if version > from && !deaf {
-			changes := store.Changes{AsOf: version}
-			if kind == string(Config) {
-				changes.Events = []store.Event{{Object: s.object()}}
-			}
-			return changes, nil
+			return store.Changes{AsOf: version, Events: []store.Event{{Object: s.object()}}}, nil
 		}
 		select {
 		case <-changed:
@@ -226,3 +222,34 @@
 		return nil
 	})
 }
+
+// All calls are refused for seconds after the store was away: its first word
+// says that replicas are gone, whose entries lapsed. An instance must know, when
+// it hears of that, that they may only be unheard of.
+func TestFirstWordAfterAnOutageIsUnsettled(t *testing.T) {
+	var unsettled, before time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newFakeStore()
+		m := New()
+		f := NewFollower(m, storeOf{s, "i"}, &log.Logger{Handler: discard.Default})
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		before = m.Unsettled(time.Now())
+		s.set(func() { s.refused["i"] = true })
+		time.Sleep(4 * time.Second)
+		m.OnChange(func(k Kind) {
+			if k == Replicas {
+				unsettled = m.Unsettled(time.Now())
+			}
+		})
+		s.set(func() { s.refused["i"] = false })
+		s.change()
+		time.Sleep(time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	is := is.New(t)
+	is.Equal(before, time.Duration(0))
+	is.Equal(unsettled, returnTime)
+}
