Ask whom an instance hears without the fleet's lock

Cause: the bound of silence asked for the number of peers, which takes the fleet's lock, from within it: an entry that looked for a way to a keeper stood still for good. Change: the exchange keeps the number of peers itself, and the fleet asks without its lock.

--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,6 +102,13 @@
 	s.changed = make(chan struct{})
 }
 
+// checks counts the calls that read something anew.
+func (s *fakeStore) checks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls["get"] + s.calls["list"]
+}
+
 func (s *fakeStore) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,7 +154,7 @@
 func following(all []*instance) int {
 	n := 0
 	for _, i := range all {
-		if i.relay.follower.Active() {
+		if i.relay.Following() {
 			n++
 		}
 	}
@@ -186,9 +194,9 @@
 		if n, late := following(all), behind(all, 6); n != 2 || late != nil {
 			return errors.Errorf("%d follow, behind: %v", n, late)
 		}
-		before := s.calls["get"] + s.calls["list"]
+		before := s.checks()
 		time.Sleep(20 * time.Second)
-		if n := s.calls["get"] + s.calls["list"] - before; n > 60 {
+		if n := s.checks() - before; n > 60 {
 			return errors.Errorf("%d checks in 20 s", n)
 		}
 		return nil
@@ -232,17 +240,19 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		s := newFakeStore()
 		m := New()
+		var away atomic.Bool
+		m.OnChange(func(k Kind) {
+			if k == Replicas && away.Load() {
+				unsettled = m.Unsettled(time.Now())
+			}
+		})
 		f := NewFollower(m, storeOf{s, "i"}, &log.Logger{Handler: discard.Default})
 		go f.Run(ctx)
 		time.Sleep(10 * time.Second)
 		before = m.Unsettled(time.Now())
 		s.set(func() { s.refused["i"] = true })
 		time.Sleep(4 * time.Second)
-		m.OnChange(func(k Kind) {
-			if k == Replicas {
-				unsettled = m.Unsettled(time.Now())
-			}
-		})
+		away.Store(true)
 		s.set(func() { s.refused["i"] = false })
 		s.change()
 		time.Sleep(time.Second)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -207,11 +207,10 @@
 	if !ok || f.hears(name) {
 		return direct, ok
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	// No lock is held while it is asked whom this instance hears.
 	var others []member
-	for _, m := range f.members {
-		if m.Entry && m.Name != f.settings.Instance && f.hears(m.Name) {
+	for _, m := range f.list() {
+		if m.Entry && f.hears(m.Name) {
 			others = append(others, m)
 		}
 	}
@@ -219,6 +218,8 @@
 		return nil, false
 	}
 	other := others[rand.IntN(len(others))]
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.keeperAt("http://" + f.settings.peerAddress(other.IP) + viaPath + name), true
 }
 
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"foxhall/internal/mirror"
+	"foxhall/internal/peerload"
+	"foxhall/internal/store"
+	"foxhall/internal/upstream"
+)
+
+// fleetWith returns the fleet as one entry sees it, with its load exchange.
+func fleetWith(t *testing.T, members ...member) (*fleet, *peerload.Exchange) {
+	is := is.New(t)
+	s := &Settings{Instance: "me", IP: "10.0.0.1", DataCentre: "a", Callers: "10.0.0.1:1", PeerPort: 7}
+	m := mirror.New()
+	d := mirror.Delta{Kind: mirror.Fleet, Full: true, AsOf: 9}
+	for i, member := range members {
+		value, err := json.Marshal(member)
+		is.NoErr(err)
+		d.Entries = append(d.Entries, mirror.Entry{Name: instancePrefix + member.Name, Revision: store.Version(i + 1), Value: value})
+	}
+	m.Apply(d)
+	quiet := &log.Logger{Handler: discard.Default}
+	f := newFleet(s, m, nil, quiet)
+	f.refresh()
+	x := peerload.New("me", "a", upstream.NewTable(), f.datagramAddresses, quiet)
+	f.hears = func(name string) bool { return x.Hears(name, cutAfter) }
+	return f, x
+}
+
+// An entry stands still: to ask whom it hears while it looks for a way to a
+// keeper, it takes the same lock twice.
+func TestAskingThroughAnotherEntryTakesNoLockTwice(t *testing.T) {
+	f, _ := fleetWith(t, member{Name: "keeper", IP: "10.0.0.2", Keeper: true}, member{Name: "other", IP: "10.0.0.3", Entry: true})
+	f.hears = func(name string) bool {
+		f.datagramAddresses()
+		return name != "keeper"
+	}
+	found := make(chan bool, 1)
+	go func() {
+		_, ok := f.Keeper("keeper")
+		found <- ok
+	}()
+	select {
+	case ok := <-found:
+		is.New(t).True(ok)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the fleet's lock is taken twice")
+	}
+}
+
+// An unreadable entry of another writer must not hide the other instances.
+func TestUnreadableInstancesAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleetWith(t, member{Name: "k", IP: "10.0.0.2", Keeper: true})
+	f.mirror.Apply(mirror.Delta{Kind: mirror.Fleet, From: 9, AsOf: 12, Entries: []mirror.Entry{
+		{Name: instancePrefix + "odd", Revision: 11, Value: []byte("{")},
+		{Name: assignmentName, Revision: 12, Value: []byte("[]")},
+	}})
+	f.refresh()
+	is.Equal(fmt.Sprint(f.candidates()), "[{k }]")
+	is.Equal(f.entries(), 1)
+	_, _, ok := f.assignment()
+	is.True(!ok)
+}
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -51,6 +51,9 @@
 	// signs are when anything was last heard from each data centre, and lives
 	// from each instance.
 	signs, lives map[string]time.Time
+	// known is the number of peers at the last sending. It is kept here, so that
+	// those who ask whom it hears may hold the lock that peers takes.
+	known int
 }
 
 type heard struct {
@@ -107,9 +110,9 @@
 // which nothing can be said. In a fleet of more peers than one instance sends
 // to, each is heard so much more seldom.
 func (x *Exchange) Hears(instance string, lately time.Duration) bool {
-	lately *= time.Duration(max(1, (len(x.peers())+peersMost-1)/peersMost))
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	lately *= time.Duration(max(1, (x.known+peersMost-1)/peersMost))
 	at, ok := x.lives[instance]
 	return !ok || time.Since(at) < lately
 }
@@ -143,6 +146,9 @@
 		return
 	}
 	peers := x.peers()
+	x.mu.Lock()
+	x.known = len(peers)
+	x.mu.Unlock()
 	if len(peers) > peersMost {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		peers = peers[:peersMost]
@@ -187,7 +193,7 @@
 			backlog[hash] += int(h.load.Backlog[i])
 		}
 	}
-	scale := max(1, float64(len(x.peers()))/float64(max(1, known)))
+	scale := max(1, float64(x.known)/float64(max(1, known)))
 	if known < peersMost/2 {
 		// Few peers: those not heard from are down or cut off, and send nothing.
 		scale = 1
