--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -18,10 +18,6 @@
 // Program is what a call says of the agent program that it belongs to.
 type Program struct {
 	ID string
-	// Line is the sequence of turns, of the program or a sub-agent, that the call belongs to.
-	Line string
-	// Deadline is when the program should have ended; zero if not said.
-	Deadline time.Time
 	// Budget is the number of tokens that all its turns may generate; 0 for none.
 	Budget int
 }
@@ -40,7 +36,6 @@
 	// Deadline is when the caller gives up.
 	Deadline time.Time
 	Program  Program
-	Model    string
 	Prompt   []Part
 	// PromptTokens and MaxOutput are what the caller says of a model call's size.
 	PromptTokens, MaxOutput int
@@ -50,8 +45,6 @@
 	Previous string
 	// ResumeAfter is the last event that the caller has of an earlier answer.
 	ResumeAfter string
-	// Object names what the call is about, for routes with affinity.
-	Object string
 }
 
 // Caller receives the answer. An error says that the caller is gone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,8 +44,6 @@
 	// Instances returns the number of instances that send to replicas, which
 	// share what a replica allows.
 	Instances func() int
-	// Stopping reports that the instance is about to stop.
-	Stopping func() bool
 }
 
 // latencySample is the number of recent calls that the histogram keeps.
--- a/internal/history/allowance.go
+++ b/internal/history/allowance.go
@@ -181,6 +181,7 @@
 		})
 		if err != nil {
 			// The next turn's end tries again; until then the keepers are asked.
+			c.logger.WithError(err).WithField("program", request.Program).Info("nothing drawn")
 			held = 0
 		}
 		c.allowances.drawn(a, request, held)
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"foxhall/internal/gateway"
@@ -38,6 +39,7 @@
 	// assignment returns the newest known one; false before the first.
 	assignment func() (Assignment, bool)
 	allowances *allowances
+	logger     log.Interface
 
 	mu sync.Mutex
 	// newer holds roles that keepers told before the assignment came.
@@ -47,8 +49,8 @@
 var _ gateway.Turns = (*Client)(nil)
 
 // NewClient returns a client.
-func NewClient(keepers Keepers, assignment func() (Assignment, bool)) *Client {
-	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances()}
+func NewClient(keepers Keepers, assignment func() (Assignment, bool), logger log.Interface) *Client {
+	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger}
 }
 
 func (c *Client) role(slice uint32) Role {
@@ -221,9 +223,10 @@
 func (c *Client) giveBack(r *historypb.ReserveRequest) {
 	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Turn: r.Turn}
 	go func() {
-		// An error leaves the tokens counted as spent, which harms the program
-		// alone; its budget still holds.
-		_ = c.settle(context.Background(), settle, releaseTime)
+		if err := c.settle(context.Background(), settle, releaseTime); err != nil {
+			// The tokens stay counted as spent, which harms the program alone.
+			c.logger.WithError(err).WithField("request", r.Turn).WithField("program", r.Program).Warn("reservation not given back")
+		}
 	}()
 }
 
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -148,7 +148,7 @@
 		w.isolate(role.Primary)
 		time.Sleep(2 * suspectAfter)
 		// The entry, too, has not heard of the change yet.
-		c := NewClient(&entryPoint{world: w, name: "entry"}, role.alone)
+		c := NewClient(&entryPoint{world: w, name: "entry"}, role.alone, w.logger("entry"))
 		fail(keep(c, "p", "first", ""))
 	})
 }
@@ -181,7 +181,7 @@
 		role := w.role("p")
 		w.isolate(role.Primary)
 		time.Sleep(2 * suspectAfter)
-		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Primary}, role.alone)
+		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Primary}, role.alone, w.logger("entry"))
 		began := time.Now()
 		_, err := c.Reserve(context.Background(), gateway.Reservation{Program: "p", Turn: "t", Most: 1})
 		if !errors.Is(err, gateway.ErrIsolated) || time.Since(began) > 10*wayTime {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -266,99 +265,6 @@
 	}
 }
 
-// primaryLost reports that the primary lives and has lost its disk. What is
-// known of it lags, so that it must stay so for some rounds.
-func (s *slice) primaryLost(o opinion, now time.Time) bool {
-	if !o.heard || o.has(int(s.number), s.role.Epoch) {
-		s.primaryLostSince = time.Time{}
-		return false
-	}
-	if s.primaryLostSince.IsZero() {
-		s.primaryLostSince = now
-	}
-	return now.Sub(s.primaryLostSince) > lostRounds*statusEvery
-}
-
-// lostRounds is the number of rounds in which a primary must lack its slice.
-const lostRounds = 3
-
-// orphaned reports that this keeper, which had all of the slice in the epoch
-// before, has to take it over from one that holds it no longer. It comes to
-// that when a proposal takes effect late, after its proposer lost its disk: the
-// slice's primary has nothing then, and its partner only what was acknowledged
-// since. That is fetched first; together they are all of the slice.
-func (k *Keeper) orphaned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	primary, partner := opinions[s.role.Primary], opinions[s.role.Partner]
-	number, epoch := int(s.number), s.role.Epoch
-	if !s.primaryLost(primary, now) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
-		return false
-	}
-	if !partner.heard || partner.has(number, epoch) {
-		return false
-	}
-	if s.salvaged == epoch {
-		return true
-	}
-	if !s.salvaging {
-		s.salvaging = true
-		go k.salvage(s, s.role)
-	}
-	return false
-}
-
-// salvage fetches what the partner of a lost primary has.
-func (k *Keeper) salvage(s *slice, role Role) {
-	ctx, cancel := context.WithTimeout(k.ctx, opTime)
-	defer cancel()
-	response, err := k.peers.Fetch(ctx, role.Partner, &historypb.FetchRequest{Slice: s.number})
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if err != nil {
-		s.salvaging = false
-		k.settings.Logger.WithError(err).WithField("slice", s.number).Warn("slice not salvaged")
-		return
-	}
-	for _, r := range response.Records {
-		s.state.apply(r)
-	}
-	k.persist(response.Records, func() {
-		s.salvaging, s.salvaged = false, role.Epoch
-		notify(k.wakeRoles)
-	})
-}
-
-// heldBefore reports that some keeper had all of the slice in the epoch before.
-func heldBefore(s *slice, opinions map[string]opinion) bool {
-	for _, o := range opinions {
-		if o.marks[s.number].Synced && o.marks[s.number].Epoch+1 == s.role.Epoch {
-			return true
-		}
-	}
-	return false
-}
-
-// abandoned reports that no keeper has all of a slice and that this one, its
-// primary, has to begin it anew. It comes to that only when both disks are
-// lost, or before the slice's first record.
-func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	o := opinions[s.role.Partner]
-	if s.role.Epoch == 0 || s.role.Primary != k.settings.Name || s.marking || !k.verified ||
-		!o.heard || o.has(int(s.number), s.role.Epoch) || heldBefore(s, opinions) {
-		s.lostSince = time.Time{}
-		return false
-	}
-	if s.lostSince.IsZero() {
-		s.lostSince = now
-	}
-	if now.Sub(s.lostSince) < abandonAfter {
-		return false
-	}
-	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).Error("slice lost on both disks, begun anew")
-	s.mark.Epoch, s.mark.Synced = s.role.Epoch, true
-	s.lostSince = time.Time{}
-	return true
-}
-
 // fillIfNeeded sends the whole slice to a partner that lacks it; the lock is held.
 func (k *Keeper) fillIfNeeded(ctx context.Context, s *slice, partner opinion) {
 	if s.filling || !partner.heard || s.filled && partner.has(int(s.number), s.role.Epoch) {
@@ -416,58 +322,6 @@
 	return len(k.noteRefused(response)) == 0
 }
 
-// runViews asks the other keepers how they stand.
-func (k *Keeper) runViews(ctx context.Context) {
-	ticker := time.NewTicker(statusEvery)
-	defer ticker.Stop()
-	asking := map[string]chan struct{}{}
-	for {
-		for _, c := range k.settings.Keepers() {
-			if c.Name == k.settings.Name {
-				continue
-			}
-			if asking[c.Name] == nil {
-				asking[c.Name] = make(chan struct{}, 1)
-			}
-			select {
-			case asking[c.Name] <- struct{}{}:
-				go func() {
-					defer func() { <-asking[c.Name] }()
-					k.ask(ctx, c.Name)
-				}()
-			default:
-			}
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (k *Keeper) ask(ctx context.Context, name string) {
-	k.mu.Lock()
-	if k.views[name] == nil {
-		k.views[name] = &view{heard: time.Now()}
-	}
-	k.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, statusTime)
-	defer cancel()
-	status, err := k.peers.Status(ctx, name, &historypb.StatusRequest{From: k.settings.Name})
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	v := k.views[name]
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			v.refused++
-		}
-		return
-	}
-	v.heard, v.status, v.refused = time.Now(), status, 0
-	notify(k.wakeRoles)
-}
-
 // Leave hands over what this keeper holds, until it holds nothing or ctx ends.
 func (k *Keeper) Leave(ctx context.Context) {
 	k.mu.Lock()
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -96,6 +96,11 @@
 	return w
 }
 
+// logger keeps what an instance says for the trace.
+func (w *world) logger(name string) log.Interface {
+	return (&log.Logger{Handler: w.trace, Level: log.InfoLevel}).WithField("instance", name)
+}
+
 func (w *world) startAll() {
 	for _, m := range w.machines {
 		m.start()
@@ -124,7 +129,7 @@
 		FirstStart: m.first,
 		Keepers:    w.candidates,
 		Retiring:   func(string) bool { return false },
-		Logger:     (&log.Logger{Handler: w.trace, Level: log.InfoLevel}).WithField("keeper", m.name),
+		Logger:     w.logger(m.name),
 	}, m, m)
 	if err != nil {
 		w.t.Fatal(err)
@@ -412,7 +417,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.assignment, w.version > 0
-	})
+	}, w.logger("entry"))
 }
 
 func (w *world) setStore(down bool) {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -204,6 +204,7 @@
 	}
 	response, err := p.Relay.Exchange(ctx, request)
 	if err != nil {
+		r.logger.WithError(err).WithField("peer", p.Name).Debug("not exchanged")
 		r.noteFollowing(p, false)
 		return false, false
 	}
@@ -212,8 +213,10 @@
 	r.noteFollowing(p, response.Following)
 	if deltas := r.lacking(response.Versions); len(deltas) > 0 {
 		push := &mirrorpb.ExchangeRequest{From: r.name, Versions: r.versions(), Deltas: deltas}
-		// A lost push is made good by a later round.
-		_, _ = p.Relay.Exchange(ctx, push)
+		if _, err := p.Relay.Exchange(ctx, push); err != nil {
+			// A lost push is made good by a later round.
+			r.logger.WithError(err).WithField("peer", p.Name).Debug("not passed on")
+		}
 	}
 	return response.Following, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,11 +143,10 @@
 		Remote:     n.load.Silence,
 		MaxViewAge: cutAfter,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: viewBlocks}))
-	turns := history.NewClient(n.fleet, n.assignment)
+	turns := history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:     n.table.Load,
 		Instances: n.fleet.entries,
-		Stopping:  n.stopping.Load,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
 }
 
@@ -339,7 +338,6 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          nil,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group errgroup.Group
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -154,8 +154,10 @@
 		peers = peers[:peersMost]
 	}
 	for _, p := range peers {
-		// A lost datagram is made good by the next.
-		_, _ = conn.WriteToUDP(data, p)
+		if _, err := conn.WriteToUDP(data, p); err != nil {
+			// A lost datagram is made good by the next.
+			x.logger.WithError(err).Debug("load not sent")
+		}
 	}
 }
 
