--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,9 @@
 	stopping atomic.Bool
 
 	changed chan struct{}
+	// configRevision is the store's of the configuration that was read last, so
+	// that a large one is not read again with each change of a replica.
+	configRevision store.Version
 	// assigned is the newest assignment of slices.
 	assigned atomic.Pointer[history.Assignment]
 	replicas []routing.Replica
@@ -316,9 +319,10 @@
 
 func (n *Node) refreshTable() {
 	e, ok := n.mirror.Get(mirror.Config, mirror.ConfigName)
-	if !ok {
+	if !ok || e.Revision == n.configRevision {
 		return
 	}
+	n.configRevision = e.Revision
 	table, err := n.dialect.Table(e.Value)
 	if err != nil {
 		n.logger.WithError(err).WithField("revision", uint64(e.Revision)).Warn("configuration not readable")
