--- a/command/run_test.go
+++ b/command/run_test.go
@@ -13,7 +13,7 @@
 func TestRunRefusesWrongSettings(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
-	is.NoErr(os.WriteFile(path, []byte(`{"node":"e","ip":"10.0.0.1","zone":"z","port_range":[1]}`), 0o600))
+	is.NoErr(os.WriteFile(path, []byte(`{}`), 0o600))
 	is.Equal(Run(context.Background(), []string{"foxhall", "run", "--settings", path}), ExitUsage)
 	is.Equal(Run(context.Background(), []string{"foxhall", "run", "--settings", path + ".missing"}), ExitUsage)
 	is.Equal(Run(context.Background(), []string{"foxhall", "run", "--settings", path, "--log-level", "loud"}), ExitUsage)
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -18,7 +18,7 @@
 	"foxhall/internal/store"
 )
 
-// fakeStore holds one object, which each kind's watch shows; watches may be deaf.
+// fakeStore holds one object, which each kind shows; watches may be deaf.
 type fakeStore struct {
 	mu      sync.Mutex
 	version store.Version
@@ -58,17 +58,13 @@
 	return s.object(), nil
 }
 
-func (s storeOf) Snapshot(_ context.Context, kind string) (store.Listing, error) {
+func (s storeOf) Snapshot(context.Context, string) (store.Listing, error) {
 	if err := s.begin("list"); err != nil {
 		return store.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := store.Listing{AsOf: s.version}
-	if kind == string(Config) {
-		listing.Objects = []store.Object{s.object()}
-	}
-	return listing, nil
+	return store.Listing{AsOf: s.version, Objects: []store.Object{s.object()}}, nil
 }
 
 func (s storeOf) Poll(ctx context.Context, _ string, from store.Version, wait time.Duration) (store.Changes, error) {
