Entries of a data centre that is cut off send callers to others

Its entry said that it was ready, so the balancer kept callers there, although those of the other data centres were in their reach and could keep turns. Ruled out: the store as a second home (it is cut off too), one disk alone (its loss during the cut would lose acknowledged turns). Change: an entry that has heard nobody beyond its data centre for 0.6 s, though it heard several before, is not ready and closes connections after their answers; it refuses turns at once; Retry-After names the time at which the balancer has moved callers. Tests failed first: history (both tests of a cut-off caller), peerload, gateway (Retry-After).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// Instances returns the number of instances that send to replicas, which
 	// share what a replica allows.
 	Instances func() int
+	// CutOffFor returns for how long this instance has been cut off from the
+	// other data centres.
+	CutOffFor func() time.Duration
 }
 
 // latencySample is the number of recent calls that the histogram keeps.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -163,6 +163,7 @@
 		g := New(Settings{
 			Table:     func() *routing.Table { return table },
 			Instances: func() int { return 1 },
+			CutOffFor: func() time.Duration { return time.Second },
 		}, sched, replicas, turns, quiet, metrics.NewRegistry())
 		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
 		caller := &fakeCaller{}
@@ -313,3 +314,12 @@
 		is.Equal(len(out.sends), 0)
 	}
 }
+
+// A caller whose data centre is cut off comes back into the cut again and again:
+// it is told to come at once, or so late that its time is over. It must be told
+// to come when the balancer sends it elsewhere.
+func TestCallerFromACutOffDataCentreComesBackWhenItIsSentElsewhere(t *testing.T) {
+	is := is.New(t)
+	out := serve(t, turnRoute, turnCall(), &fakeTurns{err: ErrIsolated}, good("never"))
+	is.Equal(out.result.RetryAfter, movedAfter-time.Second)
+}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -12,9 +12,12 @@
 	// unreachedAfter is when to come again while the keepers of turns change:
 	// a change takes about a second.
 	unreachedAfter = 400 * time.Millisecond
-	// isolatedAfter is when to come again while this data centre is cut off:
-	// cuts last seconds, and a caller has few tries.
-	isolatedAfter = 2 * time.Second
+	// movedAfter is how long after the begin of a cut the balancer sends callers to
+	// other data centres: it asks each second and leaves out after two misses.
+	movedAfter = 2600 * time.Millisecond
+	// isolatedLeast is the least time after which a caller may come again from a
+	// data centre that is cut off.
+	isolatedLeast = 100 * time.Millisecond
 	// settleTime bounds the keeping of a turn past the caller's deadline.
 	settleTime = 2 * time.Second
 )
@@ -40,7 +43,7 @@
 	case errors.Is(err, ErrNoSuchTurn):
 		return refused(NoSuchTurn, 0)
 	case errors.Is(err, ErrIsolated):
-		return refused(TurnsUnreached, isolatedAfter)
+		return refused(TurnsUnreached, max(isolatedLeast, movedAfter-f.gateway.settings.CutOffFor()))
 	case err != nil:
 		return refused(TurnsUnreached, unreachedAfter)
 	}
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -28,9 +28,13 @@
 // ErrUnreached says that no keeper of the slice could be asked in time.
 var ErrUnreached = errors.New("history: no keeper reached")
 
-// Keepers calls keepers by name. It returns false for one that is out of reach.
+// Keepers calls keepers by name.
 type Keepers interface {
+	// Keeper returns false for one that is out of reach.
 	Keeper(name string) (historypb.Keeper, bool)
+	// CutOff reports whether this instance reaches no other data centre, so that
+	// nothing can be made durable from here.
+	CutOff() bool
 }
 
 // Client reserves and settles turns at the keepers. It is safe for concurrent use.
@@ -108,7 +112,7 @@
 				hope = true
 			}
 		}
-		if !hope && giveUp {
+		if giveUp && (!hope || c.keepers.CutOff()) {
 			return gateway.ErrIsolated
 		}
 		sleep(ctx, retryPause)
@@ -274,6 +278,9 @@
 	defer cancel()
 	absent := map[uint32]bool{}
 	for ctx.Err() == nil {
+		if c.keepers.CutOff() {
+			return nil, gateway.ErrIsolated
+		}
 		for _, name := range c.holders(absent) {
 			keeper, ok := c.keepers.Keeper(name)
 			if !ok {
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -190,6 +190,30 @@
 	})
 }
 
+// The same where the keeper in reach is the partner: it sends the caller on to the
+// primary, which is out of reach, again and again. An instance that knows itself
+// cut off must take that for a refusal, also where it looks for another
+// program's turn.
+func TestCallerCutOffWithAPartnerIsRefusedAtOnce(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		role := w.role("p")
+		w.isolate(role.Partner)
+		time.Sleep(2 * suspectAfter)
+		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Partner, cutOff: true}, role.alone, w.logger("entry"))
+		began := time.Now()
+		_, err := c.Reserve(context.Background(), gateway.Reservation{Program: "p", Turn: "t", Most: 1})
+		if !errors.Is(err, gateway.ErrIsolated) {
+			fail(errors.Errorf("reserve: %v", err))
+		}
+		if _, err = c.find(context.Background(), "elsewhere"); !errors.Is(err, gateway.ErrIsolated) {
+			fail(errors.Errorf("find: %v", err))
+		}
+		if took := time.Since(began); took > 10*wayTime {
+			fail(errors.Errorf("refused after %v", took))
+		}
+	})
+}
+
 // Programs of a data centre that is cut off stand still, although their turns
 // need not be kept. What their entry drew ahead must serve them, and when it is
 // used up they must be refused, since the budget could be spent elsewhere.
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -371,8 +371,13 @@
 	name  string
 	// only, if set, is the one keeper in reach.
 	only string
+	// cutOff says that it hears nobody beyond its data centre.
+	cutOff bool
 }
 
+// CutOff implements Keepers.
+func (e *entryPoint) CutOff() bool { return e.cutOff }
+
 type remoteKeeper struct {
 	historypb.Keeper
 	e    *entryPoint
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -56,7 +56,9 @@
 	objects  Objects
 	client   *http.Client
 	// hears reports whether an instance was heard from lately.
-	hears  func(name string) bool
+	hears func(name string) bool
+	// cutOff reports whether this instance hears nobody beyond its data centre.
+	cutOff func() bool
 	logger log.Interface
 
 	mu      sync.Mutex
@@ -223,6 +225,9 @@
 	return f.keeperAt("http://" + f.settings.peerAddress(other.IP) + viaPath + name), true
 }
 
+// CutOff implements history.Keepers.
+func (f *fleet) CutOff() bool { return f.cutOff() }
+
 // viaPath begins the path at which an entry passes calls on to a keeper.
 const viaPath = "/via/"
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,7 @@
 	// RetirementStatus encodes what is said of an order to empty an instance.
 	RetirementStatus func(done bool) []byte
 	// Callers serves callers through the gateway.
-	Callers func(g *gateway.Gateway, stopping func() bool) http.Handler
+	Callers func(g *gateway.Gateway, sendsAway func() bool) http.Handler
 }
 
 const (
@@ -71,6 +71,10 @@
 	// no more calls go there: three datagrams in a row from each of its
 	// instances are lost then.
 	cutAfter = 450 * time.Millisecond
+	// isolatedAfter is how long nothing may be heard from all other data centres
+	// before this entry asks the balancer to send callers elsewhere. Above
+	// cutAfter, since it moves all callers at once.
+	isolatedAfter = 600 * time.Millisecond
 	// connectCost is what a new connection to a replica is taken to cost: the
 	// way, the replica's handshake, and a place among those that it allows. It
 	// lies above the margin within which candidates count as equal.
@@ -131,6 +135,7 @@
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, n.upstream, n.fleet.datagramAddresses, n.logger)
 	n.fleet.hears = func(name string) bool { return n.load.Hears(name, cutAfter) }
+	n.fleet.cutOff = n.isolated
 	n.openGateway()
 	return n, nil
 }
@@ -150,6 +155,7 @@
 	n.gateway = gateway.New(gateway.Settings{
 		Table:     n.table.Load,
 		Instances: n.fleet.entries,
+		CutOffFor: n.load.CutOffFor,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
 }
 
@@ -338,7 +344,7 @@
 // serveEntry serves callers until ctx ends, then ends what is under way.
 func (n *Node) serveEntry(ctx, serving context.Context) error {
 	callers := &http.Server{
-		Handler:           n.dialect.Callers(n.gateway, n.stopping.Load),
+		Handler:           n.dialect.Callers(n.gateway, n.sendsAway),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
@@ -392,5 +398,12 @@
 
 func (n *Node) ready() bool {
 	_, known := n.mirror.AsOf(mirror.Replicas)
-	return known && n.table.Load() != nil && !n.stopping.Load()
+	return known && n.table.Load() != nil && !n.sendsAway()
 }
+
+// sendsAway reports that callers are better served elsewhere: this instance is
+// about to stop, or it is cut off. An entry that is cut off can make no turn
+// durable, while those of other data centres can and are within callers' reach.
+func (n *Node) sendsAway() bool { return n.stopping.Load() || n.isolated() }
+
+func (n *Node) isolated() bool { return n.load.CutOffFor() > isolatedAfter }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -81,6 +82,37 @@
 	return time.Since(at)
 }
 
+// leastOthers is the number of other data centres, or of other instances of a
+// fleet within one, whose silence at the same time shows that this instance is
+// cut off and not they.
+const leastOthers = 2
+
+// CutOffFor returns for how long this instance has heard nobody beyond its own
+// data centre, though it heard several others before, or nobody at all; 0 where
+// neither can be said.
+func (x *Exchange) CutOffFor() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	beyond := maps.Clone(x.signs)
+	delete(beyond, x.dataCentre)
+	now := time.Now()
+	return max(silenceOfAll(beyond, now), silenceOfAll(x.lives, now))
+}
+
+// silenceOfAll returns the time since any of them was heard.
+func silenceOfAll(heard map[string]time.Time, now time.Time) time.Duration {
+	if len(heard) < leastOthers {
+		return 0
+	}
+	last := time.Time{}
+	for _, at := range heard {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last)
+}
+
 // Run exchanges over the socket until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -60,3 +60,42 @@
 		is.True(!x.Hears("b", time.Second))
 	})
 }
+
+// Callers of a data centre that is cut off are refused as long as the cut lasts:
+// its entries count as ready, and the balancer goes on sending callers there.
+// An entry must see from the silence of all others that it is the one cut off,
+// and must not take the loss of one data centre, or a start, for that.
+func TestCutOffIsTheSilenceOfAllOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, _ := exchange()
+		is.True(x.CutOffFor() < time.Second)
+		x.take(loadOf("a", "here", 1), time.Now())
+		x.take(loadOf("b", "there", 1), time.Now())
+		time.Sleep(2 * time.Second)
+		x.take(loadOf("a", "here", 1), time.Now())
+		is.True(x.CutOffFor() < time.Second)
+		x.take(loadOf("c", "elsewhere", 1), time.Now())
+		is.True(x.CutOffFor() < time.Second)
+		time.Sleep(2 * time.Second)
+		x.take(loadOf("a", "here", 1), time.Now())
+		is.True(x.CutOffFor() > time.Second)
+		x.take(loadOf("b", "there", 1), time.Now())
+		is.True(x.CutOffFor() < time.Second)
+	})
+}
+
+// The same in a fleet of one data centre, where an instance is cut off alone.
+func TestCutOffAloneInOneDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, _ := exchange()
+		x.take(loadOf("a", "here", 1), time.Now())
+		time.Sleep(2 * time.Second)
+		is.True(x.CutOffFor() < time.Second)
+		x.take(loadOf("b", "here", 1), time.Now())
+		is.True(x.CutOffFor() < time.Second)
+		time.Sleep(2 * time.Second)
+		is.True(x.CutOffFor() > time.Second)
+	})
+}
