Operators' idle, head and header limits hold for open connections

Ruled out: a server for each configuration (its connections would outlive it); mutating the server's fields (a race). Change: callers' connections put the limits in force where net/http sets its deadlines between calls; a header over the operators' limit is refused with 431.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -267,3 +268,12 @@
 	}
 	return otherwise
 }
+// MaxHeader returns the largest header that callers may send; without a
+// configuration the server's own bound counts.
+func (g *Gateway) MaxHeader() int {
+	if t := g.settings.Table(); t != nil && t.Limits.MaxHeaderBytes > 0 {
+		return t.Limits.MaxHeaderBytes
+	}
+	return math.MaxInt
+}
+
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -352,7 +352,11 @@
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group errgroup.Group
 	group.Go(func() error { return n.listen(serving, ready, n.settings.Ready) })
-	group.Go(func() error { return n.listen(serving, callers, n.settings.Callers) })
+	group.Go(func() error {
+		return n.listenThrough(serving, callers, n.settings.Callers, func(l net.Listener) net.Listener {
+			return &callerListener{Listener: l, limits: n.limits}
+		})
+	})
 	group.Go(func() error {
 		<-ctx.Done()
 		began := time.Now()
@@ -367,12 +371,13 @@
 	})
 	return group.Wait()
 }
+		ConnState:         noteState,
 
-// Bounds in force before operators' limits are known; callers stay within them.
+// Bounds beyond which no operator's limit goes, in force before theirs are known.
 const (
 	headerTimeout = 10 * time.Second
-	// idleTimeout is above any that operators set, since a caller may use its
-	// connection up to then.
+	// idleTimeout is long, since a caller may use its connection up to the
+	// operators' limit.
 	idleTimeout = 5 * time.Minute
 	maxHeader   = 64 << 10
 )
@@ -396,7 +401,20 @@
 	}
 }
 
+// limits returns the operators' limits in force; none before the first.
+func (n *Node) limits() routing.Limits {
+	if table := n.table.Load(); table != nil {
+		return table.Limits
+	}
+	return routing.Limits{}
+}
+
 func (n *Node) ready() bool {
+	return n.listenThrough(ctx, server, address, func(l net.Listener) net.Listener { return l })
+}
+
+// listenThrough serves what the wrapped listener accepts.
+func (n *Node) listenThrough(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	_, known := n.mirror.AsOf(mirror.Replicas)
 	return known && n.table.Load() != nil && !n.sendsAway()
 }
