Instances notice that they were frozen or suspended, and check what they hold

Cause: after a suspension the steady clock makes all that was heard before look fresh; after a freeze a keeper takes its own deafness for the silence of all others. serve's pause guard had the first fault too. Change: internal/wake watches the boot clock; an instance that woke doubts its mirror, reads the store once and judges no keeper by silence for the time of a start; the pause guard uses the same clock.

--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -247,3 +247,32 @@
 		}
 	})
 }
+
+// Slices move needlessly, and turns wait for them: a keeper that was frozen for
+// two seconds wakes and takes its own deafness for the silence of all others. It
+// must judge none of them before it could hear them again.
+func TestKeeperThatWokeJudgesNobodyBySilence(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		k := w.machines[0].process.keeper
+		k.mu.Lock()
+		for _, v := range k.views {
+			v.heard = v.heard.Add(-2 * time.Second)
+		}
+		silent := len(k.views) > 0
+		for _, o := range k.opinions(time.Now()) {
+			silent = silent && o.out
+		}
+		k.mu.Unlock()
+		if !silent {
+			fail(errors.New("the others are not judged silent before"))
+		}
+		k.Woke()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for name, o := range k.opinions(time.Now()) {
+			if o.out {
+				fail(errors.Errorf("%s is judged silent", name))
+			}
+		}
+	})
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -208,6 +208,17 @@
 	return k.log.close()
 }
 
+// Woke is called after a pause of this process. What was not heard in it says
+// nothing of the other keepers: judged by it, all of them would be replaced.
+func (k *Keeper) Woke() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.started = time.Now()
+	for _, v := range k.views {
+		v.refused = 0
+	}
+}
+
 // primary reports that this keeper decides for the slice.
 func (k *Keeper) primary(s *slice) bool {
 	return s.role.Primary == k.settings.Name && s.role.Epoch > 0 && s.mark.Epoch == s.role.Epoch && s.mark.Synced
--- a/internal/instance/pause.go
+++ b/internal/instance/pause.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"foxhall/internal/ledger"
+	"foxhall/internal/wake"
 )
 
 // pauseTick is how often the process looks at its own clock.
@@ -27,14 +28,22 @@
 	instance *Instance
 	// longest is the longest pause in which no take-over can have begun.
 	longest time.Duration
-	// seen is the last look at the clock, in nanoseconds since begin.
-	begin time.Time
+	// clock counts the time in which the machine was suspended too; seen is the
+	// last look at it, in nanoseconds.
+	clock wake.Clock
 	seen  atomic.Int64
 	doubt atomic.Bool
 }
 
 func newPauseGuard(i *Instance) *pauseGuard {
-	return &pauseGuard{instance: i, longest: i.settings.Peers.SuspectTimeout.Std(), begin: time.Now()}
+	p := &pauseGuard{instance: i, longest: i.settings.Peers.SuspectTimeout.Std(), clock: wake.Boot}
+	if i.network != nil {
+		// On a network of a test time is the test's too.
+		began := time.Now()
+		p.clock = func() time.Duration { return time.Since(began) }
+	}
+	p.seen.Store(int64(p.clock()))
+	return p
 }
 
 // Held implements owner.Lease.
@@ -46,7 +55,7 @@
 }
 
 func (p *pauseGuard) gap() time.Duration {
-	return time.Since(p.begin) - time.Duration(p.seen.Load())
+	return p.clock() - time.Duration(p.seen.Load())
 }
 
 // run looks at the clock until ctx ends, and settles doubts by reading the cohort.
@@ -56,7 +65,7 @@
 	for {
 		// The clock is read once: a freeze between two readings would be
 		// stored as seen and never show.
-		now := time.Since(p.begin)
+		now := p.clock()
 		if now-time.Duration(p.seen.Load()) > p.longest {
 			p.doubt.Store(true)
 		}
--- a/internal/instance/pause_test.go
+++ b/internal/instance/pause_test.go
@@ -33,7 +33,7 @@
 			c.Sealing = true
 			return true
 		}))
-		p := &pauseGuard{instance: i, longest: time.Second, begin: time.Now()}
+		p := &pauseGuard{instance: i, longest: time.Second, clock: func() time.Duration { return 0 }}
 		p.doubt.Store(true)
 		p.settle(t.Context())
 		is.True(p.Held())
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// Doubt takes back when the store last confirmed what is mirrored: this process
+// did not run for a while, and what it holds may have changed unseen.
+func (m *Mirror) Doubt() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.kinds {
+		c.confirmed = time.Time{}
+	}
+}
+
 // Entries returns the kind's entries in the order of their names.
 func (m *Mirror) Entries(k Kind) []Entry {
 	m.mu.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -93,3 +94,15 @@
 	e, _ := m.Get(Replicas, "r")
 	is.Equal(e.Revision, store.Version(5))
 }
+
+// An instance goes on by a replaced configuration after a suspension: the store's
+// last word seems fresh to it. Doubted, it must count as unheard of.
+func TestDoubtedStateIsUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	now := time.Now()
+	m.Confirm(Config, now)
+	is.Equal(m.Age(Config, now), time.Duration(0))
+	m.Doubt()
+	is.True(m.Age(Config, now) > time.Hour)
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// Recheck reads the store once, after a pause of this process: a change that was
+// made meanwhile must not wait for a peer that happens to tell of it.
+func (r *Relay) Recheck(ctx context.Context) {
+	r.mirror.Doubt()
+	r.follower.Look(ctx)
+}
+
 // round talks to those that should follow the store here, and to one peer of
 // any data centre, through which a data centre without the store stays current.
 func (r *Relay) round(ctx context.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"foxhall/internal/scheduler"
 	"foxhall/internal/store"
 	"foxhall/internal/upstream"
+	"foxhall/internal/wake"
 )
 
 // Objects is what a node uses of the platform's store.
@@ -82,6 +83,11 @@
 	// remoteCost is what a call to another data centre is taken to cost beside
 	// its load: a cut between them breaks it off, and its bytes are paid for.
 	remoteCost = 30 * time.Millisecond
+	// pauseLook is how often this process looks whether it was paused, and
+	// pauseLongest the longest pause in which nothing it holds can go out of
+	// date: a change has 2 s to come into force.
+	pauseLook    = 500 * time.Millisecond
+	pauseLongest = 500 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -199,6 +205,7 @@
 	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed(), !n.settings.FirstStart); return nil })
 	group.Go(func() error { n.control(serving); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
+	group.Go(func() error { wake.Watch(serving, wake.Boot, pauseLook, pauseLongest, n.woke(serving)); return nil })
 	if n.settings.Callers != "" {
 		// Keepers are sent no datagrams and can't tell who is silent.
 		group.Go(func() error { n.fleet.forget(serving, n.relay.Following, n.load.Heard); return nil })
@@ -223,6 +230,17 @@
 }
 
 // exchangeLoad tells the entries what this instance has under way, and that it
+// woke returns what is done after a pause of this process.
+func (n *Node) woke(ctx context.Context) func(time.Duration) {
+	return func(paused time.Duration) {
+		n.logger.WithField("paused_ms", paused.Milliseconds()).Warn("did not run for a while")
+		if n.keeper != nil {
+			n.keeper.Woke()
+		}
+		go n.relay.Recheck(ctx)
+	}
+}
+
 // lives: from a data centre that is cut off they hear nothing.
 func (n *Node) exchangeLoad(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp", n.settings.peerAddress(n.settings.IP))
