Late programs rank behind at engines; failed try: giving up silent data centres sooner

Change: the objective is decoded, told in the call's line, and adds 4 to the rank of calls whose program is past it.

Failed try, reverted: a stream or idempotent call at a replica of a data centre that has been silent for 0.7 s was given up, where keep-alive probes take 2 s. Ruled out by it: that these 1.3 s decide over programs' being late.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -20,6 +20,8 @@
 	ID string
 	// Budget is the number of tokens that all its turns may generate; 0 for none.
 	Budget int
+	// Objective is until when the whole program is on time; zero if not known.
+	Objective time.Time
 }
 
 // Call is one attempt of a caller.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,13 +202,25 @@
 		Target:      Target{ID: g.Upstream, Address: g.Address},
 		Body:        f.body,
 		Left:        time.Until(f.deadline),
-		Priority:    f.route.Priority,
+		Priority:    f.rank(),
 		ResumeAfter: resumeAfter,
 		Limit:       f.connections(),
 	}
 	return f.gateway.replicas.Send(ctx, s)
 }
 
+// lateRank is how much later than its route's a program ranks at an engine that
+// is late already.
+const lateRank = 4
+
+// rank is the call's rank at an engine, 0 the first.
+func (f *flight) rank() int {
+	if o := f.call.Program.Objective; !o.IsZero() && time.Now().After(o) {
+		return f.route.Priority + lateRank
+	}
+	return f.route.Priority
+}
+
 // connections is this instance's part of what a replica accepts from all.
 func (f *flight) connections() int {
 	if f.service.MaxConnections == 0 {
@@ -237,6 +249,9 @@
 	if f.call.Program.ID != "" {
 		fields["program"] = f.call.Program.ID
 	}
+	if o := f.call.Program.Objective; !o.IsZero() {
+		fields["program_left_ms"] = time.Until(o).Milliseconds()
+	}
 	if f.table != nil {
 		fields["version"] = f.table.Version
 	}
@@ -260,14 +275,6 @@
 	f.gateway.logger.WithFields(fields).Info("call")
 }
 
-// MaxBody returns the largest body that callers may send, or otherwise before
-// the first configuration.
-func (g *Gateway) MaxBody(otherwise int64) int64 {
-	if t := g.settings.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
-		return t.Limits.MaxBodyBytes
-	}
-	return otherwise
-}
 // MaxHeader returns the largest header that callers may send; without a
 // configuration the server's own bound counts.
 func (g *Gateway) MaxHeader() int {
@@ -277,3 +284,11 @@
 	return math.MaxInt
 }
 
+// MaxBody returns the largest body that callers may send, or otherwise before
+// the first configuration.
+func (g *Gateway) MaxBody(otherwise int64) int64 {
+	if t := g.settings.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return otherwise
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,8 +204,8 @@
 	var group errgroup.Group
 	group.Go(func() error { n.relay.Run(serving, n.settings.isSeed(), !n.settings.FirstStart); return nil })
 	group.Go(func() error { n.control(serving); return nil })
-	group.Go(func() error { return n.fleet.register(serving) })
 	group.Go(func() error { wake.Watch(serving, wake.Boot, pauseLook, pauseLongest, n.woke(serving)); return nil })
+	group.Go(func() error { return n.fleet.register(serving) })
 	if n.settings.Callers != "" {
 		// Keepers are sent no datagrams and can't tell who is silent.
 		group.Go(func() error { n.fleet.forget(serving, n.relay.Following, n.load.Heard); return nil })
@@ -229,7 +229,6 @@
 	return err
 }
 
-// exchangeLoad tells the entries what this instance has under way, and that it
 // woke returns what is done after a pause of this process.
 func (n *Node) woke(ctx context.Context) func(time.Duration) {
 	return func(paused time.Duration) {
@@ -241,6 +240,7 @@
 	}
 }
 
+// exchangeLoad tells the entries what this instance has under way, and that it
 // lives: from a data centre that is cut off they hear nothing.
 func (n *Node) exchangeLoad(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp", n.settings.peerAddress(n.settings.IP))
@@ -366,6 +366,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         noteState,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group errgroup.Group
@@ -389,7 +390,6 @@
 	})
 	return group.Wait()
 }
-		ConnState:         noteState,
 
 // Bounds beyond which no operator's limit goes, in force before theirs are known.
 const (
@@ -400,11 +400,25 @@
 	maxHeader   = 64 << 10
 )
 
+// limits returns the operators' limits in force; none before the first.
+func (n *Node) limits() routing.Limits {
+	if table := n.table.Load(); table != nil {
+		return table.Limits
+	}
+	return routing.Limits{}
+}
+
 func (n *Node) listen(ctx context.Context, server *http.Server, address string) error {
+	return n.listenThrough(ctx, server, address, func(l net.Listener) net.Listener { return l })
+}
+
+// listenThrough serves what the wrapped listener accepts.
+func (n *Node) listenThrough(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := netdial.Listen(ctx, address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	listener = wrap(listener)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -419,20 +433,7 @@
 	}
 }
 
-// limits returns the operators' limits in force; none before the first.
-func (n *Node) limits() routing.Limits {
-	if table := n.table.Load(); table != nil {
-		return table.Limits
-	}
-	return routing.Limits{}
-}
-
 func (n *Node) ready() bool {
-	return n.listenThrough(ctx, server, address, func(l net.Listener) net.Listener { return l })
-}
-
-// listenThrough serves what the wrapped listener accepts.
-func (n *Node) listenThrough(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	_, known := n.mirror.AsOf(mirror.Replicas)
 	return known && n.table.Load() != nil && !n.sendsAway()
 }
