A lost store is spared: few followers in a data centre, one kind that probes, keepers that wait

While the store is away nobody counts as following it, so every instance took to following, four kinds each, and keepers with a lost partner wrote and read ten times a second.

--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -332,3 +332,34 @@
 	}
 	return true
 }
+
+// The store comes back into a storm: while it was away, all keepers that had lost a
+// partner called it ten times a second and more. They must wait longer from call to
+// call, and still change holders soon after its return.
+func TestKeepersSpareALostStore(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		w.setStore(true)
+		w.machines[0].stop()
+		w.mu.Lock()
+		before := w.storeCalls
+		w.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		w.mu.Lock()
+		calls := w.storeCalls - before
+		w.mu.Unlock()
+		t.Logf("%d calls in 5 s by three keepers", calls)
+		if calls > 60 {
+			fail(errors.Errorf("%d calls in 5 s", calls))
+		}
+		w.setStore(false)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for s, role := range w.assignment.Slices {
+			if role.Primary == w.machines[0].name || role.Partner == w.machines[0].name {
+				fail(errors.Errorf("slice %d is still held by the lost keeper", s))
+				return
+			}
+		}
+	})
+}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -146,6 +146,7 @@
 	}
 	opinions := k.opinions(time.Now())
 	next, changed := k.propose(opinions, time.Now())
+	changed = changed && time.Now().After(k.storeAfter)
 	base := k.version
 	for _, s := range k.slices {
 		if k.primary(s) {
@@ -184,14 +185,20 @@
 // write proposes an assignment. A lost answer is settled by reading.
 func (k *Keeper) write(ctx context.Context, a Assignment, base store.Version) {
 	version, err := k.assignments.Write(ctx, a, base)
-	if err == nil {
+	switch {
+	case err == nil:
+		k.storeBack()
 		k.Adopt(a, version)
-		return
-	}
-	if !errors.Is(err, store.ErrConflict) {
+	case errors.Is(err, store.ErrUnavailable):
+		// Surely not written: there is nothing to read either.
 		k.settings.Logger.WithError(err).Warn("assignment not written")
+		k.storeLost()
+	case errors.Is(err, store.ErrConflict):
+		notify(k.wakeRead)
+	default:
+		k.settings.Logger.WithError(err).Warn("assignment not known to be written")
+		notify(k.wakeRead)
 	}
-	notify(k.wakeRead)
 }
 
 // opinions judges the other keepers; the lock is held.
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -59,7 +59,9 @@
 	version    store.Version
 	storeDown  bool
 	// noStore names a machine that the store does not answer.
-	noStore    string
+	noStore string
+	// storeCalls counts the calls to the store.
+	storeCalls int
 	loseWrites int
 }
 
@@ -335,6 +337,7 @@
 	w := m.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.storeCalls++
 	if w.storeDown || w.noStore == m.name {
 		return Assignment{}, 0, store.ErrUnavailable
 	}
@@ -350,6 +353,7 @@
 	w := m.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.storeCalls++
 	switch {
 	case w.storeDown || w.noStore == m.name:
 		return 0, store.ErrUnavailable
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -146,6 +146,10 @@
 func (f *Follower) follow(ctx context.Context, i int, k Kind) {
 	waits := newBackOff()
 	for ctx.Err() == nil {
+		if f.probedByFirst(i) {
+			sleep(ctx, retryFirst)
+			continue
+		}
 		wait := pollWait
 		if f.lost[i].Load() != 0 {
 			// The first answer after a loss tells at once that the store is back.
@@ -169,6 +173,12 @@
 	}
 }
 
+// probedByFirst reports that the store is lost to this kind and to the first. One
+// kind's calls show when it is back; those of the others would be paid for too.
+func (f *Follower) probedByFirst(i int) bool {
+	return i > 0 && f.lost[i].Load() != 0 && f.lost[0].Load() != 0
+}
+
 func newBackOff() *backoff.ExponentialBackOff {
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = retryFirst
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -25,6 +25,13 @@
 	// silentRounds is how many rounds in a row the instances that should follow
 	// the store must be silent before this one does it.
 	silentRounds = 2
+	// askMost bounds the instances that are asked in a round whether they follow.
+	// Each of them that lives and is not answered doubles the rounds that this
+	// one waits: while the store is away a few instances of a data centre call
+	// it, and not all of a fleet four times a second each.
+	askMost = 4
+	// unreachedFor is how long an instance that did not answer is not asked.
+	unreachedFor = 3 * time.Second
 	// silentRoundsAtStart is the same for an instance that has heard of no
 	// other yet: all start at once, and those at the seeds' addresses may be late.
 	silentRoundsAtStart = 4
@@ -59,6 +66,8 @@
 	// followers are the peers that follow the store, by their last word.
 	followers map[string]Peer
 
+	// unreached are the peers that did not answer, by when they may be asked again.
+	unreached map[string]time.Time
 	// silent counts the rounds in which no other follower of the data centre answered.
 	silent      int
 	followStop  context.CancelFunc
@@ -71,7 +80,7 @@
 // NewRelay returns a relay that is not yet running. peers returns the other
 // instances known now.
 func NewRelay(name, dataCentre string, m *Mirror, f *Follower, peers func() []Peer, logger log.Interface) *Relay {
-	r := &Relay{name: name, dataCentre: dataCentre, mirror: m, follower: f, peers: peers, logger: logger, wake: make(chan struct{}, 1), followers: map[string]Peer{}}
+	r := &Relay{name: name, dataCentre: dataCentre, mirror: m, follower: f, peers: peers, logger: logger, wake: make(chan struct{}, 1), followers: map[string]Peer{}, unreached: map[string]time.Time{}}
 	m.OnChange(func(Kind) {
 		select {
 		case r.wake <- struct{}{}:
@@ -118,9 +127,15 @@
 // any data centre, through which a data centre without the store stays current.
 func (r *Relay) round(ctx context.Context) {
 	peers := r.peers()
-	better := false
+	better, trying := false, 0
 	for _, p := range r.before(peers) {
-		if following, ok := r.exchange(ctx, p); ok && following {
+		following, ok := r.exchange(ctx, p)
+		if !ok {
+			r.unreached[p.Name] = time.Now().Add(unreachedFor)
+			continue
+		}
+		trying++
+		if following {
 			better = true
 			break
 		}
@@ -142,7 +157,7 @@
 	if _, known := r.mirror.AsOf(Fleet); !known {
 		patience = silentRoundsAtStart
 	}
-	if r.silent++; r.silent >= patience {
+	if r.silent++; r.silent >= patience<<trying {
 		r.follow(ctx)
 	}
 }
@@ -151,8 +166,9 @@
 // sooner than this instance, the first of all first.
 func (r *Relay) before(peers []Peer) []Peer {
 	var before []Peer
+	now := time.Now()
 	for _, p := range peers {
-		if p.DataCentre == r.dataCentre && p.Name < r.name {
+		if p.DataCentre == r.dataCentre && p.Name < r.name && now.After(r.unreached[p.Name]) {
 			before = append(before, p)
 		}
 	}
@@ -162,7 +178,7 @@
 		}
 		return 1
 	})
-	return before
+	return before[:min(askMost, len(before))]
 }
 
 // spread tells some peers of a change at once.
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -75,8 +75,11 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		version, changed, deaf := s.version, s.changed, s.deaf
+		version, changed, deaf, refused := s.version, s.changed, s.deaf, s.refused[s.instance]
 		s.mu.Unlock()
+		if refused {
+			return store.Changes{}, store.ErrUnavailable
+		}
 		if version > from && !deaf {
 			return store.Changes{AsOf: version, Events: []store.Event{{Object: s.object()}}}, nil
 		}
@@ -117,11 +120,11 @@
 	relay  *Relay
 }
 
-// fleetOf runs six instances in two data centres over one store.
-func fleetOf(ctx context.Context, s *fakeStore) []*instance {
+// fleetOf runs instances in two data centres over one store.
+func fleetOf(ctx context.Context, s *fakeStore, size int) []*instance {
 	var all []*instance
-	for i := range 6 {
-		name := fmt.Sprintf("i%d", i)
+	for i := range size {
+		name := fmt.Sprintf("i%02d", i)
 		n := &instance{name: name, mirror: New()}
 		peers := func() []Peer {
 			var peers []Peer
@@ -169,11 +172,15 @@
 var _ mirrorpb.Relay = (*Relay)(nil)
 
 func inFleet(t *testing.T, test func(s *fakeStore, all []*instance) error) {
+	inFleetOf(t, 6, test)
+}
+
+func inFleetOf(t *testing.T, size int, test func(s *fakeStore, all []*instance) error) {
 	var failed error
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s := newFakeStore()
-		all := fleetOf(ctx, s)
+		all := fleetOf(ctx, s, size)
 		time.Sleep(5 * time.Second)
 		failed = test(s, all)
 		cancel()
@@ -203,7 +210,7 @@
 // follow it and serves the others. They must take over, and pass on.
 func TestRefusedFollowersAreReplaced(t *testing.T) {
 	inFleet(t, func(s *fakeStore, all []*instance) error {
-		s.set(func() { s.refused["i0"], s.refused["i1"] = true, true })
+		s.set(func() { s.refused["i00"], s.refused["i01"] = true, true })
 		s.change()
 		time.Sleep(2 * time.Second)
 		if late := behind(all, 6); late != nil {
@@ -213,6 +220,39 @@
 	})
 }
 
+// The store is called to death in the moment of its return: while it was away all
+// instances took to following it. What a fleet calls then must not grow with it.
+func TestOutageCostsNoMoreCallsInALargeFleet(t *testing.T) {
+	outage := func(size int) (calls int) {
+		inFleetOf(t, size, func(s *fakeStore, all []*instance) error {
+			before := 0
+			s.set(func() {
+				for _, i := range all {
+					s.refused[i.name] = true
+				}
+				before = s.calls["poll"] + s.calls["get"] + s.calls["list"]
+				close(s.changed)
+				s.changed = make(chan struct{})
+			})
+			time.Sleep(5 * time.Second)
+			s.set(func() {
+				calls = s.calls["poll"] + s.calls["get"] + s.calls["list"] - before
+				clear(s.refused)
+			})
+			s.change()
+			time.Sleep(time.Second)
+			if late := behind(all, 6); late != nil {
+				return errors.Errorf("behind after the outage: %v", late)
+			}
+			return nil
+		})
+		return calls
+	}
+	small, large := outage(10), outage(60)
+	t.Logf("%d calls in 5 s by 10 instances, %d by 60", small, large)
+	is.New(t).True(large <= 2*small)
+}
+
 // Callers meet an old configuration: the store leaves questions for changes
 // unanswered while it drops its history. A check must find the change.
 func TestDeafWatchesAreChecked(t *testing.T) {
