A slice is on one disk more than may be lost at once

Ruled out: a slow start of the keepers (other slices served within a second). Change: a slice has as many partners as disks may be lost; a change counts once it is on all of them; partners stand in different data centres while there are any; a slice with too few takes more as they come. With one tolerated loss nothing changes.

--- a/internal/history/assignment.go
+++ b/internal/history/assignment.go
@@ -2,17 +2,18 @@
 // make, on the instances that have a disk.
 //
 // Programs hash to slices. For each slice one object in the platform's store
-// names the two keepers that hold it, under an epoch. The primary decides; what
-// it decides counts once it is on both disks. A change of keepers is one
-// conditional write by a keeper that has all of the slice, which becomes the
-// primary; the other is filled from it. Since every change keeps a keeper of
-// the epoch before, and a keeper refuses epochs below its own, a primary that
-// was frozen or cut off can finish nothing after it was replaced, without a
-// lease and without a clock.
+// names the keepers that hold it, one more than disks may be lost at once, under
+// an epoch. The primary decides; what it decides counts once it is on the disks
+// of all of them. A change of keepers is one conditional write by a keeper that
+// has all of the slice, which becomes the primary; the others are filled from it.
+// Since every change keeps a keeper of the epoch before, and a keeper refuses
+// epochs below its own, a primary that was frozen or cut off can finish nothing
+// after it was replaced, without a lease and without a clock.
 package history
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -32,9 +33,16 @@
 	// Epoch grows with each change; 0 says that nobody holds the slice yet.
 	Epoch   uint64 `json:"epoch"`
 	Primary string `json:"primary"`
-	Partner string `json:"partner"`
+	// Partners hold the same as the primary.
+	Partners []string `json:"partners"`
 }
 
+// holders returns the primary and its partners.
+func (r *Role) holders() []string { return append([]string{r.Primary}, r.Partners...) }
+
+// partner reports whether a keeper is a partner.
+func (r *Role) partner(name string) bool { return slices.Contains(r.Partners, name) }
+
 // Assignment tells who holds which slice.
 type Assignment struct {
 	Slices [SliceCount]Role `json:"slices"`
@@ -59,16 +67,16 @@
 }
 
 // First returns the assignment of a system that has never run: slices go round
-// the keepers, each with a partner in another data centre where there is one.
-func First(keepers []Candidate) (Assignment, bool) {
+// the keepers, each with so many partners as there are others for, in other data
+// centres where there are any.
+func First(keepers []Candidate, partners int) (Assignment, bool) {
 	var a Assignment
 	if len(keepers) < 2 {
 		return a, false
 	}
 	for s := range a.Slices {
 		primary := keepers[s%len(keepers)]
-		partner, _ := a.partnerFor(primary, keepers, nil)
-		a.Slices[s] = Role{Epoch: 1, Primary: primary.Name, Partner: partner}
+		a.Slices[s] = Role{Epoch: 1, Primary: primary.Name, Partners: a.partnersFor(primary, keepers, partners, nil)}
 	}
 	return a, true
 }
@@ -77,35 +85,57 @@
 func (a *Assignment) held(name string) int {
 	n := 0
 	for _, r := range a.Slices {
-		if r.Epoch > 0 && (r.Primary == name || r.Partner == name) {
+		if r.Epoch > 0 && (r.Primary == name || r.partner(name)) {
 			n++
 		}
 	}
 	return n
 }
 
-// partnerFor chooses the keeper with the fewest slices, in another data centre
-// if there is one, since a data centre can be lost whole.
-func (a *Assignment) partnerFor(primary Candidate, keepers []Candidate, out func(name string) bool) (string, bool) {
-	best := -1
-	for i, k := range keepers {
-		if k.Name == primary.Name || out != nil && out(k.Name) {
-			continue
+// partnersFor chooses partners for a slice's primary: those with the fewest
+// slices, each in a data centre of its own while there is one, since a data centre
+// can be lost whole. It returns fewer where there are not enough.
+func (a *Assignment) partnersFor(primary Candidate, keepers []Candidate, count int, out func(name string) bool) []string {
+	taken := []Candidate{primary}
+	var partners []string
+	for len(partners) < count {
+		best := -1
+		for i, k := range keepers {
+			if contains(taken, k.Name) || out != nil && out(k.Name) {
+				continue
+			}
+			if best < 0 || a.better(taken, k, keepers[best]) {
+				best = i
+			}
 		}
-		if best < 0 || a.better(primary, k, keepers[best]) {
-			best = i
+		if best < 0 {
+			return partners
 		}
+		taken = append(taken, keepers[best])
+		partners = append(partners, keepers[best].Name)
 	}
-	if best < 0 {
-		return "", false
-	}
-	return keepers[best].Name, true
+	return partners
 }
 
-func (a *Assignment) better(primary, k, best Candidate) bool {
-	apart, bestApart := k.DataCentre != primary.DataCentre, best.DataCentre != primary.DataCentre
-	if apart != bestApart {
-		return apart
+func contains(list []Candidate, name string) bool {
+	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Name == name })
+}
+
+func (a *Assignment) better(taken []Candidate, k, best Candidate) bool {
+	shared, bestShared := sharing(taken, k.DataCentre), sharing(taken, best.DataCentre)
+	if shared != bestShared {
+		return shared < bestShared
 	}
 	return a.held(k.Name) < a.held(best.Name)
 }
+
+// sharing counts those in the data centre.
+func sharing(taken []Candidate, dataCentre string) int {
+	n := 0
+	for _, c := range taken {
+		if c.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// callTime bounds one call to a keeper, which waits for two disks.
+	// callTime bounds one call to a keeper, which waits for all disks of a slice.
 	callTime = 900 * time.Millisecond
 	// reserveTime bounds all tries of a reservation: a change of keepers takes
 	// about a second, and a caller that is refused sooner would come back into it.
@@ -75,7 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.Epoch > c.newer[slice].Epoch {
-		c.newer[slice] = Role{Epoch: r.Epoch, Primary: r.Primary, Partner: r.Partner}
+		c.newer[slice] = Role{Epoch: r.Epoch, Primary: r.Primary, Partners: r.Partners}
 	}
 }
 
@@ -90,7 +90,7 @@
 	isolated
 )
 
-// ask calls the slice's primary, and its partner where that one does not settle
+// ask calls the slice's primary, and its partners where that one does not settle
 // the matter, until one does or the time is over. With giveUp it ends at once
 // where each of them is out of reach or isolated: a keeper that is cut off alone
 // is replaced by its partner, but one that is cut off with the caller is not.
@@ -100,7 +100,7 @@
 	for ctx.Err() == nil {
 		role := c.role(slice)
 		hope := false
-		for _, name := range []string{role.Primary, role.Partner} {
+		for _, name := range role.holders() {
 			keeper, ok := c.keepers.Keeper(name)
 			if !ok {
 				continue
@@ -314,7 +314,7 @@
 		if absent[s] {
 			continue
 		}
-		for _, name := range []string{role.Primary, role.Partner} {
+		for _, name := range role.holders() {
 			if name != "" && !seen[name] {
 				seen[name] = true
 				names = append(names, name)
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -19,7 +19,7 @@
 func inWorld(t *testing.T, test func(w *world, fail func(error))) {
 	var failed error
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 4)
+		w := newWorld(t, 4, 1)
 		w.startAll()
 		time.Sleep(settledIn)
 		test(w, func(err error) {
@@ -65,11 +65,11 @@
 		w.mu.Lock()
 		other := ""
 		for _, m := range w.machines {
-			if m.name != role.Primary && m.name != role.Partner {
+			if m.name != role.Primary && !role.partner(m.name) {
 				other = m.name
 			}
 		}
-		w.assignment.Slices[SliceOf("p")] = Role{Epoch: role.Epoch + 1, Primary: role.Primary, Partner: other}
+		w.assignment.Slices[SliceOf("p")] = Role{Epoch: role.Epoch + 1, Primary: role.Primary, Partners: []string{other}}
 		w.version++
 		w.mu.Unlock()
 		w.machine(role.Primary).start()
@@ -84,14 +84,14 @@
 func TestFillingOfALostDiskDoesNotMakeItWhole(t *testing.T) {
 	inWorld(t, func(w *world, fail func(error)) {
 		role := w.role("p")
-		partner := w.machine(role.Partner)
+		partner := w.machine(role.Partners[0])
 		ctx := context.Background()
 		before, err := partner.process.keeper.Status(ctx, &historypb.StatusRequest{})
 		if err != nil {
 			fail(err)
 			return
 		}
-		w.cut(role.Primary, role.Partner, true)
+		w.cut(role.Primary, role.Partners[0], true)
 		partner.wipe()
 		partner.start()
 		k := partner.process.keeper
@@ -199,9 +199,9 @@
 func TestCallerCutOffWithAPartnerIsRefusedAtOnce(t *testing.T) {
 	inWorld(t, func(w *world, fail func(error)) {
 		role := w.role("p")
-		w.isolate(role.Partner)
+		w.isolate(role.Partners[0])
 		time.Sleep(2 * suspectAfter)
-		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Partner, cutOff: true}, role.alone, w.logger("entry"))
+		c := NewClient(&entryPoint{world: w, name: "entry", only: role.Partners[0], cutOff: true}, role.alone, w.logger("entry"))
 		began := time.Now()
 		_, err := c.Reserve(context.Background(), gateway.Reservation{Program: "p", Turn: "t", Most: 1})
 		if !errors.Is(err, gateway.ErrIsolated) {
@@ -320,7 +320,7 @@
 	roles := w.assignment.Slices
 	w.mu.Unlock()
 	for s, role := range roles {
-		for _, name := range []string{role.Primary, role.Partner} {
+		for _, name := range role.holders() {
 			k := w.machine(name).process.keeper
 			k.mu.Lock()
 			has := k.slices[s].mark == mark{Epoch: role.Epoch, Synced: true}
@@ -356,7 +356,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		for s, role := range w.assignment.Slices {
-			if role.Primary == w.machines[0].name || role.Partner == w.machines[0].name {
+			if role.Primary == w.machines[0].name || role.partner(w.machines[0].name) {
 				fail(errors.Errorf("slice %d is still held by the lost keeper", s))
 				return
 			}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -52,6 +52,9 @@
 	Folder string
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool
+	// Partners is the number of keepers that hold a slice beside its primary: as
+	// many as disks may be lost at once.
+	Partners int
 	// Keepers returns the keepers that are registered, this one among them.
 	Keepers func() []Candidate
 	// Retiring reports that operators want a keeper emptied.
@@ -102,25 +105,31 @@
 	// lower epoch is refused.
 	mark mark
 	role Role
-	// entries wait for the partner, in order.
-	entries []*entry
-	filling bool
-	// filled says that this process has sent the partner all of the slice in
-	// the present epoch. A primary that was killed may have records on its disk
-	// that its partner never got; a repeated call would find them done.
-	filled bool
-	// salvaging says that records are being fetched from the partner of an
+	// links are the ways to the partners, by name.
+	links map[string]*link
+	// salvaging says that records are being fetched from the partners of an
 	// epoch whose primary is lost, and salvaged for which epoch they are here.
 	salvaging bool
 	salvaged  uint64
 	// marking says that a mark is on its way to the disk.
 	marking bool
-	// lostSince is since when neither keeper has all of the slice, and
+	// lostSince is since when no keeper has all of the slice, and
 	// primaryLostSince since when the primary does not.
 	lostSince, primaryLostSince time.Time
 }
 
-// entry is one change on its way to both disks. The keeper's lock guards it
+// link is a primary's way to one partner of a slice.
+type link struct {
+	// entries wait for the partner, in order.
+	entries []*entry
+	filling bool
+	// filled says that this process has sent the partner all of the slice in
+	// the present epoch. A primary that was killed may have records on its disk
+	// that its partner never got; a repeated call would find them done.
+	filled bool
+}
+
+// entry is one change on its way to all disks of a slice. The keeper's lock guards it
 // until done is closed.
 type entry struct {
 	records []*historypb.Record
@@ -149,7 +158,7 @@
 		wakeRead:    make(chan struct{}, 1),
 	}
 	for i := range k.slices {
-		k.slices[i] = &slice{number: uint32(i), state: newState()}
+		k.slices[i] = &slice{number: uint32(i), state: newState(), links: map[string]*link{}}
 	}
 	l, err := openLog(s.Folder, k.replay)
 	if err != nil {
@@ -228,19 +237,30 @@
 	return s.role.Primary == k.settings.Name && s.role.Epoch > 0 && s.mark.Epoch == s.role.Epoch && s.mark.Synced
 }
 
-// submit sends a change to both disks; the lock is held. Without records it
-// only asks the partner whether this keeper is still the primary.
+// submit sends a change to all disks of the slice; the lock is held. Without
+// records it only asks the partners whether this keeper is still the primary.
 func (k *Keeper) submit(s *slice, records []*historypb.Record) *entry {
-	e := &entry{records: records, waits: 1, done: make(chan struct{})}
-	s.entries = append(s.entries, e)
+	e := &entry{records: records, waits: len(s.role.Partners), done: make(chan struct{})}
+	for _, partner := range s.role.Partners {
+		l := s.link(partner)
+		l.entries = append(l.entries, e)
+		k.wakeSender(partner)
+	}
 	if len(records) > 0 {
 		e.waits++
 		k.persist(records, func() { k.arrived(e) })
 	}
-	k.wakeSender(s.role.Partner)
 	return e
 }
 
+// link returns the way to a partner.
+func (s *slice) link(partner string) *link {
+	if s.links[partner] == nil {
+		s.links[partner] = &link{}
+	}
+	return s.links[partner]
+}
+
 // arrived counts one disk; the lock is held.
 func (k *Keeper) arrived(e *entry) {
 	if e.waits--; e.waits == 0 && !e.dropped {
@@ -251,11 +271,15 @@
 // drop ends what waits in a slice that this keeper no longer decides for. Its
 // callers hear that it may not last, and ask the new primary.
 func (s *slice) drop() {
-	for _, e := range s.entries {
-		e.dropped = true
-		close(e.done)
+	for _, l := range s.links {
+		for _, e := range l.entries {
+			if !e.dropped {
+				e.dropped = true
+				close(e.done)
+			}
+		}
 	}
-	s.entries = nil
+	clear(s.links)
 }
 
 // persist queues records for this instance's disk; the lock is held, and done
@@ -272,7 +296,7 @@
 	}
 }
 
-// wait returns whether the change is durable on both disks.
+// wait returns whether the change is durable on all disks of its slice.
 func wait(ctx context.Context, e *entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
@@ -389,14 +413,15 @@
 	request := &historypb.AppendRequest{From: k.settings.Name}
 	counts := map[uint32]int{}
 	for _, s := range k.slices {
-		if len(s.entries) == 0 || s.role.Partner != partner || !k.primary(s) {
+		l := s.links[partner]
+		if l == nil || len(l.entries) == 0 || !k.primary(s) {
 			continue
 		}
 		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch}
-		for _, e := range s.entries {
+		for _, e := range l.entries {
 			a.Records = append(a.Records, e.records...)
 		}
-		counts[s.number] = len(s.entries)
+		counts[s.number] = len(l.entries)
 		request.Slices = append(request.Slices, a)
 	}
 	if len(request.Slices) == 0 {
@@ -418,13 +443,14 @@
 	for _, a := range r.Slices {
 		s := k.slices[a.Slice]
 		// What was dropped meanwhile, at the loss of the role, counts no more.
-		if refused[a.Slice] || s.role.Epoch != a.Epoch || !k.primary(s) {
+		l := s.links[partner]
+		if refused[a.Slice] || s.role.Epoch != a.Epoch || l == nil || !k.primary(s) {
 			continue
 		}
-		for _, e := range s.entries[:counts[a.Slice]] {
+		for _, e := range l.entries[:counts[a.Slice]] {
 			k.arrived(e)
 		}
-		s.entries = s.entries[counts[a.Slice]:]
+		l.entries = l.entries[counts[a.Slice]:]
 	}
 	return len(refused) == 0
 }
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -107,7 +107,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := drawPlan(rt)
 		var failures []string
-		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, plan, seen) })
+		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, newWorld(t, 4, 1), plan, seen) })
 		if len(failures) > 0 {
 			rt.Fatalf("%v", failures[:min(3, len(failures))])
 		}
@@ -115,8 +115,23 @@
 	t.Log(seen)
 }
 
-func runPlan(t *testing.T, plan []action, seen map[string]int) []string {
-	r := &run{world: newWorld(t, 4), seen: seen, oracle: oracle{entries: map[int]*Client{}}}
+// TestKeepersMachineOfThreeDisks is the same where two disks at once may be lost,
+// at times while all others lose power: each slice is on three.
+func TestKeepersMachineOfThreeDisks(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt)
+		var failures []string
+		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, newWorld(t, 6, 2), plan, seen) })
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures[:min(3, len(failures))])
+		}
+	})
+	t.Log(seen)
+}
+
+func runPlan(t *testing.T, w *world, plan []action, seen map[string]int) []string {
+	r := &run{world: w, seen: seen, oracle: oracle{entries: map[int]*Client{}}}
 	r.startAll()
 	time.Sleep(settledIn)
 	for _, a := range plan {
@@ -157,7 +172,7 @@
 		m.powerOff(float64(a.B) / 1000)
 		r.later(a.For, m.restart)
 	case "wipe":
-		r.wipeOne(m, a.For/4)
+		r.wipe(m, a)
 	case "freeze":
 		m.freeze()
 		r.later(a.For, m.unfreeze)
@@ -186,16 +201,26 @@
 	}
 }
 
-// wipeOne empties a disk if no other disk is lost: what is on one keeper alone
-// until it is copied must not be lost too.
-func (r *run) wipeOne(m *machine, away time.Duration) {
+// wipe empties as many disks at once as may be lost, if no other is lost: what is
+// on one keeper alone until it is copied must not be lost too.
+func (r *run) wipe(m *machine, a action) {
 	if time.Now().Before(r.lostUntil) || !r.calm() {
 		return
 	}
 	r.note("wiped")
 	m.wipe()
-	time.Sleep(away)
-	m.restart()
+	if r.partners > 1 {
+		r.machines[(a.A+1+a.B%(len(r.machines)-1))%len(r.machines)].wipe()
+	}
+	if r.partners > 1 && a.B%2 == 0 {
+		for _, other := range r.machines {
+			other.powerOff(float64(a.B) / 1000)
+		}
+	}
+	time.Sleep(a.For / 4)
+	for _, other := range r.machines {
+		other.restart()
+	}
 	r.lostUntil = time.Now().Add(settledIn)
 }
 
@@ -410,8 +435,8 @@
 		k.mu.Lock()
 		for _, s := range k.slices {
 			if s.state.turns[turn] != nil || s.number == SliceOf(programName(0)) {
-				fmt.Fprintf(&b, "; %s slice %d: here %v, mark %v, role %v, primary %v, waiting %d",
-					m.name, s.number, s.state.turns[turn] != nil, s.mark, s.role, k.primary(s), len(s.entries))
+				fmt.Fprintf(&b, "; %s slice %d: here %v, mark %v, role %v, primary %v",
+					m.name, s.number, s.state.turns[turn] != nil, s.mark, s.role, k.primary(s))
 			}
 		}
 		k.mu.Unlock()
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -26,15 +26,28 @@
 // orphaned reports that this keeper, which had all of the slice in the epoch
 // before, has to take it over from one that holds it no longer. It comes to
 // that when a proposal takes effect late, after its proposer lost its disk: the
-// slice's primary has nothing then, and its partner only what was acknowledged
-// since. That is fetched first; together they are all of the slice.
+// slice's primary has nothing then, and its partners only what was acknowledged
+// since, all of them the same. That is fetched first; together they are all of
+// the slice.
 func (k *Keeper) orphaned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	primary, partner := opinions[s.role.Primary], opinions[s.role.Partner]
+	primary := opinions[s.role.Primary]
 	number, epoch := int(s.number), s.role.Epoch
 	if !s.primaryLost(primary, now) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
 		return false
 	}
-	if !partner.heard || partner.has(number, epoch) {
+	from := ""
+	for _, name := range s.role.Partners {
+		if name == k.settings.Name {
+			continue
+		}
+		switch partner := opinions[name]; {
+		case partner.has(number, epoch):
+			return false
+		case partner.heard:
+			from = name
+		}
+	}
+	if from == "" {
 		return false
 	}
 	if s.salvaged == epoch {
@@ -42,16 +55,16 @@
 	}
 	if !s.salvaging {
 		s.salvaging = true
-		go k.salvage(s, s.role)
+		go k.salvage(s, s.role.Epoch, from)
 	}
 	return false
 }
 
-// salvage fetches what the partner of a lost primary has.
-func (k *Keeper) salvage(s *slice, role Role) {
+// salvage fetches what a partner of a lost primary has.
+func (k *Keeper) salvage(s *slice, epoch uint64, from string) {
 	ctx, cancel := context.WithTimeout(k.ctx, opTime)
 	defer cancel()
-	response, err := k.peers.Fetch(ctx, role.Partner, &historypb.FetchRequest{Slice: s.number})
+	response, err := k.peers.Fetch(ctx, from, &historypb.FetchRequest{Slice: s.number})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
@@ -63,7 +76,7 @@
 		s.state.apply(r)
 	}
 	k.persist(response.Records, func() {
-		s.salvaging, s.salvaged = false, role.Epoch
+		s.salvaging, s.salvaged = false, epoch
 		notify(k.wakeRoles)
 	})
 }
@@ -79,12 +92,11 @@
 }
 
 // abandoned reports that no keeper has all of a slice and that this one, its
-// primary, has to begin it anew. It comes to that only when both disks are
+// primary, has to begin it anew. It comes to that only when all its disks are
 // lost, or before the slice's first record.
 func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	o := opinions[s.role.Partner]
 	if s.role.Epoch == 0 || s.role.Primary != k.settings.Name || s.marking || !k.verified ||
-		!o.heard || o.has(int(s.number), s.role.Epoch) || heldBefore(s, opinions) {
+		!noneHas(s, opinions) || heldBefore(s, opinions) {
 		s.lostSince = time.Time{}
 		return false
 	}
@@ -94,8 +106,18 @@
 	if now.Sub(s.lostSince) < abandonAfter {
 		return false
 	}
-	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).Error("slice lost on both disks, begun anew")
+	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).Error("slice lost on all its disks, begun anew")
 	s.mark.Epoch, s.mark.Synced = s.role.Epoch, true
 	s.lostSince = time.Time{}
 	return true
 }
+
+// noneHas reports that all partners of a slice are heard and none has all of it.
+func noneHas(s *slice, opinions map[string]opinion) bool {
+	for _, name := range s.role.Partners {
+		if o := opinions[name]; !o.heard || o.has(int(s.number), s.role.Epoch) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +30,8 @@
 	stalledAfter = 500 * time.Millisecond
 	// bootTime is how long after its start a keeper judges no other by silence.
 	bootTime = 1200 * time.Millisecond
-	// abandonAfter is how long neither keeper of a slice may have all of it
-	// before it begins anew. Both disks are lost then, or it never began.
+	// abandonAfter is how long no keeper of a slice may have all of it before it
+	// begins anew. All its disks are lost then, or it never began.
 	abandonAfter = 10 * time.Second
 )
 
@@ -78,17 +79,56 @@
 // assign puts a slice's newer role in force; the lock is held.
 func (k *Keeper) assign(s *slice, next Role) {
 	k.settings.Logger.WithField("slice", s.number).WithField("epoch", next.Epoch).
-		WithField("primary", next.Primary).WithField("partner", next.Partner).
+		WithField("primary", next.Primary).WithField("partners", next.Partners).
 		WithField("mark", s.mark.Epoch).WithField("synced", s.mark.Synced).Info("slice assigned")
-	s.role, s.filled = next, false
+	s.role = next
 	s.lostSince, s.primaryLostSince = time.Time{}, time.Time{}
 	if next.Primary != k.settings.Name {
 		s.drop()
 		return
 	}
+	k.relink(s)
 	k.raise(s)
 }
 
+// relink makes the ways to the partners those of the new role; the lock is held.
+// What waited for a partner that is one no longer waits for it in vain, and a new
+// one is sent everything that is not on all disks yet.
+func (k *Keeper) relink(s *slice) {
+	var waiting []*entry
+	for _, l := range s.links {
+		l.filled = false
+		for _, e := range l.entries {
+			if !slices.Contains(waiting, e) {
+				waiting = append(waiting, e)
+			}
+		}
+	}
+	old := s.links
+	s.links = map[string]*link{}
+	for _, name := range s.role.Partners {
+		if old[name] != nil {
+			s.links[name] = old[name]
+			continue
+		}
+		s.link(name).entries = slices.Clone(waiting)
+		for _, e := range waiting {
+			e.waits++
+		}
+	}
+	for name, l := range old {
+		if s.role.partner(name) {
+			continue
+		}
+		for _, e := range l.entries {
+			k.arrived(e)
+		}
+	}
+	for _, name := range s.role.Partners {
+		k.wakeSender(name)
+	}
+}
+
 // raise makes the keeper that proposed an epoch its primary, once its own mark
 // is on the disk. It must have had all of the slice in the epoch before.
 func (k *Keeper) raise(s *slice) {
@@ -108,7 +148,7 @@
 	})
 }
 
-// runRoles keeps each slice on two keepers.
+// runRoles keeps each slice on as many keepers as it should be on.
 func (k *Keeper) runRoles(ctx context.Context) {
 	ticker := time.NewTicker(rolesEvery)
 	defer ticker.Stop()
@@ -150,7 +190,9 @@
 	base := k.version
 	for _, s := range k.slices {
 		if k.primary(s) {
-			k.fillIfNeeded(ctx, s, opinions[s.role.Partner])
+			for _, name := range s.role.Partners {
+				k.fillIfNeeded(ctx, s, name, opinions[name])
+			}
 		}
 	}
 	k.mu.Unlock()
@@ -177,7 +219,7 @@
 		k.Adopt(a, version)
 		return
 	}
-	if first, ok := First(keepers); ok {
+	if first, ok := First(keepers, k.partners()); ok {
 		k.write(ctx, first, 0)
 	}
 }
@@ -239,16 +281,34 @@
 		if !k.mustChange(s, opinions, now) {
 			continue
 		}
-		partner, ok := next.partnerFor(me, keepers, out)
-		if !ok {
+		partners := next.partnersFor(me, keepers, k.partners(), out)
+		if len(partners) == 0 {
 			continue
 		}
-		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partner: partner}
+		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partners: partners}
 		changed = true
 	}
 	return next, changed
 }
 
+// partners is the number of partners that a slice should have.
+func (k *Keeper) partners() int { return max(1, k.settings.Partners) }
+
+// tooFew reports that a slice has fewer partners than it should and that there
+// are keepers that could become some.
+func (k *Keeper) tooFew(s *slice, opinions map[string]opinion) bool {
+	if len(s.role.Partners) >= k.partners() {
+		return false
+	}
+	usable := 0
+	for _, o := range opinions {
+		if o.heard && !o.out {
+			usable++
+		}
+	}
+	return usable > len(s.role.Partners)
+}
+
 func (k *Keeper) leavingNow() bool { return k.leaving || k.settings.Retiring(k.settings.Name) }
 
 func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
@@ -262,9 +322,13 @@
 	case !s.mark.Synced:
 		return k.abandoned(s, opinions, now)
 	case s.role.Primary == k.settings.Name:
-		o, known := opinions[s.role.Partner]
-		return !known && now.Sub(k.started) > bootTime || o.out
-	case s.role.Partner == k.settings.Name:
+		for _, name := range s.role.Partners {
+			if o, known := opinions[name]; !known && now.Sub(k.started) > bootTime || o.out {
+				return true
+			}
+		}
+		return k.tooFew(s, opinions)
+	case s.role.partner(k.settings.Name):
 		o, known := opinions[s.role.Primary]
 		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o, now)
 	default:
@@ -273,20 +337,31 @@
 }
 
 // fillIfNeeded sends the whole slice to a partner that lacks it; the lock is held.
-func (k *Keeper) fillIfNeeded(ctx context.Context, s *slice, partner opinion) {
-	if s.filling || !partner.heard || s.filled && partner.has(int(s.number), s.role.Epoch) {
+func (k *Keeper) fillIfNeeded(ctx context.Context, s *slice, name string, partner opinion) {
+	l := s.link(name)
+	if l.filling || !partner.heard || l.filled && partner.has(int(s.number), s.role.Epoch) {
 		return
 	}
-	s.filling = true
-	go k.fill(ctx, s, s.role, partner.disk, s.state.records(s.number))
+	l.filling = true
+	f := &filling{slice: s, link: l, epoch: s.role.Epoch, partner: name, disk: partner.disk}
+	go k.fill(ctx, f, s.state.records(s.number))
+}
+
+// filling is the sending of a whole slice to one partner's disk.
+type filling struct {
+	slice   *slice
+	link    *link
+	epoch   uint64
+	partner string
+	disk    string
 }
 
 // fill sends records in parts, the last with the word that they are all. What
 // changes meanwhile goes to the partner as it happens.
-func (k *Keeper) fill(ctx context.Context, s *slice, role Role, disk string, records []*historypb.Record) {
+func (k *Keeper) fill(ctx context.Context, f *filling, records []*historypb.Record) {
 	defer func() {
 		k.mu.Lock()
-		s.filling = false
+		f.link.filling = false
 		k.mu.Unlock()
 	}()
 	for {
@@ -295,8 +370,8 @@
 			size += proto.Size(records[n])
 			n++
 		}
-		part := &historypb.SliceAppend{Slice: s.number, Epoch: role.Epoch, Records: records[:n], Complete: n == len(records)}
-		if !k.sendPart(ctx, role.Partner, disk, part) {
+		part := &historypb.SliceAppend{Slice: f.slice.number, Epoch: f.epoch, Records: records[:n], Complete: n == len(records)}
+		if !k.sendPart(ctx, f, part) {
 			return
 		}
 		if part.Complete {
@@ -306,21 +381,21 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s.filled = s.role.Epoch == role.Epoch
-	if v := k.views[role.Partner]; v != nil && v.status != nil {
+	f.link.filled = f.slice.role.Epoch == f.epoch
+	if v := k.views[f.partner]; v != nil && v.status != nil {
 		for _, m := range v.status.Slices {
-			if m.Slice == s.number {
-				m.Epoch, m.Synced = role.Epoch, true
+			if m.Slice == f.slice.number {
+				m.Epoch, m.Synced = f.epoch, true
 			}
 		}
 	}
 }
 
-func (k *Keeper) sendPart(ctx context.Context, partner, disk string, part *historypb.SliceAppend) bool {
+func (k *Keeper) sendPart(ctx context.Context, f *filling, part *historypb.SliceAppend) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
-	r := &historypb.AppendRequest{From: k.settings.Name, Disk: disk, Slices: []*historypb.SliceAppend{part}}
-	response, err := k.peers.Append(ctx, partner, r)
+	r := &historypb.AppendRequest{From: k.settings.Name, Disk: f.disk, Slices: []*historypb.SliceAppend{part}}
+	response, err := k.peers.Append(ctx, f.partner, r)
 	if err != nil {
 		return false
 	}
@@ -345,7 +420,7 @@
 	}
 }
 
-// Empty reports that each slice is whole on two other keepers.
+// Empty reports that each slice is whole on other keepers.
 func (k *Keeper) Empty() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -354,11 +429,13 @@
 	}
 	opinions := k.opinions(time.Now())
 	for number, r := range k.known.Slices {
-		if r.Epoch == 0 || r.Primary == k.settings.Name || r.Partner == k.settings.Name {
+		if r.Epoch == 0 || r.Primary == k.settings.Name || r.partner(k.settings.Name) {
 			return false
 		}
-		if !opinions[r.Primary].has(number, r.Epoch) || !opinions[r.Partner].has(number, r.Epoch) {
-			return false
+		for _, name := range r.holders() {
+			if !opinions[name].has(number, r.Epoch) {
+				return false
+			}
 		}
 	}
 	return true
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -244,5 +244,5 @@
 	if s == nil {
 		return nil
 	}
-	return &historypb.Role{Epoch: s.role.Epoch, Primary: s.role.Primary, Partner: s.role.Partner}
+	return &historypb.Role{Epoch: s.role.Epoch, Primary: s.role.Primary, Partners: s.role.Partners}
 }
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -63,6 +63,8 @@
 	// storeCalls counts the calls to the store.
 	storeCalls int
 	loseWrites int
+	// partners is the number of keepers that hold a slice beside its primary.
+	partners int
 }
 
 // machine is one place where a keeper runs, again and again.
@@ -88,8 +90,8 @@
 	ended  chan struct{}
 }
 
-func newWorld(t *testing.T, keepers int) *world {
-	w := &world{t: t, folder: t.TempDir(), cuts: map[[2]string]bool{}, trace: &trace{began: time.Now()}}
+func newWorld(t *testing.T, keepers, partners int) *world {
+	w := &world{t: t, partners: partners, folder: t.TempDir(), cuts: map[[2]string]bool{}, trace: &trace{began: time.Now()}}
 	for i := range keepers {
 		name := string(rune('a' + i))
 		m := &machine{world: w, name: name, dataCentre: "dc-" + name, folder: filepath.Join(w.folder, name), first: true}
@@ -129,6 +131,7 @@
 		DataCentre: m.dataCentre,
 		Folder:     m.folder,
 		FirstStart: m.first,
+		Partners:   w.partners,
 		Keepers:    w.candidates,
 		Retiring:   func(string) bool { return false },
 		Logger:     w.logger(m.name),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,6 +171,7 @@
 		DataCentre: n.settings.DataCentre,
 		Folder:     n.settings.DataFolder,
 		FirstStart: n.settings.FirstStart,
+		Partners:   n.settings.DisksLost,
 		Keepers:    n.fleet.candidates,
 		Retiring:   n.retiring,
 		Logger:     n.logger,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,6 +25,8 @@
 	Seeds []string
 	// FirstStart is true only when the whole system starts with empty disks.
 	FirstStart bool
+	// DisksLost is how many disks may be lost at once.
+	DisksLost int
 	// DataFolder is empty on an instance without a disk.
 	DataFolder string
 	// Memory is the memory that the process may use, in bytes.
