--- /dev/null
+++ b/internal/experiment/clock.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the moment at which each run begins. Any will do; a fixed one makes
+// runs with one seed the same.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// clock runs events in the order of their times.
+type clock struct {
+	now    time.Time
+	events events
+	order  int
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+// after runs do when the time has passed.
+func (c *clock) after(d time.Duration, do func()) {
+	c.order++
+	heap.Push(&c.events, event{at: c.now.Add(d), order: c.order, do: do})
+}
+
+// run goes on until nothing is left to do, or until the end.
+func (c *clock) run(end time.Time) {
+	for len(c.events) > 0 {
+		e := heap.Pop(&c.events).(event)
+		if e.at.After(end) {
+			return
+		}
+		c.now = e.at
+		e.do()
+	}
+}
+
+// events is a heap of events by time, first come first among equals.
+type events []event
+
+func (s events) Len() int { return len(s) }
+
+func (s events) Less(i, j int) bool {
+	if !s[i].at.Equal(s[j].at) {
+		return s[i].at.Before(s[j].at)
+	}
+	return s[i].order < s[j].order
+}
+
+func (s events) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface.
+func (s *events) Push(x any) { *s = append(*s, x.(event)) }
+
+// Pop implements heap.Interface.
+func (s *events) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/experiment/engine.go
@@ -0,0 +1,148 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"foxhall/internal/engine"
+)
+
+// EngineSpec describes an engine of speed 1.
+type EngineSpec struct {
+	// Slots is the number of requests that run at once, Queue the number that
+	// wait before others are refused.
+	Slots, Queue int
+	// A step, which makes one token of each running request, takes StepTime and
+	// StepPerCall for each of them.
+	StepTime, StepPerCall time.Duration
+	// Prefill is in prompt tokens a second, Chunk the most of them in one step.
+	Prefill float64
+	Chunk   int
+	// CacheTokens is how much of prompts is kept for later requests.
+	CacheTokens int
+}
+
+// request is one turn at an engine.
+type request struct {
+	order  int
+	blocks []uint64
+	prompt int
+	// unread is what is left to prefill, toMake the tokens left to make.
+	unread, toMake int
+	// cached is what the engine had of the prompt when it admitted the request.
+	cached  int
+	started bool
+	first   func()
+	done    func()
+}
+
+// modelEngine is one engine of the model.
+type modelEngine struct {
+	spec  EngineSpec
+	clock *clock
+	// slow multiplies all times.
+	slow float64
+	// cache holds prompts' blocks, the least recently used yields.
+	cache            *simplelru.LRU[uint64, struct{}]
+	waiting, running []*request
+	stepping         bool
+	gone             bool
+	// prefilled counts the prompt tokens that were read.
+	prefilled int
+}
+
+func newModelEngine(spec EngineSpec, c *clock, slow float64) (*modelEngine, error) {
+	cache, err := simplelru.NewLRU[uint64, struct{}](max(1, spec.CacheTokens/engine.BlockTokens), nil)
+	return &modelEngine{spec: spec, clock: c, slow: slow, cache: cache}, err
+}
+
+// submit takes a request in, or refuses it where the queue is full.
+func (e *modelEngine) submit(r *request) bool {
+	if e.gone || len(e.running)+len(e.waiting) >= e.spec.Slots+e.spec.Queue {
+		return false
+	}
+	e.waiting = append(e.waiting, r)
+	e.wake()
+	return true
+}
+
+func (e *modelEngine) wake() {
+	if !e.stepping && len(e.waiting)+len(e.running) > 0 {
+		e.step()
+	}
+}
+
+// step makes one token of each running request that has its prompt read.
+func (e *modelEngine) step() {
+	e.stepping = true
+	e.admit()
+	var decoding []*request
+	read, budget := 0, e.spec.Chunk
+	for _, r := range e.running {
+		if r.unread == 0 {
+			decoding = append(decoding, r)
+			continue
+		}
+		n := min(budget, r.unread)
+		r.unread -= n
+		budget -= n
+		read += n
+		if r.unread == 0 {
+			decoding = append(decoding, r)
+			e.keep(r)
+		}
+	}
+	e.prefilled += read
+	took := float64(e.spec.StepTime) + float64(e.spec.StepPerCall)*float64(len(e.running)) +
+		float64(time.Second)*float64(read)/e.spec.Prefill
+	e.clock.after(time.Duration(e.slow*took), func() { e.end(decoding) })
+}
+
+// end gives out the step's tokens and goes on.
+func (e *modelEngine) end(decoding []*request) {
+	for _, r := range decoding {
+		r.toMake--
+		if !r.started {
+			r.started = true
+			r.first()
+		}
+		if r.toMake > 0 {
+			continue
+		}
+		e.running = slices.DeleteFunc(e.running, func(other *request) bool { return other == r })
+		r.done()
+	}
+	e.stepping = false
+	e.wake()
+}
+
+func (e *modelEngine) admit() {
+	for len(e.running) < e.spec.Slots && len(e.waiting) > 0 {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		r.cached = min(r.prompt, e.held(r.blocks)*engine.BlockTokens)
+		r.unread = max(1, r.prompt-r.cached)
+		e.running = append(e.running, r)
+	}
+}
+
+// held returns how many of the first blocks are cached.
+func (e *modelEngine) held(blocks []uint64) int {
+	for i, b := range blocks {
+		if _, ok := e.cache.Get(b); !ok {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+func (e *modelEngine) keep(r *request) {
+	for _, b := range r.blocks {
+		e.cache.Add(b, struct{}{})
+	}
+}
+
+// leave ends the engine once what it has is done.
+func (e *modelEngine) leave() { e.gone = true }
--- /dev/null
+++ b/internal/experiment/entry.go
@@ -0,0 +1,153 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"foxhall/internal/cache"
+	"foxhall/internal/placement"
+	"foxhall/internal/upstream"
+	"foxhall/internal/usage"
+)
+
+const (
+	modelName = "model"
+	// viewBlocks bounds an entry's view of the engines' caches.
+	viewBlocks = 1 << 16
+	// patience is how long an engine may show no progress before it counts as
+	// stalled; longer than any wait of the model.
+	patience = time.Minute
+)
+
+// modelEntry is an instance that places turns: the product's table, view and
+// decision, fed on virtual time.
+type modelEntry struct {
+	policy placement.Policy
+	clock  *clock
+	random *rand.Rand
+	table  *upstream.Table
+	view   *cache.View
+	found  cache.Matches
+	turn   uint64
+}
+
+func newModelEntry(p placement.Policy, c *clock, random *rand.Rand, engines, slots int) *modelEntry {
+	e := &modelEntry{policy: p, clock: c, random: random, table: upstream.NewTable(), view: cache.New(cache.Options{MaxBlocks: viewBlocks})}
+	e.list(engines, slots, func(int) bool { return false })
+	return e
+}
+
+// list puts the engines in force that have not left.
+func (e *modelEntry) list(engines, slots int, left func(int) bool) {
+	var list []usage.Upstream
+	for i := range engines {
+		if !left(i) {
+			list = append(list, usage.Upstream{Name: strconv.Itoa(i), Address: strconv.Itoa(i), Kind: usage.KindEngine, Models: []string{modelName}, Slots: slots})
+		}
+	}
+	e.table.Apply(list, e.clock.now)
+}
+
+// choice is a placed turn.
+type choice struct {
+	engine   int
+	cell     *upstream.Cell
+	step     placement.Step
+	estimate placement.Estimate
+	batch    int
+	cached   int
+	sent     time.Time
+}
+
+// place chooses an engine for a turn; false if none can take it.
+func (e *modelEntry) place(p *program, out int, tried []int) (*choice, bool) {
+	e.turn++
+	step := placement.Step{
+		Prompt: p.prompt, Output: out, Latency: 1, Cache: 0.5,
+		Key: uint64(p.number), Turn: e.turn, Random: e.random.Uint64(),
+	}
+	cells := e.table.Members().Model(modelName)
+	e.view.Lookup(p.blocks, &e.found)
+	candidates := make([]placement.Candidate, 0, len(cells))
+	for i, cell := range cells {
+		u := cell.Upstream
+		c := placement.Candidate{
+			Index: i, ID: u.ID, Slots: u.Slots, Load: u.Load(e.clock.now.UnixNano()), Speed: cell.Speed(),
+			Cached: min(p.prompt, e.found.Depth(u.ID)*blockTokens),
+		}
+		if isTried(u, tried) {
+			c.Refused = placement.Tried
+		}
+		candidates = append(candidates, c)
+	}
+	d := placement.Decide(e.policy, candidates, &step)
+	if d.Chosen < 0 {
+		return nil, false
+	}
+	chosen := &candidates[d.Chosen]
+	cell := cells[chosen.Index]
+	c := &choice{
+		engine: engineOf(cell.Upstream), cell: cell, step: step, estimate: d.Estimate,
+		batch: chosen.Load.Total + 1, cached: chosen.Cached, sent: e.clock.now,
+	}
+	cell.Upstream.Begin(e.clock.now.UnixNano(), c.uncached(), patience)
+	e.view.Sent(cell.Upstream.ID, p.blocks)
+	return c, true
+}
+
+func engineOf(u *upstream.Upstream) int {
+	n, err := strconv.Atoi(u.Name)
+	if err != nil {
+		panic("experiment: engine named " + u.Name)
+	}
+	return n
+}
+
+func isTried(u *upstream.Upstream, tried []int) bool {
+	for _, n := range tried {
+		if engineOf(u) == n {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *choice) uncached() int { return max(0, c.step.Prompt-c.cached) }
+
+// began notes the first token.
+func (e *modelEntry) began(c *choice) {
+	c.cell.Upstream.Progress(e.clock.now.UnixNano())
+	c.cell.Upstream.Prefilled(c.uncached())
+}
+
+// refused notes that the engine took nothing.
+func (e *modelEntry) refused(c *choice) {
+	c.cell.Upstream.Prefilled(c.uncached())
+	c.cell.Upstream.Finish(e.clock.now.UnixNano())
+}
+
+// ended learns from a whole answer.
+func (e *modelEntry) ended(c *choice, first time.Duration, cached, made int) {
+	now := e.clock.now
+	u := c.cell.Upstream
+	u.Finish(now.UnixNano())
+	total := now.Sub(c.sent)
+	u.Compare(now, total, c.estimate.Expected(&c.step, made))
+	c.cell.Learn(upstream.Sample{
+		Uncached: c.step.Prompt - cached, Output: made, Batch: min(c.batch, u.Slots), FirstToken: first, Total: total,
+	})
+	e.view.Compare(u.ID, c.cached, cached)
+}
+
+// load is what an entry tells the others.
+type load struct{ calls, backlog int }
+
+func (e *modelEntry) loads() map[string]load {
+	loads := map[string]load{}
+	for _, u := range e.table.Members().All {
+		l := u.Load(e.clock.now.UnixNano())
+		loads[u.Name] = load{calls: l.Own, backlog: max(0, l.OwnBacklog)}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,309 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxhall/internal/placement"
+)
+
+const (
+	// way is the time from an entry to an engine.
+	way = time.Millisecond
+	// tellEvery is how often entries tell each other their loads, which count
+	// for tellLife.
+	tellEvery = 60 * time.Millisecond
+	tellLife  = 1500 * time.Millisecond
+	// triesMost bounds the engines asked for one turn; then the turn waits
+	// retryAfter, and after waitsMost such waits the program is given up.
+	triesMost  = 4
+	retryAfter = 150 * time.Millisecond
+	waitsMost  = 20
+	// hintSpread is how far callers' hints of an answer's length are off, as the
+	// standard deviation of their logarithm: right at the median, often far off.
+	hintSpread = 0.5
+	// loopTurns bounds the turns of a program that loops, as its budget does.
+	loopTurns = 40
+	// objective is added to each program's aim.
+	objective = 250 * time.Millisecond
+)
+
+// Options describe one run.
+type Options struct {
+	Shape   Shape
+	Pattern *Pattern
+	Policy  placement.Policy
+	// Load is the offered load as a share of what the engines can serve.
+	Load float64
+	Seed uint64
+}
+
+// Result is what one run measured, over the programs that began after warmUp.
+type Result struct {
+	Policy placement.Policy
+	// Programs is the number that began, InTime, Late and Failed their ends. A
+	// late one took up to twice its time; beyond that it has failed.
+	Programs, InTime, Late, Failed int
+	// P95 is the time of the 95th of 100 programs over that on idle engines.
+	P95 float64
+	// Repeated is the share of read prompt tokens that an engine had read before.
+	Repeated float64
+	// Refused counts turns that an engine refused as full.
+	Refused int
+	// Series has the share in time of the programs that began in each second.
+	Series []float64
+}
+
+// InTimeShare is the share of programs that were on time.
+func (r *Result) InTimeShare() float64 { return float64(r.InTime) / float64(max(1, r.Programs)) }
+
+// run is one run under way.
+type run struct {
+	options Options
+	clock   *clock
+	// random draws the programs, the same for each policy; hints draws what their
+	// callers say of the answers' lengths.
+	random, hints *rand.Rand
+	engines       []*modelEngine
+	entries       []*modelEntry
+	orders        int
+	result        Result
+	ratios        []float64
+	// known are the blocks that some engine has read; needed counts the tokens
+	// read that none had.
+	known  map[uint64]bool
+	needed int
+	begun  []int
+	inTime []int
+}
+
+// Run plays one run. The same options give the same result.
+func Run(o Options) (*Result, error) {
+	r := &run{
+		options: o, clock: &clock{now: epoch},
+		random: rand.New(rand.NewPCG(o.Seed, 1)), hints: rand.New(rand.NewPCG(o.Seed, 2)),
+		known: map[uint64]bool{}, begun: make([]int, int(length/time.Second)), inTime: make([]int, int(length/time.Second)),
+	}
+	r.result.Policy = o.Policy
+	for i := range o.Shape.Engines {
+		e, err := newModelEngine(o.Shape.Engine, r.clock, o.Shape.Speeds[i%len(o.Shape.Speeds)])
+		if err != nil {
+			return nil, err
+		}
+		r.engines = append(r.engines, e)
+	}
+	for i := range o.Shape.Entries {
+		random := rand.New(rand.NewPCG(o.Seed, uint64(3+i)))
+		r.entries = append(r.entries, newModelEntry(o.Policy, r.clock, random, o.Shape.Engines, o.Shape.Engine.Slots))
+	}
+	r.clock.after(0, func() { r.arrive(0) })
+	r.clock.after(tellEvery, r.tell)
+	r.clock.after(faultAt, r.fault)
+	r.clock.run(epoch.Add(2 * length))
+	return r.sum(), nil
+}
+
+// arrive begins a program and draws when the next begins.
+func (r *run) arrive(number int) {
+	t := r.clock.now.Sub(epoch)
+	if t >= length {
+		return
+	}
+	r.begin(number, t)
+	rate := r.options.Shape.rate(r.options.Load)
+	if f := r.options.Pattern.rate; f != nil {
+		rate *= f(t)
+	}
+	r.clock.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(number + 1) })
+}
+
+func (r *run) begin(number int, t time.Duration) {
+	s := &r.options.Shape
+	u := r.random.Float64()
+	entry := int(u * float64(s.Entries))
+	if f := r.options.Pattern.entry; f != nil {
+		entry = f(t, u, s.Entries)
+	}
+	p := &program{number: number, entry: entry, turns: draw(r.random, s.Turns), began: r.clock.now}
+	p.loops = r.random.Float64() < r.options.Pattern.loops
+	family := uint64(1 + r.random.IntN(s.Families))
+	p.grow(s.Shared, family)
+	inputs, outputs, pauses := r.draws(p)
+	ideal := s.idealTurn(s.Shared, 0)
+	for i := range inputs {
+		ideal += s.idealTurn(inputs[i], outputs[i]) + pauses[i]
+	}
+	p.aim = p.began.Add(time.Duration(s.AimFactor*float64(ideal)) + objective)
+	if t >= warmUp && !p.loops {
+		r.result.Programs++
+		r.begun[int(t/time.Second)]++
+	}
+	r.turn(p, inputs, outputs, pauses, ideal)
+}
+
+// draws returns a program's turns beforehand, so that all policies meet the same.
+func (r *run) draws(p *program) (inputs, outputs []int, pauses []time.Duration) {
+	s := &r.options.Shape
+	turns := p.turns
+	if p.loops {
+		turns = loopTurns
+	}
+	for range turns {
+		inputs = append(inputs, draw(r.random, s.Input))
+		outputs = append(outputs, draw(r.random, s.Output))
+		pauses = append(pauses, time.Duration(r.random.ExpFloat64()*float64(s.Pause)))
+	}
+	return inputs, outputs, pauses
+}
+
+// turn runs the program's next turn, and then the others.
+func (r *run) turn(p *program, inputs, outputs []int, pauses []time.Duration, ideal time.Duration) {
+	p.grow(inputs[0], uint64(p.number)<<8|1<<63)
+	r.send(p, outputs[0], nil, 0, func(ok bool) {
+		if !ok || len(inputs) == 1 {
+			r.end(p, ok, ideal)
+			return
+		}
+		p.grow(outputs[0], uint64(p.number)<<8|1<<63)
+		r.clock.after(pauses[0], func() { r.turn(p, inputs[1:], outputs[1:], pauses[1:], ideal) })
+	})
+}
+
+// send places a turn until an engine takes it.
+func (r *run) send(p *program, out int, tried []int, waits int, done func(bool)) {
+	entry := r.entries[p.entry]
+	hint := max(1, int(float64(out)*math.Exp(hintSpread*r.hints.NormFloat64())))
+	c, ok := entry.place(p, hint, tried)
+	if !ok || len(tried) >= triesMost {
+		if ok {
+			entry.refused(c)
+		}
+		if waits >= waitsMost {
+			done(false)
+			return
+		}
+		r.clock.after(retryAfter, func() { r.send(p, out, nil, waits+1, done) })
+		return
+	}
+	r.orders++
+	q := &request{order: r.orders, blocks: slices.Clone(p.blocks), prompt: p.prompt, toMake: out}
+	var first time.Duration
+	q.first = func() {
+		first = r.clock.now.Add(way).Sub(c.sent)
+		r.clock.after(way, func() { entry.began(c) })
+	}
+	q.done = func() {
+		r.count(q)
+		r.clock.after(way, func() {
+			entry.ended(c, first, q.cached, out)
+			done(true)
+		})
+	}
+	r.clock.after(way, func() {
+		if r.engines[c.engine].submit(q) {
+			return
+		}
+		r.result.Refused++
+		r.clock.after(way, func() {
+			entry.refused(c)
+			r.send(p, out, append(tried, c.engine), waits, done)
+		})
+	})
+}
+
+// count adds up how much of a prompt had to be read by some engine.
+func (r *run) count(q *request) {
+	fresh := 0
+	for _, b := range q.blocks {
+		if !r.known[b] {
+			r.known[b] = true
+			fresh++
+		}
+	}
+	r.needed += fresh * blockTokens
+}
+
+func (r *run) end(p *program, whole bool, ideal time.Duration) {
+	t := p.began.Sub(epoch)
+	if t < warmUp || p.loops {
+		return
+	}
+	took, aim := r.clock.now.Sub(p.began), p.aim.Sub(p.began)
+	r.ratios = append(r.ratios, took.Seconds()/ideal.Seconds())
+	switch {
+	case !whole || took > 2*aim:
+		r.result.Failed++
+	case took > aim:
+		r.result.Late++
+	default:
+		r.result.InTime++
+		r.inTime[int(t/time.Second)]++
+	}
+}
+
+// tell passes the entries' loads on among them.
+func (r *run) tell() {
+	sums := map[string]load{}
+	own := make([]map[string]load, len(r.entries))
+	for i, e := range r.entries {
+		own[i] = e.loads()
+		for name, l := range own[i] {
+			sums[name] = load{calls: sums[name].calls + l.calls, backlog: sums[name].backlog + l.backlog}
+		}
+	}
+	r.clock.after(way, func() {
+		for i, e := range r.entries {
+			for _, u := range e.table.Members().All {
+				sum, mine := sums[u.Name], own[i][u.Name]
+				u.OthersHave(sum.calls-mine.calls, sum.backlog-mine.backlog, r.clock.now.Add(tellLife))
+			}
+		}
+	})
+	if r.clock.now.Sub(epoch) < 2*length {
+		r.clock.after(tellEvery, r.tell)
+	}
+}
+
+// fault lets engines turn slow or leave.
+func (r *run) fault() {
+	pattern := r.options.Pattern
+	for i, e := range r.engines {
+		if pattern.slow != nil {
+			e.slow *= pattern.slow(i)
+		}
+		if pattern.leaves != nil && pattern.leaves(i) {
+			e.leave()
+		}
+	}
+	if pattern.leaves == nil {
+		return
+	}
+	for _, e := range r.entries {
+		e.list(len(r.engines), r.options.Shape.Engine.Slots, pattern.leaves)
+	}
+}
+
+func (r *run) sum() *Result {
+	result := &r.result
+	// What is still under way at the end took more than twice its time.
+	result.Failed = result.Programs - result.InTime - result.Late
+	slices.Sort(r.ratios)
+	if n := len(r.ratios); n > 0 {
+		result.P95 = r.ratios[min(n-1, int(math.Ceil(0.95*float64(n))))]
+	}
+	read := 0
+	for _, e := range r.engines {
+		read += e.prefilled
+	}
+	result.Repeated = max(0, 1-float64(r.needed)/float64(max(1, read)))
+	for i, n := range r.begun {
+		share := math.NaN()
+		if n > 0 {
+			share = float64(r.inTime[i]) / float64(n)
+		}
+		result.Series = append(result.Series, share)
+	}
+	return result
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,25 +202,13 @@
 		Target:      Target{ID: g.Upstream, Address: g.Address},
 		Body:        f.body,
 		Left:        time.Until(f.deadline),
-		Priority:    f.rank(),
+		Priority:    f.route.Priority,
 		ResumeAfter: resumeAfter,
 		Limit:       f.connections(),
 	}
 	return f.gateway.replicas.Send(ctx, s)
 }
 
-// lateRank is how much later than its route's a program ranks at an engine that
-// is late already.
-const lateRank = 4
-
-// rank is the call's rank at an engine, 0 the first.
-func (f *flight) rank() int {
-	if o := f.call.Program.Objective; !o.IsZero() && time.Now().After(o) {
-		return f.route.Priority + lateRank
-	}
-	return f.route.Priority
-}
-
 // connections is this instance's part of what a replica accepts from all.
 func (f *flight) connections() int {
 	if f.service.MaxConnections == 0 {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -32,13 +32,24 @@
 	e := Estimate{Slowness: c.Load.Slowness, Moved: moved}
 	e.Wait = moveTime(moved, s) + c.Way.Seconds() + c.Connect.Seconds() + c.Load.Slowness*(queueTime(c)+float64(c.Load.Backlog)/c.Speed.Prefill)
 	e.Prefill = c.Load.Slowness * uncached / c.Speed.Prefill
-	e.Decode = c.Load.Slowness * float64(s.Output) * tokenTime
+	e.Decode = c.Load.Slowness*float64(s.Output)*tokenTime + serviceTime(c, s)
 	e.Others = othersTime(c, s, e.Prefill)
 	e.Wasted = c.Load.Slowness * wastedTokens(c, s, bestCached) / c.Speed.Prefill
 	e.Cost = s.Latency*(e.Total()+othersWeight*e.Others) + s.Cache*e.Wasted
 	return e
 }
 
+// serviceSpread is how many times the mean a service's calls take by themselves:
+// a replica counts as slow only beyond it.
+const serviceSpread = 2
+
+// serviceTime is the time of a call to a service. Without the measured slowness
+// a replica that takes four times as long gets as many calls as the others, and
+// programs wait for the slowest of their tools.
+func serviceTime(c *Candidate, s *Step) float64 {
+	return s.Call * max(1, c.Load.Slowness/serviceSpread)
+}
+
 // moveMin is the least number of tokens worth moving between engines.
 const moveMin = 1024
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -73,6 +73,8 @@
 type Step struct {
 	// Prompt and Output are in tokens; Output is what is expected.
 	Prompt, Output int
+	// Call is the mean time of a call to the service, in seconds; 0 for a model call.
+	Call float64
 	// Latency and Cache weigh seconds of waiting and seconds of repeated prefill.
 	Latency, Cache float64
 	// Home is the upstream of the program's last step; 0 if none.
@@ -131,6 +133,25 @@
 // Total is the time until the answer is whole.
 func (e Estimate) Total() float64 { return e.Wait + e.Prefill + e.Decode }
 
+// Expected is how long a call with an answer of that length should have taken at
+// an upstream that is neither slow nor fast. An answer three times as long as its
+// hint takes longer for no fault of the engine: taken for slowness, instances
+// differ by factors in what they think of one engine, and the one that thinks
+// best of it sends all of its calls there.
+func (e Estimate) Expected(s *Step, made int) time.Duration {
+	if s.Call > 0 {
+		return time.Duration(s.Call * float64(time.Second))
+	}
+	if e.Slowness == 0 {
+		return 0
+	}
+	decode := e.Decode
+	if s.Output > 0 {
+		decode *= float64(made) / float64(s.Output)
+	}
+	return time.Duration((e.Wait + e.Prefill + decode) / e.Slowness * float64(time.Second))
+}
+
 // Filter sets the candidates' Refused and counts the reasons.
 func Filter(candidates []Candidate, maxViewAge time.Duration, d *Decision) {
 	if maxViewAge == 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -142,3 +142,35 @@
 	is.True(!KeepThroughPause(15*time.Second, turnover))
 	is.True(KeepThroughPause(time.Hour, Turnover(64000, 0))) // nobody needs the room
 }
+
+// Programs wait for the slowest of their tools: a replica that takes four times as
+// long gets as many calls as the others. It must get none while others are free,
+// and one whose calls only differ as a service's calls do must not be left out.
+func TestSlowReplicaOfAServiceIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	slow := upstream.Load{Slowness: 4, Limit: 8}
+	usual := upstream.Load{Slowness: 1.8, Limit: 8}
+	candidates := []Candidate{
+		{ID: 1, Slots: 4, Load: slow, Speed: upstream.Prior},
+		{ID: 2, Slots: 4, Load: usual, Speed: upstream.Prior, Way: 5 * time.Millisecond},
+		{ID: 3, Slots: 4, Load: upstream.Load{Slowness: 1, Limit: 8}, Speed: upstream.Prior, Way: 5 * time.Millisecond},
+	}
+	d := Decide(Cost, candidates, &Step{Latency: 1, Call: 0.1})
+	is.True(d.Chosen != 0)
+	is.Equal(d.Ties, 2)
+}
+
+// Instances differ by factors in what they think of one engine, and the one that
+// thinks best of it sends all of its calls there: answers longer or shorter than
+// their hints pass for slowness. What an answer should have taken goes by its own
+// length, and by the speed of an engine that is neither slow nor fast.
+func TestLengthOfAnswersIsNoSlowness(t *testing.T) {
+	is := is.New(t)
+	e := Estimate{Wait: 0.2, Prefill: 0.2, Decode: 0.4, Slowness: 2}
+	model := &Step{Output: 20}
+	is.Equal(e.Expected(model, 20), 400*time.Millisecond)
+	is.Equal(e.Expected(model, 60), 800*time.Millisecond)
+	fast := Estimate{Decode: 0.2, Slowness: 0.5}
+	is.Equal(fast.Expected(model, 20), 400*time.Millisecond)
+	is.Equal(e.Expected(&Step{Call: 0.1}, 0), 100*time.Millisecond)
+}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -21,6 +21,9 @@
 // decide makes one decision over a sample, and where that has no upstream that
 // can take the step, over all.
 func (p *pool) decide(cells []*upstream.Cell, w *waiter, now time.Time) placement.Decision {
+	if p.key.service {
+		w.step.Call = p.meanOf(cells, now).Call
+	}
 	p.scheduler.view.Lookup(w.chain, &p.matches)
 	policy := p.scheduler.settings.Policy
 	if policy == placement.Cost && len(cells) > sampleAbove {
@@ -121,6 +124,10 @@
 	if speed.Samples > 0 {
 		return speed
 	}
+	return p.meanOf(cells, now)
+}
+
+func (p *pool) meanOf(cells []*upstream.Cell, now time.Time) upstream.Speed {
 	if now.Sub(p.meanAt) > meanEvery {
 		p.mean, p.meanAt = meanSpeed(cells), now
 	}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -234,8 +234,7 @@
 // learn takes the figures of an answer into speeds, view and expectations.
 func (s *Scheduler) learn(g *Grant, f Feedback, now time.Time) {
 	r := g.waiter.request
-	e := g.Decision.Estimate
-	g.cell.Upstream.Compare(now, f.Total, time.Duration(e.Total()/max(1, e.Slowness)*float64(time.Second)))
+	g.cell.Upstream.Compare(now, f.Total, g.Decision.Estimate.Expected(&g.waiter.step, f.Output))
 	sample := upstream.Sample{
 		Uncached: f.Prompt - f.Cached, Output: f.Output, Batch: min(g.batch, max(1, g.cell.Upstream.Slots)),
 		FirstToken: f.FirstToken, Total: f.Total,
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -118,7 +118,13 @@
 		// All that is known is a guess, which must not refuse a step.
 		return nil
 	}
-	need := time.Duration(certainShare * d.Estimate.Total() * float64(time.Second))
+	certain := d.Estimate.Total()
+	if p.key.service {
+		// Calls to a service take such different times that only the wait before
+		// one is certain.
+		certain = d.Estimate.Wait
+	}
+	need := time.Duration(certainShare * certain * float64(time.Second))
 	if !now.Add(need).After(w.request.Deadline) {
 		return nil
 	}
