Failures of replicas count against them, and are told to the other instances

A replica's own failure was passed on and counted as a cancelled call, so that an engine that fails at once stood idle, held the prompts it was sent, and drew ever more calls; a program fails whose turn comes back to it three times. Change: a replica's own 5xx (not 504) counts for the breaker and for a share of failures that is priced beyond 0.3; what fails two calls in a row is told in the load datagrams.

--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -49,6 +49,8 @@
 	waiting, running []*request
 	stepping         bool
 	gone             bool
+	// errs says that it fails at once all that it is sent.
+	errs bool
 	// prefilled counts the prompt tokens that were read.
 	prefilled int
 }
--- a/internal/experiment/entry.go
+++ b/internal/experiment/entry.go
@@ -55,6 +55,7 @@
 	cell     *upstream.Cell
 	step     placement.Step
 	estimate placement.Estimate
+	trial    uint64
 	batch    int
 	cached   int
 	sent     time.Time
@@ -87,7 +88,12 @@
 	}
 	chosen := &candidates[d.Chosen]
 	cell := cells[chosen.Index]
+	trial, ok := cell.Upstream.TakeTrial()
+	if !ok {
+		return nil, false
+	}
 	c := &choice{
+		trial:  trial,
 		engine: engineOf(cell.Upstream), cell: cell, step: step, estimate: d.Estimate,
 		batch: chosen.Load.Total + 1, cached: chosen.Cached, sent: e.clock.now,
 	}
@@ -127,11 +133,20 @@
 	c.cell.Upstream.Finish(e.clock.now.UnixNano())
 }
 
+// failed notes that the engine answered with a failure.
+func (e *modelEntry) failed(c *choice) {
+	e.refused(c)
+	c.cell.Upstream.Failed(e.clock.now, upstream.Failure{Kind: upstream.Erred})
+	c.cell.Upstream.ReleaseTrial(c.trial)
+}
+
 // ended learns from a whole answer.
 func (e *modelEntry) ended(c *choice, first time.Duration, cached, made int) {
 	now := e.clock.now
 	u := c.cell.Upstream
 	u.Finish(now.UnixNano())
+	u.Succeeded(now)
+	u.ReleaseTrial(c.trial)
 	total := now.Sub(c.sent)
 	u.Compare(now, total, c.estimate.Expected(&c.step, made))
 	c.cell.Learn(upstream.Sample{
@@ -141,13 +156,16 @@
 }
 
 // load is what an entry tells the others.
-type load struct{ calls, backlog int }
+type load struct {
+	calls, backlog int
+	erring         bool
+}
 
 func (e *modelEntry) loads() map[string]load {
 	loads := map[string]load{}
 	for _, u := range e.table.Members().All {
 		l := u.Load(e.clock.now.UnixNano())
-		loads[u.Name] = load{calls: l.Own, backlog: max(0, l.OwnBacklog)}
+		loads[u.Name] = load{calls: l.Own, backlog: max(0, l.OwnBacklog), erring: u.Erring(e.clock.now)}
 	}
 	return loads
 }
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -104,3 +104,15 @@
 	c.run(epoch.Add(2 * time.Hour))
 	is.Equal(e.prefilled-read, 1)
 }
+
+// One engine in seven fails at once all it is sent, and stands idle with the
+// prompts it was sent, which draws more: 0.857 of the programs were on time before
+// failures counted against engines, and 1.000 after.
+func TestErringEnginesAreLeft(t *testing.T) {
+	result, err := Run(options(t, Kerlouan, "err", 0.7))
+	is := is.New(t)
+	is.NoErr(err)
+	t.Logf("%.4f in time, %d failed", result.InTimeShare(), result.Failed)
+	is.True(result.InTimeShare() > 0.99)
+	is.True(result.Failed <= 2)
+}
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -27,6 +27,8 @@
 	// leaves then.
 	slow   func(engine int) float64
 	leaves func(engine int) bool
+	// errs says that an engine fails at once all that it is sent from faultAt on.
+	errs func(engine int) bool
 	// loops is the share of programs that never end by themselves.
 	loops float64
 }
@@ -59,6 +61,7 @@
 		return 1
 	}},
 	{Name: "leave", What: "half of the engines leave in the middle", leaves: func(engine int) bool { return engine%2 == 1 }},
+	{Name: "err", What: "one engine in seven fails at once all it is sent from the middle on", errs: func(engine int) bool { return engine%7 == 1 }},
 	{Name: "loop", What: "one program in ten never ends by itself", loops: 0.1},
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -24,6 +24,10 @@
 	// hintSpread is how far callers' hints of an answer's length are off, as the
 	// standard deviation of their logarithm: right at the median, often far off.
 	hintSpread = 0.5
+	// failuresMost is how often a turn may fail, and resendAfter the pause before
+	// it is sent again.
+	failuresMost = 3
+	resendAfter  = 250 * time.Millisecond
 	// loopTurns bounds the turns of a program that loops, as its budget does.
 	loopTurns = 40
 	// objective is added to each program's aim.
@@ -195,6 +199,7 @@
 		r.clock.after(way, func() { entry.began(c) })
 	}
 	q.done = func() {
+		p.failures = 0
 		r.count(q)
 		r.clock.after(way, func() {
 			entry.ended(c, first, q.cached, out)
@@ -202,6 +207,10 @@
 		})
 	}
 	r.clock.after(way, func() {
+		if r.engines[c.engine].errs {
+			r.clock.after(way, func() { r.failed(p, c, out, waits, done) })
+			return
+		}
 		if r.engines[c.engine].submit(q) {
 			return
 		}
@@ -213,6 +222,17 @@
 	})
 }
 
+// failed ends a turn that its engine failed. The caller sends it again, from its
+// start, and gives the program up after the third time in a row.
+func (r *run) failed(p *program, c *choice, out, waits int, done func(bool)) {
+	r.entries[p.entry].failed(c)
+	if p.failures++; p.failures >= failuresMost {
+		done(false)
+		return
+	}
+	r.clock.after(resendAfter, func() { r.send(p, out, nil, waits, done) })
+}
+
 // count adds up how much of a prompt had to be read by some engine.
 func (r *run) count(q *request) {
 	fresh := 0
@@ -250,7 +270,8 @@
 	for i, e := range r.entries {
 		own[i] = e.loads()
 		for name, l := range own[i] {
-			sums[name] = load{calls: sums[name].calls + l.calls, backlog: sums[name].backlog + l.backlog}
+			sum := sums[name]
+			sums[name] = load{calls: sum.calls + l.calls, backlog: sum.backlog + l.backlog, erring: sum.erring || l.erring}
 		}
 	}
 	r.clock.after(way, func() {
@@ -258,6 +279,9 @@
 			for _, u := range e.table.Members().All {
 				sum, mine := sums[u.Name], own[i][u.Name]
 				u.OthersHave(sum.calls-mine.calls, sum.backlog-mine.backlog, r.clock.now.Add(tellLife))
+				if sum.erring {
+					u.PeerSaysErring(r.clock.now.Add(tellLife))
+				}
 			}
 		}
 	})
@@ -276,6 +300,7 @@
 		if pattern.leaves != nil && pattern.leaves(i) {
 			e.leave()
 		}
+		e.errs = pattern.errs != nil && pattern.errs(i)
 	}
 	if pattern.leaves == nil {
 		return
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -85,6 +85,8 @@
 	blocks []uint64
 	// began and aim tell when it began and until when it is on time.
 	began, aim time.Time
+	// failures counts how often its turn failed.
+	failures int
 	// loops says that it goes on for ever and earns nothing.
 	loops bool
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -165,7 +165,7 @@
 	if err != nil || answer.Length >= 0 && int64(len(body)) != answer.Length {
 		return nil, nil, spoiled
 	}
-	g.Done(scheduler.Feedback{Total: time.Since(started), FirstToken: time.Since(started)})
+	g.Done(scheduler.Feedback{Failure: ownFailure(answer.Status), Total: time.Since(started), FirstToken: time.Since(started)})
 	return answer, body, whole
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -323,3 +323,18 @@
 	out := serve(t, turnRoute, turnCall(), &fakeTurns{err: ErrIsolated}, good("never"))
 	is.Equal(out.result.RetryAfter, movedAfter-time.Second)
 }
+
+// A replica that fails all calls at once draws ever more of them. Its own failures
+// must count against it; a call's fault and a passed deadline must not.
+func TestOwnFailuresCountAgainstAReplica(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ownFailure(500).Kind, upstream.Erred)
+	is.Equal(ownFailure(503).Kind, upstream.Erred)
+	for _, status := range []int{200, 402, 404, 504} {
+		is.True(ownFailure(status) == nil)
+	}
+	out := serve(t, turnRoute, turnCall(), &fakeTurns{}, answers(Answer{Status: 500, Verified: true, Run: true}, "broken"))
+	is.Equal(out.status, 500)
+	is.Equal(out.body, "broken")
+	is.Equal(out.result.Outcome, Answered)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
+	"foxhall/internal/upstream"
 )
 
 const readSize = 16 << 10
@@ -125,10 +127,19 @@
 	if err != nil || f.begun {
 		return lost, Result{}
 	}
-	g.Done(scheduler.Feedback{Cancelled: true})
+	g.Done(scheduler.Feedback{Failure: ownFailure(a.Status), Cancelled: ownFailure(a.Status) == nil})
 	return whole, f.pass(a, body)
 }
 
+// ownFailure is what a replica's answer with the status says against it: nothing
+// where the call was at fault, or its time was over.
+func ownFailure(status int) *upstream.Failure {
+	if status < http.StatusInternalServerError || status == http.StatusGatewayTimeout {
+		return nil
+	}
+	return &upstream.Failure{Kind: upstream.Erred}
+}
+
 // relay passes on whole events as they come.
 func (f *flight) relay(g *scheduler.Grant, a *Answer, rec *record, started time.Time, watch *watchdog) (verdict, Result) {
 	var split splitter
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -11,6 +11,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,9 +159,12 @@
 
 func (x *Exchange) own() *peerloadpb.Load {
 	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
-	now := time.Now().UnixNano()
+	now := time.Now()
 	for _, u := range x.table.Members().All {
-		l := u.Load(now)
+		if u.Erring(now) {
+			load.Erring = append(load.Erring, xxhash.Sum64String(u.Name))
+		}
+		l := u.Load(now.UnixNano())
 		if l.Own == 0 {
 			continue
 		}
@@ -234,6 +238,9 @@
 	}
 	for _, u := range x.table.Members().All {
 		hash := xxhash.Sum64String(u.Name)
+		if slices.Contains(load.Erring, hash) {
+			u.PeerSaysErring(now.Add(life))
+		}
 		u.OthersHave(int(scale*float64(calls[hash])), int(scale*float64(backlog[hash])), now.Add(life))
 	}
 }
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -99,3 +99,23 @@
 		is.True(x.CutOffFor() > time.Second)
 	})
 }
+
+// Each instance learns by its own callers' failures which replica fails all calls:
+// with fifty instances hundreds of turns fail. One's word must be enough for all,
+// and no longer than it is told.
+func TestErringReplicasAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, u := exchange()
+		for range 3 {
+			u.Failed(time.Now(), upstream.Failure{Kind: upstream.Erred})
+		}
+		is.Equal(x.own().Erring, []uint64{xxhash.Sum64String("u")})
+		y, other := exchange()
+		y.take(x.own(), time.Now())
+		is.True(other.Load(time.Now().UnixNano()).Erring > 0)
+		is.True(!other.Erring(time.Now()))
+		time.Sleep(life + time.Millisecond)
+		is.Equal(other.Load(time.Now().UnixNano()).Erring, 0.0)
+	})
+}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -35,10 +35,23 @@
 	e.Decode = c.Load.Slowness*float64(s.Output)*tokenTime + serviceTime(c, s)
 	e.Others = othersTime(c, s, e.Prefill)
 	e.Wasted = c.Load.Slowness * wastedTokens(c, s, bestCached) / c.Speed.Prefill
-	e.Cost = s.Latency*(e.Total()+othersWeight*e.Others) + s.Cache*e.Wasted
+	e.Cost = s.Latency*(e.Total()+othersWeight*e.Others+errorTime(c)) + s.Cache*e.Wasted
 	return e
 }
 
+const (
+	// errorCost is what a call costs its program that is answered with a failure,
+	// in seconds: the turn is sent again after a pause, and there are few tries.
+	errorCost = 5
+	// errorsFree is the share of failures that says nothing: services fail one
+	// call in a hundred by themselves, and that one must not drive all calls to
+	// the other replicas.
+	errorsFree = 0.3
+)
+
+// errorTime is the expected cost of failures at a candidate, in seconds.
+func errorTime(c *Candidate) float64 { return errorCost * max(0, c.Load.Erring-errorsFree) }
+
 // serviceSpread is how many times the mean a service's calls take by themselves:
 // a replica counts as slow only beyond it.
 const serviceSpread = 2
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -174,3 +174,17 @@
 	is.Equal(fast.Expected(model, 20), 400*time.Millisecond)
 	is.Equal(e.Expected(&Step{Call: 0.1}, 0), 100*time.Millisecond)
 }
+
+// A replica that fails what it is sent is idle and would be the cheapest. It must
+// be left while another is free, and one failure must not be enough for that.
+func TestErringUpstreamIsLeft(t *testing.T) {
+	is := is.New(t)
+	at := func(erring float64) Candidate {
+		return Candidate{Slots: 4, Load: upstream.Load{Slowness: 1, Limit: 8, Erring: erring}, Speed: upstream.Prior}
+	}
+	busy := at(0)
+	busy.Load.Total = 3
+	step := &Step{Latency: 1, Prompt: 600, Output: 10}
+	is.Equal(Decide(Cost, []Candidate{at(0.25), busy}, step).Chosen, 0)
+	is.Equal(Decide(Cost, []Candidate{at(0.58), busy}, step).Chosen, 1)
+}
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -58,11 +58,12 @@
 // Succeeded notes a call that was answered.
 func (u *Upstream) Succeeded(now time.Time) {
 	u.Progress(now.UnixNano())
-	if u.openUntil.Load() == 0 && !u.failing() {
+	if u.openUntil.Load() == 0 && !u.failing() && u.erring.share.Load() == 0 {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.erring.note(now.UnixNano(), false)
 	if u.breaker.open {
 		u.rampFrom.Store(now.UnixNano())
 	}
@@ -88,6 +89,10 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if f.Kind == Erred {
+		u.Progress(now.UnixNano())
+		u.erring.note(now.UnixNano(), true)
+	}
 	u.breaker.failures++
 	u.breaker.refused = f.Kind == NotSent || f.Kind == Silent
 	if u.breaker.open || u.breaker.failures >= tripAfter || u.breaker.refused {
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -24,6 +24,9 @@
 	// Silent says that the upstream stopped answering anything: the call may
 	// have run, and others sent there now would be lost like it.
 	Silent
+	// Erred says that the upstream ran the call and answered with a failure of
+	// its own.
+	Erred
 )
 
 // Failure is a failed call as the table sees it.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,6 +35,8 @@
 	slowness   atomic.Int64
 	slownessAt atomic.Int64
 
+	erring erring
+
 	leaving   atomic.Bool
 	probedAt  atomic.Int64
 	openUntil atomic.Int64
@@ -113,6 +115,8 @@
 	OwnBacklog, Backlog int
 	// Slowness multiplies expected times; 1 is as expected.
 	Slowness float64
+	// Erring is the share of calls that are answered with a failure.
+	Erring float64
 }
 
 // Load returns the upstream's load at now, in Unix nanoseconds.
@@ -120,7 +124,7 @@
 	own := int(u.inFlight.Load())
 	total := own
 	backlog := int(u.backlog.Load())
-	l := Load{Own: own, Limit: u.limit(now), OwnBacklog: backlog, Slowness: u.slow(now)}
+	l := Load{Own: own, Limit: u.limit(now), OwnBacklog: backlog, Slowness: u.slow(now), Erring: u.erring.now(now)}
 	if now < u.othersUntil.Load() {
 		total += int(u.others.Load())
 		backlog += int(u.othersBacklog.Load())
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -252,3 +252,28 @@
 	is.Equal(u.Load(now.UnixNano()).Condition, Leaving)
 	is.True(table.Members().Upstream("e").ID != u.ID)
 }
+
+// An engine that fails all its calls at once draws ever more of them. Its share of
+// failures must rise with its first ones, be told to others, fall with successes,
+// and be forgotten with time, so that it is tried again.
+func TestShareOfFailuresRisesFastAndIsForgotten(t *testing.T) {
+	is := is.New(t)
+	u := &Upstream{}
+	now := time.Now()
+	share := func() float64 { return u.Load(now.UnixNano()).Erring }
+	is.Equal(share(), 0.0)
+	u.Failed(now, Failure{Kind: Erred})
+	is.True(share() >= 0.2)
+	is.True(!u.Erring(now))
+	u.Failed(now, Failure{Kind: Erred})
+	is.True(u.Erring(now))
+	now = now.Add(erringHalf)
+	is.True(!u.Erring(now))
+	before := share()
+	u.Succeeded(now)
+	is.True(share() < before)
+	u.PeerSaysErring(now.Add(time.Second))
+	is.Equal(share(), erringTold)
+	now = now.Add(2 * time.Second)
+	is.True(share() < erringTold)
+}
