Only those that did not hear the store hold removed replicas after an outage

Each took the store's first word to its new process for the store's return from an outage, held removed replicas for 2.5 s, and told all others to. Read from the times (removal + 2.5 s + passing on) and mirror's noteReturn; both tests failed first. Ruled out: a late list (the store was stable, checks run each 1.1 s); the fewer followers (the two requests shown came through entries of a data centre whose follower was up). Change: the first word to a process, and a doubted one, tell of no outage; another's word counts only where the store was silent for as long as entries take to lapse.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -270,9 +270,11 @@
 
 // noteReturn is called before what the store says is taken in. After an outage
 // it may say that living replicas are gone, whose entries lapsed meanwhile;
-// those who hear of it have to know.
+// those who hear of it have to know. The first word to a process says nothing of
+// an outage: with instances restarted one after the other, removed replicas would
+// be held for good.
 func (f *Follower) noteReturn(k Kind) {
-	if now := time.Now(); k == Replicas && f.mirror.Age(k, now) >= outageAfter {
+	if now := time.Now(); k == Replicas && f.mirror.AfterOutage(k, now) && f.mirror.Age(k, now) >= outageAfter {
 		f.mirror.SetUnsettled(now.Add(returnTime))
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,8 +62,9 @@
 	removed []Entry
 	// since is the version from which on removed is complete.
 	since store.Version
-	// confirmed is when the store last said what the kind holds.
-	confirmed time.Time
+	// confirmed is when the store last said what the kind holds, returned when it
+	// last did so after an outage.
+	confirmed, returned time.Time
 }
 
 // Mirror is the copy of all kinds. It is safe for concurrent use.
@@ -108,9 +109,24 @@
 func (m *Mirror) Confirm(k Kind, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c := m.kinds[k]; at.After(c.confirmed) {
-		c.confirmed = at
+	c := m.kinds[k]
+	if !at.After(c.confirmed) {
+		return
+	}
+	if !c.confirmed.IsZero() && at.Sub(c.confirmed) >= outageAfter {
+		c.returned = at
 	}
+	c.confirmed = at
+}
+
+// AfterOutage reports whether the store is silent for so long, or was until a
+// moment ago, that entries may have lapsed meanwhile.
+func (m *Mirror) AfterOutage(k Kind, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[k]
+	silent := !c.confirmed.IsZero() && now.Sub(c.confirmed) >= outageAfter
+	return silent || now.Sub(c.returned) < returnTime
 }
 
 // Doubt takes back when the store last confirmed what is mirrored: this process
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -335,7 +335,9 @@
 }
 
 func (r *Relay) take(deltas []*mirrorpb.Delta, unsettledMs int64) {
-	if unsettledMs > 0 {
+	// An instance that was cut off takes its own return for the store's. Those that
+	// heard the store all along must not hold removed replicas for its word.
+	if unsettledMs > 0 && r.mirror.AfterOutage(Replicas, time.Now()) {
 		r.mirror.SetUnsettled(time.Now().Add(time.Duration(unsettledMs) * time.Millisecond))
 	}
 	for _, d := range deltas {
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -299,3 +299,45 @@
 	is.Equal(before, time.Duration(0))
 	is.Equal(unsettled, returnTime)
 }
+
+// A replica whose entry was removed goes on getting calls: instances that are
+// restarted one after the other each take the store's first word to them for its
+// return from an outage, and tell all others that removed replicas may be back.
+// One that never heard the store, or doubts what it heard, knows of no outage.
+func TestFirstWordToARestartedInstanceUnsettlesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		m := New()
+		f := NewFollower(m, storeOf{s, "i"}, &log.Logger{Handler: discard.Default})
+		f.Look(context.Background())
+		is.Equal(m.Unsettled(time.Now()), time.Duration(0))
+		time.Sleep(time.Minute)
+		m.Doubt()
+		f.Look(context.Background())
+		is.Equal(m.Unsettled(time.Now()), time.Duration(0))
+	})
+}
+
+// A replica whose entry was removed goes on getting calls: an instance that was cut
+// off alone takes its return for the store's, and tells all others that removed
+// replicas may be back. Those that heard the store meanwhile must not believe it,
+// and those that did not must.
+func TestReturnOfACutOffInstanceUnsettlesNobodyElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := New()
+		r := NewRelay("i", "a", m, nil, nil, &log.Logger{Handler: discard.Default})
+		r.follower = NewFollower(m, nil, r.logger)
+		word := &mirrorpb.ExchangeRequest{From: "j", UnsettledMs: returnTime.Milliseconds()}
+		m.Confirm(Replicas, time.Now())
+		time.Sleep(outageAfter / 2)
+		_, err := r.Exchange(context.Background(), word)
+		is.NoErr(err)
+		is.Equal(m.Unsettled(time.Now()), time.Duration(0))
+		time.Sleep(outageAfter)
+		_, err = r.Exchange(context.Background(), word)
+		is.NoErr(err)
+		is.Equal(m.Unsettled(time.Now()), returnTime)
+	})
+}
