One instance takes over where the store refuses the first of a large data centre

Change: an instance also leaves the store to a later one that follows it; of several that do, the first by name goes on.

--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -162,9 +162,23 @@
 	}
 }
 
-// before returns the peers of the data centre that should follow the store
-// sooner than this instance, the first of all first.
+// before returns the peers that this instance leaves the store to while they
+// follow it: those of the data centre that should do so sooner, the first of all
+// first. Where those can't, others have taken over; of these the first by name
+// goes on, and one that does not follow leaves it to any.
 func (r *Relay) before(peers []Peer) []Peer {
+	before := r.sooner(peers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.followers {
+		if p.DataCentre == r.dataCentre && (r.followStop == nil || p.Name < r.name) {
+			return append([]Peer{p}, before...)
+		}
+	}
+	return before
+}
+
+func (r *Relay) sooner(peers []Peer) []Peer {
 	var before []Peer
 	now := time.Now()
 	for _, p := range peers {
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -341,3 +341,25 @@
 		is.Equal(m.Unsettled(time.Now()), returnTime)
 	})
 }
+
+// A store that refuses the first instances of a large data centre is called by all
+// the others: each asks the first ones whether they follow, and never hears of the
+// one that took over.
+func TestOneTakesOverForManyRefused(t *testing.T) {
+	inFleetOf(t, 40, func(s *fakeStore, all []*instance) error {
+		s.set(func() {
+			for _, i := range all[:10] {
+				s.refused[i.name] = true
+			}
+			close(s.changed)
+			s.changed = make(chan struct{})
+		})
+		time.Sleep(40 * time.Second)
+		s.change()
+		time.Sleep(2 * time.Second)
+		if n, late := following(all), behind(all, 6); n > 6 || late != nil {
+			return errors.Errorf("%d follow, behind: %v", n, late)
+		}
+		return nil
+	})
+}
