--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -68,6 +68,8 @@
 		return
 	}
 	k.known, k.version = a, version
+	// A newer assignment came from the store, so it is back.
+	k.storePause, k.storeAfter = 0, time.Time{}
 	for _, s := range k.slices {
 		if next := a.Slices[s.number]; next.Epoch > s.role.Epoch {
 			k.assign(s, next)
