--- /dev/null
+++ b/internal/history/reads.go
@@ -0,0 +1,57 @@
+package history
+
+import (
+	"context"
+	"time"
+)
+
+// runReads reads the assignment from the store when it is asked for.
+func (k *Keeper) runReads(ctx context.Context) {
+	for {
+		select {
+		case <-k.wakeRead:
+		case <-ctx.Done():
+			return
+		}
+		a, version, err := k.assignments.Read(ctx)
+		if err != nil {
+			k.settings.Logger.WithError(err).Warn("assignment not read")
+			sleep(ctx, k.storeLost())
+			continue
+		}
+		k.storeBack()
+		k.mu.Lock()
+		k.verified = true
+		k.mu.Unlock()
+		k.Adopt(a, version)
+		// A burst of refusals asks for one read.
+		time.Sleep(readPause)
+	}
+}
+
+// readPause is the least time between two reads of the assignment. It is short,
+// since keepers that change it at the same time take turns by reading it again.
+const readPause = 25 * time.Millisecond
+
+const (
+	// While the store does not answer, calls to it wait from storeFirst to
+	// storeMost: each is paid for, and there are many keepers.
+	storeFirst = 100 * time.Millisecond
+	storeMost  = 400 * time.Millisecond
+)
+
+// storeLost notes that the store did not answer, and returns for how long it is
+// not called.
+func (k *Keeper) storeLost() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storePause = min(storeMost, max(storeFirst, 2*k.storePause))
+	k.storeAfter = time.Now().Add(k.storePause)
+	return k.storePause
+}
+
+func (k *Keeper) storeBack() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storePause, k.storeAfter = 0, time.Time{}
+}
