--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -208,21 +208,17 @@
 // entry that was deleted, its programs would have two owners. What outlives the
 // object tells, and is asked first.
 func (k *Keeper) ensureObject(ctx context.Context, c program.Cohort) error {
-	object, err := k.o.Store.Get(ctx, ledger.MovedKey(c))
-	if err == nil {
-		moved, err := ledger.DecodeCohort(object)
-		if err != nil {
-			return errors.Wrap(err, string(c))
-		}
-		k.dir.Learn(moved)
+	moved, err := k.moved(ctx, c)
+	if err != nil {
+		return err
+	}
+	if moved != nil {
+		k.dir.Learn(*moved)
 		if err := deleteObject(ctx, k.o.Store, ledger.CohortKey(c)); err != nil {
 			return errors.Wrap(err, string(c))
 		}
 		return errors.Wrapf(store.ErrNotFound, "%s: adopted before", c)
 	}
-	if !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
 	_, err = k.o.Store.Get(ctx, ledger.CohortKey(c))
 	if !errors.Is(err, store.ErrNotFound) {
 		return err
@@ -230,6 +226,24 @@
 	return ledger.CreateCohort(ctx, k.o.Store, ledger.Cohort{Cohort: c, First: 1})
 }
 
+// moved returns what outlives the object of an adopted cohort, or nil. It asks
+// for a listing: the read of a single object may come from an older state, in
+// which there is none, and a cohort would be sealed a second time.
+func (k *Keeper) moved(ctx context.Context, c program.Cohort) (*ledger.Cohort, error) {
+	objects, err := k.o.Store.List(ctx, ledger.KindCohortMoved, ledger.MovedKey(c).Name)
+	if err != nil {
+		return nil, errors.Wrap(err, string(c))
+	}
+	for _, object := range objects {
+		if object.Key != ledger.MovedKey(c) {
+			continue
+		}
+		moved, err := ledger.DecodeCohort(object)
+		return &moved, errors.Wrap(err, string(c))
+	}
+	return nil, nil
+}
+
 // notify tells the successors, so that they don't wait for their next pass.
 func (k *Keeper) notify(ctx context.Context, sealed ledger.Cohort) {
 	if k.o.Notifier == nil {
