ownership: a test's world is at rest before its nodes are killed

Ruled out: a fault of the product: both accesses are in the test's world. Change: the test waits until the bubble is at rest before the first kill.

--- a/internal/ownership/failure_test.go
+++ b/internal/ownership/failure_test.go
@@ -79,6 +79,8 @@
 		survivor := w.start(1)
 		ids := append(leaving.seed(t, 40), successor.seed(t, 10)...)
 		is.NoErr(leaving.keeper.HandOver(t.Context()))
+		// The survivor's keeper reads the world's state: it must be at rest.
+		synctest.Wait()
 		w.crash(leaving)
 		w.crash(successor)
 		time.Sleep(time.Minute)
