Read again: who follows the store in a file of its own, waits by the library

Cause: relay.go had grown to 473 lines with three jobs; the keepers' waits for a lost store were doubled by hand though the project uses a library for that; a failed read before the first assignment was not logged; two places reset the waits that another reset already. Change: mirror/succession.go and mirror/wire.go by moving only; storeWaits is a backoff.ExponentialBackOff, with its jitter, so that keepers do not call a returning store at the same moment; the read logs.

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
 	"foxhall/internal/history/historypb"
@@ -87,9 +88,9 @@
 	writingSince time.Time
 	senders      map[string]chan struct{}
 	ctx          context.Context
-	// storePause is for how long the store is not called after it did not
-	// answer, and storeAfter until when.
-	storePause time.Duration
+	// storeWaits gives for how long the store is not called after it did not
+	// answer, and storeAfter is until when.
+	storeWaits *backoff.ExponentialBackOff
 	storeAfter time.Time
 
 	wakeWriter chan struct{}
@@ -145,6 +146,7 @@
 		wakeWriter:  make(chan struct{}, 1),
 		wakeRoles:   make(chan struct{}, 1),
 		wakeRead:    make(chan struct{}, 1),
+		storeWaits:  newStoreWaits(),
 	}
 	for i := range k.slices {
 		k.slices[i] = &slice{number: uint32(i), state: newState(), links: map[string]*link{}}
--- a/internal/history/reads.go
+++ b/internal/history/reads.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 // runReads reads the assignment from the store when it is asked for.
@@ -19,8 +21,8 @@
 			sleep(ctx, k.storeLost())
 			continue
 		}
-		k.storeBack()
 		k.mu.Lock()
+		k.storeBack()
 		k.verified = true
 		k.mu.Unlock()
 		k.Adopt(a, version)
@@ -45,13 +47,19 @@
 func (k *Keeper) storeLost() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storePause = min(storeMost, max(storeFirst, 2*k.storePause))
-	k.storeAfter = time.Now().Add(k.storePause)
-	return k.storePause
+	pause := k.storeWaits.NextBackOff()
+	k.storeAfter = time.Now().Add(pause)
+	return pause
 }
 
+// storeBack notes that the store answers; the lock is held.
 func (k *Keeper) storeBack() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.storePause, k.storeAfter = 0, time.Time{}
+	k.storeWaits.Reset()
+	k.storeAfter = time.Time{}
+}
+
+func newStoreWaits() *backoff.ExponentialBackOff {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval = storeFirst, storeMost
+	return waits
 }
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -69,7 +69,7 @@
 	}
 	k.known, k.version = a, version
 	// A newer assignment came from the store, so it is back.
-	k.storePause, k.storeAfter = 0, time.Time{}
+	k.storeBack()
 	for _, s := range k.slices {
 		if next := a.Slices[s.number]; next.Epoch > s.role.Epoch {
 			k.assign(s, next)
@@ -215,6 +215,7 @@
 	}
 	a, version, err := k.assignments.Read(ctx)
 	if err != nil {
+		k.settings.Logger.WithError(err).Warn("assignment not read before the first is made")
 		return
 	}
 	if version > 0 {
@@ -231,7 +232,6 @@
 	version, err := k.assignments.Write(ctx, a, base)
 	switch {
 	case err == nil:
-		k.storeBack()
 		k.Adopt(a, version)
 	case errors.Is(err, store.ErrUnavailable):
 		// Surely not written: there is nothing to read either.
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -23,24 +22,6 @@
 	relayTime = 400 * time.Millisecond
 	// fanOut is the number of peers that hear of a change at once.
 	fanOut = 3
-	// silentRounds is how many rounds in a row the instances that should follow
-	// the store must be silent before this one does it.
-	silentRounds = 2
-	// askMost bounds the instances that are asked in a round whether they follow.
-	// Each of them that lives and is not answered doubles the rounds that this
-	// one waits: while the store is away a few instances of a data centre call
-	// it, and not all of a fleet four times a second each.
-	askMost = 4
-	// unreachedFor is how long an instance that did not answer is not asked.
-	unreachedFor = 3 * time.Second
-	// silentRoundsAtStart is the same for an instance that has heard of no
-	// other yet: all start at once, and those at the seeds' addresses may be late.
-	silentRoundsAtStart = 4
-	// followsLeast is how long an instance follows at least, so that two that
-	// hear of each other by turns do not both start and stop.
-	followsLeast = 2 * time.Second
-	// lostMost is how long the store may not answer a follower that others rely on.
-	lostMost = 700 * time.Millisecond
 )
 
 // Peer is another instance.
@@ -175,50 +156,6 @@
 	}
 }
 
-// before returns the peers that this instance leaves the store to while they
-// follow it: those of the data centre that should do so sooner, the first of all
-// first. Where those can't, others have taken over; of these the first by name
-// goes on, and one that does not follow leaves it to any.
-func (r *Relay) before(peers []Peer) []Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	before := r.sooner(peers)
-	if p, ok := r.firstFollower(); ok && r.leavesTo(p) {
-		before = append([]Peer{p}, before...)
-	}
-	if r.told != nil && r.leavesTo(*r.told) {
-		before = append([]Peer{*r.told}, before...)
-	}
-	r.told = nil
-	return before
-}
-
-// leavesTo reports whether this instance leaves the store to p while p follows it.
-func (r *Relay) leavesTo(p Peer) bool { return r.followStop == nil || p.Name < r.name }
-
-// firstFollower returns the first peer by name of the data centre that follows
-// the store by its last word.
-func (r *Relay) firstFollower() (first Peer, ok bool) {
-	for _, p := range r.followers {
-		if p.DataCentre == r.dataCentre && (!ok || p.Name < first.Name) {
-			first, ok = p, true
-		}
-	}
-	return first, ok
-}
-
-func (r *Relay) sooner(peers []Peer) []Peer {
-	var before []Peer
-	now := time.Now()
-	for _, p := range peers {
-		if p.DataCentre == r.dataCentre && p.Name < r.name && now.After(r.unreached[p.Name]) {
-			before = append(before, p)
-		}
-	}
-	slices.SortFunc(before, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	return before[:min(askMost, len(before))]
-}
-
 // spread tells some peers of a change at once.
 func (r *Relay) spread(ctx context.Context) {
 	peers := r.peers()
@@ -228,31 +165,6 @@
 	}
 }
 
-func (r *Relay) follow(ctx context.Context) {
-	if r.followStop != nil {
-		return
-	}
-	r.logger.Info("following the store")
-	ctx, cancel := context.WithCancel(ctx)
-	r.followStop, r.followSince = cancel, time.Now()
-	done := make(chan struct{})
-	r.followDone = done
-	go func() {
-		defer close(done)
-		r.follower.Run(ctx)
-	}()
-}
-
-func (r *Relay) unfollow() {
-	if r.followStop == nil {
-		return
-	}
-	r.logger.Info("leaving the store to others")
-	r.followStop()
-	<-r.followDone
-	r.followStop = nil
-}
-
 // exchange takes what the peer knows and this instance does not, and gives it
 // what it lacks. It reports whether the peer follows the store and is answered.
 func (r *Relay) exchange(ctx context.Context, p Peer) (following, ok bool) {
@@ -285,11 +197,6 @@
 	return response.Following, true
 }
 
-// Following reports whether this instance follows the store and is answered.
-func (r *Relay) Following() bool {
-	return r.follower.Active() && r.follower.LostFor(time.Now()) < lostMost
-}
-
 // Exchange implements mirrorpb.Relay.
 func (r *Relay) Exchange(_ context.Context, request *mirrorpb.ExchangeRequest) (*mirrorpb.ExchangeResponse, error) {
 	r.take(request.Deltas, request.UnsettledMs)
@@ -319,65 +226,6 @@
 	}
 }
 
-func (r *Relay) noteFollowing(p Peer, following bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if following {
-		r.followers[p.Name] = p
-		return
-	}
-	delete(r.followers, p.Name)
-}
-
-func (r *Relay) noteUnreached(p Peer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.unreached[p.Name] = time.Now().Add(unreachedFor)
-}
-
-// knownFollower returns the first of the data centre that follows the store by
-// its own word, this instance among them; empty for none. What this instance was
-// only told is left out, or the name of one that has stopped would go round for
-// good.
-func (r *Relay) knownFollower() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	first, ok := r.firstFollower()
-	if r.Following() && (!ok || r.name < first.Name) {
-		return r.name
-	}
-	return first.Name
-}
-
-// noteTold takes in whom a peer of the data centre names as its follower.
-//
-// The failure: many take over from followers that are refused, and by their own
-// questions those hear of each other only after minutes; all that time a store
-// in trouble is called by several instances of a data centre. All others know
-// the first of them, as they leave the store to it, so any answer tells. The
-// named one is asked itself in the next round, before it is relied on.
-func (r *Relay) noteTold(name string) {
-	if name == "" || name == r.name || !r.unheard(name) {
-		return
-	}
-	for _, p := range r.peers() {
-		if p.Name == name && p.DataCentre == r.dataCentre {
-			r.mu.Lock()
-			r.told = &p
-			r.mu.Unlock()
-			return
-		}
-	}
-}
-
-// unheard reports whether nothing is known yet of the peer, which should answer.
-func (r *Relay) unheard(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, known := r.followers[name]
-	return !known && time.Now().After(r.unreached[name])
-}
-
 // partner chooses whom to exchange with in a round. Followers often choose each
 // other, so that what one of them has asked the store the others need not ask.
 func (r *Relay) partner(peers []Peer) (Peer, bool) {
@@ -444,30 +292,3 @@
 		}
 	}
 }
-
-func wireDelta(d Delta) *mirrorpb.Delta {
-	return &mirrorpb.Delta{
-		Kind:    string(d.Kind),
-		Full:    d.Full,
-		From:    uint64(d.From),
-		AsOf:    uint64(d.AsOf),
-		Entries: wireEntries(d.Entries),
-		Removed: wireEntries(d.Removed),
-	}
-}
-
-func wireEntries(list []Entry) []*mirrorpb.Entry {
-	out := make([]*mirrorpb.Entry, 0, len(list))
-	for _, e := range list {
-		out = append(out, &mirrorpb.Entry{Name: e.Name, Revision: uint64(e.Revision), Value: e.Value})
-	}
-	return out
-}
-
-func entries(list []*mirrorpb.Entry) []Entry {
-	out := make([]Entry, 0, len(list))
-	for _, e := range list {
-		out = append(out, Entry{Name: e.Name, Revision: store.Version(e.Revision), Value: e.Value})
-	}
-	return out
-}
