--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -288,6 +288,7 @@
 			}
 			response, err := keeper.Find(ctx, &historypb.FindRequest{Turn: turn})
 			if err != nil {
+				c.logger.WithError(err).WithField("keeper", name).WithField("request", turn).Debug("turn not asked for here")
 				continue
 			}
 			if len(response.Chain) > 0 {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -399,6 +399,7 @@
 	r := &historypb.AppendRequest{From: k.settings.Name, Disk: f.disk, Slices: []*historypb.SliceAppend{part}}
 	response, err := k.peers.Append(ctx, f.partner, r)
 	if err != nil {
+		k.settings.Logger.WithError(err).WithField("partner", f.partner).WithField("slice", part.Slice).Debug("slice not sent")
 		return false
 	}
 	k.mu.Lock()
--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -89,6 +89,7 @@
 	defer cancel()
 	response, err := k.peers.Append(ctx, partner, r)
 	if err != nil {
+		k.settings.Logger.WithError(err).WithField("partner", partner).Debug("records not sent, to be sent again")
 		return false
 	}
 	k.mu.Lock()
