The last keeper that has a slice holds it alone

Change: entries testify by a small call whom they hear; the last keeper goes on alone by the usual conditional write and takes a partner when one is back.

--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -17,20 +16,7 @@
 
 // inWorld runs a test on virtual time over four keepers that are whole.
 func inWorld(t *testing.T, test func(w *world, fail func(error))) {
-	var failed error
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 4, 1)
-		w.startAll()
-		time.Sleep(settledIn)
-		test(w, func(err error) {
-			if failed == nil {
-				failed = err
-			}
-		})
-		w.stopAll()
-		time.Sleep(releaseTime)
-	})
-	is.New(t).NoErr(failed)
+	inWorldOf(t, func(t *testing.T) *world { return newWorld(t, 4, 1) }, test)
 }
 
 func keep(c *Client, program, turn, previous string) error {
@@ -260,6 +246,8 @@
 		for _, v := range k.views {
 			v.heard = v.heard.Add(-2 * time.Second)
 		}
+		// Entries have answered all the while.
+		k.reach = reach{since: time.Now().Add(-2 * time.Second), last: time.Now()}
 		silent := len(k.views) > 0
 		for _, o := range k.opinions(time.Now()) {
 			silent = silent && o.out
@@ -363,3 +351,19 @@
 		}
 	})
 }
+
+// A slice moves to a data centre that is cut off. A partner that was just filled had
+// heard the primary for the last time before that one's own mark was on the disk;
+// then it was cut off, and took the old word for a lost disk again and again.
+func TestOldWordOfAPrimaryIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	s := &slice{number: 1, role: Role{Epoch: 3}}
+	word := opinion{heard: true, at: time.Now()}
+	word.marks[1] = mark{Epoch: 2, Synced: true}
+	is.True(!s.primaryLost(word))
+	is.True(!s.primaryLost(word))
+	word.at = word.at.Add(lostRounds * statusEvery)
+	is.True(!s.primaryLost(word))
+	word.at = word.at.Add(statusEvery)
+	is.True(s.primaryLost(word))
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -35,6 +35,9 @@
 	Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error)
 	Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error)
 	Fetch(ctx context.Context, name string, r *historypb.FetchRequest) (*historypb.FetchResponse, error)
+	// Witnesses asks entries of each data centre whether they hear a keeper. Those
+	// that do not answer, or can't tell yet, are left out.
+	Witnesses(ctx context.Context, name string) []Witness
 }
 
 // Assignments reads and changes the assignment in the platform's store.
@@ -49,6 +52,8 @@
 type Settings struct {
 	Name       string
 	DataCentre string
+	// DataCentres is how many data centres there are.
+	DataCentres int
 	// Folder is where the log is kept.
 	Folder string
 	// FirstStart says that the whole system starts for the first time.
@@ -82,6 +87,7 @@
 	// not seen: it has its own marks on disk, or has read the assignment since.
 	verified bool
 	views    map[string]*view
+	reach    reach
 	leaving  bool
 	// writes wait for the disk.
 	writes       []write
@@ -205,7 +211,7 @@
 	k.ctx = ctx
 	k.mu.Unlock()
 	var group sync.WaitGroup
-	for _, f := range []func(context.Context){k.runWriter, k.runRoles, k.runViews, k.runReads} {
+	for _, f := range []func(context.Context){k.runWriter, k.runRoles, k.runViews, k.runWitnesses, k.runReads} {
 		group.Go(func() { f(ctx) })
 	}
 	group.Wait()
@@ -219,8 +225,9 @@
 	defer k.mu.Unlock()
 	k.started = time.Now()
 	for _, v := range k.views {
-		v.refused = 0
+		v.refused, v.loss = 0, loss{}
 	}
+	k.reach = reach{}
 }
 
 // primary reports that this keeper decides for the slice.
@@ -241,6 +248,10 @@
 		e.waits++
 		k.persist(records, func() { k.arrived(e) })
 	}
+	if e.waits == 0 {
+		// No partner could have replaced this keeper.
+		close(e.done)
+	}
 	return e
 }
 
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -27,8 +27,8 @@
 	"kill", "power", "wipe", "freeze", "cut", "store", "lose", "powerall", "wait",
 }
 
-func drawPlan(rt *rapid.T) []action {
-	kind := rapid.SampledFrom(actionKinds)
+func drawPlan(rt *rapid.T, kinds []string) []action {
+	kind := rapid.SampledFrom(kinds)
 	one := rapid.Custom(func(rt *rapid.T) action {
 		return action{
 			Kind: kind.Draw(rt, "kind"),
@@ -105,7 +105,7 @@
 func TestKeepersMachine(t *testing.T) {
 	seen := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
-		plan := drawPlan(rt)
+		plan := drawPlan(rt, actionKinds)
 		var failures []string
 		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, newWorld(t, 4, 1), plan, seen) })
 		if len(failures) > 0 {
@@ -120,7 +120,7 @@
 func TestKeepersMachineOfThreeDisks(t *testing.T) {
 	seen := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
-		plan := drawPlan(rt)
+		plan := drawPlan(rt, actionKinds)
 		var failures []string
 		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, newWorld(t, 6, 2), plan, seen) })
 		if len(failures) > 0 {
@@ -130,6 +130,25 @@
 	t.Log(seen)
 }
 
+// lastKeeperKinds leave a keeper alone more often than the other faults.
+var lastKeeperKinds = append([]string{"centre", "centre", "centrewipe", "centrewipe"}, actionKinds...)
+
+// TestLastKeeperMachine is the same where a data centre with two of three keepers
+// may be cut off, at times with the store in reach of both sides, and one of the
+// keepers that are cut off may lose its disk before the cut is over.
+func TestLastKeeperMachine(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt, lastKeeperKinds)
+		var failures []string
+		synctest.Test(t, func(t *testing.T) { failures = runPlan(t, newLoneWorld(t, 1), plan, seen) })
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures[:min(3, len(failures))])
+		}
+	})
+	t.Log(seen)
+}
+
 func runPlan(t *testing.T, w *world, plan []action, seen map[string]int) []string {
 	r := &run{world: w, seen: seen, oracle: oracle{entries: map[int]*Client{}}}
 	r.startAll()
@@ -180,6 +199,11 @@
 		other := r.machines[a.B%len(r.machines)]
 		r.cut(m.name, other.name, true)
 		r.later(a.For, func() { r.cut(m.name, other.name, false) })
+	case "centre":
+		r.cutDataCentre(m.dataCentre, true)
+		r.later(a.For, func() { r.cutDataCentre(m.dataCentre, false) })
+	case "centrewipe":
+		r.wipeBehindCut(m, a)
 	case "store":
 		r.setStore(true)
 		r.later(a.For, func() { r.setStore(false) })
@@ -224,6 +248,29 @@
 	r.lostUntil = time.Now().Add(settledIn)
 }
 
+// wipeBehindCut empties the disk of a keeper whose data centre is cut off, before
+// the cut is over: it is one disk of those that are lost with the data centre.
+func (r *run) wipeBehindCut(m *machine, a action) {
+	if time.Now().Before(r.lostUntil) || !r.calm() {
+		return
+	}
+	r.note("wiped behind a cut")
+	r.cutDataCentre(m.dataCentre, true)
+	if a.B%2 == 0 {
+		r.setNoStore(m.dataCentre)
+	}
+	for n := range 4 {
+		r.calls.Go(func() { r.turn(action{Kind: "turn", A: a.A + n, B: a.B + n, For: a.For}) })
+		time.Sleep(a.For / 4)
+	}
+	m.wipe()
+	m.restart()
+	time.Sleep(a.For / 4)
+	r.cutDataCentre(m.dataCentre, false)
+	r.setNoStore("")
+	r.lostUntil = time.Now().Add(settledIn)
+}
+
 // calm reports that all keepers run and reach each other and the store, and
 // have done so for long enough to be whole.
 func (r *run) calm() bool {
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -8,16 +8,17 @@
 )
 
 // primaryLost reports that the primary lives and has lost its disk. What is
-// known of it lags, so that it must stay so for some rounds.
-func (s *slice) primaryLost(o opinion, now time.Time) bool {
+// known of it lags, so that it must say so for some rounds. Its last word before
+// a cut says nothing of what it has had since.
+func (s *slice) primaryLost(o opinion) bool {
 	if !o.heard || o.has(int(s.number), s.role.Epoch) {
 		s.primaryLostSince = time.Time{}
 		return false
 	}
 	if s.primaryLostSince.IsZero() {
-		s.primaryLostSince = now
+		s.primaryLostSince = o.at
 	}
-	return now.Sub(s.primaryLostSince) > lostRounds*statusEvery
+	return o.at.Sub(s.primaryLostSince) > lostRounds*statusEvery
 }
 
 // lostRounds is the number of rounds in which a primary must lack its slice.
@@ -29,12 +30,18 @@
 // slice's primary has nothing then, and its partners only what was acknowledged
 // since, all of them the same. That is fetched first; together they are all of
 // the slice.
-func (k *Keeper) orphaned(s *slice, opinions map[string]opinion, now time.Time) bool {
+func (k *Keeper) orphaned(s *slice, opinions map[string]opinion) bool {
 	primary := opinions[s.role.Primary]
 	number, epoch := int(s.number), s.role.Epoch
-	if !s.primaryLost(primary, now) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
+	if !s.primaryLost(primary) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
 		return false
 	}
+	if len(s.role.Partners) == 0 {
+		// What it acknowledged alone is lost with its disk: there is no more than
+		// what is here.
+		s.salvaged = epoch
+		return true
+	}
 	from := ""
 	for _, name := range s.role.Partners {
 		if name == k.settings.Name {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -47,6 +47,7 @@
 	status *historypb.StatusResponse
 	// refused counts the refused connections since it was heard.
 	refused int
+	loss    loss
 }
 
 // opinion is what a decision about roles needs of another keeper.
@@ -55,6 +56,8 @@
 	out bool
 	// heard says that its marks are known.
 	heard bool
+	// at is when they were told.
+	at    time.Time
 	marks [SliceCount]mark
 	// disk names its disk.
 	disk string
@@ -250,10 +253,12 @@
 	opinions := map[string]opinion{}
 	for name, v := range k.views {
 		o := opinion{}
-		silent := (now.Sub(v.heard) > suspectAfter || v.refused >= refusedMost) && now.Sub(k.started) > bootTime
-		o.out = silent || k.settings.Retiring(name)
+		booted := now.Sub(k.started) > bootTime
+		gone := v.refused >= refusedMost && booted
+		silent := gone || now.Sub(v.heard) > suspectAfter && booted
+		o.out = gone || silent && k.reach.holds(now) || k.settings.Retiring(name)
 		if v.status != nil {
-			o.heard, o.disk = !silent, v.status.Disk
+			o.heard, o.at, o.disk = !silent, v.heard, v.status.Disk
 			o.out = o.out || v.status.Leaving || v.status.StalledMs > stalledAfter.Milliseconds()
 			for _, m := range v.status.Slices {
 				if m.Slice < SliceCount {
@@ -270,9 +275,10 @@
 // lock is held. Only a keeper that has all of a slice may change its holders.
 func (k *Keeper) propose(opinions map[string]opinion, now time.Time) (Assignment, bool) {
 	next, changed := k.known, false
-	if k.leavingNow() || k.stalled() > stalledAfter {
+	if k.stalled() > stalledAfter {
 		return next, false
 	}
+	leaving := k.leavingNow()
 	me := Candidate{Name: k.settings.Name, DataCentre: k.settings.DataCentre}
 	keepers := k.settings.Keepers()
 	out := func(name string) bool {
@@ -280,11 +286,13 @@
 		return !known || !o.heard || o.out
 	}
 	for _, s := range k.slices {
-		if !k.mustChange(s, opinions, now) {
+		// One that leaves hands its slices to their partners, and what it holds
+		// alone has to have one first.
+		if leaving && !k.alone(s) || !k.mustChange(s, opinions, now) {
 			continue
 		}
 		partners := next.partnersFor(me, keepers, k.partners(), out)
-		if len(partners) == 0 {
+		if len(partners) == 0 && !k.lastKeeper(now) {
 			continue
 		}
 		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partners: partners}
@@ -315,7 +323,7 @@
 
 func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
 	if s.mark.Synced && s.role.Epoch > 1 && s.mark.Epoch == s.role.Epoch-1 && s.role.Primary != k.settings.Name {
-		return k.orphaned(s, opinions, now)
+		return k.orphaned(s, opinions)
 	}
 	if s.role.Epoch == 0 || s.mark.Epoch != s.role.Epoch {
 		return k.abandoned(s, opinions, now)
@@ -332,7 +340,7 @@
 		return k.tooFew(s, opinions)
 	case s.role.partner(k.settings.Name):
 		o, known := opinions[s.role.Primary]
-		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o, now)
+		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o)
 	default:
 		return false
 	}
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -17,9 +17,9 @@
 		defer k.mu.Unlock()
 		return &historypb.ReserveResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
 	}
-	if k.isolated() {
+	if v := k.serves(s, time.Now()); v != historypb.Verdict_DONE {
 		defer k.mu.Unlock()
-		return &historypb.ReserveResponse{Verdict: historypb.Verdict_ISOLATED}, nil
+		return &historypb.ReserveResponse{Verdict: v}, nil
 	}
 	var chain []*historypb.Turn
 	if r.Previous != "" && !r.Foreign {
@@ -73,6 +73,10 @@
 		defer k.mu.Unlock()
 		return &historypb.SettleResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
 	}
+	if k.alone(s) && k.serves(s, time.Now()) != historypb.Verdict_DONE {
+		defer k.mu.Unlock()
+		return &historypb.SettleResponse{Verdict: historypb.Verdict_NOT_NOW}, nil
+	}
 	// A repeat changes nothing, but what it repeats may not be durable yet, so
 	// it waits for its own turn behind it.
 	e := k.submit(s, s.state.settle(r, time.Now()))
@@ -88,6 +92,10 @@
 		defer k.mu.Unlock()
 		return &historypb.DrawResponse{Verdict: historypb.Verdict_MOVED, Role: k.roleOf(s)}, nil
 	}
+	if k.alone(s) && k.serves(s, time.Now()) != historypb.Verdict_DONE {
+		defer k.mu.Unlock()
+		return &historypb.DrawResponse{Verdict: historypb.Verdict_NOT_NOW}, nil
+	}
 	held, account := s.state.draw(r, time.Now())
 	e := k.submit(s, []*historypb.Record{accountRecord(r.Slice, account)})
 	k.mu.Unlock()
--- a/internal/history/views.go
+++ b/internal/history/views.go
@@ -10,26 +10,19 @@
 	"foxhall/internal/history/historypb"
 )
 
+// questionsMost is the number of questions under way to one keeper: the last one
+// into a cut must not delay the first after it.
+const questionsMost = 2
+
 // runViews asks the other keepers how they stand.
 func (k *Keeper) runViews(ctx context.Context) {
 	ticker := time.NewTicker(statusEvery)
 	defer ticker.Stop()
-	asking := map[string]chan struct{}{}
+	asking := newFewEach(questionsMost)
 	for {
 		for _, c := range k.settings.Keepers() {
-			if c.Name == k.settings.Name {
-				continue
-			}
-			if asking[c.Name] == nil {
-				asking[c.Name] = make(chan struct{}, 1)
-			}
-			select {
-			case asking[c.Name] <- struct{}{}:
-				go func() {
-					defer func() { <-asking[c.Name] }()
-					k.ask(ctx, c.Name)
-				}()
-			default:
+			if c.Name != k.settings.Name {
+				asking.start(c.Name, func() { k.ask(ctx, c.Name) })
 			}
 		}
 		select {
@@ -58,6 +51,33 @@
 		}
 		return
 	}
-	v.heard, v.status, v.refused = time.Now(), status, 0
+	v.noteHeard(time.Now())
+	v.status, v.refused = status, 0
 	notify(k.wakeRoles)
 }
+
+// fewEach runs a few functions at a time for each name. It is used by one goroutine.
+type fewEach struct {
+	most    int
+	running map[string]chan struct{}
+}
+
+func newFewEach(most int) *fewEach {
+	return &fewEach{most: most, running: map[string]chan struct{}{}}
+}
+
+// start runs f in the background, unless as many of that name run as may.
+func (e *fewEach) start(name string, f func()) {
+	if e.running[name] == nil {
+		e.running[name] = make(chan struct{}, e.most)
+	}
+	running := e.running[name]
+	select {
+	case running <- struct{}{}:
+		go func() {
+			defer func() { <-running }()
+			f()
+		}()
+	default:
+	}
+}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -58,13 +58,19 @@
 	assignment Assignment
 	version    store.Version
 	storeDown  bool
-	// noStore names a machine that the store does not answer.
+	// noStore names a machine that the store does not answer, or a data centre.
 	noStore string
 	// storeCalls counts the calls to the store.
 	storeCalls int
 	loseWrites int
 	// partners is the number of keepers that hold a slice beside its primary.
 	partners int
+	// deaf names data centres whose entries can't tell whom they hear.
+	deaf map[string]bool
+	// entriesOnly names data centres without a keeper.
+	entriesOnly []string
+	// retiring names the keeper that operators want emptied.
+	retiring string
 }
 
 // machine is one place where a keeper runs, again and again.
@@ -91,7 +97,7 @@
 }
 
 func newWorld(t *testing.T, keepers, partners int) *world {
-	w := &world{t: t, partners: partners, folder: t.TempDir(), cuts: map[[2]string]bool{}, trace: &trace{began: time.Now()}}
+	w := &world{t: t, partners: partners, folder: t.TempDir(), cuts: map[[2]string]bool{}, deaf: map[string]bool{}, trace: &trace{began: time.Now()}}
 	for i := range keepers {
 		name := string(rune('a' + i))
 		m := &machine{world: w, name: name, dataCentre: "dc-" + name, folder: filepath.Join(w.folder, name), first: true}
@@ -127,14 +133,15 @@
 func (m *machine) startLocked() {
 	w := m.world
 	k, err := Open(Settings{
-		Name:       m.name,
-		DataCentre: m.dataCentre,
-		Folder:     m.folder,
-		FirstStart: m.first,
-		Partners:   w.partners,
-		Keepers:    w.candidates,
-		Retiring:   func(string) bool { return false },
-		Logger:     w.logger(m.name),
+		Name:        m.name,
+		DataCentre:  m.dataCentre,
+		DataCentres: len(w.dataCentres()),
+		Folder:      m.folder,
+		FirstStart:  m.first,
+		Partners:    w.partners,
+		Keepers:     w.candidates,
+		Retiring:    w.isRetiring,
+		Logger:      w.logger(m.name),
 	}, m, m)
 	if err != nil {
 		w.t.Fatal(err)
@@ -157,7 +164,7 @@
 		sleep(p.ctx, mirrorTime)
 		w := m.world
 		w.mu.Lock()
-		a, version, lost := w.assignment, w.version, w.storeDown || w.noStore == m.name
+		a, version, lost := w.assignment, w.version, w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre
 		w.mu.Unlock()
 		if !lost && version > 0 {
 			p.keeper.Adopt(a, version)
@@ -331,6 +338,86 @@
 	})
 }
 
+// entryIn names the entry of a data centre, which witnesses whom it hears.
+func entryIn(dataCentre string) string { return "entry-of-" + dataCentre }
+
+// dataCentres returns where the keepers stand.
+func (w *world) dataCentres() []string {
+	names := slices.Clone(w.entriesOnly)
+	for _, m := range w.machines {
+		if !slices.Contains(names, m.dataCentre) {
+			names = append(names, m.dataCentre)
+		}
+	}
+	return names
+}
+
+// Witnesses implements Peers.
+func (m *machine) Witnesses(ctx context.Context, name string) []Witness {
+	if m.pass(ctx) != nil {
+		return nil
+	}
+	sleep(ctx, 2*wayTime)
+	w := m.world
+	var witnesses []Witness
+	for _, dc := range w.dataCentres() {
+		if w.isDeaf(dc) || w.isCut(m.name, entryIn(dc)) {
+			continue
+		}
+		witnesses = append(witnesses, Witness{DataCentre: dc, Hears: w.runs(name) && !w.isCut(name, entryIn(dc))})
+	}
+	return witnesses
+}
+
+func (w *world) isRetiring(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.retiring == name
+}
+
+func (w *world) isDeaf(dataCentre string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.deaf[dataCentre]
+}
+
+// runs reports whether a keeper's process runs and is not frozen.
+func (w *world) runs(name string) bool {
+	m := w.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return m != nil && m.process != nil && m.frozen == nil
+}
+
+// cutDataCentre cuts a data centre's keepers and entry off from all others.
+func (w *world) cutDataCentre(dataCentre string, on bool) {
+	inside, outside := w.places(dataCentre)
+	for _, a := range inside {
+		for _, b := range outside {
+			w.cut(a, b, on)
+		}
+	}
+}
+
+// places returns the keepers and entries inside and outside of a data centre.
+func (w *world) places(dataCentre string) (inside, outside []string) {
+	for _, dc := range w.dataCentres() {
+		if dc == dataCentre {
+			inside = append(inside, entryIn(dc))
+		} else {
+			outside = append(outside, entryIn(dc))
+		}
+	}
+	for _, m := range w.machines {
+		if m.dataCentre == dataCentre {
+			inside = append(inside, m.name)
+		} else {
+			outside = append(outside, m.name)
+		}
+	}
+	return inside, outside
+}
+
 // Read implements Assignments.
 func (m *machine) Read(ctx context.Context) (Assignment, store.Version, error) {
 	if err := m.pass(ctx); err != nil {
@@ -341,7 +428,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeCalls++
-	if w.storeDown || w.noStore == m.name {
+	if w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre {
 		return Assignment{}, 0, store.ErrUnavailable
 	}
 	return w.assignment, w.version, nil
@@ -358,7 +445,7 @@
 	defer w.mu.Unlock()
 	w.storeCalls++
 	switch {
-	case w.storeDown || w.noStore == m.name:
+	case w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre:
 		return 0, store.ErrUnavailable
 	case base != w.version:
 		return 0, store.ErrConflict
@@ -437,3 +524,9 @@
 	defer w.mu.Unlock()
 	w.storeDown = down
 }
+
+func (w *world) setNoStore(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noStore = name
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -57,6 +57,9 @@
 	client   *http.Client
 	// hears reports whether an instance was heard from lately.
 	hears func(name string) bool
+	// misses reports whether an instance was not heard from lately, and whether
+	// this one can tell.
+	misses func(name string) (misses, known bool)
 	// cutOff reports whether this instance hears nobody beyond its data centre.
 	cutOff func() bool
 	logger log.Interface
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, n.upstream, n.fleet.datagramAddresses, n.logger)
 	n.fleet.hears = func(name string) bool { return n.load.Hears(name, cutAfter) }
+	n.fleet.misses = func(name string) (bool, bool) { return n.load.Misses(name, cutAfter) }
 	n.fleet.cutOff = n.isolated
 	n.openGateway()
 	return n, nil
@@ -167,14 +168,15 @@
 
 func (n *Node) openKeeper() error {
 	k, err := history.Open(history.Settings{
-		Name:       n.settings.Instance,
-		DataCentre: n.settings.DataCentre,
-		Folder:     n.settings.DataFolder,
-		FirstStart: n.settings.FirstStart,
-		Partners:   n.settings.DisksLost,
-		Keepers:    n.fleet.candidates,
-		Retiring:   n.retiring,
-		Logger:     n.logger,
+		Name:        n.settings.Instance,
+		DataCentre:  n.settings.DataCentre,
+		DataCentres: len(n.settings.DataCentres),
+		Folder:      n.settings.DataFolder,
+		FirstStart:  n.settings.FirstStart,
+		Partners:    n.settings.DisksLost,
+		Keepers:     n.fleet.candidates,
+		Retiring:    n.retiring,
+		Logger:      n.logger,
 	}, n.fleet, n.fleet)
 	n.keeper = k
 	return err
@@ -234,6 +236,7 @@
 func (n *Node) woke(ctx context.Context) func(time.Duration) {
 	return func(paused time.Duration) {
 		n.logger.WithField("paused_ms", paused.Milliseconds()).Warn("did not run for a while")
+		n.load.Woke()
 		if n.keeper != nil {
 			n.keeper.Woke()
 		}
@@ -279,6 +282,8 @@
 	mux.Handle(relay.PathPrefix(), relay)
 	if n.settings.Callers != "" {
 		mux.HandleFunc(viaPath, n.fleet.serveVia)
+		witness := historypb.NewWitnessServer(n.fleet)
+		mux.Handle(witness.PathPrefix(), witness)
 	}
 	if n.keeper != nil {
 		keeper := historypb.NewKeeperServer(n.keeper)
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -56,6 +56,8 @@
 	// signs are when anything was last heard from each data centre, and lives
 	// from each instance.
 	signs, lives map[string]time.Time
+	// listens is since when datagrams are taken in without a pause.
+	listens time.Time
 	// known is the number of peers at the last sending. It is kept here, so that
 	// those who ask whom it hears may hold the lock that peers takes.
 	known int
@@ -74,7 +76,7 @@
 func New(name, dataCentre string, table *upstream.Table, peers func() []*net.UDPAddr, logger log.Interface) *Exchange {
 	return &Exchange{
 		name: name, dataCentre: dataCentre, table: table, peers: peers, logger: logger,
-		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]time.Time{},
+		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]time.Time{}, listens: time.Now(),
 	}
 }
 
@@ -121,6 +123,13 @@
 	return now.Sub(last)
 }
 
+// Woke is called after a pause of this process, in which nothing was heard.
+func (x *Exchange) Woke() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.listens = time.Now()
+}
+
 // Run exchanges over the socket until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
@@ -162,9 +171,23 @@
 func (x *Exchange) Hears(instance string, lately time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	lately *= time.Duration(max(1, (x.known+peersMost-1)/peersMost))
 	at, ok := x.lives[instance]
-	return !ok || time.Since(at) < lately
+	return !ok || time.Since(at) < x.scaled(lately)
+}
+
+// Misses reports whether an instance was not heard from lately. It says nothing
+// while this one has not listened for that long.
+func (x *Exchange) Misses(instance string, lately time.Duration) (misses, known bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	lately = x.scaled(lately)
+	return time.Since(x.lives[instance]) >= lately, time.Since(x.listens) >= lately
+}
+
+// scaled returns the time in which as many datagrams of one peer come as in the
+// given time in a small fleet; the lock is held.
+func (x *Exchange) scaled(t time.Duration) time.Duration {
+	return t * time.Duration(max(1, (x.known+peersMost-1)/peersMost))
 }
 
 // Heard reports whether an instance was heard from lately.
