Nothing waits for the settling of a turn that is not kept

Cause: the end of each turn's answer waited for its settling at the keepers, also where the turn is not kept and counts as spent until then; where it failed for 2 s the answer was broken off (not_kept). A turn whose keeping failed was settled by nobody and counted as spent for good.

Change: only kept turns wait; the others are settled behind their answer for up to 20 s, a stopping instance waits for them within its grace; a turn whose keeping failed is settled as not kept. Ruled out: leaving them to the allowances, which new programs do not have.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -33,6 +34,8 @@
 	replicas  Replicas
 	turns     Turns
 	logger    log.Interface
+	// settling are the turns that ended and are not settled yet.
+	settling sync.WaitGroup
 
 	latency  metrics.Histogram
 	outcomes [Gone + 1]metrics.Counter
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,6 +98,8 @@
 	chain   []Turn
 	settled error
 	endings []Ending
+	// settleAfter is how long a settling takes.
+	settleAfter time.Duration
 }
 
 func (f *fakeTurns) Reserve(context.Context, Reservation) (Reserved, error) {
@@ -105,6 +107,7 @@
 }
 
 func (f *fakeTurns) Settle(_ context.Context, e Ending) error {
+	time.Sleep(f.settleAfter)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endings = append(f.endings, e)
@@ -287,6 +290,48 @@
 	is.Equal(out.result.Reason, NotKept)
 }
 
+// A caller waits for keepers that change, though its turn need not be kept: its
+// answer must end with its last event, and the turn be settled behind it.
+func TestTurnThatNeedNotBeKeptDoesNotWaitForTheKeepers(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{settleAfter: time.Second}
+	route := turnRoute
+	route.KeepsTurns = false
+	out := serve(t, route, turnCall(), turns, streams(nil, event(1), event(2)))
+	is.Equal(out.result.Outcome, Answered)
+	is.True(out.took < turns.settleAfter)
+	is.Equal(len(turns.endings), 1)
+	is.Equal(turns.endings[0].Made, 4)
+}
+
+// A program is refused too soon, as if it had used all that its last turn might have
+// made: the keeping of a turn failed, and nothing settled it after that.
+func TestTurnWhoseKeepingFailedIsSettled(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{settled: errors.New("no disk")}
+	serve(t, turnRoute, turnCall(), turns, streams(nil, event(1)))
+	is.Equal(len(turns.endings), 2)
+	is.True(turns.endings[1].Kept == nil)
+	is.Equal(turns.endings[1].Made, 2)
+}
+
+// An instance that stops leaves turns unsettled, and their programs are refused too
+// soon elsewhere. It must wait for them, and no longer than it may.
+func TestDrainWaitsForSettlings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &Gateway{}
+		g.settling.Go(func() { time.Sleep(time.Second) })
+		began := time.Now()
+		short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		g.Drain(short)
+		is.Equal(time.Since(began), time.Millisecond)
+		g.Drain(context.Background())
+		is.Equal(time.Since(began), time.Second)
+	})
+}
+
 // A program loses tokens that it never got: a turn that did not run gives all
 // of its reservation back, one that broke off what it did not make.
 func TestReservationIsSettledByWhatWasMade(t *testing.T) {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -18,8 +18,11 @@
 	// isolatedLeast is the least time after which a caller may come again from a
 	// data centre that is cut off.
 	isolatedLeast = 100 * time.Millisecond
-	// settleTime bounds the keeping of a turn past the caller's deadline.
-	settleTime = 2 * time.Second
+	// keepTime bounds the keeping of a turn past the caller's deadline.
+	keepTime = 2 * time.Second
+	// settleTime bounds the settling of a turn that nobody waits for: longer than
+	// most outages, and after it the turn counts as spent.
+	settleTime = 20 * time.Second
 )
 
 // turn serves a turn of a program: within the program's tokens, after its
@@ -54,13 +57,17 @@
 	if reserved.Foreign {
 		foreign = reserved.Chain
 	}
-	settled := false
-	rec.settle = func() bool {
-		settled = true
-		return f.settle(ctx, rec, foreign, true) == nil
+	kept := false
+	if rec.keep {
+		// A turn that is not kept counts as spent until it is settled, so that its
+		// caller need not wait for that.
+		rec.settle = func() bool {
+			kept = f.keep(ctx, rec, foreign) == nil
+			return kept
+		}
 	}
 	result := f.stream(ctx, rec)
-	if !settled {
+	if !kept {
 		f.settleLater(rec)
 	}
 	return result
@@ -84,7 +91,8 @@
 	return b.Bytes()
 }
 
-func (f *flight) settle(ctx context.Context, rec *record, chain []Turn, complete bool) error {
+// ending settles the turn by what it made.
+func (f *flight) ending(rec *record) Ending {
 	e := Ending{
 		Program:   f.call.Program.ID,
 		Turn:      f.call.ID,
@@ -94,21 +102,42 @@
 	if rec.events > 0 {
 		e.Replica = f.replica
 	}
-	if complete && rec.keep {
-		e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data, Ended: time.Now(), Replica: f.replica}
-		e.Chain = chain
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	return e
+}
+
+// keep settles a whole turn and keeps it, after the chain that it continued.
+func (f *flight) keep(ctx context.Context, rec *record, chain []Turn) error {
+	e := f.ending(rec)
+	e.Kept = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.data, Ended: time.Now(), Replica: f.replica}
+	e.Chain = chain
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTime)
 	defer cancel()
 	return f.gateway.turns.Settle(ctx, e)
 }
 
-// settleLater gives back what a turn that ended early did not use. The caller
+// settleLater gives back what a turn that is not kept did not use. The caller
 // does not wait for it.
 func (f *flight) settleLater(rec *record) {
-	go func() {
-		if err := f.settle(context.Background(), rec, nil, false); err != nil {
-			f.gateway.logger.WithError(err).WithField("request", f.call.ID).Warn("reservation not settled")
+	e := f.ending(rec)
+	f.gateway.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		if err := f.gateway.turns.Settle(ctx, e); err != nil {
+			f.gateway.logger.WithError(err).WithField("request", f.call.ID).WithField("program", e.Program).Warn("reservation not settled")
 		}
+	})
+}
+
+// Drain waits until the turns that ended are settled, or ctx ends: what an instance
+// that stops has not settled counts as spent, and its programs are refused too soon.
+func (g *Gateway) Drain(ctx context.Context) {
+	settled := make(chan struct{})
+	go func() {
+		g.settling.Wait()
+		close(settled)
 	}()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -391,6 +391,7 @@
 		limit, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-stopMargin))
 		defer cancel()
 		err := callers.Shutdown(limit)
+		n.gateway.Drain(limit)
 		_ = ready.Close()
 		return errors.Wrap(err, "calls cut off by the end of the grace")
 	})
