Calls leave a silent data centre; foxhall explain; log lines tell stages and causes

Cause: a call under way to a replica or keeper behind a cut waited until its connection gave up, 0.9 s after the last byte, though nothing was heard from the data centre for 0.45 s. Change: calls that may be repeated end as it falls silent and go to another replica, without counting against the attempts; calls to keepers go to the next holder. Calls that may not be repeated wait as before.

foxhall explain reads instances' log lines and prints calls by second and data centre with their reasons and stages, or the story of one id. Log lines gain the stages of a call, the cause and the turn asked for at a refused reservation, the slice's epoch and holders at turns_unreached, and why no holder was to be had.

--- a/command/command.go
+++ b/command/command.go
@@ -59,6 +59,7 @@
 		programsCommand(),
 		stepsCommand(),
 		earningsCommand(),
+		explainCommand(),
 		standinCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"foxhall/internal/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "tell from log lines what became of calls",
+		Description: `Reads the log lines of any number of instances from files, or from the standard
+input, and prints for each second and data centre how calls ended and where they
+waited. With --id it prints all that is known of one request or program.
+
+   foxhall explain entry-1.log entry-2.log keeper-1.log
+   foxhall explain --id 9c41d07be2a35f68 *.log`,
+		ArgsUsage: "[FILE...]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id", Usage: "the `ID` of a request or program"},
+			&cli.DurationFlag{Name: "span", Value: time.Second, Usage: "the time that one row of the table covers"},
+		},
+		Action: runExplain,
+	}
+}
+
+func runExplain(_ context.Context, c *cli.Command) error {
+	if c.Duration("span") <= 0 {
+		return cli.Exit("explain: --span: expected a time above 0", ExitUsage)
+	}
+	l, err := readLogs(c.Args().Slice())
+	if err != nil {
+		return err
+	}
+	if len(l.Lines) == 0 {
+		return cli.Exit("explain: no log lines of an instance found", ExitFailure)
+	}
+	id := c.String("id")
+	if id == "" {
+		return l.Table(c.Duration("span")).Write(c.Root().Writer)
+	}
+	story := l.Story(id)
+	if len(story) == 0 {
+		return cli.Exit("explain: --id: no line names "+id, ExitFailure)
+	}
+	return explain.WriteStory(c.Root().Writer, story)
+}
+
+// readLogs reads the named files, or the standard input where there is none.
+func readLogs(paths []string) (*explain.Log, error) {
+	if len(paths) == 0 {
+		return explain.Read(os.Stdin)
+	}
+	var readers []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, cli.Exit("explain: "+err.Error(), ExitUsage)
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	return explain.Read(readers...)
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,58 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const lines = `
+  -9.99 entry-1 {"time":"2026-03-02T21:07:05.1Z","level":"info","message":"start","fields":{"instance":"entry-1","data_centre":"north"}}
+{"time":"2026-03-02T21:07:07.2Z","level":"info","message":"call","fields":{"instance":"entry-1","outcome":"not-run","reason":"turns_unreached","request":"r2","program":"p","reserving_ms":1800,"cause":"slice 3 in epoch 7"}}
+{"time":"2026-03-02T21:07:06.1Z","level":"info","message":"call","fields":{"instance":"entry-1","outcome":"answered","request":"r1","program":"p","placing_ms":4}}
+{"time":"2026-03-02T21:07:06.3Z","level":"info","message":"call","fields":{"instance":"entry-1","outcome":"answered","request":"r3","program":"q","placing_ms":2}}
+{"time":"2026-03-02T21:07:06.0Z","level":"info","message":"placed","fields":{"instance":"entry-1","program":"p","upstream":"u"}}
+not a line
+{"broken":`
+
+func read(t *testing.T) *Log {
+	l, err := Read(strings.NewReader(lines))
+	is.New(t).NoErr(err)
+	return l
+}
+
+// An engineer sees neither when calls failed nor for what: the table has one row a
+// second and data centre, with the mean time in each stage and the reasons.
+func TestTableTellsWhenAndWhy(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(read(t).Table(time.Second).Write(&out))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(rows), 3)
+	is.Equal(strings.Fields(rows[1]), []string{"1.0", "north", "2", "0.0", "3.0", "0.0", "0.0"})
+	is.Equal(strings.Fields(rows[2]), []string{"2.0", "north", "1", "1800.0", "0.0", "0.0", "0.0", "1", "not-run", "turns_unreached", "p"})
+}
+
+// The story of a program has its lines of all instances in the order of time.
+func TestStoryIsInOrder(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(WriteStory(&out, read(t).Story("p")))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(rows), 3)
+	is.True(strings.Contains(rows[0], "placed"))
+	is.True(strings.Contains(rows[2], "+1.200 s"))
+	is.True(strings.Contains(rows[2], "cause=slice 3 in epoch 7"))
+}
+
+// What is no line of an instance is counted and passed over.
+func TestOtherTextIsSkipped(t *testing.T) {
+	is := is.New(t)
+	l := read(t)
+	is.Equal(len(l.Lines), 5)
+	is.Equal(l.Skipped, 3)
+	is.Equal(len((&Log{}).Table(time.Second).rows), 0)
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,38 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// WriteStory prints the lines about a request or a program, each with the time
+// since the first.
+func WriteStory(w io.Writer, story []Line) error {
+	for i := range story {
+		line := &story[i]
+		_, err := fmt.Fprintf(w, "%+8.3f s  %-20s %s  %s\n",
+			line.Time.Sub(story[0].Time).Seconds(), line.Text("instance"), line.Message, fieldsOf(line))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fieldsOf returns a line's fields in the order of their names.
+func fieldsOf(line *Line) string {
+	var names []string
+	for name := range line.Fields {
+		if name != "instance" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var parts []string
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s=%v", name, line.Fields[name]))
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -111,6 +111,8 @@
 	Status  int
 	Replica string
 	Sends   int
+	// Cause is what is known of why a turn was refused; nil for most.
+	Cause error
 }
 
 func refused(reason Reason, after time.Duration) Result {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -151,10 +151,15 @@
 		defer cancel()
 		ctx = limited
 	}
+	if f.route.Repeat == routing.Idempotent {
+		silent, stop := f.untilSilent(ctx, g)
+		defer stop()
+		ctx = silent
+	}
 	started := time.Now()
 	answer, err := f.sendTo(ctx, g, "")
 	if err != nil {
-		return nil, nil, f.sendFailed(g, err)
+		return nil, nil, f.sendFailed(ctx, g, err)
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -162,6 +167,9 @@
 	}
 	g.FirstToken()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil && wasSilent(ctx) {
+		return nil, nil, cutOff
+	}
 	if err != nil || answer.Length >= 0 && int64(len(body)) != answer.Length {
 		return nil, nil, spoiled
 	}
@@ -183,15 +191,31 @@
 	}
 }
 
+var errDataCentreSilent = errors.New("gateway: the replica's data centre is silent")
+
+// untilSilent returns a context that ends when the replica's data centre falls
+// silent. A call that may be repeated waits for its answer in vain then, until its
+// connection gives up, while others could serve it.
+func (f *flight) untilSilent(ctx context.Context, g *scheduler.Grant) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := f.gateway.settings.WhenSilent(g.DataCentre, func() { cancel(errDataCentreSilent) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+func wasSilent(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDataCentreSilent) }
+
 // sendFailed tells what a sending without an answer came to.
-func (f *flight) sendFailed(g *scheduler.Grant, err error) verdict {
+func (f *flight) sendFailed(ctx context.Context, g *scheduler.Grant, err error) verdict {
 	f.gateway.logger.WithError(err).WithField("request", f.call.ID).WithField("replica", g.Upstream).Info("send failed")
 	switch {
 	case errors.Is(err, httpconn.ErrFull):
 		return full
 	case errors.Is(err, httpconn.ErrNotSent):
 		return notSent
-	case errors.Is(err, httpconn.ErrSilent):
+	case errors.Is(err, httpconn.ErrSilent), wasSilent(ctx):
 		return cutOff
 	default:
 		return lost
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// CutOffFor returns for how long this instance has been cut off from the
 	// other data centres.
 	CutOffFor func() time.Duration
+	// WhenSilent has f called should a data centre fall silent before stop is called.
+	WhenSilent func(dataCentre string, f func()) (stop func())
 }
 
 // latencySample is the number of recent calls that the histogram keeps.
@@ -104,6 +106,18 @@
 	begun bool
 	// firstAt is when the first event was passed on.
 	firstAt time.Time
+	stages  stages
+}
+
+// stages is the time that a call spent in each part of its way.
+type stages struct {
+	// reserving is the wait for the program's keepers before a turn, keeping the
+	// wait for them after it.
+	reserving, keeping time.Duration
+	// placing is the wait for a place at a replica.
+	placing time.Duration
+	// sending is the time at replicas up to the head of their answers.
+	sending time.Duration
 }
 
 func (f *flight) serve(ctx context.Context) Result {
@@ -168,6 +182,8 @@
 	} else {
 		r.Service = f.service.Name
 	}
+	began := time.Now()
+	defer func() { f.stages.placing += time.Since(began) }()
 	return f.gateway.scheduler.Acquire(ctx, r)
 }
 
@@ -209,6 +225,8 @@
 		ResumeAfter: resumeAfter,
 		Limit:       f.connections(),
 	}
+	began := time.Now()
+	defer func() { f.stages.sending += time.Since(began) }()
 	return f.gateway.replicas.Send(ctx, s)
 }
 
@@ -258,6 +276,11 @@
 	if !f.firstAt.IsZero() {
 		fields["first_ms"] = f.firstAt.Sub(f.call.Arrived).Milliseconds()
 	}
+	f.stages.log(fields)
+	if r.Cause != nil {
+		fields["cause"] = r.Cause
+		fields["previous"] = f.call.Previous
+	}
 	if r.Reason != "" {
 		fields["reason"] = string(r.Reason)
 		fields["retry_ms"] = r.RetryAfter.Milliseconds()
@@ -266,6 +289,17 @@
 	f.gateway.logger.WithFields(fields).Info("call")
 }
 
+// log adds the stages that took a millisecond or more.
+func (s *stages) log(fields log.Fields) {
+	for name, d := range map[string]time.Duration{
+		"reserving_ms": s.reserving, "keeping_ms": s.keeping, "placing_ms": s.placing, "sending_ms": s.sending,
+	} {
+		if d >= time.Millisecond {
+			fields[name] = d.Milliseconds()
+		}
+	}
+}
+
 // MaxHeader returns the largest header that callers may send; without a
 // configuration the server's own bound counts.
 func (g *Gateway) MaxHeader() int {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -139,6 +139,12 @@
 
 // serve serves one call over two replicas of a service, on virtual time.
 func serve(t *testing.T, route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
+	heard := func(string, func()) func() { return func() {} }
+	return serveThrough(t, heard, route, call, turns, steps...)
+}
+
+// serveThrough is the same where a data centre may fall silent.
+func serveThrough(t *testing.T, whenSilent func(string, func()) func(), route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
 	var out outcome
 	synctest.Test(t, func(t *testing.T) {
 		replicas := &fakeReplicas{steps: steps}
@@ -167,6 +173,8 @@
 			Table:     func() *routing.Table { return table },
 			Instances: func() int { return 1 },
 			CutOffFor: func() time.Duration { return time.Second },
+
+			WhenSilent: whenSilent,
 		}, sched, replicas, turns, quiet, metrics.NewRegistry())
 		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
 		caller := &fakeCaller{}
@@ -332,6 +340,50 @@
 	})
 }
 
+// A caller waits for a replica behind a cut until its connection gives up. As its
+// data centre falls silent, a call that may be repeated must go to another at once,
+// also where the route allows one attempt, and one that may not must go on waiting.
+func TestCallsLeaveASilentDataCentre(t *testing.T) {
+	silentAfter := 300 * time.Millisecond
+	whenSilent := func(_ string, f func()) func() {
+		timer := time.AfterFunc(silentAfter, f)
+		return func() { timer.Stop() }
+	}
+	halfway := func(ctx context.Context, s *Send) (*Answer, error) {
+		body := &hangingReader{ctx: ctx, begin: strings.NewReader(event(1))}
+		return NewAnswer(Answer{Status: 200, Length: -1, Verified: true, Run: true, Body: body}, func() {}), nil
+	}
+	is := is.New(t)
+	route := routing.Route{Repeat: routing.Idempotent, Attempts: 1}
+	out := serveThrough(t, whenSilent, route, Call{}, nil, hangs, good("done"))
+	is.Equal(out.result.Outcome, Answered)
+	is.Equal(out.took, silentAfter)
+
+	stream := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}
+	out = serveThrough(t, whenSilent, stream, Call{}, nil, halfway, streams(nil, event(2)))
+	is.Equal(out.result.Outcome, Answered)
+	is.Equal(out.body, event(1)+event(2))
+	is.Equal(out.took, silentAfter)
+
+	out = serveThrough(t, whenSilent, routing.Route{Attempts: 1}, Call{}, nil, hangs, good("twice"))
+	is.Equal(out.result.Outcome, Unknown)
+	is.Equal(len(out.sends), 1)
+}
+
+// hangingReader gives what it begins with and then nothing until ctx ends.
+type hangingReader struct {
+	ctx   context.Context
+	begin io.Reader
+}
+
+func (r *hangingReader) Read(p []byte) (int, error) {
+	if n, err := r.begin.Read(p); err == nil {
+		return n, nil
+	}
+	<-r.ctx.Done()
+	return 0, r.ctx.Err()
+}
+
 // A program loses tokens that it never got: a turn that did not run gives all
 // of its reservation back, one that broke off what it did not make.
 func TestReservationIsSettledByWhatWasMade(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,11 +95,16 @@
 // run sends the call once and passes events on until the stream ends.
 func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	started := time.Now()
+	if f.route.Resumable {
+		silent, stop := f.untilSilent(ctx, g)
+		defer stop()
+		ctx = silent
+	}
 	ctx, watch := f.watch(ctx, g)
 	defer watch.stop()
 	answer, err := f.sendTo(ctx, g, f.resumePoint(rec))
 	if err != nil {
-		return f.sendFailed(g, err), nil, Result{}
+		return f.sendFailed(ctx, g, err), nil, Result{}
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -111,6 +116,9 @@
 		return v, answer, result
 	}
 	v, result := f.relay(g, answer, rec, started, watch)
+	if v == lost && wasSilent(ctx) {
+		v = cutOff
+	}
 	return v, answer, result
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -39,16 +39,11 @@
 		Kept:      f.route.KeepsTurns,
 		Retention: f.route.Retention,
 	}
+	began := time.Now()
 	reserved, err := f.gateway.turns.Reserve(ctx, reservation)
-	switch {
-	case errors.Is(err, ErrBudgetSpent):
-		return refused(BudgetSpent, 0)
-	case errors.Is(err, ErrNoSuchTurn):
-		return refused(NoSuchTurn, 0)
-	case errors.Is(err, ErrIsolated):
-		return refused(TurnsUnreached, max(isolatedLeast, movedAfter-f.gateway.settings.CutOffFor()))
-	case err != nil:
-		return refused(TurnsUnreached, unreachedAfter)
+	f.stages.reserving += time.Since(began)
+	if err != nil {
+		return f.unreserved(err)
 	}
 	f.home = reserved.Replica
 	f.body = chainBody(reserved.Chain, f.call.Body)
@@ -62,7 +57,9 @@
 		// A turn that is not kept counts as spent until it is settled, so that its
 		// caller need not wait for that.
 		rec.settle = func() bool {
+			began := time.Now()
 			kept = f.keep(ctx, rec, foreign) == nil
+			f.stages.keeping += time.Since(began)
 			return kept
 		}
 	}
@@ -73,6 +70,21 @@
 	return result
 }
 
+// unreserved is the end of a turn that could not be reserved.
+func (f *flight) unreserved(err error) Result {
+	result := refused(TurnsUnreached, unreachedAfter)
+	switch {
+	case errors.Is(err, ErrBudgetSpent):
+		result = refused(BudgetSpent, 0)
+	case errors.Is(err, ErrNoSuchTurn):
+		result = refused(NoSuchTurn, 0)
+	case errors.Is(err, ErrIsolated):
+		result.RetryAfter = max(isolatedLeast, movedAfter-f.gateway.settings.CutOffFor())
+	}
+	result.Cause = err
+	return result
+}
+
 // chainBody is what a replica receives: for each turn of the chain its input
 // and the data of its events, each followed by a line feed, then the new input.
 func chainBody(chain []Turn, input []byte) []byte {
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -32,6 +32,8 @@
 type Keepers interface {
 	// Keeper returns false for one that is out of reach.
 	Keeper(name string) (historypb.Keeper, bool)
+	// WhenSilent has f called should the keeper fall silent before stop is called.
+	WhenSilent(name string, f func()) (stop func())
 	// CutOff reports whether this instance reaches no other data centre, so that
 	// nothing can be made durable from here.
 	CutOff() bool
@@ -105,7 +107,7 @@
 			if !ok {
 				continue
 			}
-			switch c.askOne(ctx, keeper, call) {
+			switch c.askOne(ctx, name, keeper, call) {
 			case settled:
 				return nil
 			case again:
@@ -117,12 +119,16 @@
 		}
 		sleep(ctx, retryPause)
 	}
-	return ErrUnreached
+	role := c.role(slice)
+	return errors.Wrapf(ErrUnreached, "slice %d in epoch %d of %s with %v", slice, role.Epoch, role.Primary, role.Partners)
 }
 
-func (c *Client) askOne(ctx context.Context, k historypb.Keeper, call func(context.Context, historypb.Keeper) reply) reply {
+// askOne asks one keeper. One that falls silent meanwhile is given up at once: the
+// next holder knows sooner who took its place.
+func (c *Client) askOne(ctx context.Context, name string, k historypb.Keeper, call func(context.Context, historypb.Keeper) reply) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	defer c.keepers.WhenSilent(name, cancel)()
 	return call(ctx, k)
 }
 
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -88,7 +88,9 @@
 	verified bool
 	views    map[string]*view
 	reach    reach
-	leaving  bool
+	// stuckTold is when it was told last that slices find no holder.
+	stuckTold time.Time
+	leaving   bool
 	// writes wait for the disk.
 	writes       []write
 	writingSince time.Time
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -285,6 +285,7 @@
 		o, known := opinions[name]
 		return !known || !o.heard || o.out
 	}
+	stuck := 0
 	for _, s := range k.slices {
 		// One that leaves hands its slices to their partners, and what it holds
 		// alone has to have one first.
@@ -293,14 +294,37 @@
 		}
 		partners := next.partnersFor(me, keepers, k.partners(), out)
 		if len(partners) == 0 && !k.lastKeeper(now) {
+			stuck++
 			continue
 		}
 		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partners: partners}
 		changed = true
 	}
+	k.tellStuck(stuck, opinions, now)
 	return next, changed
 }
 
+// tellStuck says why slices that should be held by others are not: no keeper is
+// to be had, and it is not certain that this one is the last.
+func (k *Keeper) tellStuck(slices int, opinions map[string]opinion, now time.Time) {
+	if slices == 0 || now.Sub(k.stuckTold) < stuckEvery {
+		return
+	}
+	k.stuckTold = now
+	for _, name := range k.others() {
+		o, v := opinions[name], k.views[name]
+		entry := k.settings.Logger.WithField("slices", slices).WithField("keeper", name).
+			WithField("heard", o.heard).WithField("out", o.out).WithField("reach", k.reach.holds(now))
+		if v != nil {
+			entry = entry.WithField("silent_ms", now.Sub(v.heard).Milliseconds()).WithField("lost", v.loss.holds(now))
+		}
+		entry.Info("no holder to be had")
+	}
+}
+
+// stuckEvery is the least time between two such words.
+const stuckEvery = time.Second
+
 // partners is the number of partners that a slice should have.
 func (k *Keeper) partners() int { return max(1, k.settings.Partners) }
 
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -469,6 +469,9 @@
 	cutOff bool
 }
 
+// WhenSilent implements Keepers. Its silence shows in the time of the calls here.
+func (e *entryPoint) WhenSilent(string, func()) (stop func()) { return func() {} }
+
 // CutOff implements Keepers.
 func (e *entryPoint) CutOff() bool { return e.cutOff }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -57,6 +57,8 @@
 	client   *http.Client
 	// hears reports whether an instance was heard from lately.
 	hears func(name string) bool
+	// whenSilent has f called should an instance fall silent before stop is called.
+	whenSilent func(name string, f func()) (stop func())
 	// misses reports whether an instance was not heard from lately, and whether
 	// this one can tell.
 	misses func(name string) (misses, known bool)
@@ -228,6 +230,15 @@
 	return f.keeperAt("http://" + f.settings.peerAddress(other.IP) + viaPath + name), true
 }
 
+// WhenSilent implements history.Keepers. One that is not heard already is asked
+// through another entry.
+func (f *fleet) WhenSilent(name string, g func()) (stop func()) {
+	if !f.hears(name) {
+		return func() {}
+	}
+	return f.whenSilent(name, g)
+}
+
 // CutOff implements history.Keepers.
 func (f *fleet) CutOff() bool { return f.cutOff() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,9 @@
 	table    atomic.Pointer[routing.Table]
 	upstream *upstream.Table
 	gateway  *gateway.Gateway
-	stopping atomic.Bool
+	// dataCentres and keepers tell when nothing comes from them any more.
+	dataCentres, keepers *silences
+	stopping             atomic.Bool
 
 	changed chan struct{}
 	// configRevision is the store's of the configuration that was read last, so
@@ -129,6 +131,9 @@
 		mirror:   mirror.New(),
 		upstream: upstream.NewTable(),
 		changed:  make(chan struct{}, 1),
+
+		dataCentres: newSilences(),
+		keepers:     newSilences(),
 	}
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
 	n.mirror.OnChange(func(mirror.Kind) { n.wake() })
@@ -158,11 +163,14 @@
 		Remote:     n.load.Silence,
 		MaxViewAge: cutAfter,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: viewBlocks}))
+	n.fleet.whenSilent = n.keepers.when
 	turns := history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:     n.table.Load,
 		Instances: n.fleet.entries,
 		CutOffFor: n.load.CutOffFor,
+
+		WhenSilent: n.dataCentres.when,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
 }
 
@@ -199,7 +207,7 @@
 // Run serves until ctx ends, then stops without cutting a call off.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory)))
-	n.logger.WithField("keeper", n.keeper != nil).Info("start")
+	n.logger.WithField("keeper", n.keeper != nil).WithField("data_centre", n.settings.DataCentre).Info("start")
 	// Serving outlasts ctx: a planned stop first ends what is under way.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -227,6 +235,14 @@
 		return n.serveEntry(ctx, serving)
 	})
 	group.Go(func() error { return n.exchangeLoad(serving) })
+	group.Go(func() error {
+		n.dataCentres.run(serving, func(dc string) bool { return n.load.Silence(dc) > cutAfter })
+		return nil
+	})
+	group.Go(func() error {
+		n.keepers.run(serving, func(name string) bool { return !n.fleet.hears(name) })
+		return nil
+	})
 	err := group.Wait()
 	n.logger.Info("stop")
 	return err
