Slices are spread over data centres again, and their partners replaced one after the other

Change: a slice whose holders share a data centre gets a partner elsewhere as soon as one is heard for 1 s. A partner that is still there is kept until the new one has all of the slice; a partner of a new epoch whose primary is lost before it said so takes over; one that leaves takes over what nobody else has.

Found on the way, by reading: an account's version of a replaced primary, never acknowledged, passed for the newer where both had the same number (TestLaterPrimarysAccountCountsMore); a repeated settling was acknowledged by a partner that lacked its records (TestRepeatedSettlingBringsItsRecords).

--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -274,9 +274,7 @@
 	inLoneWorld(t, 1, func(w *world, fail func(error)) {
 		w.cutDataCentre(east, true)
 		time.Sleep(aloneIn)
-		w.mu.Lock()
-		w.retiring = "c"
-		w.mu.Unlock()
+		w.setRetiring("c")
 		time.Sleep(aloneIn)
 		fail(keep(w.client(entryIn(north)), "p", "first", ""))
 		if w.machine("c").process.keeper.Empty() {
--- a/internal/history/assignment.go
+++ b/internal/history/assignment.go
@@ -43,6 +43,19 @@
 // partner reports whether a keeper is a partner.
 func (r *Role) partner(name string) bool { return slices.Contains(r.Partners, name) }
 
+// heldBy reports that these are the partners, in any order.
+func (r *Role) heldBy(partners []string) bool {
+	if len(partners) != len(r.Partners) {
+		return false
+	}
+	for _, name := range partners {
+		if !r.partner(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // Assignment tells who holds which slice.
 type Assignment struct {
 	Slices [SliceCount]Role `json:"slices"`
@@ -76,7 +89,7 @@
 	}
 	for s := range a.Slices {
 		primary := keepers[s%len(keepers)]
-		a.Slices[s] = Role{Epoch: 1, Primary: primary.Name, Partners: a.partnersFor(primary, keepers, partners, nil)}
+		a.Slices[s] = Role{Epoch: 1, Primary: primary.Name, Partners: a.partnersFor(s, primary, keepers, partners, nil)}
 	}
 	return a, true
 }
@@ -92,10 +105,11 @@
 	return n
 }
 
-// partnersFor chooses partners for a slice's primary: those with the fewest
-// slices, each in a data centre of its own while there is one, since a data centre
-// can be lost whole. It returns fewer where there are not enough.
-func (a *Assignment) partnersFor(primary Candidate, keepers []Candidate, count int, out func(name string) bool) []string {
+// partnersFor chooses partners for the primary of a slice: each in a data centre of
+// its own while there is one, since a data centre can be lost whole, then those that
+// hold the slice already, then those with the fewest slices. It returns fewer where
+// there are not enough.
+func (a *Assignment) partnersFor(slice int, primary Candidate, keepers []Candidate, count int, out func(name string) bool) []string {
 	taken := []Candidate{primary}
 	var partners []string
 	for len(partners) < count {
@@ -104,7 +118,7 @@
 			if contains(taken, k.Name) || out != nil && out(k.Name) {
 				continue
 			}
-			if best < 0 || a.better(taken, k, keepers[best]) {
+			if best < 0 || a.better(slice, taken, k, keepers[best]) {
 				best = i
 			}
 		}
@@ -121,11 +135,15 @@
 	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Name == name })
 }
 
-func (a *Assignment) better(taken []Candidate, k, best Candidate) bool {
+func (a *Assignment) better(slice int, taken []Candidate, k, best Candidate) bool {
 	shared, bestShared := sharing(taken, k.DataCentre), sharing(taken, best.DataCentre)
 	if shared != bestShared {
 		return shared < bestShared
 	}
+	holds, bestHolds := a.Slices[slice].partner(k.Name), a.Slices[slice].partner(best.Name)
+	if holds != bestHolds {
+		return holds
+	}
 	return a.held(k.Name) < a.held(best.Name)
 }
 
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -367,3 +367,76 @@
 	word.at = word.at.Add(statusEvery)
 	is.True(s.primaryLost(word))
 }
+
+// A program's tokens are handed out twice. A primary had written a change that its
+// partner never got, and was replaced; what the new one acknowledged must count more
+// than that on the old one's disk, also where both are the account's next version.
+func TestLaterPrimarysAccountCountsMore(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	old, next := newState(), newState()
+	old.epoch, next.epoch = 1, 2
+	reserve := func(s *state, turn string) *historypb.Account {
+		_, account := s.reserve(&historypb.ReserveRequest{Program: "p", Turn: turn, Most: 10, Budget: 100}, now)
+		return account
+	}
+	reserve(old, "never acknowledged")
+	old.apply(accountRecord(0, reserve(next, "acknowledged")))
+	is.Equal(old.accounts["p"].Open[0].Id, "acknowledged")
+}
+
+// A turn is lost that its caller saw end. Its primary had it on its own disk alone
+// when it was killed; after the restart its caller settled it again, which was
+// acknowledged by a partner that still lacked it. A repeat must bring its records.
+func TestRepeatedSettlingBringsItsRecords(t *testing.T) {
+	is := is.New(t)
+	s, partner := newState(), newState()
+	settle := &historypb.SettleRequest{Program: "p", Turn: "t", Made: 3, Kept: &historypb.Turn{Id: "t"}}
+	s.settle(settle, time.Now())
+	for _, r := range s.settle(settle, time.Now()) {
+		partner.apply(r)
+	}
+	is.Equal(partner.accounts["p"].Spent, int64(3))
+	_, ok := partner.chain("t")
+	is.True(ok)
+}
+
+// A cut of one data centre stops all turns though a keeper stands outside of it: that
+// one had been lost for a while, and its slices stayed with what was left, two keepers
+// of one data centre. They must be spread again.
+func TestSlicesAreSpreadAgain(t *testing.T) {
+	inLoneWorld(t, 1, func(w *world, fail func(error)) {
+		fail(keep(w.client(entryIn(north)), "p", "first", ""))
+		w.machine("c").wipe()
+		time.Sleep(settledIn)
+		w.machine("c").start()
+		time.Sleep(settledIn)
+		for s, role := range w.assigned().Slices {
+			if role.Primary != "c" && !role.partner("c") || len(role.Partners) != 1 {
+				fail(errors.Errorf("slice %d is on %v", s, role.holders()))
+				return
+			}
+		}
+		w.cutDataCentre(east, true)
+		time.Sleep(aloneIn)
+		fail(keep(w.client(entryIn(north)), "p", "second", "first"))
+	})
+}
+
+// A turn is lost that its caller saw end. A keeper is ordered to be emptied, its slice's
+// primary takes another partner, and is lost for good while that one is filled. The
+// one that leaves must hold the slice until the other has all of it.
+func TestPrimaryIsLostWhileItsPartnerIsReplaced(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		fail(keep(c, "p", "first", ""))
+		role := w.role("p")
+		w.setRetiring(role.Partners[0])
+		for w.role("p").Epoch == role.Epoch {
+			time.Sleep(wayTime)
+		}
+		w.machine(role.Primary).wipe()
+		time.Sleep(settledIn)
+		fail(keep(c, "p", "second", "first"))
+	})
+}
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -131,7 +131,7 @@
 }
 
 // lastKeeperKinds leave a keeper alone more often than the other faults.
-var lastKeeperKinds = append([]string{"centre", "centre", "centrewipe", "centrewipe"}, actionKinds...)
+var lastKeeperKinds = append([]string{"centre", "centre", "centrewipe", "centrewipe", "retire"}, actionKinds...)
 
 // TestLastKeeperMachine is the same where a data centre with two of three keepers
 // may be cut off, at times with the store in reach of both sides, and one of the
@@ -202,6 +202,9 @@
 	case "centre":
 		r.cutDataCentre(m.dataCentre, true)
 		r.later(a.For, func() { r.cutDataCentre(m.dataCentre, false) })
+	case "retire":
+		r.setRetiring(m.name)
+		r.later(a.For, func() { r.setRetiring("") })
 	case "centrewipe":
 		r.wipeBehindCut(m, a)
 	case "store":
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -24,6 +24,19 @@
 // lostRounds is the number of rounds in which a primary must lack its slice.
 const lostRounds = 3
 
+// unheard reports that this keeper became a partner in an epoch of which its primary
+// was lost before it told so. All that was acknowledged before is here, and nothing
+// is without this keeper's word since.
+func (k *Keeper) unheard(s *slice, opinions map[string]opinion, now time.Time) bool {
+	o, known := opinions[s.role.Primary]
+	silent := known && o.out && !o.heard || !known && now.Sub(k.started) > bootTime
+	if !s.role.partner(k.settings.Name) || !silent {
+		return false
+	}
+	s.salvaged = s.role.Epoch
+	return true
+}
+
 // orphaned reports that this keeper, which had all of the slice in the epoch
 // before, has to take it over from one that holds it no longer. It comes to
 // that when a proposal takes effect late, after its proposer lost its disk: the
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -86,23 +86,25 @@
 	k.settings.Logger.WithField("slice", s.number).WithField("epoch", next.Epoch).
 		WithField("primary", next.Primary).WithField("partners", next.Partners).
 		WithField("mark", s.mark.Epoch).WithField("synced", s.mark.Synced).Info("slice assigned")
+	continues := k.primary(s) && next.Epoch == s.role.Epoch+1
 	s.role = next
 	s.lostSince, s.primaryLostSince = time.Time{}, time.Time{}
 	if next.Primary != k.settings.Name {
 		s.drop()
 		return
 	}
-	k.relink(s)
+	s.state.epoch = next.Epoch
+	k.relink(s, continues)
 	k.raise(s)
 }
 
 // relink makes the ways to the partners those of the new role; the lock is held.
 // What waited for a partner that is one no longer waits for it in vain, and a new
 // one is sent everything that is not on all disks yet.
-func (k *Keeper) relink(s *slice) {
+func (k *Keeper) relink(s *slice, continues bool) {
 	var waiting []*entry
 	for _, l := range s.links {
-		l.filled = false
+		l.filled = l.filled && continues
 		for _, e := range l.entries {
 			if !slices.Contains(waiting, e) {
 				waiting = append(waiting, e)
@@ -114,6 +116,7 @@
 	for _, name := range s.role.Partners {
 		if old[name] != nil {
 			s.links[name] = old[name]
+			s.links[name].continues = continues
 			continue
 		}
 		s.link(name).entries = slices.Clone(waiting)
@@ -287,16 +290,20 @@
 	}
 	stuck := 0
 	for _, s := range k.slices {
-		// One that leaves hands its slices to their partners, and what it holds
-		// alone has to have one first.
-		if leaving && !k.alone(s) || !k.mustChange(s, opinions, now) {
+		// One that leaves hands its slices to others that have them, and what only
+		// it has is its to share first.
+		if leaving && k.othersHave(s, opinions) || !k.mustChange(s, opinions, now) {
 			continue
 		}
-		partners := next.partnersFor(me, keepers, k.partners(), out)
+		partners := next.partnersFor(int(s.number), me, keepers, k.partners(), out)
 		if len(partners) == 0 && !k.lastKeeper(now) {
 			stuck++
 			continue
 		}
+		partners = k.withHolders(s, partners, opinions)
+		if s.role.Primary == me.Name && s.role.heldBy(partners) {
+			continue
+		}
 		next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: me.Name, Partners: partners}
 		changed = true
 	}
@@ -343,11 +350,74 @@
 	return usable > len(s.role.Partners)
 }
 
+// othersHave reports that another holder is there and has all of the slice.
+func (k *Keeper) othersHave(s *slice, opinions map[string]opinion) bool {
+	for _, name := range s.role.holders() {
+		if name != k.settings.Name && opinions[name].has(int(s.number), s.role.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
+// withHolders returns the partners chosen for a slice, and beside them its present
+// ones until the chosen have all of it: else the primary would have it alone while
+// they are filled, and its loss would leave nobody who knows all.
+func (k *Keeper) withHolders(s *slice, chosen []string, opinions map[string]opinion) []string {
+	number, epoch := int(s.number), s.role.Epoch
+	if s.role.Primary != k.settings.Name || allHave(chosen, opinions, number, epoch) {
+		return chosen
+	}
+	partners := slices.Clone(chosen)
+	for _, name := range s.role.Partners {
+		if !slices.Contains(chosen, name) && opinions[name].has(number, epoch) {
+			partners = append(partners, name)
+		}
+	}
+	return partners
+}
+
+func allHave(names []string, opinions map[string]opinion, slice int, epoch uint64) bool {
+	for _, name := range names {
+		if !opinions[name].has(slice, epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// spreadAfter is how long a keeper must be heard before slices are given to it for
+// the sake of its data centre alone.
+const spreadAfter = time.Second
+
+// couldSpread reports that two holders of a slice share a data centre while a keeper
+// of another one is to be had: it was lost, and the slice went to what was left. A
+// cut would take the slice whole.
+func (k *Keeper) couldSpread(s *slice, opinions map[string]opinion, now time.Time) bool {
+	centres := map[string]string{}
+	for _, c := range k.settings.Keepers() {
+		centres[c.Name] = c.DataCentre
+	}
+	held := map[string]int{}
+	for _, name := range s.role.holders() {
+		held[centres[name]]++
+	}
+	if len(held) == len(s.role.Partners)+1 {
+		return false
+	}
+	for name, o := range opinions {
+		if held[centres[name]] == 0 && o.heard && !o.out && now.Sub(k.views[name].loss.heardSince) > spreadAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Keeper) leavingNow() bool { return k.leaving || k.settings.Retiring(k.settings.Name) }
 
 func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
 	if s.mark.Synced && s.role.Epoch > 1 && s.mark.Epoch == s.role.Epoch-1 && s.role.Primary != k.settings.Name {
-		return k.orphaned(s, opinions)
+		return k.unheard(s, opinions, now) || k.orphaned(s, opinions)
 	}
 	if s.role.Epoch == 0 || s.mark.Epoch != s.role.Epoch {
 		return k.abandoned(s, opinions, now)
@@ -361,7 +431,7 @@
 				return true
 			}
 		}
-		return k.tooFew(s, opinions)
+		return len(s.role.Partners) > k.partners() || k.tooFew(s, opinions) || k.couldSpread(s, opinions, now)
 	case s.role.partner(k.settings.Name):
 		o, known := opinions[s.role.Primary]
 		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o)
@@ -376,9 +446,14 @@
 	if l.filling || !partner.heard || l.filled && partner.has(int(s.number), s.role.Epoch) {
 		return
 	}
+	records := s.state.records(s.number)
+	if l.filled && l.continues && partner.has(int(s.number), s.role.Epoch-1) {
+		// It was sent all of it in the epoch before, and only has to hear of this one.
+		records = nil
+	}
 	l.filling = true
-	f := &filling{slice: s, link: l, epoch: s.role.Epoch, partner: name, disk: partner.disk}
-	go k.fill(ctx, f, s.state.records(s.number))
+	f := &filling{slice: s, link: l, epoch: s.role.Epoch, partner: name, disk: partner.disk, continues: l.continues}
+	go k.fill(ctx, f, records)
 }
 
 // filling is the sending of a whole slice to one partner's disk.
@@ -388,6 +463,8 @@
 	epoch   uint64
 	partner string
 	disk    string
+	// continues is the link's at the beginning.
+	continues bool
 }
 
 // fill sends records in parts, the last with the word that they are all. What
@@ -404,7 +481,10 @@
 			size += proto.Size(records[n])
 			n++
 		}
-		part := &historypb.SliceAppend{Slice: f.slice.number, Epoch: f.epoch, Records: records[:n], Complete: n == len(records)}
+		part := &historypb.SliceAppend{
+			Slice: f.slice.number, Epoch: f.epoch, Records: records[:n],
+			Complete: n == len(records), Continues: f.continues,
+		}
 		if !k.sendPart(ctx, f, part) {
 			return
 		}
--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -16,6 +16,9 @@
 	// the present epoch. A primary that was killed may have records on its disk
 	// that its partner never got; a repeated call would find them done.
 	filled bool
+	// continues says that the partner was one in the epoch before, in which this
+	// keeper decided too.
+	continues bool
 }
 
 // link returns the way to a partner.
@@ -71,7 +74,7 @@
 		if l == nil || len(l.entries) == 0 || !k.primary(s) {
 			continue
 		}
-		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch}
+		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch, Continues: l.continues}
 		for _, e := range l.entries {
 			a.Records = append(a.Records, e.records...)
 		}
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -77,8 +77,6 @@
 		defer k.mu.Unlock()
 		return &historypb.SettleResponse{Verdict: historypb.Verdict_NOT_NOW}, nil
 	}
-	// A repeat changes nothing, but what it repeats may not be durable yet, so
-	// it waits for its own turn behind it.
 	e := k.submit(s, s.state.settle(r, time.Now()))
 	k.mu.Unlock()
 	return &historypb.SettleResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE)}, nil
@@ -151,8 +149,10 @@
 			continue
 		}
 		if a.Epoch > s.mark.Epoch {
+			has := a.Continues && s.mark == mark{Epoch: a.Epoch - 1, Synced: true}
 			k.follow(s, a.Epoch)
-			records = append(records, markRecord(s.number, a.Epoch, false))
+			s.mark.Synced = has
+			records = append(records, markRecord(s.number, a.Epoch, has))
 		}
 		for _, record := range a.Records {
 			s.state.apply(record)
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -21,6 +21,8 @@
 type state struct {
 	accounts map[string]*historypb.Account
 	turns    map[string]*keptTurn
+	// epoch is that in which this keeper decides, or did last.
+	epoch uint64
 }
 
 type keptTurn struct {
@@ -49,7 +51,7 @@
 	} else if r.Budget > 0 && r.Most > r.Budget {
 		return historypb.Verdict_SPENT, nil
 	}
-	next := copyAccount(old, r.Program)
+	next := s.copyAccount(old, r.Program)
 	next.Open = append(next.Open, &historypb.OpenTurn{Id: r.Turn, Most: r.Most})
 	next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
 	s.accounts[r.Program] = next
@@ -60,7 +62,7 @@
 // while the program has used less than half of its budget: the other half stays
 // for turns at other entries, which can't see what this one does not use.
 func (s *state) draw(r *historypb.DrawRequest, now time.Time) (held int64, next *historypb.Account) {
-	next = copyAccount(s.accounts[r.Program], r.Program)
+	next = s.copyAccount(s.accounts[r.Program], r.Program)
 	i := slices.IndexFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Allowance })
 	a := &historypb.OpenTurn{Id: r.Allowance}
 	if i >= 0 {
@@ -87,11 +89,13 @@
 
 // settle closes a turn and counts what it made. A turn that is not open may
 // have been opened by a primary whose record was lost; it counts all the same.
+// A repeat changes nothing, but returns its records again: a partner may lack
+// what this keeper has on its disk since before it was killed.
 func (s *state) settle(r *historypb.SettleRequest, now time.Time) []*historypb.Record {
 	var records []*historypb.Record
 	old := s.accounts[r.Program]
 	if old == nil || !slices.Contains(old.Settled, r.Turn) {
-		next := copyAccount(old, r.Program)
+		next := s.copyAccount(old, r.Program)
 		next.Open = slices.DeleteFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn })
 		next.Spent += r.Made
 		if r.Replica != "" {
@@ -103,22 +107,21 @@
 		}
 		next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
 		s.accounts[r.Program] = next
-		records = append(records, accountRecord(r.Slice, next))
 	}
+	records = append(records, accountRecord(r.Slice, s.accounts[r.Program]))
 	for _, t := range r.Chain {
-		if s.turns[t.Id] == nil {
-			records = append(records, s.keep(r.Slice, t))
-		}
+		records = append(records, s.keep(r.Slice, t))
 	}
-	if r.Kept != nil && s.turns[r.Kept.Id] == nil {
+	if r.Kept != nil {
 		records = append(records, s.keep(r.Slice, r.Kept))
 	}
 	return records
 }
 
+// keep keeps a turn, and returns the record of what is kept under its id.
 func (s *state) keep(slice uint32, t *historypb.Turn) *historypb.Record {
 	s.addTurn(t)
-	return turnRecord(slice, t)
+	return turnRecord(slice, s.turns[t.Id].turn)
 }
 
 // addTurn keeps a turn, and the chain before it as long as itself.
@@ -203,13 +206,20 @@
 	return records
 }
 
-func copyAccount(old *historypb.Account, program string) *historypb.Account {
+// epochShift leaves 2^24 versions of an account to each epoch.
+const epochShift = 24
+
+// copyAccount returns an account to be changed, in a version of its own. A version of
+// a later epoch is always higher: the primary before may have left one on a disk that
+// was never acknowledged, and would pass for the newer there.
+func (s *state) copyAccount(old *historypb.Account, program string) *historypb.Account {
+	first := s.epoch << epochShift
 	if old == nil {
-		return &historypb.Account{Program: program, Version: 1}
+		return &historypb.Account{Program: program, Version: first + 1}
 	}
 	return &historypb.Account{
 		Program:       program,
-		Version:       old.Version + 1,
+		Version:       max(first, old.Version) + 1,
 		Spent:         old.Spent,
 		Open:          slices.Clone(old.Open),
 		Settled:       slices.Clone(old.Settled),
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -533,3 +533,9 @@
 	defer w.mu.Unlock()
 	w.noStore = name
 }
+
+func (w *world) setRetiring(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retiring = name
+}
