Keepers that entries miss too are replaced after 0.35 s

Hypothesis: from a cut to the first served turn it takes 0.55 s of silence and a proposal; where entries of most data centres miss the keeper as well, no pause explains it.

Change: such a keeper is replaced after 0.35 s; an entry tells that it misses one after 0.35 s.

--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -23,6 +23,9 @@
 	// pause of the process or a lost packet passes, a loss does not. A needless
 	// change costs the filling of a slice and no more.
 	suspectAfter = 550 * time.Millisecond
+	// confirmedAfter is the same where entries of most data centres do not hear it
+	// either: all of them do not pause at once.
+	confirmedAfter = 350 * time.Millisecond
 	// refusedMost is the number of refused connections in a row that show that a
 	// keeper's process is gone, which silence would show later.
 	refusedMost = 2
@@ -251,6 +254,12 @@
 	}
 }
 
+// silent reports that the keeper was not heard for as long as a pause may last.
+func (v *view) silent(now time.Time) bool {
+	since := now.Sub(v.heard)
+	return since > suspectAfter || since > confirmedAfter && v.loss.holds(now)
+}
+
 // opinions judges the other keepers; the lock is held.
 func (k *Keeper) opinions(now time.Time) map[string]opinion {
 	opinions := map[string]opinion{}
@@ -258,7 +267,7 @@
 		o := opinion{}
 		booted := now.Sub(k.started) > bootTime
 		gone := v.refused >= refusedMost && booted
-		silent := gone || now.Sub(v.heard) > suspectAfter && booted
+		silent := gone || v.silent(now) && booted
 		o.out = gone || silent && k.reach.holds(now) || k.settings.Retiring(name)
 		if v.status != nil {
 			o.heard, o.at, o.disk = !silent, v.heard, v.status.Disk
--- a/internal/history/witness.go
+++ b/internal/history/witness.go
@@ -48,7 +48,7 @@
 
 // noteHeard takes in that a keeper answered; the lock is held.
 func (v *view) noteHeard(now time.Time) {
-	if v.status == nil || now.Sub(v.heard) > suspectAfter {
+	if v.status == nil || v.silent(now) {
 		v.loss.heardSince = now
 	}
 	v.heard, v.loss.confirmed = now, time.Time{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,10 @@
 	// no more calls go there: three datagrams in a row from each of its
 	// instances are lost then.
 	cutAfter = 450 * time.Millisecond
+	// missedAfter is how long an instance is not heard before that is told to a
+	// keeper which asks: two datagrams in a row are lost then, and the keeper
+	// has missed it by itself.
+	missedAfter = 350 * time.Millisecond
 	// isolatedAfter is how long nothing may be heard from all other data centres
 	// before this entry asks the balancer to send callers elsewhere. Above
 	// cutAfter, since it moves all callers at once.
@@ -146,7 +150,7 @@
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, n.upstream, n.fleet.datagramAddresses, n.logger)
 	n.fleet.hears = func(name string) bool { return n.load.Hears(name, cutAfter) }
-	n.fleet.misses = func(name string) (bool, bool) { return n.load.Misses(name, cutAfter) }
+	n.fleet.misses = func(name string) (bool, bool) { return n.load.Misses(name, missedAfter) }
 	n.fleet.cutOff = n.isolated
 	n.openGateway()
 	return n, nil
