Entries are asked about keepers that hold slices only

A keeper that was replaced for good stays registered for half an hour; all others asked entries about it ten times a second all that time (found by reading). Now it is asked about only while it holds slices, or while a keeper may be the last one. Test red before (TestEntriesAreNotAskedAboutAKeeperThatHoldsNothing).

--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -305,6 +305,21 @@
 	})
 }
 
+// Entries are asked about a keeper that is gone for good as long as it is registered,
+// by all other keepers, ten times a second. Once it holds nothing, nobody needs to
+// know of it.
+func TestEntriesAreNotAskedAboutAKeeperThatHoldsNothing(t *testing.T) {
+	inLoneWorld(t, 1, func(w *world, fail func(error)) {
+		w.machine("b").stop()
+		time.Sleep(settledIn)
+		before := w.witnessed.Load()
+		time.Sleep(time.Minute)
+		if asked := w.witnessed.Load() - before; asked > 0 {
+			fail(errors.Errorf("asked %d times in a minute", asked))
+		}
+	})
+}
+
 // An assignment of another version, or one written by hand, names keepers that
 // are not there or no partners at all. A keeper must judge it and stay up.
 func TestOddAssignmentsAreJudged(t *testing.T) {
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -56,9 +56,12 @@
 
 // isolated reports that no other keeper has been heard for as long as it takes
 // to replace one; the lock is held. What waited then would wait in vain.
-func (k *Keeper) isolated() bool {
+func (k *Keeper) isolated() bool { return k.allSilent(suspectAfter) }
+
+// allSilent reports that no other keeper has been heard for that long; the lock is held.
+func (k *Keeper) allSilent(since time.Duration) bool {
 	for _, v := range k.views {
-		if time.Since(v.heard) < suspectAfter {
+		if time.Since(v.heard) < since {
 			return false
 		}
 	}
--- a/internal/history/witness.go
+++ b/internal/history/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -71,13 +72,18 @@
 	}
 }
 
-// doubted returns the keepers that were not heard for a while.
+// doubted returns the keepers that were not heard for a while and that entries are
+// to be asked about: those that hold slices, and all of them where this keeper may
+// be the last. One that was replaced for good stays registered for long, and to ask
+// about it all that time would cost each keeper a call to most entries ten times a
+// second.
 func (k *Keeper) doubted() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	last := k.allSilent(doubtAfter) || slices.ContainsFunc(k.slices[:], k.alone)
 	var names []string
 	for name, v := range k.views {
-		if time.Since(v.heard) > doubtAfter {
+		if time.Since(v.heard) > doubtAfter && (last || k.known.held(name) > 0) {
 			names = append(names, name)
 		}
 	}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,6 +70,8 @@
 	deaf map[string]bool
 	// entriesOnly names data centres without a keeper.
 	entriesOnly []string
+	// witnessed counts the questions to entries.
+	witnessed atomic.Int64
 	// retiring names the keeper that operators want emptied.
 	retiring string
 }
@@ -359,6 +362,7 @@
 	}
 	sleep(ctx, 2*wayTime)
 	w := m.world
+	w.witnessed.Add(1)
 	var witnesses []Witness
 	for _, dc := range w.dataCentres() {
 		if w.isDeaf(dc) || w.isCut(m.name, entryIn(dc)) {
