--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -149,6 +149,27 @@
 	t.Log(seen)
 }
 
+// TestDataCentresMachine is the same over six keepers in three data centres, of which
+// two at once may lose their disks.
+func TestDataCentresMachine(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt, lastKeeperKinds)
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 6, 2)
+			for i, m := range w.machines {
+				m.dataCentre = []string{east, west, north}[i%3]
+			}
+			failures = runPlan(t, w, plan, seen)
+		})
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures[:min(3, len(failures))])
+		}
+	})
+	t.Log(seen)
+}
+
 func runPlan(t *testing.T, w *world, plan []action, seen map[string]int) []string {
 	r := &run{world: w, seen: seen, oracle: oracle{entries: map[int]*Client{}}}
 	r.startAll()
