An entry that starts behind a cut takes itself for cut off

Change: data centres that have registered instances and were never heard count as silent since the start; an entry is ready only once it has heard another one, where there are two or more. Test red before (TestInstanceThatStartsBehindACutIsCutOff).

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -130,6 +130,19 @@
 	return n
 }
 
+// dataCentres returns those that have instances.
+func (f *fleet) dataCentres() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for _, m := range f.members {
+		if !slices.Contains(names, m.DataCentre) {
+			names = append(names, m.DataCentre)
+		}
+	}
+	return names
+}
+
 // datagramAddresses returns where the other entries take datagrams.
 func (f *fleet) datagramAddresses() []*net.UDPAddr {
 	f.mu.Lock()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -32,7 +32,7 @@
 	f.refresh()
 	x := peerload.New("me", "a", upstream.NewTable(), f.datagramAddresses, quiet)
 	f.hears = func(name string) bool { return x.Hears(name, cutAfter) }
-	f.cutOff = func() bool { return x.CutOffFor() > isolatedAfter }
+	f.cutOff = func() bool { return x.CutOffFor(nil) > isolatedAfter }
 	return f, x
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,7 +172,7 @@
 	n.gateway = gateway.New(gateway.Settings{
 		Table:     n.table.Load,
 		Instances: n.fleet.entries,
-		CutOffFor: n.load.CutOffFor,
+		CutOffFor: n.cutOffFor,
 
 		WhenSilent: n.dataCentres.when,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
@@ -462,7 +462,7 @@
 
 func (n *Node) ready() bool {
 	_, known := n.mirror.AsOf(mirror.Replicas)
-	return known && n.table.Load() != nil && !n.sendsAway()
+	return known && n.table.Load() != nil && !n.sendsAway() && n.load.Connected(n.fleet.dataCentres())
 }
 
 // sendsAway reports that callers are better served elsewhere: this instance is
@@ -470,4 +470,6 @@
 // durable, while those of other data centres can and are within callers' reach.
 func (n *Node) sendsAway() bool { return n.stopping.Load() || n.isolated() }
 
-func (n *Node) isolated() bool { return n.load.CutOffFor() > isolatedAfter }
+func (n *Node) isolated() bool { return n.cutOffFor() > isolatedAfter }
+
+func (n *Node) cutOffFor() time.Duration { return n.load.CutOffFor(n.fleet.dataCentres()) }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -56,6 +56,8 @@
 	// signs are when anything was last heard from each data centre, and lives
 	// from each instance.
 	signs, lives map[string]time.Time
+	// began is when this instance started.
+	began time.Time
 	// listens is since when datagrams are taken in without a pause.
 	listens time.Time
 	// known is the number of peers at the last sending. It is kept here, so that
@@ -74,9 +76,10 @@
 
 // New returns an exchange that is not yet running.
 func New(name, dataCentre string, table *upstream.Table, peers func() []*net.UDPAddr, logger log.Interface) *Exchange {
+	now := time.Now()
 	return &Exchange{
 		name: name, dataCentre: dataCentre, table: table, peers: peers, logger: logger,
-		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]time.Time{}, listens: time.Now(),
+		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]time.Time{}, began: now, listens: now,
 	}
 }
 
@@ -98,17 +101,42 @@
 const leastOthers = 2
 
 // CutOffFor returns for how long this instance has heard nobody beyond its own
-// data centre, though it heard several others before, or nobody at all; 0 where
-// neither can be said.
-func (x *Exchange) CutOffFor() time.Duration {
+// data centre, though there are instances in several others, or nobody at all; 0
+// where neither can be said. Registered are the data centres that have instances:
+// one that was not heard yet has been silent since the start, or else an instance
+// that starts behind a cut would take itself for connected and draw all callers.
+func (x *Exchange) CutOffFor(registered []string) time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	beyond := maps.Clone(x.signs)
+	for _, dataCentre := range registered {
+		if _, heard := beyond[dataCentre]; !heard {
+			beyond[dataCentre] = x.began
+		}
+	}
 	delete(beyond, x.dataCentre)
 	now := time.Now()
 	return max(silenceOfAll(beyond, now), silenceOfAll(x.lives, now))
 }
 
+// Connected reports that this instance has heard another data centre since its
+// start, or that there are not several to hear.
+func (x *Exchange) Connected(registered []string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	others := 0
+	for _, dataCentre := range registered {
+		if dataCentre == x.dataCentre {
+			continue
+		}
+		others++
+		if _, heard := x.signs[dataCentre]; heard {
+			return true
+		}
+	}
+	return others < leastOthers
+}
+
 // silenceOfAll returns the time since any of them was heard.
 func silenceOfAll(heard map[string]time.Time, now time.Time) time.Duration {
 	if len(heard) < leastOthers {
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -73,19 +73,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x, _ := exchange()
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 		x.take(loadOf("a", "here", 1), time.Now())
 		x.take(loadOf("b", "there", 1), time.Now())
 		time.Sleep(2 * time.Second)
 		x.take(loadOf("a", "here", 1), time.Now())
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 		x.take(loadOf("c", "elsewhere", 1), time.Now())
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 		time.Sleep(2 * time.Second)
 		x.take(loadOf("a", "here", 1), time.Now())
-		is.True(x.CutOffFor() > time.Second)
+		is.True(x.CutOffFor(nil) > time.Second)
 		x.take(loadOf("b", "there", 1), time.Now())
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 	})
 }
 
@@ -96,11 +96,11 @@
 		x, _ := exchange()
 		x.take(loadOf("a", "here", 1), time.Now())
 		time.Sleep(2 * time.Second)
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 		x.take(loadOf("b", "here", 1), time.Now())
-		is.True(x.CutOffFor() < time.Second)
+		is.True(x.CutOffFor(nil) < time.Second)
 		time.Sleep(2 * time.Second)
-		is.True(x.CutOffFor() > time.Second)
+		is.True(x.CutOffFor(nil) > time.Second)
 	})
 }
 
@@ -144,3 +144,24 @@
 		x.take(load, now)
 	}
 }
+
+// All callers of a data centre that is cut off stay with the one instance there that
+// has just started: it never heard the others, and says that it is ready. It must
+// count them as silent since its start, and only those that have instances.
+func TestInstanceThatStartsBehindACutIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, _ := exchange()
+		others := []string{"here", "there", "elsewhere"}
+		x.take(loadOf("neighbour", "here", 1), time.Now())
+		time.Sleep(time.Second)
+		x.take(loadOf("neighbour", "here", 1), time.Now())
+		is.Equal(x.CutOffFor(others), time.Second)
+		is.True(!x.Connected(others))
+		is.Equal(x.CutOffFor([]string{"here", "there"}), time.Duration(0))
+		is.True(x.Connected([]string{"here", "there"}))
+		x.take(loadOf("b", "there", 1), time.Now())
+		is.Equal(x.CutOffFor(others), time.Duration(0))
+		is.True(x.Connected(others))
+	})
+}
