--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -462,7 +462,7 @@
 
 func (n *Node) ready() bool {
 	_, known := n.mirror.AsOf(mirror.Replicas)
-	return known && n.table.Load() != nil && !n.sendsAway() && n.load.Connected(n.fleet.dataCentres())
+	return known && n.table.Load() != nil && !n.sendsAway()
 }
 
 // sendsAway reports that callers are better served elsewhere: this instance is
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -119,24 +119,6 @@
 	return max(silenceOfAll(beyond, now), silenceOfAll(x.lives, now))
 }
 
-// Connected reports that this instance has heard another data centre since its
-// start, or that there are not several to hear.
-func (x *Exchange) Connected(registered []string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	others := 0
-	for _, dataCentre := range registered {
-		if dataCentre == x.dataCentre {
-			continue
-		}
-		others++
-		if _, heard := x.signs[dataCentre]; heard {
-			return true
-		}
-	}
-	return others < leastOthers
-}
-
 // silenceOfAll returns the time since any of them was heard.
 func silenceOfAll(heard map[string]time.Time, now time.Time) time.Duration {
 	if len(heard) < leastOthers {
