--- a/internal/history/alone.go
+++ b/internal/history/alone.go
@@ -27,7 +27,7 @@
 			return false
 		}
 	}
-	return len(others) >= k.partners()
+	return len(others) >= k.disksLost()
 }
 
 // others returns the names of the other keepers.
--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -23,16 +23,16 @@
 
 // newLoneWorld returns three keepers, a and b in the east and c in the west, with
 // entries there and in the north.
-func newLoneWorld(t *testing.T, partners int) *world {
-	w := newWorld(t, 3, partners)
+func newLoneWorld(t *testing.T, disksLost int) *world {
+	w := newWorld(t, 3, disksLost)
 	w.machines[0].dataCentre, w.machines[1].dataCentre, w.machines[2].dataCentre = east, east, west
 	w.entriesOnly = []string{north}
 	return w
 }
 
 // inLoneWorld runs a test in such a world that is whole.
-func inLoneWorld(t *testing.T, partners int, test func(w *world, fail func(error))) {
-	inWorldOf(t, func(t *testing.T) *world { return newLoneWorld(t, partners) }, test)
+func inLoneWorld(t *testing.T, disksLost int, test func(w *world, fail func(error))) {
+	inWorldOf(t, func(t *testing.T) *world { return newLoneWorld(t, disksLost) }, test)
 }
 
 // inWorldOf runs a test on virtual time over keepers that are whole.
--- a/internal/history/assignment.go
+++ b/internal/history/assignment.go
@@ -2,13 +2,15 @@
 // make, on the instances that have a disk.
 //
 // Programs hash to slices. For each slice one object in the platform's store
-// names the keepers that hold it, one more than disks may be lost at once, under
-// an epoch. The primary decides; what it decides counts once it is on the disks
-// of all of them. A change of keepers is one conditional write by a keeper that
-// has all of the slice, which becomes the primary; the others are filled from it.
-// Since every change keeps a keeper of the epoch before, and a keeper refuses
-// epochs below its own, a primary that was frozen or cut off can finish nothing
-// after it was replaced, without a lease and without a clock.
+// names the keepers that hold it, under an epoch. The primary decides; a decision
+// counts once it is on the primary's disk and on those of its partners, all of them
+// or all but one, see Ensemble.
+//
+// A change of holders is one conditional write by a keeper that makes itself the
+// primary of the next epoch. A keeper that did not decide in the epoch before first
+// has enough of its holders refuse that epoch, and fetches what they have: any
+// decision is on one of them. So a primary that was frozen or cut off can finish
+// nothing after it was replaced, without a lease and without a clock.
 package history
 
 import (
@@ -28,68 +30,59 @@
 	return uint32(xxhash.Sum64String(program) % SliceCount)
 }
 
-// Role tells who holds a slice.
-type Role struct {
-	// Epoch grows with each change; 0 says that nobody holds the slice yet.
-	Epoch   uint64 `json:"epoch"`
-	Primary string `json:"primary"`
-	// Partners hold the same as the primary.
-	Partners []string `json:"partners"`
-}
-
-// holders returns the primary and its partners.
-func (r *Role) holders() []string { return append([]string{r.Primary}, r.Partners...) }
-
-// partner reports whether a keeper is a partner.
-func (r *Role) partner(name string) bool { return slices.Contains(r.Partners, name) }
-
-// heldBy reports that these are the partners, in any order.
-func (r *Role) heldBy(partners []string) bool {
-	if len(partners) != len(r.Partners) {
-		return false
-	}
-	for _, name := range partners {
-		if !r.partner(name) {
-			return false
-		}
-	}
-	return true
-}
+// assignmentForm is the form in which assignments are written. Form 1, which has no
+// number, names no disks and has decisions on all disks of a slice.
+const assignmentForm = 2
 
 // Assignment tells who holds which slice.
 type Assignment struct {
+	// Form is that of the object in the store.
+	Form   int              `json:"form,omitempty"`
 	Slices [SliceCount]Role `json:"slices"`
 }
 
+// ErrForm says that an assignment was written by a later version of foxhall.
+var ErrForm = errors.New("history: assignment of an unknown form")
+
 // DecodeAssignment reads an assignment from the store.
 func DecodeAssignment(data []byte) (Assignment, error) {
 	var a Assignment
 	if err := json.Unmarshal(data, &a); err != nil {
 		return Assignment{}, errors.Wrap(err, "assignment")
 	}
+	if a.Form > assignmentForm {
+		return Assignment{}, errors.Wrapf(ErrForm, "form %d, known up to %d", a.Form, assignmentForm)
+	}
 	return a, nil
 }
 
 // Encode returns the assignment as the store holds it.
-func (a *Assignment) Encode() ([]byte, error) { return json.Marshal(a) }
+func (a *Assignment) Encode() ([]byte, error) {
+	a.Form = assignmentForm
+	return json.Marshal(a)
+}
 
 // Candidate is a keeper that may be given slices.
 type Candidate struct {
 	Name       string
 	DataCentre string
+	// Disk names its disk, where it is known.
+	Disk string
 }
 
 // First returns the assignment of a system that has never run: slices go round
-// the keepers, each with so many partners as there are others for, in other data
-// centres where there are any.
-func First(keepers []Candidate, partners int) (Assignment, bool) {
+// the keepers. Of each slice, disksLost holders may be lost at once.
+func First(keepers []Candidate, disksLost int) (Assignment, bool) {
 	var a Assignment
 	if len(keepers) < 2 {
 		return a, false
 	}
+	c := chooser{assignment: &a, keepers: keepers, disksLost: disksLost, held: map[string]int{}}
 	for s := range a.Slices {
 		primary := keepers[s%len(keepers)]
-		a.Slices[s] = Role{Epoch: 1, Primary: primary.Name, Partners: a.partnersFor(s, primary, keepers, partners, nil)}
+		partners := c.partnersFor(s, primary)
+		a.Slices[s] = Role{Ensemble: ensembleOf(1, primary, partners, disksLost)}
+		c.count(&a.Slices[s])
 	}
 	return a, true
 }
@@ -97,54 +90,37 @@
 // held counts the slices that a keeper holds in either role.
 func (a *Assignment) held(name string) int {
 	n := 0
-	for _, r := range a.Slices {
-		if r.Epoch > 0 && (r.Primary == name || r.partner(name)) {
+	for i := range a.Slices {
+		if r := &a.Slices[i]; r.Epoch > 0 && r.holds(name) {
 			n++
 		}
 	}
 	return n
 }
 
-// partnersFor chooses partners for the primary of a slice: each in a data centre of
-// its own while there is one, since a data centre can be lost whole, then those that
-// hold the slice already, then those with the fewest slices. It returns fewer where
-// there are not enough.
-func (a *Assignment) partnersFor(slice int, primary Candidate, keepers []Candidate, count int, out func(name string) bool) []string {
-	taken := []Candidate{primary}
-	var partners []string
-	for len(partners) < count {
-		best := -1
-		for i, k := range keepers {
-			if contains(taken, k.Name) || out != nil && out(k.Name) {
-				continue
-			}
-			if best < 0 || a.better(slice, taken, k, keepers[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return partners
-		}
-		taken = append(taken, keepers[best])
-		partners = append(partners, keepers[best].Name)
+// ensembleOf returns an ensemble of the primary and its partners.
+func ensembleOf(epoch uint64, primary Candidate, partners []Candidate, disksLost int) Ensemble {
+	e := Ensemble{Epoch: epoch, Primary: primary.Name, Disks: []string{primary.Disk}}
+	for _, p := range partners {
+		e.Partners = append(e.Partners, p.Name)
+		e.Disks = append(e.Disks, p.Disk)
 	}
-	return partners
-}
-
-func contains(list []Candidate, name string) bool {
-	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Name == name })
+	if len(partners) > disksLost && sparesOne(append([]Candidate{primary}, partners...)) {
+		e.Spare = spareMost
+	}
+	return e
 }
 
-func (a *Assignment) better(slice int, taken []Candidate, k, best Candidate) bool {
-	shared, bestShared := sharing(taken, k.DataCentre), sharing(taken, best.DataCentre)
-	if shared != bestShared {
-		return shared < bestShared
-	}
-	holds, bestHolds := a.Slices[slice].partner(k.Name), a.Slices[slice].partner(best.Name)
-	if holds != bestHolds {
-		return holds
+// sparesOne reports that a decision need not be on all disks of the holders: all disks
+// are known by name, and whichever data centre is lost, more holders than the spare one
+// are left.
+func sparesOne(holders []Candidate) bool {
+	for _, h := range holders {
+		if h.Disk == "" || len(holders)-sharing(holders, h.DataCentre) <= spareMost {
+			return false
+		}
 	}
-	return a.held(k.Name) < a.held(best.Name)
+	return true
 }
 
 // sharing counts those in the data centre.
@@ -157,3 +133,7 @@
 	}
 	return n
 }
+
+func contains(list []Candidate, name string) bool {
+	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Name == name })
+}
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -77,7 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.Epoch > c.newer[slice].Epoch {
-		c.newer[slice] = Role{Epoch: r.Epoch, Primary: r.Primary, Partners: r.Partners}
+		c.newer[slice] = Role{Ensemble: Ensemble{Epoch: r.Epoch, Primary: r.Primary, Partners: r.Partners}}
 	}
 }
 
--- /dev/null
+++ b/internal/history/ensemble.go
@@ -0,0 +1,107 @@
+package history
+
+import "slices"
+
+// Ensemble is the keepers that hold a slice in one epoch.
+type Ensemble struct {
+	// Epoch grows with each change; 0 says that nobody holds the slice yet.
+	Epoch   uint64 `json:"epoch"`
+	Primary string `json:"primary"`
+	// Partners hold the same as the primary.
+	Partners []string `json:"partners"`
+	// Disks names the disks of the holders, the primary's first. A holder whose
+	// disk has another name lost what it held. Empty in assignments of form 1.
+	Disks []string `json:"disks,omitempty"`
+	// Spare is the number of partners on whose disks a decision need not be.
+	Spare int `json:"spare,omitempty"`
+}
+
+// Role tells who holds a slice.
+type Role struct {
+	Ensemble
+	// Before lists earlier ensembles, the oldest first, that may hold decisions
+	// which the primary has to fetch before it decides.
+	Before []Ensemble `json:"before,omitempty"`
+}
+
+// spareMost is the largest Spare. Any two holders of an ensemble then have all of its
+// decisions between them.
+const spareMost = 1
+
+// holders returns the primary and its partners.
+func (e *Ensemble) holders() []string { return append([]string{e.Primary}, e.Partners...) }
+
+// partner reports whether a keeper is a partner.
+func (e *Ensemble) partner(name string) bool { return slices.Contains(e.Partners, name) }
+
+// holds reports whether a keeper is a holder.
+func (e *Ensemble) holds(name string) bool { return e.Primary == name || e.partner(name) }
+
+// disk returns the name of a holder's disk, or nothing where it is not known.
+func (e *Ensemble) disk(name string) string {
+	i := slices.Index(e.holders(), name)
+	if i < 0 || i >= len(e.Disks) {
+		return ""
+	}
+	return e.Disks[i]
+}
+
+// acks returns on how many partners' disks a decision must be.
+func (e *Ensemble) acks() int { return len(e.Partners) - e.Spare }
+
+// sameHolders reports that the other ensemble has the same primary and partners, in any
+// order, on the same disks, and the same spare.
+func (e *Ensemble) sameHolders(other *Ensemble) bool {
+	if e.Primary != other.Primary || e.Spare != other.Spare || len(e.Partners) != len(other.Partners) {
+		return false
+	}
+	for _, name := range e.holders() {
+		if !other.holds(name) || e.disk(name) != other.disk(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// keeps reports whether a keeper with the disk and the base still has all that it
+// acknowledged in the ensemble.
+func (e *Ensemble) keeps(name, disk string, base uint64) bool {
+	if !e.holds(name) {
+		return false
+	}
+	if recorded := e.disk(name); recorded != "" {
+		return recorded == disk
+	}
+	// Without the disk's name, a base of the epoch before shows that the disk was
+	// there when the ensemble began.
+	return base > 0 && base+1 >= e.Epoch
+}
+
+// complete reports whether the keepers, which have all that they acknowledged in the
+// ensemble, have all of its decisions between them: each is on the primary's disk, and
+// on those of all partners but the spare ones.
+func (e *Ensemble) complete(names []string) bool {
+	return slices.Contains(names, e.Primary) || len(names) > e.Spare
+}
+
+// chain returns the ensembles that may hold decisions, the oldest first.
+func (r *Role) chain() []Ensemble { return append(slices.Clone(r.Before), r.Ensemble) }
+
+// everHeld returns the holders of all these ensembles.
+func (r *Role) everHeld() map[string]bool {
+	names := map[string]bool{}
+	for _, e := range r.chain() {
+		for _, name := range e.holders() {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+// oldest returns the lowest base with which a keeper may take the slice over.
+func (r *Role) oldest() uint64 {
+	if len(r.Before) > 0 {
+		return r.Before[0].Epoch
+	}
+	return r.Epoch
+}
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -49,13 +49,15 @@
 		role := w.role("p")
 		w.machine(role.Primary).wipe()
 		w.mu.Lock()
-		other := ""
+		late := Role{Before: []Ensemble{role.Ensemble}}
+		late.Epoch, late.Primary, late.Disks = role.Epoch+1, role.Primary, []string{role.disk(role.Primary)}
 		for _, m := range w.machines {
-			if m.name != role.Primary && !role.partner(m.name) {
-				other = m.name
+			if !role.holds(m.name) {
+				late.Partners = append(late.Partners, m.name)
+				late.Disks = append(late.Disks, m.process.keeper.disk)
 			}
 		}
-		w.assignment.Slices[SliceOf("p")] = Role{Epoch: role.Epoch + 1, Primary: role.Primary, Partners: []string{other}}
+		w.assignment.Slices[SliceOf("p")] = late
 		w.version++
 		w.mu.Unlock()
 		w.machine(role.Primary).start()
@@ -81,8 +83,8 @@
 		partner.wipe()
 		partner.start()
 		k := partner.process.keeper
-		last := &historypb.AppendRequest{Disk: before.Disk, Slices: []*historypb.SliceAppend{
-			{Slice: SliceOf("p"), Epoch: role.Epoch, Complete: true},
+		last := &historypb.AppendRequest{Slices: []*historypb.SliceAppend{
+			{Slice: SliceOf("p"), Epoch: role.Epoch, Complete: true, Disk: before.Disk},
 		}}
 		// The first has it read the assignment, without which it follows nobody.
 		for range 2 {
@@ -92,7 +94,7 @@
 			time.Sleep(mirrorTime)
 		}
 		after, err := k.Status(ctx, &historypb.StatusRequest{})
-		if err != nil || after.Slices[SliceOf("p")].Synced {
+		if err != nil || markOf(after.Slices[SliceOf("p")]).Base > 0 {
 			fail(errors.New("an empty disk counts as whole"))
 		}
 	})
@@ -311,7 +313,7 @@
 		for _, name := range role.holders() {
 			k := w.machine(name).process.keeper
 			k.mu.Lock()
-			has := k.slices[s].mark == mark{Epoch: role.Epoch, Synced: true}
+			has := k.slices[s].mark.whole(role.Epoch)
 			k.mu.Unlock()
 			if !has {
 				return false
@@ -357,9 +359,9 @@
 // then it was cut off, and took the old word for a lost disk again and again.
 func TestOldWordOfAPrimaryIsNoLoss(t *testing.T) {
 	is := is.New(t)
-	s := &slice{number: 1, role: Role{Epoch: 3}}
+	s := &slice{number: 1, role: Role{Ensemble: Ensemble{Epoch: 3}}}
 	word := opinion{heard: true, at: time.Now()}
-	word.marks[1] = mark{Epoch: 2, Synced: true}
+	word.marks[1] = mark{Epoch: 2, Base: 2}
 	is.True(!s.primaryLost(word))
 	is.True(!s.primaryLost(word))
 	word.at = word.at.Add(lostRounds * statusEvery)
--- a/internal/history/fill.go
+++ b/internal/history/fill.go
@@ -8,20 +8,25 @@
 	"foxhall/internal/history/historypb"
 )
 
-// fillIfNeeded sends the whole slice to a partner that lacks it; the lock is held.
+// fillIfNeeded has a partner that is not known to have all of the slice be sent it, or
+// be told so where each part is on its way already; the lock is held.
 func (k *Keeper) fillIfNeeded(ctx context.Context, s *slice, name string, partner opinion) {
 	l := s.link(name)
-	if l.filling || !partner.heard || l.filled && partner.has(int(s.number), s.role.Epoch) {
+	known := partner.has(int(s.number), s.role.Epoch)
+	if l.filling || !partner.heard || l.filled && known || l.disk != "" && l.disk != partner.disk {
 		return
 	}
-	records := s.state.records(s.number)
-	if l.filled && l.continues && partner.has(int(s.number), s.role.Epoch-1) {
-		// It was sent all of it in the epoch before, and only has to hear of this one.
-		records = nil
+	if l.filled {
+		if !l.declare {
+			l.declare = true
+			k.wakeSender(name)
+		}
+		return
 	}
 	l.filling = true
-	f := &filling{slice: s, link: l, epoch: s.role.Epoch, partner: name, disk: partner.disk, continues: l.continues}
-	go k.fill(ctx, f, records)
+	l.overflowed = false
+	f := &filling{slice: s, link: l, epoch: s.role.Epoch, partner: name, disk: partner.disk}
+	go k.fill(ctx, f, s.state.records(s.number))
 }
 
 // filling is the sending of a whole slice to one partner's disk.
@@ -31,8 +36,6 @@
 	epoch   uint64
 	partner string
 	disk    string
-	// continues is the link's at the beginning.
-	continues bool
 }
 
 // fill sends records in parts, the last with the word that they are all. What
@@ -50,8 +53,7 @@
 			n++
 		}
 		part := &historypb.SliceAppend{
-			Slice: f.slice.number, Epoch: f.epoch, Records: records[:n],
-			Complete: n == len(records), Continues: f.continues,
+			Slice: f.slice.number, Epoch: f.epoch, Disk: f.disk, Records: records[:n], Complete: n == len(records),
 		}
 		if !k.sendPart(ctx, f, part) {
 			return
@@ -63,20 +65,14 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	f.link.filled = f.slice.role.Epoch == f.epoch
-	if v := k.views[f.partner]; v != nil && v.status != nil {
-		for _, m := range v.status.Slices {
-			if m.Slice == f.slice.number {
-				m.Epoch, m.Synced = f.epoch, true
-			}
-		}
-	}
+	f.link.filled = f.slice.links[f.partner] == f.link && !f.link.overflowed
+	k.noteWhole(f.partner, f.slice.number, f.epoch)
 }
 
 func (k *Keeper) sendPart(ctx context.Context, f *filling, part *historypb.SliceAppend) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
-	r := &historypb.AppendRequest{From: k.settings.Name, Disk: f.disk, Slices: []*historypb.SliceAppend{part}}
+	r := &historypb.AppendRequest{From: k.settings.Name, Slices: []*historypb.SliceAppend{part}}
 	response, err := k.peers.Append(ctx, f.partner, r)
 	if err != nil {
 		k.settings.Logger.WithError(err).WithField("partner", f.partner).WithField("slice", part.Slice).Debug("slice not sent")
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -13,18 +13,19 @@
 		return next, false
 	}
 	leaving := k.leavingNow()
+	choose := k.newChooser(&next, opinions)
 	for _, s := range k.slices {
 		// One that leaves hands its slices to others that have them, and what only
 		// it has is its to share first.
 		if leaving && k.othersHave(s, opinions) || !k.mustChange(s, opinions, now) {
 			continue
 		}
-		partners, found := k.choosePartners(&next, s, opinions, now)
+		role, found := k.nextRole(choose, s, opinions, now)
 		switch {
 		case !found:
 			stuck++
-		case s.role.Primary != k.settings.Name || !s.role.heldBy(partners):
-			next.Slices[s.number] = Role{Epoch: s.role.Epoch + 1, Primary: k.settings.Name, Partners: partners}
+		case s.forced == role.Epoch || !role.sameHolders(&s.role.Ensemble):
+			next.Slices[s.number] = role
 			changed = true
 		}
 	}
@@ -32,19 +33,58 @@
 	return next, changed
 }
 
-// choosePartners chooses those that are to hold a slice beside this keeper: none
-// where it is the last. It returns false where there is none to be had now.
-func (k *Keeper) choosePartners(next *Assignment, s *slice, opinions map[string]opinion, now time.Time) ([]string, bool) {
-	me := Candidate{Name: k.settings.Name, DataCentre: k.settings.DataCentre}
-	out := func(name string) bool {
+// newChooser returns a chooser among the keepers that are heard; the lock is held.
+func (k *Keeper) newChooser(next *Assignment, opinions map[string]opinion) *chooser {
+	c := &chooser{assignment: next, keepers: k.candidates(opinions), disksLost: k.disksLost(), held: map[string]int{}}
+	c.out = func(name string) bool {
 		o, known := opinions[name]
 		return !known || !o.heard || o.out
 	}
-	partners := next.partnersFor(int(s.number), me, k.settings.Keepers(), k.partners(), out)
+	for i := range next.Slices {
+		if next.Slices[i].Epoch > 0 {
+			c.count(&next.Slices[i])
+		}
+	}
+	return c
+}
+
+// nextRole returns a slice's next role with this keeper as the primary: alone where it
+// is the last one. It returns false where no partner is to be had now.
+func (k *Keeper) nextRole(choose *chooser, s *slice, opinions map[string]opinion, now time.Time) (Role, bool) {
+	me := Candidate{Name: k.settings.Name, DataCentre: k.settings.DataCentre, Disk: k.disk}
+	partners := choose.partnersFor(int(s.number), me)
 	if len(partners) == 0 && !k.lastKeeper(now) {
-		return nil, false
+		return Role{}, false
+	}
+	partners = k.withHolders(s, partners, choose.keepers, opinions)
+	role := Role{Ensemble: ensembleOf(s.role.Epoch+1, me, partners, k.disksLost()), Before: s.role.chain()}
+	switch {
+	case k.settled(s, opinions):
+		role.Before = []Ensemble{s.role.Ensemble}
+	case len(role.Before) > chainMost:
+		role.Before = slices.DeleteFunc(role.Before, func(e Ensemble) bool { return e.Epoch < s.mark.Base })
+	}
+	return role, true
+}
+
+// chainMost is the number of earlier ensembles beyond which those that this keeper does
+// not need itself are left out.
+const chainMost = 8
+
+// settled reports that this keeper decides for the slice, and that as many partners as
+// may be lost at once have all that was decided before its epoch: whoever takes the slice
+// over needs none of the earlier ensembles.
+func (k *Keeper) settled(s *slice, opinions map[string]opinion) bool {
+	if !k.primary(s) {
+		return false
+	}
+	have := 0
+	for _, name := range s.role.Partners {
+		if opinions[name].has(int(s.number), s.role.Epoch) {
+			have++
+		}
 	}
-	return k.withHolders(s, partners, opinions), true
+	return have >= min(k.disksLost(), len(s.role.Partners))
 }
 
 // tellStuck says why slices that should be held by others are not: no keeper is
@@ -68,13 +108,12 @@
 // stuckEvery is the least time between two such words.
 const stuckEvery = time.Second
 
-// partners is the number of partners that a slice should have.
-func (k *Keeper) partners() int { return max(1, k.settings.Partners) }
+// disksLost is the number of disks that may be lost at once.
+func (k *Keeper) disksLost() int { return max(1, k.settings.DisksLost) }
 
-// tooFew reports that a slice has fewer partners than it should and that there
-// are keepers that could become some.
+// tooFew reports that a slice could have more partners than it has.
 func (k *Keeper) tooFew(s *slice, opinions map[string]opinion) bool {
-	if len(s.role.Partners) >= k.partners() {
+	if len(s.role.Partners) > k.disksLost() {
 		return false
 	}
 	usable := 0
@@ -99,27 +138,22 @@
 // withHolders returns the partners chosen for a slice, and beside them its present
 // ones until the chosen have all of it: else the primary would have it alone while
 // they are filled, and its loss would leave nobody who knows all.
-func (k *Keeper) withHolders(s *slice, chosen []string, opinions map[string]opinion) []string {
+func (k *Keeper) withHolders(s *slice, chosen, keepers []Candidate, opinions map[string]opinion) []Candidate {
 	number, epoch := int(s.number), s.role.Epoch
-	if s.role.Primary != k.settings.Name || allHave(chosen, opinions, number, epoch) {
+	if !k.primary(s) || allHave(chosen, opinions, number, epoch) {
 		return chosen
 	}
 	partners := slices.Clone(chosen)
-	for _, name := range s.role.Partners {
-		if !slices.Contains(chosen, name) && opinions[name].has(number, epoch) {
-			partners = append(partners, name)
+	for _, c := range keepers {
+		if s.role.partner(c.Name) && !contains(chosen, c.Name) && opinions[c.Name].has(number, epoch) {
+			partners = append(partners, c)
 		}
 	}
 	return partners
 }
 
-func allHave(names []string, opinions map[string]opinion, slice int, epoch uint64) bool {
-	for _, name := range names {
-		if !opinions[name].has(slice, epoch) {
-			return false
-		}
-	}
-	return true
+func allHave(keepers []Candidate, opinions map[string]opinion, slice int, epoch uint64) bool {
+	return !slices.ContainsFunc(keepers, func(c Candidate) bool { return !opinions[c.Name].has(slice, epoch) })
 }
 
 // spreadAfter is how long a keeper must be heard before slices are given to it for
@@ -138,7 +172,7 @@
 	for _, name := range s.role.holders() {
 		held[centres[name]]++
 	}
-	if len(held) == len(s.role.Partners)+1 {
+	if len(held) > min(k.disksLost(), len(s.role.Partners)) {
 		return false
 	}
 	for name, o := range opinions {
@@ -151,27 +185,39 @@
 
 func (k *Keeper) leavingNow() bool { return k.leaving || k.settings.Retiring(k.settings.Name) }
 
+// mustChange reports that this keeper should give a slice other holders: as its primary,
+// or because it can take the place of one that is gone. The lock is held.
 func (k *Keeper) mustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
-	if s.mark.Synced && s.role.Epoch > 1 && s.mark.Epoch == s.role.Epoch-1 && s.role.Primary != k.settings.Name {
-		return k.unheard(s, opinions, now) || k.orphaned(s, opinions)
-	}
-	if s.role.Epoch == 0 || s.mark.Epoch != s.role.Epoch {
-		return k.abandoned(s, opinions, now)
-	}
 	switch {
-	case !s.mark.Synced:
-		return k.abandoned(s, opinions, now)
-	case s.role.Primary == k.settings.Name:
-		for _, name := range s.role.Partners {
-			if o, known := opinions[name]; !known && now.Sub(k.started) > bootTime || o.out {
-				return true
-			}
-		}
-		return len(s.role.Partners) > k.partners() || k.tooFew(s, opinions) || k.couldSpread(s, opinions, now)
-	case s.role.partner(k.settings.Name):
-		o, known := opinions[s.role.Primary]
-		return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o)
-	default:
+	case k.primary(s):
+		return k.partnersMustChange(s, opinions, now)
+	case s.role.Epoch == 0 || s.mark.Epoch > s.role.Epoch && s.role.Primary == k.settings.Name:
+		return false
+	case s.role.Primary != k.settings.Name && !k.primaryGone(s, opinions, now):
+		return false
+	case k.collectable(s, opinions):
+		// The primary fetches what it lacks by itself, unless it has another disk.
+		s.lostSince = time.Time{}
+		return s.role.Primary != k.settings.Name
+	case !k.abandoned(s, opinions, now):
+		return false
+	case s.role.Primary == k.settings.Name && s.role.disk(k.settings.Name) == k.disk:
+		s.forced = s.role.Epoch
 		return false
+	default:
+		return true
+	}
+}
+
+// partnersMustChange reports that a slice's partners are not those it should have, or
+// that others may be better.
+func (k *Keeper) partnersMustChange(s *slice, opinions map[string]opinion, now time.Time) bool {
+	for _, name := range s.role.Partners {
+		o, known := opinions[name]
+		if !known && now.Sub(k.started) > bootTime || o.out || o.heard && o.disk != "" && o.disk != s.role.disk(name) {
+			return true
+		}
 	}
+	surplus := len(s.role.Partners) > k.disksLost()+1 || len(s.role.Partners) > k.disksLost() && s.role.Spare == 0
+	return surplus || k.tooFew(s, opinions) || k.couldSpread(s, opinions, now)
 }
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -56,11 +56,8 @@
 	DataCentres int
 	// Folder is where the log is kept.
 	Folder string
-	// FirstStart says that the whole system starts for the first time.
-	FirstStart bool
-	// Partners is the number of keepers that hold a slice beside its primary: as
-	// many as disks may be lost at once.
-	Partners int
+	// DisksLost is the number of disks that may be lost at once.
+	DisksLost int
 	// Keepers returns the keepers that are registered, this one among them.
 	Keepers func() []Candidate
 	// Retiring reports that operators want a keeper emptied.
@@ -74,8 +71,10 @@
 	peers       Peers
 	assignments Assignments
 	log         *diskLog
-	// disk names the disk; a lost one is followed by one of another name.
+	// disk names the disk; a lost one is followed by one of another name. starts counts
+	// the starts on it.
 	disk    string
+	starts  uint64
 	started time.Time
 
 	mu     sync.Mutex
@@ -116,23 +115,31 @@
 	role Role
 	// links are the ways to the partners, by name.
 	links map[string]*link
-	// salvaging says that records are being fetched from the partners of an
-	// epoch whose primary is lost, and salvaged for which epoch they are here.
-	salvaging bool
-	salvaged  uint64
+	// tenure counts how often this keeper ceased to decide for the slice.
+	tenure int
+	// collecting says that records of earlier ensembles are being fetched, and forced
+	// is the epoch that begins with what is left of them.
+	collecting bool
+	forced     uint64
 	// marking says that a mark is on its way to the disk.
 	marking bool
-	// lostSince is since when no keeper has all of the slice, and
-	// primaryLostSince since when the primary does not.
+	// lostSince is since when the slice can't be had whole any more, and
+	// primaryLostSince since when the primary does not have it.
 	lostSince, primaryLostSince time.Time
 }
 
-// entry is one change on its way to all disks of a slice. The keeper's lock guards it
+// entry is one change on its way to the disks of a slice. The keeper's lock guards it
 // until done is closed.
 type entry struct {
 	records []*historypb.Record
-	// waits is the number of disks that have not taken it yet.
-	waits   int
+	// tenure is the slice's at the time of the change.
+	tenure int
+	// stored says that this keeper's disk has it, and acks names the partners whose
+	// disks have.
+	stored bool
+	acks   []string
+	ended  bool
+	// dropped says that this keeper no longer decides.
 	dropped bool
 	done    chan struct{}
 }
@@ -167,6 +174,10 @@
 	if k.disk == "" {
 		k.disk = strconv.FormatUint(rand.Uint64(), 36)
 	}
+	k.starts++
+	for _, s := range k.slices {
+		s.state.starts = k.starts
+	}
 	if err := l.compact(k.everything()); err != nil {
 		return nil, err
 	}
@@ -176,7 +187,7 @@
 // replay takes in a record from the disk.
 func (k *Keeper) replay(r *historypb.Record) {
 	if name := r.GetDisk(); name != "" {
-		k.disk = name
+		k.disk, k.starts = name, max(k.starts, r.Starts)
 		return
 	}
 	if r.Slice >= SliceCount {
@@ -184,9 +195,7 @@
 	}
 	s := k.slices[r.Slice]
 	if m := r.GetMark(); m != nil {
-		if m.Epoch > s.mark.Epoch || m.Epoch == s.mark.Epoch && m.Synced {
-			s.mark.Epoch, s.mark.Synced = m.Epoch, m.Synced
-		}
+		s.mark.raise(markOf(m))
 		k.verified = true
 		return
 	}
@@ -196,11 +205,11 @@
 // everything returns all records that are kept; the lock is held or not needed.
 func (k *Keeper) everything() []*historypb.Record {
 	now := time.Now()
-	all := []*historypb.Record{{Body: &historypb.Record_Disk{Disk: k.disk}}}
+	all := []*historypb.Record{{Body: &historypb.Record_Disk{Disk: k.disk}, Starts: k.starts}}
 	for _, s := range k.slices {
 		s.state.expire(now)
 		if s.mark.Epoch > 0 {
-			all = append(all, markRecord(s.number, s.mark.Epoch, s.mark.Synced))
+			all = append(all, markRecord(s.number, s.mark))
 		}
 		all = append(all, s.state.records(s.number)...)
 	}
@@ -234,32 +243,42 @@
 
 // primary reports that this keeper decides for the slice.
 func (k *Keeper) primary(s *slice) bool {
-	return s.role.Primary == k.settings.Name && s.role.Epoch > 0 && s.mark.Epoch == s.role.Epoch && s.mark.Synced
+	return s.role.Primary == k.settings.Name && s.mark.Epoch == s.role.Epoch && s.mark.whole(s.role.Epoch)
 }
 
-// submit sends a change to all disks of the slice; the lock is held. Without
+// submit sends a change to the disks of the slice; the lock is held. Without
 // records it only asks the partners whether this keeper is still the primary.
 func (k *Keeper) submit(s *slice, records []*historypb.Record) *entry {
-	e := &entry{records: records, waits: len(s.role.Partners), done: make(chan struct{})}
+	e := &entry{records: records, tenure: s.tenure, done: make(chan struct{})}
 	for _, partner := range s.role.Partners {
-		l := s.link(partner)
-		l.entries = append(l.entries, e)
+		s.link(partner).queue(e)
 		k.wakeSender(partner)
 	}
 	if len(records) > 0 {
-		e.waits++
-		k.persist(records, func() { k.arrived(e) })
-	}
-	if e.waits == 0 {
-		// No partner could have replaced this keeper.
-		close(e.done)
+		k.persist(records, func() {
+			e.stored = true
+			s.judge(e)
+		})
+		return e
 	}
+	e.stored = true
+	s.judge(e)
 	return e
 }
 
-// arrived counts one disk; the lock is held.
-func (k *Keeper) arrived(e *entry) {
-	if e.waits--; e.waits == 0 && !e.dropped {
+// judge ends an entry that is on enough disks; the lock is held.
+func (s *slice) judge(e *entry) {
+	if e.ended || !e.stored || e.tenure != s.tenure {
+		return
+	}
+	acks := 0
+	for _, name := range e.acks {
+		if s.role.partner(name) {
+			acks++
+		}
+	}
+	if acks >= s.role.acks() {
+		e.ended = true
 		close(e.done)
 	}
 }
@@ -269,13 +288,14 @@
 func (s *slice) drop() {
 	for _, l := range s.links {
 		for _, e := range l.entries {
-			if !e.dropped {
-				e.dropped = true
+			if !e.ended {
+				e.ended, e.dropped = true, true
 				close(e.done)
 			}
 		}
 	}
 	clear(s.links)
+	s.tenure++
 }
 
 // persist queues records for this instance's disk; the lock is held, and done
@@ -292,7 +312,7 @@
 	}
 }
 
-// wait returns whether the change is durable on all disks of its slice.
+// wait returns whether the change is durable on enough disks of its slice.
 func wait(ctx context.Context, e *entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -211,7 +211,7 @@
 	case "power":
 		m.powerOff(float64(a.B) / 1000)
 		r.later(a.For, m.restart)
-	case "wipe":
+	case "wipe", "wipesilent":
 		r.wipe(m, a)
 	case "freeze":
 		m.freeze()
@@ -256,11 +256,19 @@
 		return
 	}
 	r.note("wiped")
+	if a.Kind == "wipesilent" {
+		r.setStore(true)
+		r.later(a.For, func() { r.setStore(false) })
+		for n := range 4 {
+			r.calls.Go(func() { r.turn(action{Kind: "turn", A: a.A + n, B: a.B + n, For: a.For}) })
+		}
+		time.Sleep(time.Duration(a.B) * wayTime / 10)
+	}
 	m.wipe()
-	if r.partners > 1 {
+	if r.disksLost > 1 {
 		r.machines[(a.A+1+a.B%(len(r.machines)-1))%len(r.machines)].wipe()
 	}
-	if r.partners > 1 && a.B%2 == 0 {
+	if r.disksLost > 1 && a.B%2 == 0 {
 		for _, other := range r.machines {
 			other.powerOff(float64(a.B) / 1000)
 		}
--- a/internal/history/opinion.go
+++ b/internal/history/opinion.go
@@ -6,12 +6,6 @@
 	"foxhall/internal/history/historypb"
 )
 
-// mark says up to which epoch a keeper follows a slice, and whether it has all of it.
-type mark struct {
-	Epoch  uint64
-	Synced bool
-}
-
 // view is what is known of another keeper.
 type view struct {
 	heard  time.Time
@@ -32,6 +26,8 @@
 	marks [SliceCount]mark
 	// disk names its disk.
 	disk string
+	// spares says that it knows decisions that are not on all disks of a slice.
+	spares bool
 }
 
 // silent reports that the keeper was not heard for as long as a pause may last.
@@ -50,11 +46,12 @@
 		silent := gone || v.silent(now) && booted
 		o.out = gone || silent && k.reach.holds(now) || k.settings.Retiring(name)
 		if v.status != nil {
-			o.heard, o.at, o.disk = !silent, v.heard, v.status.Disk
+			o.heard, o.at = !silent, v.heard
+			o.disk, o.spares = v.status.Disk, v.status.Spares
 			o.out = o.out || v.status.Leaving || v.status.StalledMs > stalledAfter.Milliseconds()
 			for _, m := range v.status.Slices {
 				if m.Slice < SliceCount {
-					o.marks[m.Slice] = mark{Epoch: m.Epoch, Synced: m.Synced}
+					o.marks[m.Slice] = markOf(m)
 				}
 			}
 		}
@@ -65,5 +62,5 @@
 
 // has reports that the keeper is known to have all of a slice in the epoch.
 func (o opinion) has(slice int, epoch uint64) bool {
-	return o.heard && o.marks[slice].Synced && o.marks[slice].Epoch == epoch
+	return o.heard && o.marks[slice].whole(epoch)
 }
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -2,121 +2,213 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
 	"foxhall/internal/history/historypb"
 )
 
-// primaryLost reports that the primary lives and has lost its disk. What is
-// known of it lags, so that it must say so for some rounds. Its last word before
-// a cut says nothing of what it has had since.
-func (s *slice) primaryLost(o opinion) bool {
-	if !o.heard || o.has(int(s.number), s.role.Epoch) {
-		s.primaryLostSince = time.Time{}
-		return false
-	}
-	if s.primaryLostSince.IsZero() {
-		s.primaryLostSince = o.at
+const (
+	// stuckAfter is how long a primary that lives may take to have all of its slice,
+	// before another takes the slice over.
+	stuckAfter = 2 * time.Second
+	// lostRounds is the number of rounds in which a primary on a disk without a name
+	// must lack its slice: what is known of it lags.
+	lostRounds = 3
+)
+
+// kept returns the keepers that still have what they acknowledged in an ensemble, this
+// one among them, as far as they are heard; the lock is held.
+func (k *Keeper) kept(s *slice, e *Ensemble, opinions map[string]opinion) []string {
+	var names []string
+	for _, name := range e.holders() {
+		o := opinions[name]
+		switch {
+		case name == k.settings.Name:
+			if e.keeps(name, k.disk, s.mark.Base) {
+				names = append(names, name)
+			}
+		case o.heard && e.keeps(name, o.disk, o.marks[s.number].Base):
+			names = append(names, name)
+		}
 	}
-	return o.at.Sub(s.primaryLostSince) > lostRounds*statusEvery
+	return names
 }
 
-// lostRounds is the number of rounds in which a primary must lack its slice.
-const lostRounds = 3
-
-// unheard reports that this keeper became a partner in an epoch of which its primary
-// was lost before it told so. All that was acknowledged before is here, and nothing
-// is without this keeper's word since.
-func (k *Keeper) unheard(s *slice, opinions map[string]opinion, now time.Time) bool {
-	o, known := opinions[s.role.Primary]
-	silent := known && o.out && !o.heard || !known && now.Sub(k.started) > bootTime
-	if !s.role.partner(k.settings.Name) || !silent {
+// collectable reports that this keeper has, or can fetch, all that was decided in the
+// slice; the lock is held.
+func (k *Keeper) collectable(s *slice, opinions map[string]opinion) bool {
+	if s.mark.Base == 0 || s.mark.Base < s.role.oldest() {
 		return false
 	}
-	s.salvaged = s.role.Epoch
+	for _, e := range s.role.chain() {
+		if e.Epoch >= s.mark.Base && !e.complete(k.kept(s, &e, opinions)) && !k.exhausted(s, &e, opinions) {
+			return false
+		}
+	}
 	return true
 }
 
-// orphaned reports that this keeper, which had all of the slice in the epoch
-// before, has to take it over from one that holds it no longer. It comes to
-// that when a proposal takes effect late, after its proposer lost its disk: the
-// slice's primary has nothing then, and its partners only what was acknowledged
-// since, all of them the same. That is fetched first; together they are all of
-// the slice.
-func (k *Keeper) orphaned(s *slice, opinions map[string]opinion) bool {
-	primary := opinions[s.role.Primary]
-	number, epoch := int(s.number), s.role.Epoch
-	if !s.primaryLost(primary) || primary.marks[number].Epoch+1 >= epoch && primary.marks[number].Synced {
-		return false
-	}
-	if len(s.role.Partners) == 0 {
-		// What it acknowledged alone is lost with its disk: there is no more than
-		// what is here.
-		s.salvaged = epoch
-		return true
+// exhausted reports that no holder of an ensemble but those that are heard will ever have
+// what it acknowledged: the others have new disks. The lock is held.
+func (k *Keeper) exhausted(s *slice, e *Ensemble, opinions map[string]opinion) bool {
+	kept := k.kept(s, e, opinions)
+	for _, name := range e.holders() {
+		o := opinions[name]
+		replaced := o.heard && e.disk(name) != "" && o.disk != e.disk(name) || name == k.settings.Name
+		if !slices.Contains(kept, name) && !replaced {
+			return false
+		}
 	}
-	from := ""
-	for _, name := range s.role.Partners {
-		if name == k.settings.Name {
+	return true
+}
+
+// sources returns the keepers to fetch from, so that with what this one has all decisions
+// of the earlier ensembles are there; false where they can't be had now. The lock is held.
+func (k *Keeper) sources(s *slice, opinions map[string]opinion) (map[string]string, bool) {
+	forced := s.forced == s.role.Epoch
+	if s.mark.Base < s.role.oldest() && !forced {
+		return nil, false
+	}
+	from := map[string]string{}
+	for _, e := range s.role.Before {
+		if e.Epoch < s.mark.Base {
 			continue
 		}
-		switch partner := opinions[name]; {
-		case partner.has(number, epoch):
-			return false
-		case partner.heard:
-			from = name
+		var has []string
+		if e.keeps(k.settings.Name, k.disk, s.mark.Base) {
+			has = append(has, k.settings.Name)
+		}
+		for _, name := range k.kept(s, &e, opinions) {
+			if e.complete(has) && !forced {
+				break
+			}
+			if name != k.settings.Name {
+				has = append(has, name)
+				from[name] = e.disk(name)
+			}
+		}
+		if !e.complete(has) && !forced && !k.exhausted(s, &e, opinions) {
+			return nil, false
 		}
 	}
-	if from == "" {
-		return false
+	return from, true
+}
+
+// collectIfNeeded has this keeper, which the store made a slice's primary, fetch what it
+// may lack of the decisions before; the lock is held.
+func (k *Keeper) collectIfNeeded(ctx context.Context, s *slice, opinions map[string]opinion) {
+	if s.role.Primary != k.settings.Name || s.role.Epoch == 0 || s.mark.Epoch > s.role.Epoch || s.marking || s.collecting {
+		return
 	}
-	if s.salvaged == epoch {
-		return true
+	if recorded := s.role.disk(k.settings.Name); recorded != "" && recorded != k.disk {
+		return
+	}
+	from, found := k.sources(s, opinions)
+	switch {
+	case !found:
+	default:
+		k.tellLost(s, opinions)
+		if len(from) == 0 {
+			k.makeWhole(s)
+			return
+		}
+		s.collecting = true
+		go k.collect(ctx, s, s.role.Epoch, from)
 	}
-	if !s.salvaging {
-		s.salvaging = true
-		go k.salvage(s, s.role.Epoch, from)
+}
+
+// tellLost says which earlier ensembles lost more disks than may be lost at once: what
+// was on these alone is gone. The lock is held.
+func (k *Keeper) tellLost(s *slice, opinions map[string]opinion) {
+	for _, e := range s.role.Before {
+		if e.Epoch >= s.mark.Base && !e.complete(k.kept(s, &e, opinions)) {
+			k.settings.Logger.WithField("slice", s.number).WithField("epoch", e.Epoch).WithField("holders", e.holders()).
+				WithField("kept", k.kept(s, &e, opinions)).Error("decisions lost with more disks than may be")
+		}
 	}
-	return false
 }
 
-// salvage fetches what a partner of a lost primary has.
-func (k *Keeper) salvage(s *slice, epoch uint64, from string) {
-	ctx, cancel := context.WithTimeout(k.ctx, opTime)
+// collect fetches what the keepers have of a slice, each by the name of its disk. With
+// that, this keeper has all of it.
+func (k *Keeper) collect(ctx context.Context, s *slice, epoch uint64, from map[string]string) {
+	ctx, cancel := context.WithTimeout(ctx, opTime)
 	defer cancel()
-	response, err := k.peers.Fetch(ctx, from, &historypb.FetchRequest{Slice: s.number})
+	group, ctx := errgroup.WithContext(ctx)
+	responses := make(chan *historypb.FetchResponse, len(from))
+	for name, disk := range from {
+		group.Go(func() error {
+			response, err := k.peers.Fetch(ctx, name, &historypb.FetchRequest{Slice: s.number, Epoch: epoch, Disk: disk})
+			if err == nil && response.Refused {
+				err = errors.Errorf("%s refuses epoch %d", name, epoch)
+			}
+			if err == nil {
+				responses <- response
+			}
+			return err
+		})
+	}
+	err := group.Wait()
+	close(responses)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	s.collecting = false
 	if err != nil {
-		s.salvaging = false
-		k.settings.Logger.WithError(err).WithField("slice", s.number).Warn("slice not salvaged")
+		k.settings.Logger.WithError(err).WithField("slice", s.number).Warn("decisions of earlier holders not fetched")
 		return
 	}
-	for _, r := range response.Records {
-		s.state.apply(r)
+	if s.role.Epoch != epoch {
+		return
 	}
-	k.persist(response.Records, func() {
-		s.salvaging, s.salvaged = false, epoch
-		notify(k.wakeRoles)
-	})
+	var news []*historypb.Record
+	for response := range responses {
+		for _, r := range response.Records {
+			if s.state.apply(r) {
+				news = append(news, r)
+			}
+		}
+	}
+	k.persist(news, nil)
+	k.makeWhole(s)
 }
 
-// heldBefore reports that some keeper had all of the slice in the epoch before.
-func heldBefore(s *slice, opinions map[string]opinion) bool {
-	for _, o := range opinions {
-		if o.marks[s.number].Synced && o.marks[s.number].Epoch+1 == s.role.Epoch {
-			return true
-		}
+// primaryGone reports that the slice's primary does not decide and is not about to; the
+// lock is held.
+func (k *Keeper) primaryGone(s *slice, opinions map[string]opinion, now time.Time) bool {
+	o, known := opinions[s.role.Primary]
+	return o.out || !known && now.Sub(k.started) > bootTime || s.primaryLost(o)
+}
+
+// primaryLost reports that the primary lives and does not have its slice: its disk is
+// lost, or it can't fetch what it lacks. Its last word before a cut says nothing of what
+// it has had since.
+func (s *slice) primaryLost(o opinion) bool {
+	if !o.heard || o.has(int(s.number), s.role.Epoch) {
+		s.primaryLostSince = time.Time{}
+		return false
+	}
+	recorded := s.role.disk(s.role.Primary)
+	if recorded != "" && recorded != o.disk {
+		return true
+	}
+	if s.primaryLostSince.IsZero() {
+		s.primaryLostSince = o.at
 	}
-	return false
+	limit := stuckAfter
+	if recorded == "" {
+		limit = lostRounds * statusEvery
+	}
+	return o.at.Sub(s.primaryLostSince) > limit
 }
 
-// abandoned reports that no keeper has all of a slice and that this one, its
-// primary, has to begin it anew. It comes to that only when all its disks are
-// lost, or before the slice's first record.
+// abandoned reports that the slice can't be had whole from any keepers, though all its
+// holders are heard, and that this one has to go on with what it has. More disks were
+// lost then than may be at once.
 func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	if s.role.Epoch == 0 || s.role.Primary != k.settings.Name || s.marking || !k.verified ||
-		!noneHas(s, opinions) || heldBefore(s, opinions) {
+	if s.role.Epoch == 0 || s.marking || s.collecting || !k.verified || !k.allHeard(s, opinions) || !k.firstToAbandon(s, opinions) {
 		s.lostSince = time.Time{}
 		return false
 	}
@@ -126,18 +218,37 @@
 	if now.Sub(s.lostSince) < abandonAfter {
 		return false
 	}
-	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).Error("slice lost on all its disks, begun anew")
-	s.mark.Epoch, s.mark.Synced = s.role.Epoch, true
 	s.lostSince = time.Time{}
+	s.forced = s.role.Epoch + 1
+	k.settings.Logger.WithField("slice", s.number).WithField("epoch", s.role.Epoch).WithField("base", s.mark.Base).
+		Error("slice lost on more disks than may be, continued with what is left")
 	return true
 }
 
-// noneHas reports that all partners of a slice are heard and none has all of it.
-func noneHas(s *slice, opinions map[string]opinion) bool {
-	for _, name := range s.role.Partners {
-		if o := opinions[name]; !o.heard || o.has(int(s.number), s.role.Epoch) {
+// allHeard reports that all other holders of the slice are heard, also those of earlier
+// ensembles that may be needed; the lock is held.
+func (k *Keeper) allHeard(s *slice, opinions map[string]opinion) bool {
+	for name := range s.role.everHeld() {
+		if name != k.settings.Name && !opinions[name].heard {
 			return false
 		}
 	}
 	return true
 }
+
+// firstToAbandon reports that this keeper is a holder and that no other has more of the
+// slice; of equals the primary goes on, else the one with the lowest name. The lock is held.
+func (k *Keeper) firstToAbandon(s *slice, opinions map[string]opinion) bool {
+	holders := s.role.everHeld()
+	for name := range holders {
+		other := opinions[name].marks[s.number].Base
+		switch {
+		case name == k.settings.Name:
+		case other > s.mark.Base:
+			return false
+		case other == s.mark.Base && s.role.Primary != k.settings.Name && (name == s.role.Primary || name < k.settings.Name):
+			return false
+		}
+	}
+	return holders[k.settings.Name]
+}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -48,8 +48,8 @@
 	// A newer assignment came from the store, so it is back.
 	k.storeBack()
 	for _, s := range k.slices {
-		if next := a.Slices[s.number]; next.Epoch > s.role.Epoch {
-			k.assign(s, next)
+		if next := &a.Slices[s.number]; next.Epoch > s.role.Epoch {
+			k.assign(s, *next)
 		}
 	}
 	notify(k.wakeRoles)
@@ -59,28 +59,39 @@
 func (k *Keeper) assign(s *slice, next Role) {
 	k.settings.Logger.WithField("slice", s.number).WithField("epoch", next.Epoch).
 		WithField("primary", next.Primary).WithField("partners", next.Partners).
-		WithField("mark", s.mark.Epoch).WithField("synced", s.mark.Synced).Info("slice assigned")
-	continues := k.primary(s) && next.Epoch == s.role.Epoch+1
+		WithField("spare", next.Spare).WithField("mark", s.mark.Epoch).WithField("base", s.mark.Base).Info("slice assigned")
+	continues := k.primary(s) && next.Epoch == s.role.Epoch+1 && next.Primary == k.settings.Name
 	s.role = next
 	s.lostSince, s.primaryLostSince = time.Time{}, time.Time{}
-	if next.Primary != k.settings.Name {
+	if !continues {
 		s.drop()
-		return
 	}
-	s.state.epoch = next.Epoch
-	k.relink(s, continues)
-	k.raise(s)
+	if next.Primary == k.settings.Name {
+		s.state.epoch = next.Epoch
+		k.relink(s)
+	}
+	// Nothing was decided before the first epoch.
+	first := next.Epoch == 1 && s.mark.Base == 0 && next.disk(k.settings.Name) == k.disk
+	if continues || first || k.carriesOn(s) {
+		k.makeWhole(s)
+	}
+}
+
+// carriesOn reports that this keeper was made the primary by an assignment of form 1,
+// and had not written that down when it was stopped.
+func (k *Keeper) carriesOn(s *slice) bool {
+	r := &s.role
+	return r.Primary == k.settings.Name && len(r.Disks) == 0 && s.mark.Epoch < r.Epoch && s.mark.whole(r.Epoch-1)
 }
 
-// relink makes the ways to the partners those of the new role; the lock is held.
-// What waited for a partner that is one no longer waits for it in vain, and a new
-// one is sent everything that is not on all disks yet.
-func (k *Keeper) relink(s *slice, continues bool) {
+// relink makes the ways to the partners those of the new role; the lock is held. A new
+// partner is sent everything that is not on enough disks yet, and what waited for one
+// that is gone is judged without it.
+func (k *Keeper) relink(s *slice) {
 	var waiting []*entry
 	for _, l := range s.links {
-		l.filled = l.filled && continues
 		for _, e := range l.entries {
-			if !slices.Contains(waiting, e) {
+			if !e.ended && !slices.Contains(waiting, e) {
 				waiting = append(waiting, e)
 			}
 		}
@@ -88,44 +99,26 @@
 	old := s.links
 	s.links = map[string]*link{}
 	for _, name := range s.role.Partners {
-		if old[name] != nil {
-			s.links[name] = old[name]
-			s.links[name].continues = continues
-			continue
-		}
-		s.link(name).entries = slices.Clone(waiting)
-		for _, e := range waiting {
-			e.waits++
-		}
-	}
-	for name, l := range old {
-		if s.role.partner(name) {
-			continue
-		}
-		for _, e := range l.entries {
-			k.arrived(e)
+		if l := old[name]; l != nil && l.disk == s.role.disk(name) {
+			s.links[name] = l
+		} else {
+			s.link(name).entries = slices.Clone(waiting)
 		}
-	}
-	for _, name := range s.role.Partners {
 		k.wakeSender(name)
 	}
+	for _, e := range waiting {
+		s.judge(e)
+	}
 }
 
-// raise makes the keeper that proposed an epoch its primary, once its own mark
-// is on the disk. It must have had all of the slice in the epoch before.
-func (k *Keeper) raise(s *slice) {
-	epoch := s.role.Epoch
-	first := epoch == 1 && k.settings.FirstStart && s.mark.Epoch == 0
-	had := s.mark.Synced && (s.mark.Epoch == epoch-1 || s.salvaged == epoch-1 && s.mark.Epoch == epoch-2)
-	if s.marking || s.mark.Epoch >= epoch || !first && !had {
-		return
-	}
+// makeWhole makes this keeper one that has all of the slice in the present epoch, once
+// that is on its disk; the lock is held.
+func (k *Keeper) makeWhole(s *slice) {
+	whole := mark{Epoch: s.role.Epoch, Base: s.role.Epoch}
 	s.marking = true
-	k.persist([]*historypb.Record{markRecord(s.number, epoch, true)}, func() {
+	k.persist([]*historypb.Record{markRecord(s.number, whole)}, func() {
 		s.marking = false
-		if s.mark.Epoch < epoch {
-			s.mark.Epoch, s.mark.Synced = epoch, true
-		}
+		s.mark.raise(whole)
 		notify(k.wakeRoles)
 	})
 }
@@ -158,7 +151,8 @@
 	}
 }
 
-// reconcile fills partners that lack records and proposes what must change.
+// reconcile fills partners that lack records, fetches what this keeper lacks of slices
+// that it is to decide for, and proposes what must change.
 func (k *Keeper) reconcile(ctx context.Context) {
 	k.mu.Lock()
 	if k.version == 0 {
@@ -171,10 +165,12 @@
 	changed = changed && time.Now().After(k.storeAfter)
 	base := k.version
 	for _, s := range k.slices {
-		if k.primary(s) {
-			for _, name := range s.role.Partners {
-				k.fillIfNeeded(ctx, s, name, opinions[name])
-			}
+		if !k.primary(s) {
+			k.collectIfNeeded(ctx, s, opinions)
+			continue
+		}
+		for _, name := range s.role.Partners {
+			k.fillIfNeeded(ctx, s, name, opinions[name])
 		}
 	}
 	k.mu.Unlock()
@@ -183,14 +179,17 @@
 	}
 }
 
-// begin makes the first assignment. The keeper with the lowest name does it;
-// should two do it, the store takes one.
+// begin makes the first assignment. The keeper with the lowest name does it, among those
+// that it hears; should two do it, the store takes one.
 func (k *Keeper) begin(ctx context.Context) {
-	keepers := k.settings.Keepers()
-	if time.Since(k.started) < bootTime || len(keepers) == 0 || keepers[0].Name != k.settings.Name {
-		if time.Since(k.started) > bootTime {
-			notify(k.wakeRead)
-		}
+	age := time.Since(k.started)
+	if age < bootTime {
+		return
+	}
+	keepers := k.heardKeepers()
+	complete := len(keepers) == len(k.settings.Keepers())
+	if len(keepers) == 0 || keepers[0].Name != k.settings.Name || !complete && age < 2*bootTime {
+		notify(k.wakeRead)
 		return
 	}
 	a, version, err := k.assignments.Read(ctx)
@@ -202,11 +201,35 @@
 		k.Adopt(a, version)
 		return
 	}
-	if first, ok := First(keepers, k.partners()); ok {
+	if first, ok := First(keepers, k.disksLost()); ok {
 		k.write(ctx, first, 0)
 	}
 }
 
+// heardKeepers returns the keepers that are heard, this one among them, with their disks.
+func (k *Keeper) heardKeepers() []Candidate {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	opinions := k.opinions(time.Now())
+	return slices.DeleteFunc(k.candidates(opinions), func(c Candidate) bool {
+		return c.Name != k.settings.Name && !opinions[c.Name].heard
+	})
+}
+
+// candidates returns the registered keepers, with the disks of those that know decisions
+// that are not on all disks of a slice; the lock is held.
+func (k *Keeper) candidates(opinions map[string]opinion) []Candidate {
+	list := slices.Clone(k.settings.Keepers())
+	for i, c := range list {
+		if c.Name == k.settings.Name {
+			list[i].Disk = k.disk
+		} else if o := opinions[c.Name]; o.spares {
+			list[i].Disk = o.disk
+		}
+	}
+	return list
+}
+
 // write proposes an assignment. A lost answer is settled by reading.
 func (k *Keeper) write(ctx context.Context, a Assignment, base store.Version) {
 	version, err := k.assignments.Write(ctx, a, base)
--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -2,33 +2,49 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"foxhall/internal/history/historypb"
 )
 
+// queueMost bounds the entries that wait for a partner that does not answer. It is
+// sent all of the slice later.
+const queueMost = 1024
+
 // link is a primary's way to one partner of a slice.
 type link struct {
+	// disk names the partner's disk, if it is known.
+	disk string
 	// entries wait for the partner, in order.
 	entries []*entry
 	filling bool
-	// filled says that this process has sent the partner all of the slice in
-	// the present epoch. A primary that was killed may have records on its disk
-	// that its partner never got; a repeated call would find them done.
+	// filled says that this process has sent the partner all of the slice, and each
+	// entry since. A primary that was killed may have records on its disk that its
+	// partner never got; a repeated call would find them done.
 	filled bool
-	// continues says that the partner was one in the epoch before, in which this
-	// keeper decided too.
-	continues bool
+	// overflowed says that entries were put aside since the filling began.
+	overflowed bool
+	// declare says that the partner is to be told that it has all of the slice.
+	declare bool
 }
 
 // link returns the way to a partner.
 func (s *slice) link(partner string) *link {
 	if s.links[partner] == nil {
-		s.links[partner] = &link{}
+		s.links[partner] = &link{disk: s.role.disk(partner)}
 	}
 	return s.links[partner]
 }
 
+// queue has an entry wait for the partner.
+func (l *link) queue(e *entry) {
+	if len(l.entries) >= queueMost {
+		l.entries, l.filled, l.declare, l.overflowed = nil, false, false, true
+	}
+	l.entries = append(l.entries, e)
+}
+
 // wakeSender makes the partner's sender look for entries; the lock is held.
 func (k *Keeper) wakeSender(partner string) {
 	if partner == "" || k.ctx == nil {
@@ -53,41 +69,42 @@
 			return
 		}
 		for ctx.Err() == nil {
-			request, counts := k.gather(partner)
+			request, sent := k.gather(partner)
 			if request == nil {
 				break
 			}
-			if !k.sendEntries(ctx, partner, request, counts) {
+			if !k.sendEntries(ctx, partner, request, sent) {
 				time.Sleep(appendPause)
 			}
 		}
 	}
 }
 
-func (k *Keeper) gather(partner string) (*historypb.AppendRequest, map[uint32]int) {
+// gather returns what waits for a partner, and the entries of each slice in it.
+func (k *Keeper) gather(partner string) (*historypb.AppendRequest, map[uint32][]*entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	request := &historypb.AppendRequest{From: k.settings.Name}
-	counts := map[uint32]int{}
+	sent := map[uint32][]*entry{}
 	for _, s := range k.slices {
 		l := s.links[partner]
-		if l == nil || len(l.entries) == 0 || !k.primary(s) {
+		if l == nil || len(l.entries) == 0 && !l.declare || !k.primary(s) {
 			continue
 		}
-		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch, Continues: l.continues}
+		a := &historypb.SliceAppend{Slice: s.number, Epoch: s.role.Epoch, Disk: l.disk, Complete: l.declare}
 		for _, e := range l.entries {
 			a.Records = append(a.Records, e.records...)
 		}
-		counts[s.number] = len(l.entries)
+		sent[s.number] = slices.Clone(l.entries)
 		request.Slices = append(request.Slices, a)
 	}
 	if len(request.Slices) == 0 {
 		return nil, nil
 	}
-	return request, counts
+	return request, sent
 }
 
-func (k *Keeper) sendEntries(ctx context.Context, partner string, r *historypb.AppendRequest, counts map[uint32]int) bool {
+func (k *Keeper) sendEntries(ctx context.Context, partner string, r *historypb.AppendRequest, sent map[uint32][]*entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTime)
 	defer cancel()
 	response, err := k.peers.Append(ctx, partner, r)
@@ -105,14 +122,38 @@
 		if refused[a.Slice] || s.role.Epoch != a.Epoch || l == nil || !k.primary(s) {
 			continue
 		}
-		for _, e := range l.entries[:counts[a.Slice]] {
-			k.arrived(e)
+		l.acknowledge(s, partner, sent[a.Slice])
+		if a.Complete {
+			l.declare = false
+			k.noteWhole(partner, a.Slice, a.Epoch)
 		}
-		l.entries = l.entries[counts[a.Slice]:]
 	}
 	return len(refused) == 0
 }
 
+// acknowledge takes in that the partner's disk has the entries; the lock is held.
+func (l *link) acknowledge(s *slice, partner string, entries []*entry) {
+	for _, e := range entries {
+		e.acks = append(e.acks, partner)
+		s.judge(e)
+	}
+	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool { return slices.Contains(e.acks, partner) })
+}
+
+// noteWhole takes in that a partner has all of a slice, before its next word tells so;
+// the lock is held.
+func (k *Keeper) noteWhole(partner string, slice uint32, epoch uint64) {
+	v := k.views[partner]
+	if v == nil || v.status == nil {
+		return
+	}
+	for i, m := range v.status.Slices {
+		if m.Slice == slice {
+			v.status.Slices[i] = sliceMark(slice, mark{Epoch: epoch, Base: epoch})
+		}
+	}
+}
+
 // noteRefused returns the refused slices, and has the assignment read again
 // where a newer epoch than the known one shows that this keeper was replaced.
 func (k *Keeper) noteRefused(response *historypb.AppendResponse) map[uint32]bool {
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -134,35 +134,25 @@
 	response := &historypb.AppendResponse{}
 	durable := make(chan struct{})
 	k.mu.Lock()
-	if r.Disk != "" && r.Disk != k.disk {
-		// The parts before this one went to a disk that is lost.
-		defer k.mu.Unlock()
-		for _, a := range r.Slices {
-			response.Refused = append(response.Refused, &historypb.SliceMark{Slice: a.Slice})
-		}
-		return response, nil
-	}
 	var records []*historypb.Record
 	var complete []*slice
 	var epochs []uint64
 	for _, a := range r.Slices {
 		s := k.sliceFor(a.Slice)
-		if s == nil || !k.accepts(s, a.Epoch) {
+		if s == nil || !k.accepts(s, a) {
 			response.Refused = append(response.Refused, k.refusal(a, s))
 			continue
 		}
 		if a.Epoch > s.mark.Epoch {
-			has := a.Continues && s.mark == mark{Epoch: a.Epoch - 1, Synced: true}
 			k.follow(s, a.Epoch)
-			s.mark.Synced = has
-			records = append(records, markRecord(s.number, a.Epoch, has))
+			records = append(records, markRecord(s.number, s.mark))
 		}
 		for _, record := range a.Records {
 			s.state.apply(record)
 		}
 		records = append(records, a.Records...)
-		if a.Complete {
-			records = append(records, markRecord(s.number, a.Epoch, true))
+		if a.Complete && !s.mark.whole(a.Epoch) {
+			records = append(records, markRecord(s.number, mark{Epoch: a.Epoch, Base: a.Epoch}))
 			complete, epochs = append(complete, s), append(epochs, a.Epoch)
 		}
 	}
@@ -170,9 +160,7 @@
 		// Only what is on the disk may be relied on: after a crash this keeper
 		// must know by itself that it has all of the slice.
 		for i, s := range complete {
-			if s.mark.Epoch == epochs[i] {
-				s.mark.Synced = true
-			}
+			s.mark.raise(mark{Base: epochs[i]})
 		}
 		close(durable)
 	})
@@ -185,43 +173,62 @@
 	}
 }
 
-// accepts reports whether a primary of the epoch may be followed. A keeper
-// that lost its disk knows nothing of later epochs, so it first reads the
-// assignment: a primary that was replaced long ago could else win it over.
-func (k *Keeper) accepts(s *slice, epoch uint64) bool {
+// accepts reports whether records of a primary may be taken. Those for a disk that is
+// lost are not: the ones before them are lost too. A keeper that lost its disk knows
+// nothing of later epochs, so it first reads the assignment: a primary that was
+// replaced long ago could else win it over.
+func (k *Keeper) accepts(s *slice, a *historypb.SliceAppend) bool {
 	if !k.verified {
 		notify(k.wakeRead)
 		return false
 	}
-	return epoch >= s.mark.Epoch && epoch >= s.role.Epoch
+	return k.sameDisk(a.Disk) && a.Epoch >= s.mark.Epoch && a.Epoch >= s.role.Epoch
 }
 
+// sameDisk reports that this keeper has the named disk, or that none is named.
+func (k *Keeper) sameDisk(name string) bool { return name == "" || name == k.disk }
+
 func (k *Keeper) refusal(a *historypb.SliceAppend, s *slice) *historypb.SliceMark {
 	m := &historypb.SliceMark{Slice: a.Slice}
-	if s != nil && k.verified {
+	if s != nil && k.verified && k.sameDisk(a.Disk) {
 		m.Epoch = max(s.mark.Epoch, s.role.Epoch)
 	}
 	return m
 }
 
-// follow makes this keeper a partner in a newer epoch; the lock is held. It
-// has all of the slice only when the primary says so.
+// follow has this keeper refuse lower epochs; the lock is held. What it had in them
+// it still has.
 func (k *Keeper) follow(s *slice, epoch uint64) {
-	s.mark.Epoch, s.mark.Synced = epoch, false
+	s.mark.raise(mark{Epoch: epoch})
 	s.drop()
 	if epoch > s.role.Epoch {
 		notify(k.wakeRead)
 	}
 }
 
-// Fetch implements historypb.Keeper.
-func (k *Keeper) Fetch(_ context.Context, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
+// Fetch implements historypb.Keeper. The refusal of lower epochs is on the disk before
+// the records are read: what the primary before decides later can't count on this keeper.
+func (k *Keeper) Fetch(ctx context.Context, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
+	durable := make(chan struct{})
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	s := k.sliceFor(r.Slice)
-	if s == nil {
-		return &historypb.FetchResponse{}, nil
+	if s == nil || !k.verified || !k.sameDisk(r.Disk) || r.Epoch < max(s.mark.Epoch, s.role.Epoch) {
+		defer k.mu.Unlock()
+		notify(k.wakeRead)
+		return &historypb.FetchResponse{Refused: true}, nil
 	}
+	if r.Epoch > s.mark.Epoch {
+		k.follow(s, r.Epoch)
+	}
+	k.persist([]*historypb.Record{markRecord(s.number, s.mark)}, func() { close(durable) })
+	k.mu.Unlock()
+	select {
+	case <-durable:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return &historypb.FetchResponse{Records: s.state.records(s.number)}, nil
 }
 
@@ -229,9 +236,9 @@
 func (k *Keeper) Status(context.Context, *historypb.StatusRequest) (*historypb.StatusResponse, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.leaving, StalledMs: k.stalled().Milliseconds(), Disk: k.disk}
+	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.leaving, StalledMs: k.stalled().Milliseconds(), Disk: k.disk, Spares: true}
 	for _, s := range k.slices {
-		response.Slices = append(response.Slices, &historypb.SliceMark{Slice: s.number, Epoch: s.mark.Epoch, Synced: s.mark.Synced})
+		response.Slices = append(response.Slices, sliceMark(s.number, s.mark))
 	}
 	return response, nil
 }
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -23,6 +23,8 @@
 	turns    map[string]*keptTurn
 	// epoch is that in which this keeper decides, or did last.
 	epoch uint64
+	// starts counts the starts of keepers on this disk.
+	starts uint64
 }
 
 type keptTurn struct {
@@ -163,17 +165,22 @@
 	return ""
 }
 
-// apply takes in a record of a primary. Records may come twice and out of
-// order: turns never change, and of an account the higher version counts.
-func (s *state) apply(r *historypb.Record) {
+// apply takes in a record of a primary, and reports whether it was news. Records may
+// come twice and out of order: turns never change, and of an account the higher version
+// counts.
+func (s *state) apply(r *historypb.Record) bool {
 	switch b := r.Body.(type) {
 	case *historypb.Record_Turn:
+		_, known := s.turns[b.Turn.Id]
 		s.addTurn(b.Turn)
+		return !known
 	case *historypb.Record_Account:
 		if old := s.accounts[b.Account.Program]; old == nil || old.Version < b.Account.Version {
 			s.accounts[b.Account.Program] = b.Account
+			return true
 		}
 	}
+	return false
 }
 
 // expire forgets what need not be kept any longer.
@@ -206,14 +213,19 @@
 	return records
 }
 
-// epochShift leaves 2^24 versions of an account to each epoch.
-const epochShift = 24
+const (
+	// epochShift leaves 2^24 starts to each epoch, and startShift 2^12 versions of an
+	// account to each start.
+	epochShift = 36
+	startShift = 12
+)
 
 // copyAccount returns an account to be changed, in a version of its own. A version of
 // a later epoch is always higher: the primary before may have left one on a disk that
-// was never acknowledged, and would pass for the newer there.
+// was never acknowledged, and would pass for the newer there. The same holds for what
+// this keeper sent its partners before it was killed, and has not on its own disk.
 func (s *state) copyAccount(old *historypb.Account, program string) *historypb.Account {
-	first := s.epoch << epochShift
+	first := s.epoch<<epochShift + s.starts<<startShift
 	if old == nil {
 		return &historypb.Account{Program: program, Version: first + 1}
 	}
@@ -245,6 +257,7 @@
 	return &historypb.Record{Slice: slice, Body: &historypb.Record_Turn{Turn: t}}
 }
 
-func markRecord(slice uint32, epoch uint64, synced bool) *historypb.Record {
-	return &historypb.Record{Slice: slice, Body: &historypb.Record_Mark{Mark: &historypb.Mark{Epoch: epoch, Synced: synced}}}
+func markRecord(slice uint32, m mark) *historypb.Record {
+	wire := &historypb.Mark{Epoch: m.Epoch, Base: m.Base, Synced: m.whole(m.Epoch)}
+	return &historypb.Record{Slice: slice, Body: &historypb.Record_Mark{Mark: wire}}
 }
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -64,8 +64,10 @@
 	// storeCalls counts the calls to the store.
 	storeCalls int
 	loseWrites int
-	// partners is the number of keepers that hold a slice beside its primary.
-	partners int
+	// readError, if set, is what reading the assignment ends with.
+	readError error
+	// disksLost is the number of disks that may be lost at once.
+	disksLost int
 	// deaf names data centres whose entries can't tell whom they hear.
 	deaf map[string]bool
 	// entriesOnly names data centres without a keeper.
@@ -82,7 +84,6 @@
 	name       string
 	dataCentre string
 	folder     string
-	first      bool
 
 	// running orders starts and ends of the process.
 	running sync.Mutex
@@ -99,11 +100,11 @@
 	ended  chan struct{}
 }
 
-func newWorld(t *testing.T, keepers, partners int) *world {
-	w := &world{t: t, partners: partners, folder: t.TempDir(), cuts: map[[2]string]bool{}, deaf: map[string]bool{}, trace: &trace{began: time.Now()}}
+func newWorld(t *testing.T, keepers, disksLost int) *world {
+	w := &world{t: t, disksLost: disksLost, folder: t.TempDir(), cuts: map[[2]string]bool{}, deaf: map[string]bool{}, trace: &trace{began: time.Now()}}
 	for i := range keepers {
 		name := string(rune('a' + i))
-		m := &machine{world: w, name: name, dataCentre: "dc-" + name, folder: filepath.Join(w.folder, name), first: true}
+		m := &machine{world: w, name: name, dataCentre: "dc-" + name, folder: filepath.Join(w.folder, name)}
 		w.machines = append(w.machines, m)
 	}
 	return w
@@ -140,8 +141,7 @@
 		DataCentre:  m.dataCentre,
 		DataCentres: len(w.dataCentres()),
 		Folder:      m.folder,
-		FirstStart:  m.first,
-		Partners:    w.partners,
+		DisksLost:   w.disksLost,
 		Keepers:     w.candidates,
 		Retiring:    w.isRetiring,
 		Logger:      w.logger(m.name),
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{keeper: k, ctx: ctx, kill: cancel, ended: make(chan struct{})}
 	w.mu.Lock()
-	m.process, m.first = p, false
+	m.process = p
 	w.mu.Unlock()
 	go func() {
 		defer close(p.ended)
@@ -435,7 +435,7 @@
 	if w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre {
 		return Assignment{}, 0, store.ErrUnavailable
 	}
-	return w.assignment, w.version, nil
+	return w.assignment, w.version, w.readError
 }
 
 // Write implements Assignments.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,11 +184,11 @@
 		DataCentre:  n.settings.DataCentre,
 		DataCentres: len(n.settings.DataCentres),
 		Folder:      n.settings.DataFolder,
-		FirstStart:  n.settings.FirstStart,
-		Partners:    n.settings.DisksLost,
-		Keepers:     n.fleet.candidates,
-		Retiring:    n.retiring,
-		Logger:      n.logger,
+
+		DisksLost: n.settings.DisksLost,
+		Keepers:   n.fleet.candidates,
+		Retiring:  n.retiring,
+		Logger:    n.logger,
 	}, n.fleet, n.fleet)
 	n.keeper = k
 	return err
