Entries of the mirror are decoded once each

Every change of a replica, an instance or the assignment had each instance decode the entries of all instances, all replicas and the assignment again: at 195 instances some 300 JSON objects for one changed entry, in each of 195 processes.

Decoding by kind alone: a burst of replicas' entries would still have all of them decoded at each of its answers.

Change. decoded keeps what an entry decodes to until its revision changes. An assignment that can't be read now leaves an error line with its revision.

TestChangeOfOneEntryDecodesOne (200 entries, one decoding); before, 200.

--- /dev/null
+++ b/internal/node/decoded_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxhall/internal/mirror"
+	"foxhall/internal/store"
+)
+
+// Each instance of a large fleet decodes the entries of all others at every change of
+// one: its processor time grows with the square of the fleet. A change must cost one
+// reading, however many entries there are.
+func TestChangeOfOneEntryDecodesOne(t *testing.T) {
+	is := is.New(t)
+	const entries = 200
+	decodes := 0
+	d := newDecoded(func(e mirror.Entry) (string, bool) {
+		decodes++
+		return string(e.Value), len(e.Value) > 0
+	})
+	var list []mirror.Entry
+	for i := range entries {
+		list = append(list, mirror.Entry{Name: fmt.Sprintf("e%03d", i), Revision: 1, Value: []byte("one")})
+	}
+	is.Equal(len(d.all(list)), entries)
+	is.Equal(decodes, entries)
+	list[7] = mirror.Entry{Name: "e007", Revision: 2, Value: []byte("two")}
+	values := d.all(list)
+	is.Equal(decodes, entries+1)
+	is.Equal(values[7], "two")
+}
+
+// An entry that can't be read hides the others, or one that was removed comes back. Both
+// are judged by what the mirror holds now.
+func TestDecodedFollowsTheMirror(t *testing.T) {
+	is := is.New(t)
+	d := newDecoded(func(e mirror.Entry) (string, bool) { return string(e.Value), string(e.Value) != "bad" })
+	entry := func(name string, revision store.Version, value string) mirror.Entry {
+		return mirror.Entry{Name: name, Revision: revision, Value: []byte(value)}
+	}
+	is.Equal(d.all([]mirror.Entry{entry("a", 1, "bad"), entry("b", 1, "b1")}), []string{"b1"})
+	is.Equal(d.all([]mirror.Entry{entry("a", 2, "a2")}), []string{"a2"})
+	is.Equal(d.all([]mirror.Entry{entry("a", 2, "a2"), entry("b", 3, "b3")}), []string{"a2", "b3"})
+	is.Equal(d.all(nil), []string{})
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -66,6 +66,11 @@
 	cutOff func() bool
 	logger log.Interface
 
+	// listed and assigned are what the mirror's entries decode to. The goroutine that
+	// refreshes uses them.
+	listed   *decoded[member]
+	assigned *decoded[history.Assignment]
+
 	mu      sync.Mutex
 	members map[string]member
 	keepers map[string]historypb.Keeper
@@ -79,16 +84,35 @@
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
 	}
-	return &fleet{
+	f := &fleet{
 		settings: s,
 		mirror:   m,
 		objects:  o,
 		logger:   logger,
 		client:   &http.Client{Transport: transport},
+		listed:   newDecoded(decodeMember),
 		members:  map[string]member{},
 		keepers:  map[string]historypb.Keeper{},
 		relays:   map[string]mirrorpb.Relay{},
 	}
+	f.assigned = newDecoded(f.decodeAssignment)
+	return f
+}
+
+// decodeMember reads an instance's entry.
+func decodeMember(e mirror.Entry) (member, bool) {
+	var m member
+	ok := strings.HasPrefix(e.Name, instancePrefix) && json.Unmarshal(e.Value, &m) == nil && m.Name != ""
+	return m, ok
+}
+
+// decodeAssignment reads the assignment of slices. One that can't be read changes nothing.
+func (f *fleet) decodeAssignment(e mirror.Entry) (history.Assignment, bool) {
+	a, err := history.DecodeAssignment(e.Value)
+	if err != nil {
+		f.logger.WithError(err).WithField("revision", uint64(e.Revision)).Error("assignment not readable")
+	}
+	return a, err == nil
 }
 
 func (f *fleet) self() member {
@@ -104,11 +128,7 @@
 // refresh takes in the registered instances.
 func (f *fleet) refresh() {
 	members := map[string]member{}
-	for _, e := range f.mirror.Entries(mirror.Fleet) {
-		var m member
-		if !strings.HasPrefix(e.Name, instancePrefix) || json.Unmarshal(e.Value, &m) != nil || m.Name == "" {
-			continue
-		}
+	for _, m := range f.listed.all(f.mirror.Entries(mirror.Fleet)) {
 		members[m.Name] = m
 	}
 	members[f.settings.Instance] = f.self()
@@ -329,8 +349,11 @@
 	if !ok {
 		return history.Assignment{}, 0, false
 	}
-	a, err := history.DecodeAssignment(e.Value)
-	return a, e.Revision, err == nil
+	list := f.assigned.all([]mirror.Entry{e})
+	if len(list) == 0 {
+		return history.Assignment{}, 0, false
+	}
+	return list[0], e.Revision, true
 }
 
 // register keeps this instance's entry in the store, so that others find it.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
-	"fmt"
+
 	"testing"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"foxhall/internal/history"
 	"foxhall/internal/mirror"
 	"foxhall/internal/peerload"
 	"foxhall/internal/store"
@@ -64,7 +65,7 @@
 		{Name: assignmentName, Revision: 12, Value: []byte("[]")},
 	}})
 	f.refresh()
-	is.Equal(fmt.Sprint(f.candidates()), "[{k }]")
+	is.Equal(f.candidates(), []history.Candidate{{Name: "k"}})
 	is.Equal(f.entries(), 1)
 	_, _, ok := f.assignment()
 	is.True(!ok)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,10 +119,12 @@
 	// configRevision is the store's of the configuration that was read last, so
 	// that a large one is not read again with each change of a replica.
 	configRevision store.Version
-	// assigned is the newest assignment of slices.
-	assigned atomic.Pointer[history.Assignment]
-	replicas []routing.Replica
-	lapse    lapse
+	// assigned is the newest assignment of slices, assignedRevision the store's of it.
+	assigned         atomic.Pointer[history.Assignment]
+	assignedRevision store.Version
+	listed           *decoded[routing.Replica]
+	replicas         []routing.Replica
+	lapse            lapse
 }
 
 // New returns a node that is not yet running.
@@ -139,6 +141,7 @@
 		dataCentres: newSilences(),
 		keepers:     newSilences(),
 	}
+	n.listed = newDecoded(func(e mirror.Entry) (routing.Replica, bool) { return d.Replica(e.Name, e.Value) })
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
 	n.mirror.OnChange(func(mirror.Kind) { n.wake() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
@@ -342,12 +345,7 @@
 	if table == nil {
 		return
 	}
-	var listed []routing.Replica
-	for _, e := range n.mirror.Entries(mirror.Replicas) {
-		if r, ok := n.dialect.Replica(e.Name, e.Value); ok {
-			listed = append(listed, r)
-		}
-	}
+	listed := n.listed.all(n.mirror.Entries(mirror.Replicas))
 	before := n.replicas
 	n.replicas = n.lapse.merge(before, listed, n.mirror.Unsettled(time.Now()))
 	asOf, _ := n.mirror.AsOf(mirror.Replicas)
@@ -358,9 +356,10 @@
 
 func (n *Node) refreshAssignment() {
 	a, version, ok := n.fleet.assignment()
-	if !ok {
+	if !ok || version == n.assignedRevision {
 		return
 	}
+	n.assignedRevision = version
 	n.assigned.Store(&a)
 	if n.keeper != nil {
 		n.keeper.Adopt(a, version)
