Two data centres ask the store for changes, and the others are told

The follower of each data centre asked for each change of each kind: calls grew with data centres times changes, and checks with the time that followers need to hear of each other.

One asker: with it lost, each change waits until that is noticed. Reads that may be old at a tenth of the price: a check is there to find what a question missed, and an old answer finds nothing. Longer pauses between questions: they delay what must be in force.

Followers of the first two data centres that are heard and answered ask; the others stand by, are told by the relay, and ask at once where they no longer hear two. A follower learns of those of other data centres by their members' word, as chance takes minutes among hundreds.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -27,6 +27,9 @@
 	// checkSpread keeps followers from asking all at the same moment, so that
 	// those that ask later hear of the answer first.
 	checkSpread = 350 * time.Millisecond
+	// standbyDelay is how much later a follower checks that stands by: the answers to
+	// others reach it by the rounds in which it asks them.
+	standbyDelay = 300 * time.Millisecond
 	// checkTick is how often it is looked at whether a check is due.
 	checkTick = 60 * time.Millisecond
 	// mergePause is the pause after an answer with changes: a burst of changes,
@@ -53,6 +56,8 @@
 	// nanoseconds; 0 while it does.
 	lost   []atomic.Int64
 	active atomic.Bool
+	// standby says that others ask for changes, which this one is told of.
+	standby atomic.Bool
 }
 
 // NewFollower returns a follower that is not yet active.
@@ -63,6 +68,25 @@
 // Active reports whether the follower is running.
 func (f *Follower) Active() bool { return f.active.Load() }
 
+// StandBy has the follower leave the questions for changes to others, or ask them again.
+// Standing by it still checks what must be in force soon when it has heard nothing.
+func (f *Follower) StandBy(standby bool) {
+	if f.standby.Swap(standby) == standby {
+		return
+	}
+	f.logger.WithField("standby", standby).Info("questions for changes")
+	if standby {
+		// Whether the store answers this instance is not known any more.
+		f.forgetLosses()
+	}
+}
+
+func (f *Follower) forgetLosses() {
+	for i := range f.lost {
+		f.lost[i].Store(0)
+	}
+}
+
 // LostFor returns how long the store has not answered; 0 while it does.
 func (f *Follower) LostFor(now time.Time) time.Duration {
 	worst := time.Duration(0)
@@ -84,9 +108,8 @@
 	}
 	group.Go(func() { f.check(ctx) })
 	group.Wait()
-	for i := range f.lost {
-		f.lost[i].Store(0)
-	}
+	f.forgetLosses()
+	f.standby.Store(false)
 }
 
 // Look reads all kinds once.
@@ -103,11 +126,15 @@
 func (f *Follower) check(ctx context.Context) {
 	spread := rand.N(checkSpread)
 	for sleep(ctx, checkTick); ctx.Err() == nil; sleep(ctx, checkTick) {
-		if f.mirror.Age(Config, time.Now()) > checkEvery+spread {
+		due := checkEvery + spread
+		if f.standby.Load() {
+			due += standbyDelay
+		}
+		if f.mirror.Age(Config, time.Now()) > due {
 			f.checked(ctx, Config, f.checkConfig(ctx))
 			spread = rand.N(checkSpread)
 		}
-		if f.mirror.Age(Replicas, time.Now()) > checkEvery+spread {
+		if f.mirror.Age(Replicas, time.Now()) > due {
 			f.checked(ctx, Replicas, f.snapshot(ctx, Replicas))
 			spread = rand.N(checkSpread)
 		}
@@ -146,7 +173,7 @@
 func (f *Follower) follow(ctx context.Context, i int, k Kind) {
 	waits := newBackOff()
 	for ctx.Err() == nil {
-		if f.probedByFirst(i) {
+		if f.standby.Load() || f.probedByFirst(i) {
 			sleep(ctx, retryFirst)
 			continue
 		}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -45,13 +45,18 @@
 	wake chan struct{}
 
 	mu sync.Mutex
-	// followers are the peers that follow the store, by their last word.
-	followers map[string]Peer
-
+	// followers are the peers that follow the store, by their last word, and watching
+	// those of them that ask it for changes.
+	followers, watching map[string]Peer
 	// told is a peer that another named as follower and that was not yet asked.
 	told *Peer
+	// elsewhere are the followers of other data centres that were named and are to be
+	// asked themselves, by data centre.
+	elsewhere map[string]Peer
 	// unreached are the peers that did not answer, by when they may be asked again.
 	unreached map[string]time.Time
+	// turn counts the rounds in which this instance stood by.
+	turn int
 	// silent counts the rounds in which no other follower of the data centre answered.
 	silent      int
 	followStop  context.CancelFunc
@@ -73,6 +78,8 @@
 		logger:     logger,
 		wake:       make(chan struct{}, 1),
 		followers:  map[string]Peer{},
+		watching:   map[string]Peer{},
+		elsewhere:  map[string]Peer{},
 		unreached:  map[string]time.Time{},
 	}
 	m.OnChange(func(Kind) {
@@ -134,6 +141,9 @@
 			break
 		}
 	}
+	if r.followStop != nil {
+		r.follower.StandBy(!r.watches())
+	}
 	if p, ok := r.partner(peers); ok {
 		_, answered := r.exchange(ctx, p)
 		// Before the others of the data centre are known, any that answers will do.
@@ -178,14 +188,16 @@
 	response, err := p.Relay.Exchange(ctx, request)
 	if err != nil {
 		r.logger.WithError(err).WithField("peer", p.Name).Debug("not exchanged")
-		r.noteFollowing(p, false)
+		r.noteFollowing(p, false, false)
 		return false, false
 	}
 	r.take(response.Deltas, response.UnsettledMs)
 	r.confirm(response.Versions)
-	r.noteFollowing(p, response.Following)
+	r.noteFollowing(p, response.Following, response.Watching)
 	if p.DataCentre == r.dataCentre {
 		r.noteTold(response.Follower)
+	} else {
+		r.noteElsewhere(p.DataCentre, response.Follower)
 	}
 	if deltas := r.lacking(response.Versions); len(deltas) > 0 {
 		push := &mirrorpb.ExchangeRequest{From: r.name, Versions: r.versions(), Deltas: deltas}
@@ -206,6 +218,7 @@
 		Versions:    r.versions(),
 		Deltas:      r.lacking(request.Versions),
 		Following:   r.Following(),
+		Watching:    r.Watching(),
 		UnsettledMs: r.mirror.Unsettled(now).Milliseconds(),
 		Follower:    r.knownFollower(),
 	}, nil
@@ -227,10 +240,23 @@
 }
 
 // partner chooses whom to exchange with in a round. Followers often choose each
-// other, so that what one of them has asked the store the others need not ask.
+// other, so that what one of them has asked the store the others need not ask. One
+// that stands by asks those that it relies on by turns: it must know soon when they
+// are lost.
 func (r *Relay) partner(peers []Peer) (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if relied := r.reliedOn(); r.followStop != nil && len(relied) >= watchersMost {
+		r.turn++
+		return relied[r.turn%len(relied)], true
+	}
+	for dc, p := range r.elsewhere {
+		delete(r.elsewhere, dc)
+		return p, true
+	}
+	if strangers := r.strangers(peers); len(strangers) > 0 && rand.IntN(2) == 0 {
+		return strangers[rand.IntN(len(strangers))], true
+	}
 	if r.followStop != nil && len(r.followers) > 0 && rand.IntN(4) > 0 {
 		n := rand.IntN(len(r.followers))
 		for _, p := range r.followers {
--- a/internal/mirror/succession.go
+++ b/internal/mirror/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -9,7 +10,12 @@
 
 // Who follows the store: in each data centre the first instance by name that is
 // answered. The others leave the store to it, and take over where it falls silent.
+// Of the followers, those of two data centres ask the store for changes, and the
+// others stand by.
 const (
+	// watchersMost is the number of data centres whose followers ask the store for
+	// changes all the time.
+	watchersMost = 2
 	// silentRounds is how many rounds in a row the instances that should follow
 	// the store must be silent before this one does it.
 	silentRounds = 2
@@ -104,14 +110,48 @@
 	return r.follower.Active() && r.follower.LostFor(time.Now()) < lostMost
 }
 
-func (r *Relay) noteFollowing(p Peer, following bool) {
+// Watching reports whether this instance follows the store, is answered, and asks it for
+// changes all the time.
+func (r *Relay) Watching() bool { return r.Following() && !r.follower.standby.Load() }
+
+// watches reports whether this instance, a follower, is to ask the store for changes.
+// In a fleet of many data centres those of the first two do: with one of them lost, what
+// changes still comes at once. The others are told by the relay, and take over where they
+// no longer hear two.
+func (r *Relay) watches() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if following {
-		r.followers[p.Name] = p
+	return len(r.reliedOn()) < watchersMost
+}
+
+// reliedOn returns the peers that ask the store for changes so that this instance need
+// not, one of each data centre that goes before its own; the lock is held.
+func (r *Relay) reliedOn() []Peer {
+	first := map[string]Peer{}
+	for _, p := range r.watching {
+		known, ok := first[p.DataCentre]
+		if p.DataCentre < r.dataCentre && (!ok || p.Name < known.Name) {
+			first[p.DataCentre] = p
+		}
+	}
+	relied := slices.Collect(maps.Values(first))
+	slices.SortFunc(relied, func(a, b Peer) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	return relied[:min(watchersMost, len(relied))]
+}
+
+func (r *Relay) noteFollowing(p Peer, following, watching bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	note(r.followers, p, following)
+	note(r.watching, p, following && watching)
+}
+
+func note(peers map[string]Peer, p Peer, is bool) {
+	if is {
+		peers[p.Name] = p
 		return
 	}
-	delete(r.followers, p.Name)
+	delete(peers, p.Name)
 }
 
 func (r *Relay) noteUnreached(p Peer) {
@@ -155,6 +195,47 @@
 	}
 }
 
+// noteElsewhere takes in whom a peer of another data centre names as the follower there.
+// Followers must know each other to leave questions to two of them, and meet by chance
+// only after minutes in a fleet of hundreds.
+func (r *Relay) noteElsewhere(dataCentre, name string) {
+	if name == "" || !r.follower.Active() || !r.unheard(name) {
+		return
+	}
+	for _, p := range r.peers() {
+		if p.Name == name && p.DataCentre == dataCentre {
+			r.mu.Lock()
+			r.elsewhere[dataCentre] = p
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
+// strangers returns, for a follower that relies on too few, the peers of the first data
+// centres before its own of which it knows nobody that asks the store for changes; the
+// lock is held.
+func (r *Relay) strangers(peers []Peer) []Peer {
+	if !r.follower.Active() || len(r.reliedOn()) >= watchersMost {
+		return nil
+	}
+	known := map[string]bool{}
+	for _, p := range r.watching {
+		known[p.DataCentre] = true
+	}
+	byDataCentre := map[string][]Peer{}
+	for _, p := range peers {
+		if p.DataCentre < r.dataCentre && !known[p.DataCentre] {
+			byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p)
+		}
+	}
+	var first []Peer
+	for _, dc := range slices.Sorted(maps.Keys(byDataCentre))[:min(watchersMost, len(byDataCentre))] {
+		first = append(first, byDataCentre[dc]...)
+	}
+	return first
+}
+
 // unheard reports whether nothing is known yet of the peer, which should answer.
 func (r *Relay) unheard(name string) bool {
 	r.mu.Lock()
