Keepers look at their roles on news, not at each answer

Each answer of each other keeper had a keeper judge all others and all slices: at 24 keepers 76 times a second each, which was 58% of their processor time at rest in a profile of 24 keepers on virtual time. It grows with the square of their number.

Cheaper judging alone: the number of looks grows all the same.

An answer that says nothing new only counts as heard; roles are looked at ten times a second and on news.

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -100,6 +101,9 @@
 	storeWaits *backoff.ExponentialBackOff
 	storeAfter time.Time
 
+	// looks counts how often the roles were looked at.
+	looks atomic.Int64
+
 	wakeWriter chan struct{}
 	wakeRoles  chan struct{}
 	wakeRead   chan struct{}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -154,6 +154,7 @@
 // reconcile fills partners that lack records, fetches what this keeper lacks of slices
 // that it is to decide for, and proposes what must change.
 func (k *Keeper) reconcile(ctx context.Context) {
+	k.looks.Add(1)
 	k.mu.Lock()
 	if k.version == 0 {
 		k.mu.Unlock()
--- a/internal/history/views.go
+++ b/internal/history/views.go
@@ -51,9 +51,28 @@
 		}
 		return
 	}
+	news := v.silent(time.Now()) || v.refused > 0 || !sameStanding(v.status, status)
 	v.noteHeard(time.Now())
 	v.status, v.refused = status, 0
-	notify(k.wakeRoles)
+	// Roles are looked at anew ten times a second anyway. To do it at each answer of each
+	// keeper would cost the square of their number.
+	if news {
+		notify(k.wakeRoles)
+	}
+}
+
+// sameStanding reports that nothing changed by which roles are decided.
+func sameStanding(a, b *historypb.StatusResponse) bool {
+	if a == nil || a.Leaving != b.Leaving || a.Disk != b.Disk || a.Spares != b.Spares || len(a.Slices) != len(b.Slices) {
+		return false
+	}
+	stalled := func(s *historypb.StatusResponse) bool { return s.StalledMs > stalledAfter.Milliseconds() }
+	for i, m := range a.Slices {
+		if m.Slice != b.Slices[i].Slice || markOf(m) != markOf(b.Slices[i]) {
+			return false
+		}
+	}
+	return stalled(a) == stalled(b)
 }
 
 // fewEach runs a few functions at a time for each name. It is used by one goroutine.
