--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,11 +187,10 @@
 		DataCentre:  n.settings.DataCentre,
 		DataCentres: len(n.settings.DataCentres),
 		Folder:      n.settings.DataFolder,
-
-		DisksLost: n.settings.DisksLost,
-		Keepers:   n.fleet.candidates,
-		Retiring:  n.retiring,
-		Logger:    n.logger,
+		DisksLost:   n.settings.DisksLost,
+		Keepers:     n.fleet.candidates,
+		Retiring:    n.retiring,
+		Logger:      n.logger,
 	}, n.fleet, n.fleet)
 	n.keeper = k
 	return err
