One processor for tests under the race detector; calls of the ownership run are bounded

Packages whose tests use bubbles run on one processor under the detector, which orders accesses by what happens before what, not by time. No test is left out.

Shown by: TestEndlessCallsAreStoppedWithTheirState.

--- a/internal/budget/bench_test.go
+++ b/internal/budget/bench_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/plan"
 	"foxhall/internal/standin"
 )
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	"foxhall/internal/cache"
 	"foxhall/internal/chat"
 	"foxhall/internal/engine"
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/owner"
 	"foxhall/internal/plan"
 	"foxhall/internal/scheduler"
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/cache"
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/httpconn"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
--- a/internal/instance/copies_test.go
+++ b/internal/instance/copies_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/ledger"
 	"foxhall/internal/membership"
 	"foxhall/internal/program"
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -12,6 +12,8 @@
 	"github.com/apex/log"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 )
 
 // A caller's call hangs since the reader of standard output has stalled. Lines
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/routing"
 )
 
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -115,6 +115,7 @@
 // tally counts what the run went through, so that a machine that no longer
 // reaches a fault is seen.
 func (m *machine) tally(seen map[string]int64) {
+	seen["most steps"] = max(seen["most steps"], m.steps.Load())
 	for _, t := range m.programs {
 		seen["programs"]++
 		seen["acked"] += int64(len(t.acked))
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,18 +33,42 @@
 	instances []*node
 	// heldBy tells for each event which instances held a copy, for failures.
 	heldBy map[string][]program.Cohort
+	// steps counts the calls to the store and to peers.
+	steps atomic.Int64
+}
+
+// stepsMost is far more than the calls of any plan. Instances that call each other without
+// end stop the run there, and say in which state.
+const stepsMost = 100_000
+
+// step counts a call of an instance.
+func (w *world) step(what string) {
+	if w.steps.Add(1) <= stepsMost {
+		return
+	}
+	state := fmt.Sprintf("%d calls to the store and to peers, the last to %s, at %v", stepsMost, what, time.Now())
+	for _, n := range w.all(func(*node) bool { return true }) {
+		at, seal, fenced := n.log.Fenced()
+		state += fmt.Sprintf("\n%s: running %v, reachable %v, fenced %v (%v, %v), %d store calls",
+			n.self.Cohort, running(n), reachable(n), fenced, at, seal, n.gate.calls.Load())
+	}
+	panic(state)
 }
 
 // gate is a store client that stops while its instance is paused: before a
 // call leaves and before its answer is seen. After a crash nothing passes.
 type gate struct {
 	store.Client
+	world   *world
+	calls   atomic.Int64
 	mu      sync.Mutex
 	resume  chan struct{}
 	crashed bool
 }
 
 func (g *gate) pass() error {
+	g.calls.Add(1)
+	g.world.step("the store")
 	g.mu.Lock()
 	resume := g.resume
 	g.mu.Unlock()
@@ -131,7 +157,7 @@
 	cohort := program.Cohort(fmt.Sprintf("sul1.i%d.%04d", w.born, w.born))
 	n := &node{w: w, self: Member{Instance: fmt.Sprint("i", w.born), Cohort: cohort, Addr: "10.0.0.1:7000", Weight: weight}}
 	n.metrics = metrics.NewRegistry()
-	n.gate = &gate{Client: w.standIn}
+	n.gate = &gate{Client: w.standIn, world: w}
 	n.tracked = store.Track(n.gate, nil)
 	n.held, _ = ledger.OpenHeldCopies("", 0)
 	n.owner = newFakeOwner(n)
@@ -271,6 +297,7 @@
 
 // Hold implements ledger.Holders.
 func (n *node) Hold(_ context.Context, c ledger.Copy) (int, error) {
+	n.w.step("holders")
 	held := 0
 	for _, other := range n.w.all(reachable) {
 		if other != n && held < ledger.CopiesNeeded && !other.keeper.Sealed(c.Cohort) && other.held.Hold(c) == nil {
@@ -298,6 +325,7 @@
 
 // Offer implements ledger.Successors.
 func (n *node) Offer(ctx context.Context, seal *ledger.Seal, c ledger.Copy) error {
+	n.w.step("successors")
 	for _, r := range c.Records {
 		owner, err := n.keeper.Directory().Locate(ctx, r.Program)
 		if err != nil {
@@ -317,6 +345,7 @@
 
 // Collect implements Copies.
 func (n *node) Collect(_ context.Context, c program.Cohort) ([]ledger.Copy, int) {
+	n.w.step("copies")
 	var copies []ledger.Copy
 	unasked := 0
 	for _, other := range n.w.all(func(*node) bool { return true }) {
@@ -479,3 +508,20 @@
 	}
 	return nil
 }
+
+// A run of the machine is busy for minutes and tells nothing: instances call each other
+// without end. It must stop, and say who they are and how they stand.
+func TestEndlessCallsAreStoppedWithTheirState(t *testing.T) {
+	w := newWorld(t)
+	w.manual = true
+	n := w.start(1)
+	defer n.shut()
+	w.steps.Store(stepsMost)
+	defer func() {
+		w.steps.Store(0)
+		if state, _ := recover().(string); !strings.Contains(state, string(n.self.Cohort)+": running true") {
+			t.Errorf("stopped with %q", state)
+		}
+	}()
+	n.w.step("the store")
+}
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/peerload/peerloadpb"
 	"foxhall/internal/upstream"
 	"foxhall/internal/usage"
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -15,6 +15,7 @@
 
 	"foxhall/internal/chat"
 	"foxhall/internal/engine"
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 )
 
 func userMessage(text string) chat.Message {
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	_ "foxhall/internal/fuzzing" // one processor under the race detector
 )
 
 // An instance goes on by a configuration that was replaced while its machine was
