A keeper that came too late with the assignment goes on from the answer

After the loss of a data centre all keepers that hold something with it change the one assignment at once, by a conditional write: each but one comes too late, read it anew, waited 25 ms and tried again. At 24 keepers in five data centres, on virtual time: 295 calls to the store for 13 changes, 123 of them reads, and some 0.4 s until the last slice had new holders.

One writer for all: only holders may change a slice, and to pass wishes on is a protocol of its own. One object for each slice (no conflicts at all) is the better end and is left for later: it changes how assignments are read, adopted and mirrored.

The store's refusal holds the present object; it is adopted at once. A holder that hears of a newer epoch from its primary reads the assignment only if no instance has told it within 0.3 s.

--- a/internal/history/cost_test.go
+++ b/internal/history/cost_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // looksIn returns how often keepers looked at their roles in half a minute of rest, each on
@@ -39,3 +40,38 @@
 	t.Logf("%d looks among 4 keepers, %d among 24", few, many)
 	is.New(t).True(many <= few+few/10)
 }
+
+// A data centre is lost, and a fleet of many keepers spends the next second on writing the
+// assignment: all change it at once, and each but one comes too late, reads it anew, waits
+// and tries again. The slices must have other holders soon, and a try must cost one call.
+func TestManyKeepersChangeTheAssignmentAtOnce(t *testing.T) {
+	build := func(t *testing.T) *world {
+		w := newWorld(t, 24, 2)
+		for i, m := range w.machines {
+			m.dataCentre = string(rune('A' + i%5))
+		}
+		return w
+	}
+	inWorldOf(t, build, func(w *world, fail func(error)) {
+		w.mu.Lock()
+		before, calls, reads := w.version, w.storeCalls, w.storeReads
+		w.mu.Unlock()
+		lost := w.machines[0].dataCentre
+		w.cutDataCentre(lost, true)
+		time.Sleep(suspectAfter + rolesEvery + aloneIn/2)
+		a := w.assigned()
+		for s := range a.Slices {
+			for _, name := range a.Slices[s].holders() {
+				if w.machine(name).dataCentre == lost {
+					fail(errors.Errorf("slice %d is still held by %s", s, name))
+				}
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t.Logf("%d changes in %d calls, %d of them reads", w.version-before, w.storeCalls-calls, w.storeReads-reads)
+		if w.storeReads > reads {
+			fail(errors.Errorf("%d reads", w.storeReads-reads))
+		}
+	})
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -47,8 +47,10 @@
 type Assignments interface {
 	// Read returns the assignment as the store has it now; version 0 if there is none.
 	Read(ctx context.Context) (Assignment, store.Version, error)
-	// Write replaces the assignment if its version is still base.
-	Write(ctx context.Context, a Assignment, base store.Version) (store.Version, error)
+	// Write replaces the assignment if its version is still base, and returns the new one.
+	// At a conflict it returns the present assignment and its version, if they are told;
+	// version 0 if they are not.
+	Write(ctx context.Context, a Assignment, base store.Version) (Assignment, store.Version, error)
 }
 
 // Settings configure a keeper.
--- a/internal/history/reads.go
+++ b/internal/history/reads.go
@@ -35,6 +35,21 @@
 // since keepers that change it at the same time take turns by reading it again.
 const readPause = 25 * time.Millisecond
 
+// tellTime is how long the other instances take to tell of a new assignment.
+const tellTime = 300 * time.Millisecond
+
+// readUnlessTold has the assignment read if a later epoch of the slice than the known one
+// is followed and no instance tells of it soon; the lock is held.
+func (k *Keeper) readUnlessTold(s *slice) {
+	time.AfterFunc(tellTime, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if s.mark.Epoch > s.role.Epoch {
+			notify(k.wakeRead)
+		}
+	})
+}
+
 const (
 	// While the store does not answer, calls to it wait from storeFirst to
 	// storeMost: each is paid for, and there are many keepers.
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -233,10 +233,12 @@
 
 // write proposes an assignment. A lost answer is settled by reading.
 func (k *Keeper) write(ctx context.Context, a Assignment, base store.Version) {
-	version, err := k.assignments.Write(ctx, a, base)
+	present, version, err := k.assignments.Write(ctx, a, base)
 	switch {
-	case err == nil:
-		k.Adopt(a, version)
+	case err == nil, errors.Is(err, store.ErrConflict) && version > 0:
+		// Many keepers change the assignment at once after a loss. Each that came too late
+		// goes on from what it was told, without a call and a pause to read it.
+		k.Adopt(present, version)
 	case errors.Is(err, store.ErrUnavailable):
 		// Surely not written: there is nothing to read either.
 		k.settings.Logger.WithError(err).Warn("assignment not written")
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -202,7 +202,7 @@
 	s.mark.raise(mark{Epoch: epoch})
 	s.drop()
 	if epoch > s.role.Epoch {
-		notify(k.wakeRead)
+		k.readUnlessTold(s)
 	}
 }
 
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -65,6 +65,8 @@
 	noStore string
 	// storeCalls counts the calls to the store.
 	storeCalls int
+	// storeReads counts those of them that read.
+	storeReads int
 	loseWrites int
 	// readError, if set, is what reading the assignment ends with.
 	readError error
@@ -469,6 +471,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeCalls++
+	w.storeReads++
 	if w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre {
 		return Assignment{}, 0, store.ErrUnavailable
 	}
@@ -476,9 +479,9 @@
 }
 
 // Write implements Assignments.
-func (m *machine) Write(ctx context.Context, a Assignment, base store.Version) (store.Version, error) {
+func (m *machine) Write(ctx context.Context, a Assignment, base store.Version) (Assignment, store.Version, error) {
 	if err := m.pass(ctx); err != nil {
-		return 0, err
+		return Assignment{}, 0, err
 	}
 	sleep(ctx, 4*wayTime)
 	w := m.world
@@ -487,17 +490,17 @@
 	w.storeCalls++
 	switch {
 	case w.storeDown || w.noStore == m.name || w.noStore == m.dataCentre:
-		return 0, store.ErrUnavailable
+		return Assignment{}, 0, store.ErrUnavailable
 	case base != w.version:
-		return 0, store.ErrConflict
+		return w.assignment, w.version, store.ErrConflict
 	}
 	w.assignment = a
 	w.version++
 	if w.loseWrites > 0 {
 		w.loseWrites--
-		return 0, store.ErrUnknown
+		return Assignment{}, 0, store.ErrUnknown
 	}
-	return w.version, nil
+	return a, w.version, nil
 }
 
 // entryPoint is an instance that reserves and settles.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -353,12 +353,22 @@
 }
 
 // Write implements history.Assignments.
-func (f *fleet) Write(ctx context.Context, a history.Assignment, base store.Version) (store.Version, error) {
+func (f *fleet) Write(ctx context.Context, a history.Assignment, base store.Version) (history.Assignment, store.Version, error) {
 	data, err := a.Encode()
 	if err != nil {
-		return 0, err
+		return history.Assignment{}, 0, err
+	}
+	version, err := f.objects.Put(ctx, assignmentKey, data, base)
+	var conflict *store.Conflict
+	if !errors.As(err, &conflict) {
+		return a, version, err
+	}
+	present, unreadable := history.DecodeAssignment(conflict.Present.Value)
+	if unreadable != nil {
+		f.logger.WithError(unreadable).Error("assignment not readable")
+		return history.Assignment{}, 0, err
 	}
-	return f.objects.Put(ctx, assignmentKey, data, base)
+	return present, conflict.Present.Version, err
 }
 
 // assignment returns the newest mirrored assignment.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,15 @@
 	ErrGone = errors.New("store: watch version gone")
 )
 
+// Conflict is an ErrConflict that tells the object as it is.
+type Conflict struct{ Present Object }
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConflict.Error() }
+
+// Is reports that it is an ErrConflict.
+func (c *Conflict) Is(target error) bool { return target == ErrConflict }
+
 // Client is what the packages of foxhall use of the object API.
 //
 // Put writes the value on the condition that the object's version is still
