--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -116,13 +116,15 @@
 // meanEvery is how often the mean speed of a pool is worked out anew.
 const meanEvery = 200 * time.Millisecond
 
-// speedOf returns the learned speed of an upstream, drawn towards the mean of all while
-// there are few samples. With a fixed guess a fleet of fast engines leaves its new ones
-// idle while the old ones queue. And an instance among hundreds calls each engine once in
-// a while: what single answers took, at one load or another, differs by more than what a
-// cached prompt saves.
+// speedOf returns the learned speed of an upstream, or of one that has not
+// answered yet the mean of the others. With a fixed guess a fleet of fast
+// engines leaves its new ones idle while the old ones queue.
 func (p *pool) speedOf(cell *upstream.Cell, cells []*upstream.Cell, now time.Time) upstream.Speed {
-	return cell.Speed().Toward(p.meanOf(cells, now))
+	speed := cell.Speed()
+	if speed.Samples > 0 {
+		return speed
+	}
+	return p.meanOf(cells, now)
 }
 
 func (p *pool) meanOf(cells []*upstream.Cell, now time.Time) upstream.Speed {
@@ -133,9 +135,21 @@
 }
 
 func meanSpeed(cells []*upstream.Cell) upstream.Speed {
-	var mean upstream.Mean
+	var sum upstream.Speed
+	n := 0.0
 	for _, c := range cells {
-		mean.Add(c.Speed())
+		s := c.Speed()
+		if s.Samples == 0 {
+			continue
+		}
+		n++
+		sum.Prefill += s.Prefill
+		sum.TokenBase += s.TokenBase
+		sum.TokenPerCall += s.TokenPerCall
+		sum.Call += s.Call
+	}
+	if n == 0 {
+		return upstream.Prior
 	}
-	return mean.Speed()
+	return upstream.Speed{Prefill: sum.Prefill / n, TokenBase: sum.TokenBase / n, TokenPerCall: sum.TokenPerCall / n, Call: sum.Call / n}
 }
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -160,46 +160,8 @@
 	return 1 + excess/(1+max(0, age))
 }
 
-// speedTrust is the number of samples of an upstream that count as much as what is known
-// of all together.
-const speedTrust = 8
-
-// Toward returns the speed drawn towards the mean of its like, the more the fewer samples
-// there are.
-func (s Speed) Toward(mean Speed) Speed {
-	own := float64(s.Samples) / float64(s.Samples+speedTrust)
-	blend := func(a, b float64) float64 { return own*a + (1-own)*b }
-	return Speed{
-		Prefill:      blend(s.Prefill, mean.Prefill),
-		TokenBase:    blend(s.TokenBase, mean.TokenBase),
-		TokenPerCall: blend(s.TokenPerCall, mean.TokenPerCall),
-		Call:         blend(s.Call, mean.Call),
-		Samples:      s.Samples,
-	}
-}
-
-// Mean is the mean speed of upstreams. One with many samples counts as much as another,
-// one with few by them.
-type Mean struct {
-	sum    Speed
-	weight float64
-}
-
-// Add takes in an upstream's speed.
-func (m *Mean) Add(s Speed) {
-	weight := float64(min(s.Samples, speedTrust))
-	m.weight += weight
-	m.sum.Prefill += weight * s.Prefill
-	m.sum.TokenBase += weight * s.TokenBase
-	m.sum.TokenPerCall += weight * s.TokenPerCall
-	m.sum.Call += weight * s.Call
-}
-
-// Speed returns the mean, without samples of its own; the prior if there is none.
-func (m *Mean) Speed() Speed {
-	if m.weight == 0 {
-		return Prior
-	}
-	n := m.weight
-	return Speed{Prefill: m.sum.Prefill / n, TokenBase: m.sum.TokenBase / n, TokenPerCall: m.sum.TokenPerCall / n, Call: m.sum.Call / n}
+// WithoutSamples returns the speed as that of an upstream that has not answered.
+func (s Speed) WithoutSamples() Speed {
+	s.Samples = 0
+	return s
 }
