Busy instances of a large fleet tell their load as often as others

The pause while calls are under way is 60 ms again, whatever the number of turns; a peer among 171 hears every 0.48 s, and at even times.

TestBusyInstanceOfALargeFleetIsHeardSoon, on the constants: red with 150 ms.

--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -25,11 +25,11 @@
 )
 
 const (
-	// sendEvery is the time between two sendings in a small fleet; an engine takes
-	// about as long for a prompt.
+	// sendEvery is the time between two sendings; an engine takes about as long for a
+	// prompt. It is no longer in a large fleet: with older load, instances choose the same
+	// engines in a burst.
 	sendEvery = 60 * time.Millisecond
-	// quietEvery is the time between them while nothing is under way, and in a fleet in
-	// which each peer hears only some of them: the load of all is summed over longer then.
+	// quietEvery is the time between them while nothing is under way.
 	quietEvery = 150 * time.Millisecond
 	// loadLife is how long a peer's load counts without a newer datagram.
 	loadLife = 1500 * time.Millisecond
@@ -190,7 +190,7 @@
 		x.sumLate()
 		load := x.own()
 		// One empty datagram after the last call tells that it is over.
-		if time.Since(sent) < x.pause(len(load.Upstreams) > 0 || busy) {
+		if len(load.Upstreams) == 0 && !busy && time.Since(sent) < quietEvery {
 			continue
 		}
 		busy, sent = len(load.Upstreams) > 0, time.Now()
@@ -198,17 +198,6 @@
 	}
 }
 
-// pause returns the time between two sendings.
-func (x *Exchange) pause(busy bool) time.Duration {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if !busy {
-		return quietEvery
-	}
-	// A tick may come early by its jitter.
-	return min(quietEvery, sendEvery*time.Duration(turns(x.known, x.reach))) - sendEvery/2
-}
-
 // sumLate sums up what came right after the last sum and nothing came after.
 func (x *Exchange) sumLate() {
 	x.mu.Lock()
--- a/internal/peerload/reach_test.go
+++ b/internal/peerload/reach_test.go
@@ -80,3 +80,12 @@
 	misses, known = x.Misses("entry", time.Second)
 	is.True(!misses && !known)
 }
+
+// Engines of a large fleet are overloaded in a burst while others stand idle: instances tell
+// their load seldom, and choose by what was. Each peer must hear from a busy instance within
+// the time of a few prompts.
+func TestBusyInstanceOfALargeFleetIsHeardSoon(t *testing.T) {
+	is := is.New(t)
+	is.True(time.Duration(turns(194, EntryReach))*sendEvery <= 600*time.Millisecond)
+	is.True(time.Duration(turns(369, EntryReach))*sendEvery <= loadLife)
+}
