A slice goes on after a minute without holders that are gone for good

Cause, found in reading the change: with a spare partner two holders are needed to take a slice over. Where one was taken away for good while another lost its disk, which is more than may be lost, the third was not enough, and as the first is never heard the slice was not abandoned either: it was never served again. Before the spare partner the third took it over at once.

A slice that can't be had whole goes on with what is left after 10 s where all holders are heard, as before, and after the time for which decisions are kept (a minute) where some are silent, with an error line.

TestSliceGoesOnWithoutHoldersThatAreGoneForGood, red before: no keeper reached.

--- a/internal/history/quorum_test.go
+++ b/internal/history/quorum_test.go
@@ -393,3 +393,23 @@
 		}
 	})
 }
+
+// A slice is never served again: one of its holders was taken away for good while another
+// lost its disk, which is more than may be lost. The third must go on with what it has, but
+// not before those that are silent could be back with decisions that are still kept.
+func TestSliceGoesOnWithoutHoldersThatAreGoneForGood(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		fail(keep(c, "p", "first", ""))
+		role := w.role("p")
+		w.machine(role.Partners[0]).stop()
+		w.machine(role.Primary).wipe()
+		w.machine(role.Primary).start()
+		time.Sleep(defaultRetention / 2)
+		if err := keep(c, "p", "too-early", ""); err == nil {
+			fail(errors.New("decided without a holder that may be back"))
+		}
+		time.Sleep(defaultRetention)
+		fail(keep(c, "p", "second", "first"))
+	})
+}
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -108,17 +108,16 @@
 		return
 	}
 	from, found := k.sources(s, opinions)
-	switch {
-	case !found:
-	default:
-		k.tellLost(s, opinions)
-		if len(from) == 0 {
-			k.makeWhole(s)
-			return
-		}
-		s.collecting = true
-		go k.collect(ctx, s, s.role.Epoch, from)
+	if !found {
+		return
+	}
+	k.tellLost(s, opinions)
+	if len(from) == 0 {
+		k.makeWhole(s)
+		return
 	}
+	s.collecting = true
+	go k.collect(ctx, s, s.role.Epoch, from)
 }
 
 // tellLost says which earlier ensembles lost more disks than may be lost at once: what
@@ -204,18 +203,23 @@
 	return o.at.Sub(s.primaryLostSince) > limit
 }
 
-// abandoned reports that the slice can't be had whole from any keepers, though all its
-// holders are heard, and that this one has to go on with what it has. More disks were
-// lost then than may be at once.
+// abandoned reports that the slice can't be had whole from any keepers, and that this one
+// has to go on with what it has: soon where all its holders are heard, else after the time
+// for which the decisions of the silent ones are kept at all. More disks were lost then
+// than may be at once.
 func (k *Keeper) abandoned(s *slice, opinions map[string]opinion, now time.Time) bool {
-	if s.role.Epoch == 0 || s.marking || s.collecting || !k.verified || !k.allHeard(s, opinions) || !k.firstToAbandon(s, opinions) {
+	if s.role.Epoch == 0 || s.marking || s.collecting || !k.verified || !k.firstToAbandon(s, opinions) {
 		s.lostSince = time.Time{}
 		return false
 	}
 	if s.lostSince.IsZero() {
 		s.lostSince = now
 	}
-	if now.Sub(s.lostSince) < abandonAfter {
+	limit := defaultRetention
+	if k.allHeard(s, opinions) {
+		limit = abandonAfter
+	}
+	if now.Sub(s.lostSince) < limit {
 		return false
 	}
 	s.lostSince = time.Time{}
@@ -236,14 +240,15 @@
 	return true
 }
 
-// firstToAbandon reports that this keeper is a holder and that no other has more of the
-// slice; of equals the primary goes on, else the one with the lowest name. The lock is held.
+// firstToAbandon reports that this keeper is a holder and that no other that is heard has
+// more of the slice; of equals the primary goes on, else the one with the lowest name. The
+// lock is held.
 func (k *Keeper) firstToAbandon(s *slice, opinions map[string]opinion) bool {
 	holders := s.role.everHeld()
 	for name := range holders {
 		other := opinions[name].marks[s.number].Base
 		switch {
-		case name == k.settings.Name:
+		case name == k.settings.Name || !opinions[name].heard:
 		case other > s.mark.Base:
 			return false
 		case other == s.mark.Base && s.role.Primary != k.settings.Name && (name == s.role.Primary || name < k.settings.Name):
