Calls belong to client accounts, and so do turns and tokens

A configuration that does not tell whose a call is (no name, one name or key twice, negative or unbounded limits) is refused with an error that tells no key, and the last good one stays. Keepers hold turns and token accounts by customer: proto fields are optional, so that records and requests of older versions are told apart; old turns may be continued and old accounts are carried over. Ruled out: one scoped program string on the wire (an upgraded entry and an old keeper would not have found one account); slices stay by program id. Quotas are not held yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,8 @@
 import (
 	"net/http"
 	"time"
+
+	"foxhall/internal/routing"
 )
 
 // Part is one part of a prompt. Requests share parts; equal ids mean equal text.
@@ -37,8 +39,10 @@
 	Arrived time.Time
 	// Deadline is when the caller gives up.
 	Deadline time.Time
-	Program  Program
-	Prompt   []Part
+	// Key is the digest of the caller's API key; nil without one.
+	Key     *routing.KeyDigest
+	Program Program
+	Prompt  []Part
 	// PromptTokens and MaxOutput are what the caller says of a model call's size.
 	PromptTokens, MaxOutput int
 	// OutputHint is the caller's estimate of the output; 0 for none.
@@ -86,6 +90,8 @@
 const (
 	NoConfiguration Reason = "no_configuration"
 	NoRoute         Reason = "no_route"
+	KeyUnknown      Reason = "key_unknown"
+	OverQuota       Reason = "over_quota"
 	BadRequest      Reason = "bad_request"
 	TooLarge        Reason = "too_large"
 	BudgetSpent     Reason = "budget_spent"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,10 +87,12 @@
 	call    *Call
 	caller  Caller
 	// gone ends when the caller leaves.
-	gone     context.Context
-	table    *routing.Table
-	route    *routing.Route
-	service  *routing.Service
+	gone    context.Context
+	table   *routing.Table
+	route   *routing.Route
+	service *routing.Service
+	// customer is whose call it is; nil where no key is needed.
+	customer *routing.Customer
 	deadline time.Time
 	// body is what replicas are to receive.
 	body   []byte
@@ -129,6 +131,9 @@
 	if f.route == nil {
 		return refused(NoRoute, 0)
 	}
+	if !f.identify() {
+		return refused(KeyUnknown, 0)
+	}
 	f.service = f.table.Service(f.route.Choose(f.key()))
 	if f.service == nil {
 		return refused(NoReplica, notReadyAfter)
@@ -150,6 +155,34 @@
 	return f.stream(ctx, &record{})
 }
 
+// identify finds out whose call it is; false where the route needs a key and the call has
+// none that is in force. A key that is not needed still tells whose call it is.
+func (f *flight) identify() bool {
+	if f.table.Customers == nil {
+		return true
+	}
+	if f.call.Key != nil {
+		f.customer = f.table.Customers.ByKey(*f.call.Key)
+	}
+	return f.customer != nil || f.route.Public
+}
+
+// customerName returns the name of the client account; empty for none.
+func (f *flight) customerName() string {
+	if f.customer == nil {
+		return ""
+	}
+	return f.customer.Name
+}
+
+// priority is the call's rank, 0 the first.
+func (f *flight) priority() int {
+	if f.customer != nil && f.customer.Priority != nil {
+		return max(0, *f.customer.Priority)
+	}
+	return f.route.Priority
+}
+
 // key is what a call's service is chosen by: a program stays with one.
 func (f *flight) key() uint64 {
 	if f.call.Program.ID != "" {
@@ -161,8 +194,9 @@
 // acquire gets a replica from the scheduler.
 func (f *flight) acquire(ctx context.Context) (*scheduler.Grant, *scheduler.Refusal) {
 	r := scheduler.Request{
+		Customer:     f.customerName(),
 		Program:      f.call.Program.ID,
-		Priority:     priorityMost - min(priorityMost, f.route.Priority),
+		Priority:     priorityMost - min(priorityMost, f.priority()),
 		Deadline:     f.deadline,
 		Tried:        f.tried,
 		MaxTokens:    f.call.MaxOutput,
@@ -221,7 +255,8 @@
 		Target:      Target{ID: g.Upstream, Address: g.Address},
 		Body:        f.body,
 		Left:        time.Until(f.deadline),
-		Priority:    f.route.Priority,
+		Priority:    f.priority(),
+		Customer:    f.customerName(),
 		ResumeAfter: resumeAfter,
 		Limit:       f.connections(),
 	}
@@ -267,6 +302,9 @@
 	if f.route != nil {
 		fields["route"] = f.route.Name
 	}
+	if f.customer != nil {
+		fields["customer"] = f.customer.Name
+	}
 	if r.Replica != "" {
 		fields["replica"] = r.Replica
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -136,6 +136,7 @@
 	body   string
 	took   time.Duration
 	sends  []string
+	sent   []Send
 }
 
 // serve serves one call over two replicas of a service, on virtual time.
@@ -146,6 +147,11 @@
 
 // serveThrough is the same where a data centre may fall silent.
 func serveThrough(t *testing.T, whenSilent func(string, func()) func(), route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
+	return serveFor(t, nil, Settings{WhenSilent: whenSilent}, route, call, turns, steps...)
+}
+
+// serveFor is the same with customers, and settings of which those not given are quiet ones.
+func serveFor(t *testing.T, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
 	var out outcome
 	synctest.Test(t, func(t *testing.T) {
 		replicas := &fakeReplicas{steps: steps}
@@ -157,7 +163,7 @@
 		if route.Repeat == routing.Stream {
 			service.Engine = &routing.Engine{TokensPerEvent: 2}
 		}
-		table := routing.NewTable(1, routing.Limits{}, []routing.Route{route}, []routing.Service{service})
+		table := routing.NewTable(1, routing.Limits{}, customers, []routing.Route{route}, []routing.Service{service})
 		upstreams := upstream.NewTable()
 		var list []usage.Upstream
 		for _, name := range []string{"a", "b"} {
@@ -170,18 +176,19 @@
 		upstreams.Apply(list, time.Now())
 		quiet := &log.Logger{Handler: discard.Default}
 		sched := scheduler.New(scheduler.Settings{}, upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
-		g := New(Settings{
-			Table:     func() *routing.Table { return table },
-			Instances: func() int { return 1 },
-			CutOffFor: func() time.Duration { return time.Second },
-
-			WhenSilent: whenSilent,
-		}, sched, replicas, turns, quiet, metrics.NewRegistry())
+		settings.Table = func() *routing.Table { return table }
+		settings.Instances = func() int { return 1 }
+		settings.CutOffFor = func() time.Duration { return time.Second }
+		if settings.WhenSilent == nil {
+			settings.WhenSilent = func(string, func()) func() { return func() {} }
+		}
+		g := New(settings, sched, replicas, turns, quiet, metrics.NewRegistry())
 		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
 		caller := &fakeCaller{}
 		began := time.Now()
 		out.result = g.Serve(context.Background(), &call, caller)
 		out.took, out.status, out.body, out.sends = time.Since(began), caller.status, caller.body.String(), replicas.targets()
+		out.sent = replicas.sends
 		time.Sleep(settleTime)
 	})
 	return out
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -23,6 +23,8 @@
 	Left time.Duration
 	// Priority is the rank at an engine, 0 the first.
 	Priority int
+	// Customer names the client account whose call it is; empty for none.
+	Customer string
 	// ResumeAfter is the last event of an earlier run that was passed on; empty for none.
 	ResumeAfter string
 	// Limit is the number of connections that this instance may have there.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -29,6 +29,7 @@
 // chain, and kept before its answer ends.
 func (f *flight) turn(ctx context.Context) Result {
 	reservation := Reservation{
+		Customer: f.customerName(),
 		Program:  f.call.Program.ID,
 		Turn:     f.call.ID,
 		Previous: f.call.Previous,
@@ -106,6 +107,7 @@
 // ending settles the turn by what it made.
 func (f *flight) ending(rec *record) Ending {
 	e := Ending{
+		Customer:  f.customerName(),
 		Program:   f.call.Program.ID,
 		Turn:      f.call.ID,
 		Made:      rec.events * f.tokensPerEvent(),
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -21,8 +21,10 @@
 
 // Reservation asks to run a turn within its program's tokens.
 type Reservation struct {
-	Program string
-	Turn    string
+	// Customer names the client account that the program belongs to; empty for none.
+	Customer string
+	Program  string
+	Turn     string
 	// Previous names the turn to continue from; empty for none.
 	Previous string
 	// Most is the number of tokens that the turn may make at the most.
@@ -49,7 +51,7 @@
 
 // Ending settles a reservation.
 type Ending struct {
-	Program, Turn string
+	Customer, Program, Turn string
 	// Replica is the engine that ran the turn; empty if none did.
 	Replica string
 	// Made is the number of tokens that were passed on.
--- a/internal/history/allowance.go
+++ b/internal/history/allowance.go
@@ -36,7 +36,8 @@
 	// name tells this process's allowances from those of earlier ones.
 	name string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// programs are found by customer and id, see keyOf.
 	programs map[string]*allowance
 	// turns are the turns under way that run on an allowance.
 	turns map[string]*allowanceTurn
@@ -45,7 +46,7 @@
 
 // allowance is what this entry holds of one program.
 type allowance struct {
-	program string
+	customer, program string
 	// made is all that turns made on it; committed is what those under way may
 	// make; limit is what made may reach.
 	made, committed, limit int64
@@ -74,7 +75,7 @@
 func (s *allowances) take(r gateway.Reservation, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.programs[r.Program]
+	a := s.programs[keyOf(&r.Customer, r.Program)]
 	most := int64(r.Most)
 	if a == nil || r.Kept || r.Previous != "" || a.made+a.committed+most > a.limit {
 		return false
@@ -107,10 +108,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
-	a := s.programs[r.Program]
+	key := keyOf(&r.Customer, r.Program)
+	a := s.programs[key]
 	if a == nil {
-		a = &allowance{program: r.Program, most: int64(r.Most), budget: int64(r.Budget), retention: r.Retention}
-		s.programs[r.Program] = a
+		a = &allowance{customer: r.Customer, program: r.Program, most: int64(r.Most), budget: int64(r.Budget), retention: r.Retention}
+		s.programs[key] = a
 	}
 	a.used = now
 	return a
@@ -122,9 +124,9 @@
 		return
 	}
 	s.swept = now
-	for program, a := range s.programs {
+	for key, a := range s.programs {
 		if a.committed == 0 && now.Sub(a.used) > allowanceIdle {
-			delete(s.programs, program)
+			delete(s.programs, key)
 		}
 	}
 }
@@ -141,6 +143,7 @@
 	return &historypb.DrawRequest{
 		Slice:       SliceOf(a.program),
 		Program:     a.program,
+		Customer:    &a.customer,
 		Allowance:   s.name,
 		Made:        a.made,
 		Want:        allowanceTurns * a.most,
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -161,6 +162,7 @@
 	request := &historypb.ReserveRequest{
 		Slice:       SliceOf(r.Program),
 		Program:     r.Program,
+		Customer:    &r.Customer,
 		Turn:        r.Turn,
 		Previous:    r.Previous,
 		Most:        int64(r.Most),
@@ -171,10 +173,14 @@
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
+	if !ownChain(response.Chain, &r.Customer) {
+		c.giveBack(request)
+		return gateway.Reserved{}, gateway.ErrNoSuchTurn
+	}
 	if response.Verdict != historypb.Verdict_NO_TURN {
 		return gateway.Reserved{Chain: turns(response.Chain), Replica: response.Replica}, verdictError(response.Verdict)
 	}
-	chain, err := c.find(ctx, r.Previous)
+	chain, err := c.find(ctx, r.Customer, r.Previous)
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
@@ -190,6 +196,12 @@
 	return reserved, verdictError(response.Verdict)
 }
 
+// ownChain reports whether all turns may be continued by the customer. Keepers of an older
+// version do not look at that.
+func ownChain(chain []*historypb.Turn, customer *string) bool {
+	return !slices.ContainsFunc(chain, func(t *historypb.Turn) bool { return !ownedBy(t, customer) })
+}
+
 func verdictError(v historypb.Verdict) error {
 	switch v {
 	case historypb.Verdict_DONE:
@@ -231,7 +243,7 @@
 // giveBack ends a reservation that may have been made without our hearing of
 // it. The turn was not sent to any replica.
 func (c *Client) giveBack(r *historypb.ReserveRequest) {
-	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Turn: r.Turn}
+	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Customer: r.Customer, Turn: r.Turn}
 	go func() {
 		if err := c.settle(context.Background(), settle, releaseTime); err != nil {
 			// The tokens stay counted as spent, which harms the program alone.
@@ -249,16 +261,17 @@
 	request := &historypb.SettleRequest{
 		Slice:       SliceOf(e.Program),
 		Program:     e.Program,
+		Customer:    &e.Customer,
 		Turn:        e.Turn,
 		Made:        int64(e.Made),
 		RetentionMs: e.Retention.Milliseconds(),
 		Replica:     e.Replica,
 	}
 	if e.Kept != nil {
-		request.Kept = wireTurn(e.Kept, e.Retention)
+		request.Kept = wireTurn(e.Kept, &e)
 	}
 	for i := range e.Chain {
-		request.Chain = append(request.Chain, wireTurn(&e.Chain[i], e.Retention))
+		request.Chain = append(request.Chain, wireTurn(&e.Chain[i], &e))
 	}
 	return c.settle(ctx, request, releaseTime)
 }
@@ -279,7 +292,7 @@
 
 // find looks a turn up in all slices: a program may continue another's turn.
 // Only when each slice's primary has said so is the turn certainly not there.
-func (c *Client) find(ctx context.Context, turn string) ([]*historypb.Turn, error) {
+func (c *Client) find(ctx context.Context, customer, turn string) ([]*historypb.Turn, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTime)
 	defer cancel()
 	absent := map[uint32]bool{}
@@ -292,12 +305,12 @@
 			if !ok {
 				continue
 			}
-			response, err := keeper.Find(ctx, &historypb.FindRequest{Turn: turn})
+			response, err := keeper.Find(ctx, &historypb.FindRequest{Turn: turn, Customer: &customer})
 			if err != nil {
 				c.logger.WithError(err).WithField("keeper", name).WithField("request", turn).Debug("turn not asked for here")
 				continue
 			}
-			if len(response.Chain) > 0 {
+			if len(response.Chain) > 0 && ownChain(response.Chain, &customer) {
 				return response.Chain, nil
 			}
 			for _, s := range response.Absent {
@@ -339,14 +352,15 @@
 	return out
 }
 
-func wireTurn(t *gateway.Turn, retention time.Duration) *historypb.Turn {
+func wireTurn(t *gateway.Turn, e *gateway.Ending) *historypb.Turn {
 	return &historypb.Turn{
 		Id:          t.ID,
 		Previous:    t.Previous,
 		Input:       t.Input,
 		Events:      t.Events,
 		EndedUnixMs: t.Ended.UnixMilli(),
-		RetentionMs: retention.Milliseconds(),
+		RetentionMs: e.Retention.Milliseconds(),
 		Replica:     t.Replica,
+		Customer:    &e.Customer,
 	}
 }
--- /dev/null
+++ b/internal/history/customer.go
@@ -0,0 +1,76 @@
+package history
+
+import "foxhall/internal/history/historypb"
+
+// customerMark ends a customer's name in a key. No id contains it: ids come from headers.
+const customerMark = "\x00"
+
+// keyOf returns the key of a program or turn of the customer. Without a customer it is the
+// bare id, as in what older versions kept.
+func keyOf(customer *string, id string) string {
+	if customer == nil || *customer == "" {
+		return id
+	}
+	return *customer + customerMark + id
+}
+
+// ownedBy reports whether a turn may be continued by the customer. Turns that older versions
+// kept name none; whoever names such a turn may continue it, as before the upgrade.
+func ownedBy(t *historypb.Turn, customer *string) bool {
+	return t.Customer == nil || customer == nil || *t.Customer == *customer
+}
+
+// turn returns the customer's kept turn, or nil.
+func (s *state) turn(customer *string, id string) *keptTurn {
+	if id == "" {
+		return nil
+	}
+	if k := s.turns[keyOf(customer, id)]; k != nil && ownedBy(k.turn, customer) {
+		return k
+	}
+	if customer == nil {
+		return s.anyTurn(id)
+	}
+	if k := s.turns[id]; k != nil && k.turn.Customer == nil {
+		return k
+	}
+	return nil
+}
+
+// anyTurn finds a turn for an entry of an older version, which names no customer.
+func (s *state) anyTurn(id string) *keptTurn {
+	for _, k := range s.turns {
+		if k.turn.Id == id {
+			return k
+		}
+	}
+	return nil
+}
+
+// account returns the token account of the customer's program, or nil. One that an older
+// version kept is carried over to the first customer that goes on with the program.
+func (s *state) account(customer *string, program string) *historypb.Account {
+	if customer == nil {
+		return s.newestAccount(program)
+	}
+	if a := s.accounts[keyOf(customer, program)]; a != nil {
+		return a
+	}
+	if a := s.accounts[program]; a != nil && a.Customer == nil {
+		return a
+	}
+	return nil
+}
+
+// newestAccount finds a program's account for an entry of an older version.
+func (s *state) newestAccount(program string) *historypb.Account {
+	var newest *historypb.Account
+	for _, a := range s.accounts {
+		if a.Program == program && (newest == nil || a.Version > newest.Version) {
+			newest = a
+		}
+	}
+	return newest
+}
+
+func (s *state) put(a *historypb.Account) { s.accounts[keyOf(a.Customer, a.Program)] = a }
--- /dev/null
+++ b/internal/history/customer_test.go
@@ -0,0 +1,105 @@
+package history
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"foxhall/internal/gateway"
+	"foxhall/internal/history/historypb"
+)
+
+func customer(name string) *string { return &name }
+
+// keepFor keeps a turn of the customer's program.
+func keepFor(c *Client, customer, program, turn, previous string) error {
+	ctx := context.Background()
+	_, err := c.Reserve(ctx, gateway.Reservation{
+		Customer: customer, Program: program, Turn: turn, Previous: previous, Most: 60, Budget: 100, Retention: time.Hour,
+	})
+	if err != nil {
+		return err
+	}
+	kept := &gateway.Turn{ID: turn, Previous: previous, Input: []byte(customer), Ended: time.Now()}
+	return c.Settle(ctx, gateway.Ending{Customer: customer, Program: program, Turn: turn, Made: 60, Kept: kept, Retention: time.Hour})
+}
+
+// A customer reads another's conversation by naming its turn, in a program of the same id
+// or of another.
+func TestTurnsOfAnotherCustomerAreNotContinued(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		fail(keepFor(c, "one", "p", "first", ""))
+		for _, program := range []string{"p", "elsewhere"} {
+			if err := keepFor(c, "two", program, "stolen", "first"); !errors.Is(err, gateway.ErrNoSuchTurn) {
+				fail(errors.Errorf("another customer's turn continued in %s: %v", program, err))
+			}
+		}
+		if err := keepFor(c, "", "p", "stolen", "first"); !errors.Is(err, gateway.ErrNoSuchTurn) {
+			fail(errors.Errorf("a customer's turn continued without a key: %v", err))
+		}
+	})
+}
+
+// A customer spends another's tokens: both use one program id, and one turn id.
+func TestCustomersMayUseOneProgramID(t *testing.T) {
+	inWorld(t, func(w *world, fail func(error)) {
+		c := w.client("entry")
+		fail(keepFor(c, "one", "p", "t", ""))
+		fail(keepFor(c, "two", "p", "t", ""))
+		if err := keepFor(c, "two", "p", "more", "t"); !errors.Is(err, gateway.ErrBudgetSpent) {
+			fail(errors.Errorf("spent twice: %v", err))
+		}
+		reserved, err := c.Reserve(context.Background(), gateway.Reservation{
+			Customer: "two", Program: "heir", Turn: "heir", Previous: "t", Most: 1, Budget: 10,
+		})
+		fail(err)
+		if len(reserved.Chain) != 1 || string(reserved.Chain[0].Input) != "two" {
+			fail(errors.Errorf("chain %v", reserved.Chain))
+		}
+	})
+}
+
+// An upgrade in place loses turns and tokens that keepers of an older version kept without
+// a customer.
+func TestRecordsWithoutACustomerAreCarriedOver(t *testing.T) {
+	is := is.New(t)
+	s, now := newState(), time.Now()
+	s.settle(&historypb.SettleRequest{Program: "p", Turn: "old", Made: 60, Kept: &historypb.Turn{Id: "old"}}, now)
+	_, ok := s.chain(customer("one"), "old")
+	is.True(ok)
+	verdict, _ := s.reserve(&historypb.ReserveRequest{Customer: customer("one"), Program: "p", Turn: "new", Most: 60, Budget: 100}, now)
+	is.Equal(verdict, historypb.Verdict_SPENT)
+	s.settle(&historypb.SettleRequest{Customer: customer("one"), Program: "p", Turn: "new", Kept: &historypb.Turn{Id: "new", Previous: "old", Customer: customer("one")}}, now)
+	chain, ok := s.chain(customer("one"), "new")
+	is.True(ok)
+	is.Equal(len(chain), 2)
+	_, ok = s.chain(customer("two"), "new")
+	is.True(!ok)
+}
+
+// A turn kept through an upgraded entry is refused by one that is not upgraded yet, and
+// its program's tokens are handed out twice.
+func TestEntriesOfAnOlderVersionFindCustomersTurns(t *testing.T) {
+	is := is.New(t)
+	s, now := newState(), time.Now()
+	s.settle(&historypb.SettleRequest{Customer: customer("one"), Program: "p", Turn: "t", Made: 60, Kept: &historypb.Turn{Id: "t", Customer: customer("one")}}, now)
+	_, ok := s.chain(nil, "t")
+	is.True(ok)
+	verdict, _ := s.reserve(&historypb.ReserveRequest{Program: "p", Turn: "u", Most: 60, Budget: 100}, now)
+	is.Equal(verdict, historypb.Verdict_SPENT)
+	s.settle(&historypb.SettleRequest{Program: "p", Turn: "u", Made: 10}, now)
+	is.Equal(s.account(customer("one"), "p").Spent, int64(70))
+}
+
+// A keeper of an older version hands out another customer's turn, as it looks at the id
+// alone.
+func TestChainsOfAnOlderKeeperAreChecked(t *testing.T) {
+	is := is.New(t)
+	is.True(ownChain([]*historypb.Turn{{Id: "a"}, {Id: "b", Customer: customer("one")}}, customer("one")))
+	is.True(!ownChain([]*historypb.Turn{{Id: "a", Customer: customer("one")}}, customer("two")))
+	is.True(!ownChain([]*historypb.Turn{{Id: "a", Customer: customer("one")}}, customer("")))
+}
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -195,7 +195,7 @@
 		if !errors.Is(err, gateway.ErrIsolated) {
 			fail(errors.Errorf("reserve: %v", err))
 		}
-		if _, err = c.find(context.Background(), "elsewhere"); !errors.Is(err, gateway.ErrIsolated) {
+		if _, err = c.find(context.Background(), "", "elsewhere"); !errors.Is(err, gateway.ErrIsolated) {
 			fail(errors.Errorf("find: %v", err))
 		}
 		if took := time.Since(began); took > 10*wayTime {
@@ -399,7 +399,7 @@
 		partner.apply(r)
 	}
 	is.Equal(partner.accounts["p"].Spent, int64(3))
-	_, ok := partner.chain("t")
+	_, ok := partner.chain(nil, "t")
 	is.True(ok)
 }
 
--- a/internal/history/inventory.go
+++ b/internal/history/inventory.go
@@ -12,11 +12,11 @@
 // all of it would take seconds on their links.
 func (s *state) inventory() *historypb.Inventory {
 	have := &historypb.Inventory{}
-	for id := range s.turns {
-		have.Turns = append(have.Turns, xxhash.Sum64String(id))
+	for key := range s.turns {
+		have.Turns = append(have.Turns, xxhash.Sum64String(key))
 	}
-	for program, a := range s.accounts {
-		have.Accounts = append(have.Accounts, xxhash.Sum64String(program))
+	for key, a := range s.accounts {
+		have.Accounts = append(have.Accounts, xxhash.Sum64String(key))
 		have.Versions = append(have.Versions, a.Version)
 	}
 	return have
@@ -34,13 +34,13 @@
 		}
 	}
 	var records []*historypb.Record
-	for program, a := range s.accounts {
-		if versions[xxhash.Sum64String(program)] < a.Version {
+	for key, a := range s.accounts {
+		if versions[xxhash.Sum64String(key)] < a.Version {
 			records = append(records, accountRecord(slice, a))
 		}
 	}
-	for id, kept := range s.turns {
-		if !turns[xxhash.Sum64String(id)] {
+	for key, kept := range s.turns {
+		if !turns[xxhash.Sum64String(key)] {
 			records = append(records, turnRecord(slice, kept.turn))
 		}
 	}
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -358,7 +358,10 @@
 	}
 }
 
-func programName(i int) string { return fmt.Sprintf("program-%d", i) }
+// programName and customerName have programs of two customers share each id.
+func programName(i int) string { return fmt.Sprintf("program-%d", i/2) }
+
+func customerName(i int) string { return fmt.Sprintf("customer-%d", i%2) }
 
 // turn runs one turn of a program, continuing one of its kept turns.
 func (r *run) turn(a action) {
@@ -375,7 +378,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	reserved, err := client.Reserve(ctx, gateway.Reservation{
-		Program: programName(p), Turn: id, Previous: before.id, Most: testMost, Budget: testBudget, Retention: time.Hour, Kept: true,
+		Customer: customerName(p), Program: programName(p), Turn: id, Previous: before.id,
+		Most: testMost, Budget: testBudget, Retention: time.Hour, Kept: true,
 	})
 	if err != nil {
 		r.judgeRefusal(err, before)
@@ -384,7 +388,7 @@
 	r.judgeChain(reserved.Chain, before)
 	r.count(p, testMost)
 	time.Sleep(a.For / 20)
-	ending := gateway.Ending{Program: programName(p), Turn: id, Made: testMost, Retention: time.Hour}
+	ending := gateway.Ending{Customer: customerName(p), Program: programName(p), Turn: id, Made: testMost, Retention: time.Hour}
 	if a.Kind == "turn" {
 		ending.Made = a.B % testMost
 		r.count(p, ending.Made-testMost)
@@ -495,17 +499,28 @@
 	for p := range programs {
 		for i, k := range r.kept[p] {
 			reserved, err := client.Reserve(context.Background(), gateway.Reservation{
-				Program: fmt.Sprintf("heir-%d-%d", p, i), Turn: "heir", Previous: k.id, Most: 1, Budget: 10,
+				Customer: customerName(p), Program: fmt.Sprintf("heir-%d-%d", p, i), Turn: "heir", Previous: k.id, Most: 1, Budget: 10,
 			})
 			if err != nil {
 				r.fail("turn %s not served after the faults: %v%s", k.id, err, r.whereIs(k.id))
 				continue
 			}
 			r.judgeChain(reserved.Chain, k)
+			r.checkStranger(client, p, k)
 		}
 	}
 }
 
+// checkStranger has another customer ask for a turn.
+func (r *run) checkStranger(client *Client, p int, k keptAnswer) {
+	_, err := client.Reserve(context.Background(), gateway.Reservation{
+		Customer: customerName(p + 1), Program: programName(p), Turn: "stranger-" + k.id, Previous: k.id, Most: 1, Budget: 10,
+	})
+	if !errors.Is(err, gateway.ErrNoSuchTurn) {
+		r.fail("turn %s of %s asked for by another customer: %v", k.id, customerName(p), err)
+	}
+}
+
 // whereIs tells which keepers hold a turn, and what they take themselves for.
 func (r *run) whereIs(turn string) string {
 	var b strings.Builder
@@ -513,9 +528,9 @@
 		k := m.process.keeper
 		k.mu.Lock()
 		for _, s := range k.slices {
-			if s.state.turns[turn] != nil || s.number == SliceOf(programName(0)) {
+			if s.state.anyTurn(turn) != nil || s.number == SliceOf(programName(0)) {
 				fmt.Fprintf(&b, "; %s slice %d: here %v, mark %v, role %v, primary %v",
-					m.name, s.number, s.state.turns[turn] != nil, s.mark, s.role, k.primary(s))
+					m.name, s.number, s.state.anyTurn(turn) != nil, s.mark, s.role, k.primary(s))
 			}
 		}
 		k.mu.Unlock()
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -23,7 +23,7 @@
 	}
 	var chain []*historypb.Turn
 	if r.Previous != "" && !r.Foreign {
-		found, ok := s.state.chain(r.Previous)
+		found, ok := s.state.chain(r.Customer, r.Previous)
 		if !ok {
 			e := k.submit(s, nil)
 			k.mu.Unlock()
@@ -35,12 +35,12 @@
 	if verdict != historypb.Verdict_DONE {
 		defer k.mu.Unlock()
 		response := &historypb.ReserveResponse{Verdict: verdict}
-		if a := s.state.accounts[r.Program]; a != nil {
+		if a := s.state.account(r.Customer, r.Program); a != nil {
 			response.Spent, response.Open = a.Spent, openTokens(a)
 		}
 		return response, nil
 	}
-	replica := s.state.replica(r.Program, chain)
+	replica := s.state.replica(r.Customer, r.Program, chain)
 	e := k.submit(s, []*historypb.Record{accountRecord(r.Slice, account)})
 	k.mu.Unlock()
 	return &historypb.ReserveResponse{Verdict: certain(ctx, e, historypb.Verdict_DONE), Chain: chain, Replica: replica}, nil
@@ -109,7 +109,7 @@
 	k.mu.Lock()
 	asked := map[uint32]*entry{}
 	for _, s := range k.slices {
-		if chain, ok := s.state.chain(r.Turn); ok {
+		if chain, ok := s.state.chain(r.Customer, r.Turn); ok {
 			k.mu.Unlock()
 			return &historypb.FindResponse{Chain: chain}, nil
 		}
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -19,6 +19,7 @@
 // state is what is kept of one slice. Its rules are pure: they change the
 // state and return the records that make the change durable.
 type state struct {
+	// accounts and turns are found by customer and id, see keyOf.
 	accounts map[string]*historypb.Account
 	turns    map[string]*keptTurn
 	// epoch is that in which this keeper decides, or did last.
@@ -38,7 +39,7 @@
 
 // reserve opens a turn in the program's account.
 func (s *state) reserve(r *historypb.ReserveRequest, now time.Time) (historypb.Verdict, *historypb.Account) {
-	old := s.accounts[r.Program]
+	old := s.account(r.Customer, r.Program)
 	if old != nil {
 		if slices.ContainsFunc(old.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn }) {
 			return historypb.Verdict_DONE, old
@@ -53,10 +54,10 @@
 	} else if r.Budget > 0 && r.Most > r.Budget {
 		return historypb.Verdict_SPENT, nil
 	}
-	next := s.copyAccount(old, r.Program)
+	next := s.copyAccount(old, r.Customer, r.Program)
 	next.Open = append(next.Open, &historypb.OpenTurn{Id: r.Turn, Most: r.Most})
 	next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
-	s.accounts[r.Program] = next
+	s.put(next)
 	return historypb.Verdict_DONE, next
 }
 
@@ -64,7 +65,7 @@
 // while the program has used less than half of its budget: the other half stays
 // for turns at other entries, which can't see what this one does not use.
 func (s *state) draw(r *historypb.DrawRequest, now time.Time) (held int64, next *historypb.Account) {
-	next = s.copyAccount(s.accounts[r.Program], r.Program)
+	next = s.copyAccount(s.account(r.Customer, r.Program), r.Customer, r.Program)
 	i := slices.IndexFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Allowance })
 	a := &historypb.OpenTurn{Id: r.Allowance}
 	if i >= 0 {
@@ -83,7 +84,7 @@
 	if r.Replica != "" {
 		next.Replica = r.Replica
 	}
-	s.accounts[r.Program] = next
+	s.put(next)
 	// An older request, come late, tells less than is known: what may be made
 	// beyond it includes what was made meanwhile.
 	return a.Most + a.Made - r.Made, next
@@ -95,9 +96,9 @@
 // what this keeper has on its disk since before it was killed.
 func (s *state) settle(r *historypb.SettleRequest, now time.Time) []*historypb.Record {
 	var records []*historypb.Record
-	old := s.accounts[r.Program]
-	if old == nil || !slices.Contains(old.Settled, r.Turn) {
-		next := s.copyAccount(old, r.Program)
+	account := s.account(r.Customer, r.Program)
+	if account == nil || !slices.Contains(account.Settled, r.Turn) {
+		next := s.copyAccount(account, r.Customer, r.Program)
 		next.Open = slices.DeleteFunc(next.Open, func(o *historypb.OpenTurn) bool { return o.Id == r.Turn })
 		next.Spent += r.Made
 		if r.Replica != "" {
@@ -108,9 +109,10 @@
 			next.Settled = next.Settled[over:]
 		}
 		next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
-		s.accounts[r.Program] = next
+		s.put(next)
+		account = next
 	}
-	records = append(records, accountRecord(r.Slice, s.accounts[r.Program]))
+	records = append(records, accountRecord(r.Slice, account))
 	for _, t := range r.Chain {
 		records = append(records, s.keep(r.Slice, t))
 	}
@@ -123,26 +125,27 @@
 // keep keeps a turn, and returns the record of what is kept under its id.
 func (s *state) keep(slice uint32, t *historypb.Turn) *historypb.Record {
 	s.addTurn(t)
-	return turnRecord(slice, s.turns[t.Id].turn)
+	return turnRecord(slice, s.turns[keyOf(t.Customer, t.Id)].turn)
 }
 
 // addTurn keeps a turn, and the chain before it as long as itself.
 func (s *state) addTurn(t *historypb.Turn) {
-	if s.turns[t.Id] == nil {
-		s.turns[t.Id] = &keptTurn{turn: t}
+	key := keyOf(t.Customer, t.Id)
+	if s.turns[key] == nil {
+		s.turns[key] = &keptTurn{turn: t}
 	}
 	expires := t.EndedUnixMs + t.RetentionMs + keepMargin.Milliseconds()
-	for k := s.turns[t.Id]; k != nil && k.expires < expires; k = s.turns[k.turn.Previous] {
+	for k := s.turns[key]; k != nil && k.expires < expires; k = s.turn(t.Customer, k.turn.Previous) {
 		k.expires = expires
 	}
 }
 
-// chain returns the turns up to and with the named one, the oldest first;
+// chain returns the customer's turns up to and with the named one, the oldest first;
 // false if any of them is not here.
-func (s *state) chain(id string) ([]*historypb.Turn, bool) {
+func (s *state) chain(customer *string, id string) ([]*historypb.Turn, bool) {
 	var chain []*historypb.Turn
 	for id != "" {
-		k := s.turns[id]
+		k := s.turn(customer, id)
 		if k == nil || len(chain) > len(s.turns) {
 			return nil, false
 		}
@@ -155,11 +158,11 @@
 
 // replica returns the engine that most likely has a turn's prompt cached: the
 // one that ran the turn before, or else the program's last.
-func (s *state) replica(program string, chain []*historypb.Turn) string {
+func (s *state) replica(customer *string, program string, chain []*historypb.Turn) string {
 	if n := len(chain); n > 0 && chain[n-1].Replica != "" {
 		return chain[n-1].Replica
 	}
-	if a := s.accounts[program]; a != nil {
+	if a := s.account(customer, program); a != nil {
 		return a.Replica
 	}
 	return ""
@@ -171,12 +174,12 @@
 func (s *state) apply(r *historypb.Record) bool {
 	switch b := r.Body.(type) {
 	case *historypb.Record_Turn:
-		_, known := s.turns[b.Turn.Id]
+		_, known := s.turns[keyOf(b.Turn.Customer, b.Turn.Id)]
 		s.addTurn(b.Turn)
 		return !known
 	case *historypb.Record_Account:
-		if old := s.accounts[b.Account.Program]; old == nil || old.Version < b.Account.Version {
-			s.accounts[b.Account.Program] = b.Account
+		if old := s.accounts[keyOf(b.Account.Customer, b.Account.Program)]; old == nil || old.Version < b.Account.Version {
+			s.put(b.Account)
 			return true
 		}
 	}
@@ -186,14 +189,14 @@
 // expire forgets what need not be kept any longer.
 func (s *state) expire(now time.Time) {
 	at := now.UnixMilli()
-	for id, k := range s.turns {
+	for key, k := range s.turns {
 		if k.expires < at {
-			delete(s.turns, id)
+			delete(s.turns, key)
 		}
 	}
-	for program, a := range s.accounts {
+	for key, a := range s.accounts {
 		if a.TouchedUnixMs+max(a.RetentionMs, defaultRetention.Milliseconds())+keepMargin.Milliseconds() < at {
-			delete(s.accounts, program)
+			delete(s.accounts, key)
 		}
 	}
 }
@@ -224,13 +227,18 @@
 // a later epoch is always higher: the primary before may have left one on a disk that
 // was never acknowledged, and would pass for the newer there. The same holds for what
 // this keeper sent its partners before it was killed, and has not on its own disk.
-func (s *state) copyAccount(old *historypb.Account, program string) *historypb.Account {
+func (s *state) copyAccount(old *historypb.Account, customer *string, program string) *historypb.Account {
 	first := s.epoch<<epochShift + s.starts<<startShift
 	if old == nil {
-		return &historypb.Account{Program: program, Version: first + 1}
+		return &historypb.Account{Program: program, Customer: customer, Version: first + 1}
+	}
+	if customer == nil {
+		// The request is an older version's, which knows no customers.
+		customer = old.Customer
 	}
 	return &historypb.Account{
 		Program:       program,
+		Customer:      customer,
 		Version:       max(first, old.Version) + 1,
 		Spent:         old.Spent,
 		Open:          slices.Clone(old.Open),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,7 +35,7 @@
 		Replicas: noReplicas{},
 		Table: func([]byte) (*routing.Table, error) {
 			route := routing.Route{Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: 1}}}
-			return routing.NewTable(1, routing.Limits{}, []routing.Route{route}, []routing.Service{{Name: "s"}}), nil
+			return routing.NewTable(1, routing.Limits{}, nil, []routing.Route{route}, []routing.Service{{Name: "s"}}), nil
 		},
 		Replica: func(id string, data []byte) (routing.Replica, bool) {
 			r := routing.Replica{ID: id}
--- a/internal/node/upstreams_test.go
+++ b/internal/node/upstreams_test.go
@@ -50,7 +50,7 @@
 func TestUpstreamsAreNamedByTheirStart(t *testing.T) {
 	is := is.New(t)
 	engine := routing.Service{Name: "s", Engine: &routing.Engine{CacheTokens: 9}}
-	table := routing.NewTable(1, routing.Limits{}, nil, []routing.Service{engine})
+	table := routing.NewTable(1, routing.Limits{}, nil, nil, []routing.Service{engine})
 	list := upstreamsOf(table, []routing.Replica{replica("a", 1, false), replica("a", 2, false), replica("b", 1, true)})
 	is.Equal(len(list), 2)
 	is.True(list[0].Name != list[1].Name)
--- /dev/null
+++ b/internal/routing/customer.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math"
+
+	"github.com/pkg/errors"
+)
+
+// KeyDigest stands for an API key, which is kept nowhere itself. Digests are looked up in
+// a hash table: the time that takes tells nothing of how much of a key is right.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// String returns the beginning of the digest, enough to tell keys apart in errors.
+func (d KeyDigest) String() string { return hex.EncodeToString(d[:4]) }
+
+// Quota bounds a customer's calls over the whole fleet.
+type Quota struct {
+	// Rate is in calls a second; 0 for no limit.
+	Rate float64
+	// Burst is the number of calls that may come at once beyond the rate.
+	Burst float64
+}
+
+// Limited reports whether there is a limit.
+func (q Quota) Limited() bool { return q.Rate > 0 }
+
+// Customer is a client account: calls with one of its keys are its own.
+type Customer struct {
+	Name string
+	Keys []KeyDigest
+	// Priority goes before that of the route; nil where the route's counts.
+	Priority *int
+	Quota    Quota
+}
+
+// check returns why the customer can't be used, if it can't.
+func (c *Customer) check() error {
+	switch {
+	case c.Name == "":
+		return errors.New("customer: name is missing")
+	case !nonNegative(c.Quota.Rate):
+		return errors.Errorf("customer %s: rate %v is no limit", c.Name, c.Quota.Rate)
+	case !nonNegative(c.Quota.Burst):
+		return errors.Errorf("customer %s: burst %v is no limit", c.Name, c.Quota.Burst)
+	default:
+		return nil
+	}
+}
+
+func nonNegative(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
+// Customers finds customers by their keys. It is immutable.
+type Customers struct {
+	byKey map[KeyDigest]*Customer
+}
+
+// NewCustomers returns the customers of one version. Two of one name, or with one key,
+// are an error: it could not be told whose a call is.
+func NewCustomers(list []Customer) (*Customers, error) {
+	c := &Customers{byKey: map[KeyDigest]*Customer{}}
+	names := map[string]bool{}
+	for i := range list {
+		customer := &list[i]
+		if err := customer.check(); err != nil {
+			return nil, err
+		}
+		if names[customer.Name] {
+			return nil, errors.Errorf("customer %s: listed twice", customer.Name)
+		}
+		names[customer.Name] = true
+		for _, key := range customer.Keys {
+			if other := c.byKey[key]; other != nil && other != customer {
+				return nil, errors.Errorf("customers %s and %s share the key with digest %s", other.Name, customer.Name, key)
+			}
+			c.byKey[key] = customer
+		}
+	}
+	return c, nil
+}
+
+// ByKey returns the customer that holds the key, or nil.
+func (c *Customers) ByKey(key KeyDigest) *Customer { return c.byKey[key] }
--- /dev/null
+++ b/internal/routing/customer_test.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A call is counted against, or handed to, the wrong customer, since the configuration does
+// not tell whose it is.
+func TestAmbiguousCustomersAreRefused(t *testing.T) {
+	shared := DigestKey("shared")
+	for _, c := range []struct {
+		list []Customer
+		says string
+	}{
+		{[]Customer{{Name: ""}}, "name is missing"},
+		{[]Customer{{Name: "a"}, {Name: "a"}}, "listed twice"},
+		{[]Customer{{Name: "a", Keys: []KeyDigest{shared}}, {Name: "b", Keys: []KeyDigest{shared}}}, "a and b share the key"},
+		{[]Customer{{Name: "a", Quota: Quota{Rate: -1}}}, "rate -1"},
+		{[]Customer{{Name: "a", Quota: Quota{Rate: math.NaN()}}}, "rate NaN"},
+		{[]Customer{{Name: "a", Quota: Quota{Burst: math.Inf(1)}}}, "burst +Inf"},
+	} {
+		is := is.New(t)
+		_, err := NewCustomers(c.list)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), c.says))
+		is.True(!strings.Contains(err.Error(), "shared")) // an error tells no key
+	}
+}
+
+func TestManyCustomersAreFoundByTheirKeys(t *testing.T) {
+	is := is.New(t)
+	const customers = 10_000
+	list := make([]Customer, customers)
+	for i := range list {
+		list[i] = Customer{Name: fmt.Sprint(i), Keys: []KeyDigest{DigestKey(fmt.Sprint("a", i)), DigestKey(fmt.Sprint("b", i))}}
+	}
+	list[0].Quota = Quota{Rate: 1e12}
+	c, err := NewCustomers(list)
+	is.NoErr(err)
+	is.Equal(c.ByKey(DigestKey("b9999")).Name, "9999")
+	is.True(c.ByKey(DigestKey("b10000")) == nil)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,6 +62,8 @@
 	// for Retention after the last of their chain.
 	KeepsTurns bool
 	Retention  time.Duration
+	// Public says that calls need no key.
+	Public bool
 }
 
 // Repeatable reports whether a call of the route may run more than once.
@@ -98,15 +100,18 @@
 
 // Table is one accepted version of routes, services and limits.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Customers is nil where calls need no key on any route.
+	Customers *Customers
+
 	routes   map[string][]*Route
 	services map[string]*Service
 }
 
 // NewTable returns the table of one version.
-func NewTable(version uint64, limits Limits, routes []Route, services []Service) *Table {
-	t := &Table{Version: version, Limits: limits, routes: map[string][]*Route{}, services: map[string]*Service{}}
+func NewTable(version uint64, limits Limits, customers *Customers, routes []Route, services []Service) *Table {
+	t := &Table{Version: version, Limits: limits, Customers: customers, routes: map[string][]*Route{}, services: map[string]*Service{}}
 	for i := range services {
 		t.services[services[i].Name] = &services[i]
 	}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -151,7 +151,7 @@
 	r := g.waiter.request
 	if r.Model != "" {
 		s.view.Sent(g.cell.Upstream.ID, g.waiter.chain)
-		s.programs.placed(r.Program, now, g.cell.Upstream)
+		s.programs.placed(r.programKey(), now, g.cell.Upstream)
 	} else {
 		s.pause(r, now)
 	}
@@ -244,7 +244,7 @@
 		return
 	}
 	s.outputs.learn(r.Plan, r.Model, f.Output)
-	for _, address := range s.programs.leaveOthers(r.Program, g.Address, now) {
+	for _, address := range s.programs.leaveOthers(r.programKey(), g.Address, now) {
 		s.release(address, r.Program)
 	}
 	s.view.Compare(g.cell.Upstream.ID, g.cached, f.Cached)
--- a/internal/scheduler/pause.go
+++ b/internal/scheduler/pause.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) pause(r *Request, now time.Time) {
 	expected := s.pauses.expect(r.Service)
 	var home uint32
-	s.programs.with(r.Program, now, func(state *programState) {
+	s.programs.with(r.programKey(), now, func(state *programState) {
 		state.pausedBy, state.pausedAt = r.Service, now
 		home = state.home
 	})
@@ -41,7 +41,7 @@
 
 // resume learns how long the pause was.
 func (s *Scheduler) resume(r *Request, now time.Time) {
-	s.programs.with(r.Program, now, func(state *programState) {
+	s.programs.with(r.programKey(), now, func(state *programState) {
 		if state.pausedBy == r.Service {
 			s.pauses.learn(r.Service, now.Sub(state.pausedAt))
 			state.pausedBy = ""
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -112,7 +112,7 @@
 	w.step.Random = s.random()
 	w.step.Turn = s.turn.Add(1)
 	attained, steps := s.programs.attained(rootOf(r), now)
-	w.step.Home = s.programs.home(r.Program, now)
+	w.step.Home = s.programs.home(r.programKey(), now)
 	w.position = queue.Position{
 		Enqueued: now,
 		Attained: attained,
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -33,7 +33,15 @@
 	if r.Root != "" {
 		return r.Root
 	}
-	return r.Program
+	return r.programKey()
+}
+
+// programKey tells the program from others of the same id.
+func (r *Request) programKey() string {
+	if r.Customer == "" {
+		return r.Program
+	}
+	return r.Customer + "\x00" + r.Program
 }
 
 func keyOf(r *Request) uint64 { return xxhash.Sum64String(rootOf(r)) }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,6 +61,9 @@
 	// Exactly one of Model and Service is set.
 	Model   string
 	Service string
+	// Customer names the client account, each with programs of its own; empty where ids of
+	// programs tell them apart.
+	Customer string
 	// Program is the step's program; Root is the program at the top of its
 	// sub-agents, the same where it is none.
 	Program string
