Quotas as token buckets that entries tell each other of by datagram

A fixed part for each instance refuses nearly everything, as a customer's two or three connections land on few entries. Ruled out: a coordinator for each customer: its state is lost whenever it is restarted (all entries are, in turn), and with it a window's use. Change: each entry keeps every customer's bucket, takes its own calls out at once and the others' when told; parts of a quota for entries that do not hear each other; a bucket begins nearly empty. Tests: a world of instances on virtual time with cuts, kills, freezes and lowered limits; an oracle counts any window; told, fixed and divided ways. Conclusion: holds, but refuses what the rule allows: a bucket bounds sustained calls at the rate, the rule at 1.3 times it and 4 a second more.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -92,6 +92,7 @@
 	NoRoute         Reason = "no_route"
 	KeyUnknown      Reason = "key_unknown"
 	OverQuota       Reason = "over_quota"
+	QuotaUnknown    Reason = "quota_unknown"
 	BadRequest      Reason = "bad_request"
 	TooLarge        Reason = "too_large"
 	BudgetSpent     Reason = "budget_spent"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/engine"
+	"foxhall/internal/limit"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/step"
@@ -51,10 +52,20 @@
 	// CutOffFor returns for how long this instance has been cut off from the
 	// other data centres.
 	CutOffFor func() time.Duration
+	// Quotas holds customers to their quotas.
+	Quotas Quotas
 	// WhenSilent has f called should a data centre fall silent before stop is called.
 	WhenSilent func(dataCentre string, f func()) (stop func())
 }
 
+// Quotas holds customers to their quotas over the whole fleet.
+type Quotas interface {
+	// Admit admits a call, or tells when it is worth to come again.
+	Admit(customer string, now time.Time) (limit.Verdict, time.Duration)
+	// Return gives the admission of a call back that has not run.
+	Return(customer string)
+}
+
 // latencySample is the number of recent calls that the histogram keeps.
 const latencySample = 1028
 
@@ -138,6 +149,35 @@
 	if f.service == nil {
 		return refused(NoReplica, notReadyAfter)
 	}
+	if refusal := f.admit(); refusal != nil {
+		return *refusal
+	}
+	result := f.run(ctx)
+	if result.Outcome == NotRun && f.customer != nil {
+		f.gateway.settings.Quotas.Return(f.customer.Name)
+	}
+	return result
+}
+
+// admit holds the call's customer to its quota.
+func (f *flight) admit() *Result {
+	if f.customer == nil {
+		return nil
+	}
+	verdict, after := f.gateway.settings.Quotas.Admit(f.customer.Name, time.Now())
+	if verdict == limit.Admitted {
+		return nil
+	}
+	reason := OverQuota
+	if verdict == limit.Unknown {
+		reason = QuotaUnknown
+	}
+	result := refused(reason, after)
+	return &result
+}
+
+// run takes an admitted call to its end.
+func (f *flight) run(ctx context.Context) Result {
 	f.deadline = f.call.Arrived.Add(f.route.Timeout)
 	if !f.call.Deadline.IsZero() && f.call.Deadline.Before(f.deadline) {
 		f.deadline = f.call.Deadline
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"foxhall/internal/cache"
 	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/httpconn"
+	"foxhall/internal/limit"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -179,6 +180,9 @@
 		settings.Table = func() *routing.Table { return table }
 		settings.Instances = func() int { return 1 }
 		settings.CutOffFor = func() time.Duration { return time.Second }
+		if settings.Quotas == nil {
+			settings.Quotas = limit.NewQuotas(limit.Tolerance{})
+		}
 		if settings.WhenSilent == nil {
 			settings.WhenSilent = func(string, func()) func() { return func() {} }
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,10 +72,10 @@
 // runOn runs the stream on the granted replica. A stream that may be resumed
 // goes on there once more after a broken answer: the replica has its prompt.
 func (f *flight) runOn(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, Result) {
-	v, answer, result := f.run(ctx, g, rec)
+	v, answer, result := f.runOnce(ctx, g, rec)
 	again := f.route.Resumable && (v == lost || v == spoiled)
 	if again && ctx.Err() == nil && !f.late() {
-		v, answer, result = f.run(ctx, g, rec)
+		v, answer, result = f.runOnce(ctx, g, rec)
 	}
 	if v != whole {
 		f.report(ctx, g, answer, v)
@@ -92,8 +92,8 @@
 	return result
 }
 
-// run sends the call once and passes events on until the stream ends.
-func (f *flight) run(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
+// runOnce sends the call once and passes events on until the stream ends.
+func (f *flight) runOnce(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	started := time.Now()
 	if f.route.Resumable {
 		silent, stop := f.untilSilent(ctx, g)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -153,6 +153,22 @@
 	return n
 }
 
+// heardEntries returns how many of the instances that take callers are heard, and how many
+// there are, this one included.
+func (f *fleet) heardEntries(hears func(name string) bool) (heard, all int) {
+	heard, all = 1, 1
+	for _, m := range f.list() {
+		if !m.Entry {
+			continue
+		}
+		all++
+		if hears(m.Name) {
+			heard++
+		}
+	}
+	return heard, all
+}
+
 // dataCentres returns those that have instances.
 func (f *fleet) dataCentres() []string {
 	f.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"foxhall/internal/gateway"
 	"foxhall/internal/history"
 	"foxhall/internal/history/historypb"
+	"foxhall/internal/limit"
 	"foxhall/internal/mirror"
 	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/netdial"
@@ -93,6 +94,9 @@
 	// date: a change has 2 s to come into force.
 	pauseLook    = 500 * time.Millisecond
 	pauseLongest = 500 * time.Millisecond
+	// fleetEvery is how often it is counted how many instances are heard: several times
+	// before callers are sent elsewhere.
+	fleetEvery = 100 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -111,6 +115,7 @@
 	keeper   *history.Keeper
 	table    atomic.Pointer[routing.Table]
 	upstream *upstream.Table
+	quotas   *limit.Quotas
 	gateway  *gateway.Gateway
 	// dataCentres and keepers tell when nothing comes from them any more.
 	dataCentres, keepers *silences
@@ -137,6 +142,7 @@
 		registry: registry,
 		mirror:   mirror.New(),
 		upstream: upstream.NewTable(),
+		quotas:   limit.NewQuotas(s.Tolerance),
 		changed:  make(chan struct{}, 1),
 
 		dataCentres: newSilences(),
@@ -161,6 +167,9 @@
 	if n.keeper != nil {
 		n.load.OnStanding(n.takeStanding)
 	}
+	if s.Callers != "" {
+		n.load.OnUses(n.quotas)
+	}
 	n.fleet.hears = func(name string) bool { return n.load.Hears(name, cutAfter) }
 	n.fleet.misses = func(name string) (bool, bool) { return n.load.Misses(name, missedAfter) }
 	n.fleet.cutOff = n.isolated
@@ -185,6 +194,7 @@
 		Table:     n.table.Load,
 		Instances: n.fleet.entries,
 		CutOffFor: n.cutOffFor,
+		Quotas:    n.quotas,
 
 		WhenSilent: n.dataCentres.when,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
@@ -250,6 +260,9 @@
 		return n.serveEntry(ctx, serving)
 	})
 	group.Go(func() error { return n.exchangeLoad(serving) })
+	if n.settings.Callers != "" {
+		group.Go(func() error { n.followFleet(serving); return nil })
+	}
 	group.Go(func() error {
 		n.dataCentres.run(serving, func(dc string) bool { return n.load.Silence(dc) > cutAfter })
 		return nil
@@ -290,6 +303,18 @@
 	return nil
 }
 
+// followFleet tells the quotas which part of the fleet this instance hears.
+func (n *Node) followFleet(ctx context.Context) {
+	for ctx.Err() == nil {
+		heard, all := 0, 1
+		if _, known := n.mirror.AsOf(mirror.Fleet); known {
+			heard, all = n.fleet.heardEntries(func(name string) bool { return n.load.Alive(name, cutAfter) })
+		}
+		n.quotas.Fleet(heard, all, n.load.Round(), time.Now())
+		pause(ctx, fleetEvery)
+	}
+}
+
 // takeStanding takes in how another keeper stands.
 func (n *Node) takeStanding(data []byte) {
 	status := &historypb.StatusResponse{}
@@ -398,6 +423,7 @@
 	if old := n.table.Load(); old != nil && table.Version <= old.Version {
 		return
 	}
+	n.quotas.Set(table.Customers.Quotas(), time.Now())
 	n.table.Store(table)
 	n.logger.WithField("config", table.Version).WithField("revision", uint64(e.Revision)).Info("configuration in force")
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"foxhall/internal/limit"
 )
 
 // Settings are what an instance is told at its start.
@@ -29,6 +31,8 @@
 	DisksLost int
 	// DataFolder is empty on an instance without a disk.
 	DataFolder string
+	// Tolerance is how far customers may be let beyond their quotas.
+	Tolerance limit.Tolerance
 	// Memory is the memory that the process may use, in bytes.
 	Memory int64
 	// Grace is the time between the order to stop and the end of the process.
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"foxhall/internal/limit"
 	"foxhall/internal/peerload/peerloadpb"
 	"foxhall/internal/upstream"
 )
@@ -70,6 +72,10 @@
 	conn  atomic.Pointer[net.UDPConn]
 	// onStanding takes in the standings of other keepers; nil for an instance that is none.
 	onStanding func([]byte)
+	// quotas are told of calls of customers; nil for an instance that admits none.
+	quotas Quotas
+	// run tells this start of the instance from others.
+	run uint64
 	// began is when this instance started.
 	began time.Time
 	// listens is since when datagrams are taken in without a pause.
@@ -83,6 +89,12 @@
 	unsummed bool
 }
 
+// Quotas tells and takes in calls of customers.
+type Quotas interface {
+	Tell(now time.Time) []limit.Use
+	Hear(from string, run uint64, uses []limit.Use, now time.Time)
+}
+
 type heard struct {
 	load *peerloadpb.Load
 	at   time.Time
@@ -106,7 +118,7 @@
 	now := time.Now()
 	return &Exchange{
 		name: name, dataCentre: dataCentre, reach: reach, table: table, peers: peers, logger: logger,
-		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]life{}, began: now, listens: now,
+		run: rand.Uint64(), heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]life{}, began: now, listens: now,
 	}
 }
 
@@ -189,11 +201,12 @@
 		}
 		x.sumLate()
 		load := x.own()
+		active := len(load.Upstreams) > 0 || len(load.Customers) > 0
 		// One empty datagram after the last call tells that it is over.
-		if !due(len(load.Upstreams) > 0 || busy, time.Since(sent)) {
+		if !due(active || busy, time.Since(sent)) {
 			continue
 		}
-		busy, sent = len(load.Upstreams) > 0, time.Now()
+		busy, sent = active, time.Now()
 		x.send(conn, load)
 	}
 }
@@ -245,8 +258,15 @@
 }
 
 func (x *Exchange) own() *peerloadpb.Load {
-	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
 	now := time.Now()
+	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre, Run: x.run}
+	if x.quotas != nil {
+		for _, u := range x.quotas.Tell(now) {
+			load.Customers = append(load.Customers, u.Customer)
+			load.Made = append(load.Made, u.Made)
+			load.Recent = append(load.Recent, u.Recent)
+		}
+	}
 	for _, u := range x.table.Members().All {
 		if u.Erring(now) {
 			load.Erring = append(load.Erring, xxhash.Sum64String(u.Name))
@@ -322,7 +342,7 @@
 			continue
 		}
 		load := &peerloadpb.Load{}
-		if proto.Unmarshal(buffer[:n], load) != nil || len(load.Calls) != len(load.Upstreams) || len(load.Backlog) != len(load.Upstreams) {
+		if proto.Unmarshal(buffer[:n], load) != nil || !even(load) {
 			continue
 		}
 		if len(load.Standing) > 0 {
@@ -331,10 +351,47 @@
 			}
 			continue
 		}
-		x.take(load, time.Now())
+		now := time.Now()
+		x.take(load, now)
+		if x.quotas != nil && len(load.Customers) > 0 {
+			x.quotas.Hear(load.From, load.Run, usesOf(load), now)
+		}
 	}
 }
 
+func usesOf(l *peerloadpb.Load) []limit.Use {
+	uses := make([]limit.Use, len(l.Customers))
+	for i, customer := range l.Customers {
+		uses[i] = limit.Use{Customer: customer, Made: l.Made[i], Recent: l.Recent[i]}
+	}
+	return uses
+}
+
+// even reports that lists which go together are of one length.
+func even(l *peerloadpb.Load) bool {
+	return len(l.Calls) == len(l.Upstreams) && len(l.Backlog) == len(l.Upstreams) &&
+		len(l.Made) == len(l.Customers) && len(l.Recent) == len(l.Customers)
+}
+
+// OnUses has the quotas tell and take in calls of customers. It is called before Run.
+func (x *Exchange) OnUses(q Quotas) { x.quotas = q }
+
+// Round is how long it takes this instance to tell all its peers, while it is busy.
+func (x *Exchange) Round() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Duration(turns(x.known, x.reach)) * sendEvery
+}
+
+// Alive reports whether an instance was heard as lately as some datagrams of it take. One
+// that was never heard is not.
+func (x *Exchange) Alive(instance string, lately time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l, ok := x.lives[instance]
+	return ok && !l.silentFor(lately, time.Now())
+}
+
 // OnStanding has f take in the standings of other keepers. It is called before Run.
 func (x *Exchange) OnStanding(f func([]byte)) { x.onStanding = f }
 
--- a/internal/routing/customer.go
+++ b/internal/routing/customer.go
@@ -6,6 +6,8 @@
 	"math"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/limit"
 )
 
 // KeyDigest stands for an API key, which is kept nowhere itself. Digests are looked up in
@@ -18,24 +20,13 @@
 // String returns the beginning of the digest, enough to tell keys apart in errors.
 func (d KeyDigest) String() string { return hex.EncodeToString(d[:4]) }
 
-// Quota bounds a customer's calls over the whole fleet.
-type Quota struct {
-	// Rate is in calls a second; 0 for no limit.
-	Rate float64
-	// Burst is the number of calls that may come at once beyond the rate.
-	Burst float64
-}
-
-// Limited reports whether there is a limit.
-func (q Quota) Limited() bool { return q.Rate > 0 }
-
 // Customer is a client account: calls with one of its keys are its own.
 type Customer struct {
 	Name string
 	Keys []KeyDigest
 	// Priority goes before that of the route; nil where the route's counts.
 	Priority *int
-	Quota    Quota
+	Quota    limit.Quota
 }
 
 // check returns why the customer can't be used, if it can't.
@@ -56,13 +47,14 @@
 
 // Customers finds customers by their keys. It is immutable.
 type Customers struct {
+	list  []Customer
 	byKey map[KeyDigest]*Customer
 }
 
 // NewCustomers returns the customers of one version. Two of one name, or with one key,
 // are an error: it could not be told whose a call is.
 func NewCustomers(list []Customer) (*Customers, error) {
-	c := &Customers{byKey: map[KeyDigest]*Customer{}}
+	c := &Customers{list: list, byKey: map[KeyDigest]*Customer{}}
 	names := map[string]bool{}
 	for i := range list {
 		customer := &list[i]
@@ -83,5 +75,19 @@
 	return c, nil
 }
 
+// Quotas returns the limits of those customers that have one, by name.
+func (c *Customers) Quotas() map[string]limit.Quota {
+	quotas := map[string]limit.Quota{}
+	if c == nil {
+		return quotas
+	}
+	for i := range c.list {
+		if q := c.list[i].Quota; q.Limited() {
+			quotas[c.list[i].Name] = q
+		}
+	}
+	return quotas
+}
+
 // ByKey returns the customer that holds the key, or nil.
 func (c *Customers) ByKey(key KeyDigest) *Customer { return c.byKey[key] }
--- a/internal/routing/customer_test.go
+++ b/internal/routing/customer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"foxhall/internal/limit"
 )
 
 // A call is counted against, or handed to, the wrong customer, since the configuration does
@@ -20,9 +22,9 @@
 		{[]Customer{{Name: ""}}, "name is missing"},
 		{[]Customer{{Name: "a"}, {Name: "a"}}, "listed twice"},
 		{[]Customer{{Name: "a", Keys: []KeyDigest{shared}}, {Name: "b", Keys: []KeyDigest{shared}}}, "a and b share the key"},
-		{[]Customer{{Name: "a", Quota: Quota{Rate: -1}}}, "rate -1"},
-		{[]Customer{{Name: "a", Quota: Quota{Rate: math.NaN()}}}, "rate NaN"},
-		{[]Customer{{Name: "a", Quota: Quota{Burst: math.Inf(1)}}}, "burst +Inf"},
+		{[]Customer{{Name: "a", Quota: limit.Quota{Rate: -1}}}, "rate -1"},
+		{[]Customer{{Name: "a", Quota: limit.Quota{Rate: math.NaN()}}}, "rate NaN"},
+		{[]Customer{{Name: "a", Quota: limit.Quota{Burst: math.Inf(1)}}}, "burst +Inf"},
 	} {
 		is := is.New(t)
 		_, err := NewCustomers(c.list)
@@ -39,7 +41,7 @@
 	for i := range list {
 		list[i] = Customer{Name: fmt.Sprint(i), Keys: []KeyDigest{DigestKey(fmt.Sprint("a", i)), DigestKey(fmt.Sprint("b", i))}}
 	}
-	list[0].Quota = Quota{Rate: 1e12}
+	list[0].Quota = limit.Quota{Rate: 1e12}
 	c, err := NewCustomers(list)
 	is.NoErr(err)
 	is.Equal(c.ByKey(DigestKey("b9999")).Name, "9999")
