Quotas by the calls of the last window, told at once to sharers

A burst and a pace bound how fast a window fills, so that what ran before a restart of everything and what runs after it fit one window. An entry that starts is told all calls of the window by about six others; a larger part counts only after the others had time to tell what ran behind the cut; entries that share a customer tell each other at once.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -1,14 +1,16 @@
 package limit
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Quota bounds a customer's calls over the whole fleet by a token bucket.
+// Quota bounds a customer's calls over the whole fleet.
 type Quota struct {
 	// Rate is in calls a second; 0 for no limit.
 	Rate float64
@@ -31,28 +33,47 @@
 type Use struct {
 	// Customer is the hash of its name.
 	Customer uint64
-	// Made is the number of calls admitted since the instance started, Recent about that of
-	// the last useMemory.
+	// Made is the number of calls admitted since the instance started, Recent that of the
+	// last window.
 	Made   uint64
 	Recent uint32
 }
 
+// Telling is what an instance tells the others at once.
+type Telling struct {
+	// From names the instance, Run tells its starts apart.
+	From string
+	Run  uint64
+	// Known is for how long it knows what calls there were, up to a window.
+	Known time.Duration
+	Uses  []Use
+	// Counted is told to an instance that has started: all calls of the last window.
+	Counted []Count
+}
+
+// Count is the number of a customer's calls of the last window, at all instances.
+type Count struct {
+	Customer uint64
+	Calls    uint32
+}
+
 const (
 	// useMemory is the time over which an instance's part of a customer's calls is taken.
 	useMemory = 2 * time.Second
-	// The tolerance is spent in quarters: on the bucket's rate, on its size, on what is at
-	// hand after a start, and on calls that instances do not know of from each other.
-	toleranceParts = 4
-	// newcomersPart is the part of a bucket's level that is left to instances that begin to
-	// have calls of the customer, newcomersLeast the number of those who may do so at once.
+	// newcomersPart is the part of the room that is left to instances that begin to have
+	// calls of the customer, newcomersLeast the number of those who may do so at once.
 	newcomersPart  = 0.5
-	newcomersLeast = 3
-	// tellPart is the part of a bucket from which on admitted calls are told at once;
+	newcomersLeast = 2
+	// tellPart is the part of a burst from which on admitted calls are told at once;
 	// tellEvery is when fewer are.
 	tellPart  = 64
 	tellEvery = 500 * time.Millisecond
 	// partKnown is the part of a quota below which most instances are not heard.
 	partKnown = 0.5
+	// riseLeast is the rise of the part from which on it shows that a cut has healed.
+	riseLeast = 0.05
+	// tellingRounds is the number of rounds in which all is told, and made good if lost.
+	tellingRounds = 3
 	// refillLeast keeps a caller that is refused from coming back at once.
 	refillLeast = 50 * time.Millisecond
 	// forgetAfter is how long what a peer told of a customer is remembered: far longer than
@@ -62,33 +83,43 @@
 
 // Quotas holds customers to their quotas over all instances.
 //
-// Each instance keeps every customer's bucket by itself. It takes its own calls out at
-// once, and those of the others when they tell of them. The failures that it guards
-// against are a customer that has its quota once at each instance, and one that is refused
-// though others of its instances are idle.
+// Each instance counts every customer's calls of the last window by itself: its own at once,
+// and those of the others when they tell of them. The failures that it guards against are a
+// customer that has its quota once at each instance, and one that is refused though others
+// of its instances are idle.
 //
-//   - Between two tellings an instance admits no more than its part of the level, by the
-//     calls it had lately. Parts add up to the whole.
+//   - Between two tellings an instance admits no more than its part of the room, by the
+//     calls it had lately. Parts add up to the whole. Instances that have calls of one
+//     customer tell each other at once, the others by turns.
 //   - Instances that hear only some of the others have only a part of the quota, see partOf.
 //     The parts of groups that do not hear each other add up to one at most.
-//   - A bucket begins nearly empty. What was used before a restart is not known then, but it
-//     and the bucket's refill since are within the quota together.
+//   - One that starts is told by the others what it does not know. Where all have started,
+//     nobody knows of the calls before, and the quota opens slowly for a window.
 type Quotas struct {
 	tolerance Tolerance
+	name      string
+	run       uint64
 
-	mu        sync.Mutex
-	customers map[string]*bucket
-	hashes    map[uint64]*bucket
-	peers     map[string]*peer
+	mu     sync.Mutex
+	meters map[string]*meter
+	hashes map[uint64]*meter
+	peers  map[string]*peer
 	// part is what this group of instances may use of each quota; alone says that there is
 	// no other instance.
 	part  float64
 	alone bool
 	// round is how long it takes an instance to tell all others.
 	round time.Duration
-	// opened says that most instances were heard since the start.
-	opened bool
-	swept  time.Time
+	// knows is since when all calls are known; zero before most instances were heard.
+	knows time.Time
+	// counted says that this instance was told all calls from before its start.
+	counted bool
+	swept   time.Time
+	// rising is since when more instances are heard than part says; zero while they are not.
+	rising time.Time
+	// started are instances that are to be told all calls of the window.
+	started []string
+	all     int
 }
 
 // peer is another instance, as far as it told.
@@ -103,36 +134,32 @@
 	at    time.Time
 }
 
-// NewQuotas returns quotas of nobody.
-func NewQuotas(t Tolerance) *Quotas {
-	return &Quotas{tolerance: t, customers: map[string]*bucket{}, hashes: map[uint64]*bucket{}, peers: map[string]*peer{}}
+// NewQuotas returns quotas of nobody, at the instance; the run tells its starts apart.
+func NewQuotas(name string, run uint64, t Tolerance) *Quotas {
+	return &Quotas{name: name, run: run, tolerance: t, meters: map[string]*meter{}, hashes: map[uint64]*meter{}, peers: map[string]*peer{}}
 }
 
 // Set puts customers' quotas in force; those not named have none.
 func (q *Quotas) Set(quotas map[string]Quota, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for name, b := range q.customers {
+	for name, m := range q.meters {
 		if !quotas[name].Limited() {
-			delete(q.customers, name)
-			delete(q.hashes, b.hash)
+			delete(q.meters, name)
+			delete(q.hashes, m.hash)
 		}
 	}
 	for name, quota := range quotas {
 		if !quota.Limited() {
 			continue
 		}
-		b := q.customers[name]
-		if b == nil {
-			b = &bucket{hash: xxhash.Sum64String(name), at: now}
-			q.customers[name], q.hashes[b.hash] = b, b
-			b.size(quota, q.tolerance)
-			if q.opened {
-				b.level = b.most
-			}
+		m := q.meters[name]
+		if m == nil {
+			m = newMeter(xxhash.Sum64String(name), quota, q.tolerance, now)
+			q.meters[name], q.hashes[m.hash] = m, m
 		}
-		b.advance(now, q.part)
-		b.size(quota, q.tolerance)
+		m.advance(now)
+		m.size(quota, q.tolerance)
 	}
 }
 
@@ -152,88 +179,174 @@
 func (q *Quotas) Admit(customer string, now time.Time) (Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b := q.customers[customer]
-	if b == nil {
+	m := q.meters[customer]
+	if m == nil {
 		return Admitted, 0
 	}
-	b.advance(now, q.part)
-	b.rotate(now, q.round)
+	m.advance(now)
+	m.rotate(now, q.round)
+	known := q.known(now)
+	room := m.room(q.part, known)
 	switch {
-	case b.level < 1 && q.part < partKnown:
-		return Unknown, b.refill(q.part)
-	case b.level < 1:
-		return Over, b.refill(q.part)
-	case !q.alone && b.untold()+1 > max(1, b.share()*(b.level+b.untold())):
-		return Over, max(refillLeast, q.round)
+	case room < 1 && q.part < partKnown:
+		return Unknown, m.wait(q.part, known)
+	case room < 1:
+		return Over, m.wait(q.part, known)
+	case !q.alone && m.untold()+1 > max(1, m.share()*(room+m.untold())):
+		return Over, max(refillLeast, m.tellingTime(now, q.round))
 	}
-	b.take()
+	m.take(now)
 	return Admitted, 0
 }
 
+// known is for how long all calls are known; the lock is held.
+func (q *Quotas) known(now time.Time) time.Duration {
+	if q.knows.IsZero() {
+		return 0
+	}
+	return now.Sub(q.knows)
+}
+
 // Return gives an admission back whose call has not run.
 func (q *Quotas) Return(customer string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if b := q.customers[customer]; b != nil {
-		b.level++
-		b.returned++
+	if m := q.meters[customer]; m != nil {
+		m.giveBack()
 	}
 }
 
-// Hear takes in what another instance tells. The run tells its starts apart.
-func (q *Quotas) Hear(from string, run uint64, uses []Use, now time.Time) {
+// Hear takes in what another instance tells. One without a run admits no calls.
+func (q *Quotas) Hear(t Telling, now time.Time) {
+	if t.Run == 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := q.peers[from]
-	if p == nil || p.run != run {
-		p = &peer{run: run, made: map[uint64]made{}}
-		q.peers[from] = p
-	}
-	for _, u := range uses {
-		before, known := p.made[u.Customer]
-		if u.Made < before.calls {
-			// Datagrams overtake each other.
-			continue
+	p := q.peers[t.From]
+	if p == nil || p.run != t.Run {
+		p = &peer{run: t.Run, made: map[uint64]made{}}
+		q.peers[t.From] = p
+		if t.Known < q.window() && q.known(now) >= q.window() && q.tellsStarted(t.From) {
+			q.started = append(q.started, t.From)
 		}
-		p.made[u.Customer] = made{calls: u.Made, at: now}
-		fresh := u.Made - before.calls
-		if !known {
-			// How many of them were told of before this instance listened is not known.
-			fresh = min(fresh, uint64(u.Recent))
+	}
+	if t.Known >= q.window() && len(t.Counted) > 0 {
+		q.count(t.Counted, now)
+	}
+	for _, u := range t.Uses {
+		q.hearUse(p, t.From, u, now)
+	}
+}
+
+// tellers is about the number of instances that tell one that has started what it does not
+// know. Some of them may be cut off from it, or may have started as well.
+const tellers = 6
+
+// tellsStarted reports whether it is for this instance to tell the one that has started; the
+// lock is held.
+func (q *Quotas) tellsStarted(instance string) bool {
+	return xxhash.Sum64String(q.name+" "+instance)%uint64(max(1, q.all)) < tellers
+}
+
+// count takes in how many calls there were; the lock is held. They are all of the window,
+// also those that this instance itself admitted before it was started again.
+func (q *Quotas) count(counted []Count, now time.Time) {
+	if q.known(now) >= q.window() {
+		return
+	}
+	for _, c := range counted {
+		if m := q.hashes[c.Customer]; m != nil {
+			m.advance(now)
+			m.recent.add(m.head, max(0, float64(c.Calls)-m.recent.sum))
 		}
-		if b := q.hashes[u.Customer]; b != nil {
-			b.advance(now, q.part)
-			b.took(from, float64(fresh), now)
+	}
+	q.counted = true
+	if !q.knows.IsZero() {
+		q.knows = now.Add(-q.window())
+	}
+}
+
+// Started returns the instances that have started, and what to tell them. The list may be
+// told in parts.
+func (q *Quotas) Started(now time.Time) (instances []string, t Telling) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.started) == 0 {
+		return nil, Telling{}
+	}
+	instances, q.started = q.started, nil
+	t = Telling{From: q.name, Run: q.run, Known: min(q.known(now), q.window())}
+	for _, m := range q.meters {
+		m.advance(now)
+		if m.recent.sum > 0 {
+			t.Counted = append(t.Counted, Count{Customer: m.hash, Calls: uint32(math.Ceil(m.recent.sum))})
 		}
 	}
+	if t.Counted == nil {
+		// That there were none is worth telling too.
+		t.Counted = []Count{{}}
+	}
+	return instances, t
 }
 
-// Tell returns what the others are to be told now.
-func (q *Quotas) Tell(now time.Time) []Use {
+// hearUse takes in the calls of one customer; the lock is held.
+func (q *Quotas) hearUse(p *peer, from string, u Use, now time.Time) {
+	before, known := p.made[u.Customer]
+	if u.Made < before.calls {
+		// Datagrams overtake each other.
+		return
+	}
+	p.made[u.Customer] = made{calls: u.Made, at: now}
+	fresh := u.Made - before.calls
+	switch {
+	case !known && q.counted:
+		// They are among those that were counted for this instance.
+		fresh = 0
+	case !known:
+		// How many of them were made before the window is not known.
+		fresh = min(fresh, uint64(u.Recent))
+	}
+	if m := q.hashes[u.Customer]; m != nil {
+		m.advance(now)
+		m.took(from, float64(fresh), now)
+	}
+}
+
+// Tell returns what the others are to be told now, and which of them are to hear it at once
+// and not by turns, since they have calls of the same customers.
+func (q *Quotas) Tell(now time.Time) (t Telling, atOnce []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var uses []Use
-	for _, b := range q.customers {
-		if !b.tells(now, q.round) {
+	t = Telling{From: q.name, Run: q.run, Known: min(q.known(now), q.window())}
+	sharing := map[string]bool{}
+	for _, m := range q.meters {
+		if !m.tells(now, q.round) {
 			continue
 		}
-		b.advance(now, q.part)
-		uses = append(uses, Use{Customer: b.hash, Made: b.made, Recent: uint32(math.Ceil(b.own))})
+		m.advance(now)
+		t.Uses = append(t.Uses, Use{Customer: m.hash, Made: m.made, Recent: uint32(max(0, math.Ceil(m.own.sum)))})
+		for name := range m.others {
+			sharing[name] = true
+		}
 	}
-	return uses
+	return t, slices.Sorted(maps.Keys(sharing))
 }
 
+func (q *Quotas) window() time.Duration { return max(q.tolerance.Window, shortestWindow) }
+
 // Fleet takes in how many of all instances are heard, this one included, and how long it
 // takes to tell them all. An instance that is not heard may have calls of its own; while it
 // is not known which instances there are, none is heard.
 func (q *Quotas) Fleet(heard, all int, round time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.part, q.alone, q.round = partOf(heard, all), all == 1, round
-	if !q.opened && q.part > partKnown {
-		q.opened = true
-		for _, b := range q.customers {
-			b.level += b.start
+	q.alone, q.all, q.round = all == 1, all, round
+	q.adopt(partOf(heard, all), now)
+	if q.knows.IsZero() && q.part > partKnown {
+		q.knows = now
+		if q.counted {
+			q.knows = now.Add(-q.window())
 		}
 	}
 	if now.Sub(q.swept) >= forgetAfter {
@@ -242,6 +355,32 @@
 	}
 }
 
+// adopt takes in the part of the quotas that may be used; the lock is held. A larger one
+// counts once the instances that are heard again had time to tell of their calls.
+func (q *Quotas) adopt(part float64, now time.Time) {
+	switch {
+	case part <= q.part || q.alone:
+		q.rising = time.Time{}
+	case q.rising.IsZero():
+		q.rising = now
+		if part-q.part > riseLeast {
+			q.tellAgain(now)
+		}
+		return
+	case now.Sub(q.rising) < tellingRounds*q.round:
+		return
+	}
+	q.part = part
+}
+
+// tellAgain has all calls of the window told to those that are heard again; the lock is held.
+func (q *Quotas) tellAgain(now time.Time) {
+	for _, m := range q.meters {
+		m.advance(now)
+		m.tellAgain(now)
+	}
+}
+
 // forget drops what peers told long ago, so that what is kept goes by the calls of the last
 // while and not by customers times instances; the lock is held.
 func (q *Quotas) forget(now time.Time) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -155,14 +155,14 @@
 
 // heardEntries returns how many of the instances that take callers are heard, and how many
 // there are, this one included.
-func (f *fleet) heardEntries(hears func(name string) bool) (heard, all int) {
+func (f *fleet) heardEntries(hears func(member) bool) (heard, all int) {
 	heard, all = 1, 1
 	for _, m := range f.list() {
 		if !m.Entry {
 			continue
 		}
 		all++
-		if hears(m.Name) {
+		if hears(m) {
 			heard++
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 		registry: registry,
 		mirror:   mirror.New(),
 		upstream: upstream.NewTable(),
-		quotas:   limit.NewQuotas(s.Tolerance),
+		quotas:   limit.NewQuotas(s.Instance, rand.Uint64(), s.Tolerance),
 		changed:  make(chan struct{}, 1),
 
 		dataCentres: newSilences(),
@@ -308,13 +308,19 @@
 	for ctx.Err() == nil {
 		heard, all := 0, 1
 		if _, known := n.mirror.AsOf(mirror.Fleet); known {
-			heard, all = n.fleet.heardEntries(func(name string) bool { return n.load.Alive(name, cutAfter) })
+			heard, all = n.fleet.heardEntries(n.hearsEntry)
 		}
 		n.quotas.Fleet(heard, all, n.load.Round(), time.Now())
 		pause(ctx, fleetEvery)
 	}
 }
 
+// hearsEntry reports whether an instance is heard. Where nothing comes from its data centre,
+// that shows sooner than by its own silence.
+func (n *Node) hearsEntry(m member) bool {
+	return n.load.Silence(m.DataCentre) <= cutAfter && n.load.Alive(m.Name, cutAfter)
+}
+
 // takeStanding takes in how another keeper stands.
 func (n *Node) takeStanding(data []byte) {
 	status := &historypb.StatusResponse{}
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -10,8 +10,8 @@
 	"cmp"
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,7 +21,6 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"foxhall/internal/limit"
 	"foxhall/internal/peerload/peerloadpb"
 	"foxhall/internal/upstream"
 )
@@ -66,6 +65,8 @@
 	// from each instance.
 	signs map[string]time.Time
 	lives map[string]life
+	// addresses are where the datagrams of instances come from, and where they take them.
+	addresses map[string]netip.AddrPort
 	// round are the peers that are still to hear in this round of all of them. The sending
 	// goroutine uses it.
 	round []*net.UDPAddr
@@ -74,8 +75,6 @@
 	onStanding func([]byte)
 	// quotas are told of calls of customers; nil for an instance that admits none.
 	quotas Quotas
-	// run tells this start of the instance from others.
-	run uint64
 	// began is when this instance started.
 	began time.Time
 	// listens is since when datagrams are taken in without a pause.
@@ -89,12 +88,6 @@
 	unsummed bool
 }
 
-// Quotas tells and takes in calls of customers.
-type Quotas interface {
-	Tell(now time.Time) []limit.Use
-	Hear(from string, run uint64, uses []limit.Use, now time.Time)
-}
-
 type heard struct {
 	load *peerloadpb.Load
 	at   time.Time
@@ -105,6 +98,8 @@
 type life struct {
 	at    time.Time
 	turns uint32
+	// busy says that it had calls under way.
+	busy bool
 }
 
 // silentFor reports that nothing came for as long as some datagrams of a small fleet take.
@@ -118,7 +113,8 @@
 	now := time.Now()
 	return &Exchange{
 		name: name, dataCentre: dataCentre, reach: reach, table: table, peers: peers, logger: logger,
-		run: rand.Uint64(), heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]life{}, began: now, listens: now,
+		heard: map[string]heard{}, signs: map[string]time.Time{}, lives: map[string]life{},
+		addresses: map[string]netip.AddrPort{}, began: now, listens: now,
 	}
 }
 
@@ -200,17 +196,21 @@
 			return
 		}
 		x.sumLate()
+		x.tellStarted(conn)
 		load := x.own()
-		active := len(load.Upstreams) > 0 || len(load.Customers) > 0
+		atOnce := x.addUses(load, time.Now())
 		// One empty datagram after the last call tells that it is over.
-		if !due(active || busy, time.Since(sent)) {
+		if !due(active(load) || busy, time.Since(sent)) {
 			continue
 		}
-		busy, sent = active, time.Now()
-		x.send(conn, load)
+		busy, sent = active(load), time.Now()
+		x.send(conn, load, atOnce)
 	}
 }
 
+// active reports whether the sender has calls under way or to tell of.
+func active(l *peerloadpb.Load) bool { return len(l.Upstreams) > 0 || len(l.Customers) > 0 }
+
 // due reports that it is time to send again.
 func due(busy bool, sinceLast time.Duration) bool { return busy || sinceLast >= quietEvery }
 
@@ -259,14 +259,7 @@
 
 func (x *Exchange) own() *peerloadpb.Load {
 	now := time.Now()
-	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre, Run: x.run}
-	if x.quotas != nil {
-		for _, u := range x.quotas.Tell(now) {
-			load.Customers = append(load.Customers, u.Customer)
-			load.Made = append(load.Made, u.Made)
-			load.Recent = append(load.Recent, u.Recent)
-		}
-	}
+	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
 	for _, u := range x.table.Members().All {
 		if u.Erring(now) {
 			load.Erring = append(load.Erring, xxhash.Sum64String(u.Name))
@@ -282,14 +275,31 @@
 	return load
 }
 
-func (x *Exchange) send(conn *net.UDPConn, load *peerloadpb.Load) {
+func (x *Exchange) send(conn *net.UDPConn, load *peerloadpb.Load, atOnce []string) {
 	next := x.nextPeers()
 	x.mu.Lock()
 	load.Turns = turns(x.known, x.reach)
+	if load.Turns > 1 {
+		next = x.with(next, atOnce)
+	}
 	x.mu.Unlock()
 	x.sendTo(conn, load, next)
 }
 
+// with adds the instances of these names, as far as it is known where they are; the lock is
+// held.
+func (x *Exchange) with(peers []*net.UDPAddr, names []string) []*net.UDPAddr {
+	all := slices.Clone(peers)
+	for _, name := range names {
+		address := x.addresses[name]
+		same := func(p *net.UDPAddr) bool { return p.AddrPort() == address }
+		if address.IsValid() && !slices.ContainsFunc(peers, same) {
+			all = append(all, net.UDPAddrFromAddrPort(address))
+		}
+	}
+	return all
+}
+
 func (x *Exchange) sendTo(conn *net.UDPConn, load *peerloadpb.Load, peers []*net.UDPAddr) {
 	data, err := proto.Marshal(load)
 	if err != nil {
@@ -337,7 +347,7 @@
 func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := conn.ReadFromUDP(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue
 		}
@@ -352,30 +362,24 @@
 			continue
 		}
 		now := time.Now()
+		if len(load.Counted) > 0 {
+			x.hearCounted(load, now)
+			continue
+		}
 		x.take(load, now)
-		if x.quotas != nil && len(load.Customers) > 0 {
-			x.quotas.Hear(load.From, load.Run, usesOf(load), now)
+		x.locate(load.From, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if x.quotas != nil {
+			x.quotas.Hear(tellingOf(load), now)
 		}
 	}
 }
 
-func usesOf(l *peerloadpb.Load) []limit.Use {
-	uses := make([]limit.Use, len(l.Customers))
-	for i, customer := range l.Customers {
-		uses[i] = limit.Use{Customer: customer, Made: l.Made[i], Recent: l.Recent[i]}
-	}
-	return uses
-}
-
-// even reports that lists which go together are of one length.
-func even(l *peerloadpb.Load) bool {
-	return len(l.Calls) == len(l.Upstreams) && len(l.Backlog) == len(l.Upstreams) &&
-		len(l.Made) == len(l.Customers) && len(l.Recent) == len(l.Customers)
+func (x *Exchange) locate(name string, address netip.AddrPort) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.addresses[name] = address
 }
 
-// OnUses has the quotas tell and take in calls of customers. It is called before Run.
-func (x *Exchange) OnUses(q Quotas) { x.quotas = q }
-
 // Round is how long it takes this instance to tell all its peers, while it is busy.
 func (x *Exchange) Round() time.Duration {
 	x.mu.Lock()
@@ -383,13 +387,23 @@
 	return time.Duration(turns(x.known, x.reach)) * sendEvery
 }
 
-// Alive reports whether an instance was heard as lately as some datagrams of it take. One
-// that was never heard is not.
+// missedMost is the number of datagrams of a busy instance that may be lost in a row.
+const missedMost = 3
+
+// Alive reports whether an instance was heard as lately as some datagrams of it take, of
+// which one with calls under way sends more. One that was never heard is not.
 func (x *Exchange) Alive(instance string, lately time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l, ok := x.lives[instance]
-	return ok && !l.silentFor(lately, time.Now())
+	if !ok {
+		return false
+	}
+	now := time.Now()
+	if l.busy {
+		return now.Sub(l.at) < max(lately, missedMost*time.Duration(max(1, l.turns))*sendEvery)
+	}
+	return !l.silentFor(lately, now)
 }
 
 // OnStanding has f take in the standings of other keepers. It is called before Run.
@@ -400,7 +414,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.heard[load.From] = heard{load: load, at: now}
-	x.signs[load.DataCentre], x.lives[load.From] = now, life{at: now, turns: x.turnsOf(load)}
+	x.signs[load.DataCentre], x.lives[load.From] = now, life{at: now, turns: x.turnsOf(load), busy: active(load)}
 	x.unsummed = true
 	if now.Sub(x.summed) >= sumEvery {
 		x.sum(now)
--- /dev/null
+++ b/internal/peerload/quota.go
@@ -0,0 +1,88 @@
+package peerload
+
+import (
+	"net"
+	"slices"
+	"time"
+
+	"foxhall/internal/limit"
+	"foxhall/internal/peerload/peerloadpb"
+)
+
+// countedMost is the number of customers in one datagram, which maxDatagram holds.
+const countedMost = 400
+
+// Quotas tells and takes in calls of customers.
+type Quotas interface {
+	// Tell returns what to tell, and which instances are to hear it beside those whose turn
+	// it is.
+	Tell(now time.Time) (t limit.Telling, atOnce []string)
+	// Started returns the instances that have started, and what to tell them.
+	Started(now time.Time) (instances []string, t limit.Telling)
+	Hear(t limit.Telling, now time.Time)
+}
+
+// OnUses has the quotas tell and take in calls of customers. It is called before Run.
+func (x *Exchange) OnUses(q Quotas) { x.quotas = q }
+
+// addUses adds what is to be told of customers, and returns who is to hear it at once.
+func (x *Exchange) addUses(load *peerloadpb.Load, now time.Time) (atOnce []string) {
+	if x.quotas == nil {
+		return nil
+	}
+	t, atOnce := x.quotas.Tell(now)
+	load.Run, load.KnownMs = t.Run, uint32(t.Known.Milliseconds())
+	for _, u := range t.Uses {
+		load.Customers = append(load.Customers, u.Customer)
+		load.Made = append(load.Made, u.Made)
+		load.Recent = append(load.Recent, u.Recent)
+	}
+	return atOnce
+}
+
+// tellStarted tells instances that have started what they don't know.
+func (x *Exchange) tellStarted(conn *net.UDPConn) {
+	if x.quotas == nil {
+		return
+	}
+	instances, t := x.quotas.Started(time.Now())
+	if len(instances) == 0 {
+		return
+	}
+	x.mu.Lock()
+	peers := x.with(nil, instances)
+	x.mu.Unlock()
+	for part := range slices.Chunk(t.Counted, countedMost) {
+		load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre, Run: t.Run, KnownMs: uint32(t.Known.Milliseconds())}
+		for _, c := range part {
+			load.CountedCustomers = append(load.CountedCustomers, c.Customer)
+			load.Counted = append(load.Counted, c.Calls)
+		}
+		x.sendTo(conn, load, peers)
+	}
+}
+
+// hearCounted takes in what an instance tells to one that has started.
+func (x *Exchange) hearCounted(load *peerloadpb.Load, now time.Time) {
+	if x.quotas != nil {
+		x.quotas.Hear(tellingOf(load), now)
+	}
+}
+
+// even reports that lists which go together are of one length.
+func even(l *peerloadpb.Load) bool {
+	return len(l.Calls) == len(l.Upstreams) && len(l.Backlog) == len(l.Upstreams) &&
+		len(l.Made) == len(l.Customers) && len(l.Recent) == len(l.Customers) &&
+		len(l.Counted) == len(l.CountedCustomers)
+}
+
+func tellingOf(l *peerloadpb.Load) limit.Telling {
+	t := limit.Telling{From: l.From, Run: l.Run, Known: time.Duration(l.KnownMs) * time.Millisecond}
+	for i, customer := range l.Customers {
+		t.Uses = append(t.Uses, limit.Use{Customer: customer, Made: l.Made[i], Recent: l.Recent[i]})
+	}
+	for i, customer := range l.CountedCustomers {
+		t.Counted = append(t.Counted, limit.Count{Customer: customer, Calls: l.Counted[i]})
+	}
+	return t
+}
