Quotas: a window is used to 0.93, and a flood begins at many instances

Cause: 0.85 of the window refused what the rule allows. Change: the constant; a load of 300 times the quota from idle at all instances.

--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -8,7 +8,7 @@
 const (
 	// windowMost is the part of what is allowed in a window up to which calls are admitted;
 	// the rest is for calls that instances do not know of from each other.
-	windowMost = 0.85
+	windowMost = 0.93
 	// burstPart is the part of a window's calls that may come at once, and burstPace how much
 	// faster than evenly they may go on. Together with startPart and startPace, which count
 	// after a start, they keep what ran before a restart of all instances and what runs after
--- a/internal/limit/quota_test.go
+++ b/internal/limit/quota_test.go
@@ -102,6 +102,31 @@
 		w.cut(func(int) bool { return false })
 		w.play(6 * time.Second)
 	},
+	"a flood begins everywhere at once": func(w *quotaWorld) {
+		for n := range 4 {
+			q := Quota{Rate: 20 * float64(1+n), Burst: 20 * float64(1+n)}
+			w.customer(fmt.Sprint("customer-", n), q, 300, len(w.instances))
+		}
+		asked := w.demand
+		w.demand = map[string]float64{}
+		w.start()
+		w.play(warmUp)
+		w.demand = asked
+		w.play(6 * time.Second)
+	},
+	"callers leave one half as a cut heals": func(w *quotaWorld) {
+		manyCustomers(w, 3)
+		w.play(5 * time.Second)
+		w.cut(func(n int) bool { return n%2 == 0 })
+		w.play(6 * time.Second)
+		for _, c := range w.clients {
+			if c.at.side == 1 {
+				c.at = w.instances[1]
+			}
+		}
+		w.cut(func(int) bool { return false })
+		w.play(6 * time.Second)
+	},
 	"most instances are killed": func(w *quotaWorld) {
 		manyCustomers(w, 0.8)
 		w.play(5 * time.Second)
