Quotas: told by turns, and free while half of a window is left

Change: only fleets in which a round of telling takes over 0.3 s tell at once; the share counts from half of the window on.

--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -17,14 +17,19 @@
 	burstPace = 1.25
 	startPart = 0.02
 	startPace = 0.75
+	// freePart is the part of a window's calls from which on instances need not keep to their
+	// shares.
+	freePart = 0.5
 	// slots is the number of parts in which a window passes.
 	slots = 50
 	// shortestWindow counts where none is set.
 	shortestWindow = time.Second
 	// idleUse is the number of recent calls below which an instance counts as having none.
 	idleUse = 0.5
-	// tellAtOnce is how long it takes to tell those that hear at once: two datagrams, of
-	// which one may be lost.
+	// longRound is the time to tell all others from which on those that have calls of the same
+	// customer are told at once. That costs as many datagrams again.
+	longRound = 300 * time.Millisecond
+	// tellAtOnce is how long that takes: two datagrams, of which one may be lost.
 	tellAtOnce = 120 * time.Millisecond
 )
 
@@ -126,20 +131,28 @@
 	}
 }
 
-// room is the number of calls that may come now, of a part of the quota. Known is for how
-// long it is known what calls there were.
-func (m *meter) room(part float64, known time.Duration) float64 {
+// limit is the number of calls in a window, of a part of the quota. Known is for how long it
+// is known what calls there were.
+func (m *meter) limit(part float64, known time.Duration) float64 {
 	most := m.most
 	if known < m.window {
 		most = min(most, m.start+m.startPace*known.Seconds())
 	}
-	return min(most*part-m.recent.sum, m.level)
+	return most * part
+}
+
+// mayRace reports whether this instance may admit a call though others may have admitted
+// some that it does not know of. While there is room for half of a window's calls, that many
+// do not come in the time it takes to tell. Then each instance keeps to its share.
+func (m *meter) mayRace(limit float64) bool {
+	room := limit - m.recent.sum
+	return room > freePart*limit || m.untold()+1 <= max(1, m.share()*(room+m.untold()))
 }
 
 // wait is about the time until there is room for a call.
 func (m *meter) wait(part float64, known time.Duration) time.Duration {
-	if most := m.most * part; m.recent.sum+1 > most && known >= m.window {
-		passing := m.recent.sum + 1 - most
+	if limit := m.limit(part, known); m.recent.sum+1 > limit && known >= m.window {
+		passing := m.recent.sum + 1 - limit
 		for n := int64(1); n <= slots; n++ {
 			if passing -= m.recent.counts[(m.head+n)%(slots+1)]; passing <= 0 {
 				return max(refillLeast, time.Duration(n)*m.window/slots)
@@ -215,13 +228,16 @@
 // untold is the number of calls that others may not know of.
 func (m *meter) untold() float64 { return m.before + m.since }
 
-// tellingTime is how long calls may be unknown to others that have calls of the customer. One that
-// begins to have calls does not know all of them before each has had a turn to tell.
+// begins reports whether this instance may not know all others that have calls of the
+// customer, since it has had some itself for less than they take to tell.
+func (m *meter) begins(now time.Time, round time.Duration) bool { return now.Sub(m.active) < 2*round }
+
+// tellingTime is how long calls may be unknown to others that have calls of the customer.
 func (m *meter) tellingTime(now time.Time, round time.Duration) time.Duration {
-	if now.Sub(m.active) < 2*round {
+	if round < longRound || m.begins(now, round) {
 		return round
 	}
-	return min(round, tellAtOnce)
+	return tellAtOnce
 }
 
 // rotate forgets calls that the others were told of.
@@ -238,14 +254,14 @@
 	m.since, m.rotated = 0, now
 }
 
-// tells reports whether the calls are to be told now. They are told for two rounds, so that
-// a lost datagram is made good.
+// tells reports whether the calls are to be told now. They are told for one round; what is
+// lost then is made good with the next calls.
 func (m *meter) tells(now time.Time, round time.Duration) bool {
 	fresh := m.made - m.told
 	if float64(fresh) >= max(1, m.burst/tellPart) || fresh > 0 && now.Sub(m.toldAt) >= tellEvery {
 		m.told, m.toldAt = m.made, now
 	}
-	return now.Sub(m.toldAt) < 2*max(round, time.Millisecond)
+	return now.Sub(m.toldAt) < max(round, time.Millisecond)
 }
 
 // tellAgain has the calls told once more.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -88,9 +88,10 @@
 // customer that has its quota once at each instance, and one that is refused though others
 // of its instances are idle.
 //
-//   - Between two tellings an instance admits no more than its part of the room, by the
-//     calls it had lately. Parts add up to the whole. Instances that have calls of one
-//     customer tell each other at once, the others by turns.
+//   - Where a customer has had half of its calls, an instance admits no more between two
+//     tellings than its part of the room, by the calls it had lately. Parts add up to the
+//     whole. Instances tell all others by turns, and where that takes long, at once those
+//     that have calls of the same customer.
 //   - Instances that hear only some of the others have only a part of the quota, see partOf.
 //     The parts of groups that do not hear each other add up to one at most.
 //   - One that starts is told by the others what it does not know. Where all have started,
@@ -186,13 +187,14 @@
 	m.advance(now)
 	m.rotate(now, q.round)
 	known := q.known(now)
-	room := m.room(q.part, known)
+	limit := m.limit(q.part, known)
+	full := m.recent.sum+1 > limit || m.level < 1
 	switch {
-	case room < 1 && q.part < partKnown:
+	case full && q.part < partKnown:
 		return Unknown, m.wait(q.part, known)
-	case room < 1:
+	case full:
 		return Over, m.wait(q.part, known)
-	case !q.alone && m.untold()+1 > max(1, m.share()*(room+m.untold())):
+	case !q.alone && !m.mayRace(limit):
 		return Over, max(refillLeast, m.tellingTime(now, q.round))
 	}
 	m.take(now)
@@ -326,8 +328,10 @@
 		}
 		m.advance(now)
 		t.Uses = append(t.Uses, Use{Customer: m.hash, Made: m.made, Recent: uint32(max(0, math.Ceil(m.own.sum)))})
-		for name := range m.others {
-			sharing[name] = true
+		if q.round >= longRound {
+			for name := range m.others {
+				sharing[name] = true
+			}
 		}
 	}
 	return t, slices.Sorted(maps.Keys(sharing))
