Programs under way go before those that begin at a quota that binds

Change: a call that may begin a program is refused while the calls expected of the programs under way fill the window; learned from their pace.

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -1,10 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/httpconn"
+	"foxhall/internal/limit"
 	"foxhall/internal/routing"
 )
 
@@ -68,3 +73,64 @@
 	is.Equal(out.result.Outcome, Answered)
 	is.Equal(turns.endings[0].Customer, "one")
 }
+
+// fakeQuotas answers what it is told to.
+type fakeQuotas struct {
+	verdict  limit.Verdict
+	returned []string
+}
+
+func (f *fakeQuotas) Admit(limit.Call, time.Time) (limit.Verdict, time.Duration) {
+	return f.verdict, 300 * time.Millisecond
+}
+
+func (f *fakeQuotas) Return(customer string) { f.returned = append(f.returned, customer) }
+
+// A call beyond its customer's quota runs, or waits for its end before it is refused.
+func TestCallsBeyondTheQuotaAreRefusedAtOnce(t *testing.T) {
+	customers := customersOf(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*key("k1")}})
+	for verdict, reason := range map[limit.Verdict]Reason{limit.Over: OverQuota, limit.Unknown: QuotaUnknown} {
+		is := is.New(t)
+		quotas, turns := &fakeQuotas{verdict: verdict}, &fakeTurns{}
+		call := turnCall()
+		call.Key = key("k1")
+		out := serveFor(t, customers, Settings{Quotas: quotas}, turnRoute, call, turns, good("never"))
+		is.Equal(out.result.Outcome, NotRun)
+		is.Equal(out.result.Reason, reason)
+		is.Equal(out.result.RetryAfter, 300*time.Millisecond)
+		is.Equal(out.took, time.Duration(0))
+		is.Equal(len(out.sent), 0)
+		is.Equal(len(turns.endings), 0) // nothing was reserved
+		is.Equal(len(quotas.returned), 0)
+	}
+}
+
+// A customer's quota is used up by calls that were refused and have not run.
+func TestCallsThatHaveNotRunDoNotCountAgainstTheQuota(t *testing.T) {
+	customers := customersOf(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*key("k1")}})
+	route := routing.Route{Repeat: routing.Once, Attempts: 1}
+	for _, c := range []struct {
+		script   script
+		returned int
+	}{{refuses, 1}, {good("done"), 0}, {fails(httpconn.ErrLost), 0}} {
+		is := is.New(t)
+		quotas := &fakeQuotas{}
+		serveFor(t, customers, Settings{Quotas: quotas}, route, Call{ID: "r", Key: key("k1")}, nil, c.script)
+		is.Equal(len(quotas.returned), c.returned)
+	}
+}
+
+// The metrics of an instance grow without end, by names that callers' accounts bear.
+func TestCountersOfCustomersAreBounded(t *testing.T) {
+	is := is.New(t)
+	registry := metrics.NewRegistry()
+	r := newRefusals(registry)
+	for i := range 10 * customersCounted {
+		r.count(OverQuota, fmt.Sprint("customer-", i))
+	}
+	n := 0
+	registry.Each(func(string, any) { n++ })
+	is.True(n <= customersCounted+2)
+	is.Equal(r.overQuota("customer-0").Count(), int64(1))
+	is.Equal(r.overQuota("one more").Count(), int64(9*customersCounted))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 
 	latency  metrics.Histogram
 	outcomes [Gone + 1]metrics.Counter
+	refusals *refusals
 }
 
 // Settings are what a gateway is told by the instance that it serves in.
@@ -61,7 +62,7 @@
 // Quotas holds customers to their quotas over the whole fleet.
 type Quotas interface {
 	// Admit admits a call, or tells when it is worth to come again.
-	Admit(customer string, now time.Time) (limit.Verdict, time.Duration)
+	Admit(c limit.Call, now time.Time) (limit.Verdict, time.Duration)
 	// Return gives the admission of a call back that has not run.
 	Return(customer string)
 }
@@ -71,7 +72,7 @@
 
 // New returns a gateway.
 func New(s Settings, sched *scheduler.Scheduler, replicas Replicas, turns Turns, logger log.Interface, registry metrics.Registry) *Gateway {
-	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger}
+	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger, refusals: newRefusals(registry)}
 	g.latency = metrics.GetOrRegisterHistogram("gateway.call.us", registry, metrics.NewUniformSample(latencySample))
 	for o := range g.outcomes {
 		g.outcomes[o] = metrics.GetOrRegisterCounter("gateway.calls."+Outcome(o).String(), registry)
@@ -88,6 +89,9 @@
 	}
 	g.latency.Update(time.Since(call.Arrived).Microseconds())
 	g.outcomes[result.Outcome].Inc(1)
+	if result.Reason != "" {
+		g.refusals.count(result.Reason, f.customerName())
+	}
 	f.logEnd(&result)
 	return result
 }
@@ -164,7 +168,11 @@
 	if f.customer == nil {
 		return nil
 	}
-	verdict, after := f.gateway.settings.Quotas.Admit(f.customer.Name, time.Now())
+	verdict, after := f.gateway.settings.Quotas.Admit(limit.Call{
+		Customer: f.customer.Name,
+		Program:  f.call.Program.ID,
+		Head:     f.route.Repeat == routing.Stream && f.call.Previous == "",
+	}, time.Now())
 	if verdict == limit.Admitted {
 		return nil
 	}
@@ -362,7 +370,9 @@
 	if r.Reason != "" {
 		fields["reason"] = string(r.Reason)
 		fields["retry_ms"] = r.RetryAfter.Milliseconds()
-		fields["left_ms"] = time.Until(f.deadline).Milliseconds()
+		if !f.deadline.IsZero() {
+			fields["left_ms"] = time.Until(f.deadline).Milliseconds()
+		}
 	}
 	f.gateway.logger.WithFields(fields).Info("call")
 }
--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// windowMost is the part of what is allowed in a window up to which calls are admitted;
-	// the rest is for calls that instances do not know of from each other.
+	// windowMost is the part of what is allowed in a window up to which calls are admitted,
+	// less raceCalls; the rest is for calls that instances do not know of from each other.
 	windowMost = 0.93
+	raceCalls  = 4
 	// burstPart is the part of a window's calls that may come at once, and burstPace how much
 	// faster than evenly they may go on. Together with startPart and startPace, which count
 	// after a start, they keep what ran before a restart of all instances and what runs after
@@ -53,6 +54,7 @@
 	// shareOwn and shareAll are the calls of about the last useMemory: of this instance, and
 	// of all.
 	shareOwn, shareAll float64
+	programs           programs
 	// others are when each other instance last had calls.
 	others map[string]time.Time
 
@@ -104,7 +106,7 @@
 	m.window = max(t.Window, shortestWindow)
 	seconds := m.window.Seconds()
 	allowed := (q.Rate*seconds+q.Burst)*(1+t.Overage) + t.Slack
-	m.most = max(1, windowMost*allowed)
+	m.most = max(1, windowMost*allowed-raceCalls)
 	m.burst = max(1, burstPart*m.most, q.Burst)
 	m.pace = burstPace * m.most / seconds
 	m.start, m.startPace = startPart*allowed, startPace*q.Rate
@@ -149,6 +151,13 @@
 	return room > freePart*limit || m.untold()+1 <= max(1, m.share()*(room+m.untold()))
 }
 
+// mayBegin reports whether there is room for one more program beside those under way: one
+// that runs into the limit later was begun in vain.
+func (m *meter) mayBegin(now time.Time, limit float64) bool {
+	others := m.recent.sum - m.own.sum
+	return m.own.sum < 1 || others+m.programs.expected(now, m.window) <= limit
+}
+
 // wait is about the time until there is room for a call.
 func (m *meter) wait(part float64, known time.Duration) time.Duration {
 	if limit := m.limit(part, known); m.recent.sum+1 > limit && known >= m.window {
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -176,11 +176,20 @@
 	Unknown
 )
 
-// Admit admits a call of the customer, or tells when it is worth to come again.
-func (q *Quotas) Admit(customer string, now time.Time) (Verdict, time.Duration) {
+// Call is a call that asks to be admitted.
+type Call struct {
+	Customer string
+	// Program is empty for a call that belongs to none. Head says that the call may begin it.
+	Program string
+	Head    bool
+}
+
+// Admit admits a call, or tells when it is worth to come again. Where the quota is nearly
+// used up, a program that begins is refused, and not one under way.
+func (q *Quotas) Admit(c Call, now time.Time) (Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	m := q.meters[customer]
+	m := q.meters[c.Customer]
 	if m == nil {
 		return Admitted, 0
 	}
@@ -188,7 +197,8 @@
 	m.rotate(now, q.round)
 	known := q.known(now)
 	limit := m.limit(q.part, known)
-	full := m.recent.sum+1 > limit || m.level < 1
+	begins := c.Head && !m.programs.knows(c.Program)
+	full := m.recent.sum+1 > limit || m.level < 1 || begins && !m.mayBegin(now, limit)
 	switch {
 	case full && q.part < partKnown:
 		return Unknown, m.wait(q.part, known)
@@ -198,6 +208,9 @@
 		return Over, max(refillLeast, m.tellingTime(now, q.round))
 	}
 	m.take(now)
+	if c.Program != "" {
+		m.programs.called(c.Program, now)
+	}
 	return Admitted, 0
 }
 
