--- a/internal/limit/bench_test.go
+++ b/internal/limit/bench_test.go
@@ -81,3 +81,25 @@
 		})
 	}
 }
+
+// BenchmarkQuotaAdmit is what a quota costs a call, among many customers.
+func BenchmarkQuotaAdmit(b *testing.B) {
+	q := NewQuotas("a", 1, tolerance)
+	quotas := map[string]Quota{}
+	var names []string
+	for n := range 5000 {
+		names = append(names, fmt.Sprint("customer-", n))
+		quotas[names[n]] = Quota{Rate: 1e6, Burst: 1e6}
+	}
+	now := time.Unix(1000, 0)
+	q.Set(quotas, now)
+	q.Fleet(1, 1, tellTick, now)
+	now = now.Add(tolerance.Window)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		now = now.Add(50 * time.Microsecond)
+		q.Admit(Call{Customer: names[n%len(names)], Program: names[n%100]}, now)
+		n++
+	}
+}
--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -40,6 +40,9 @@
 	hash uint64
 	// window is the time over which calls are bounded.
 	window time.Duration
+	// began is when the meter was made; slots count from it, so that steps of the time of day
+	// change no window.
+	began time.Time
 	// most is the number of calls in a window, burst those that may come at once; pace is
 	// the rate of those that may follow, start and startPace bound calls after a start.
 	most, burst, pace, start, startPace float64
@@ -94,7 +97,7 @@
 
 // newMeter returns a meter that has counted nothing.
 func newMeter(hash uint64, q Quota, t Tolerance, now time.Time) *meter {
-	m := &meter{hash: hash, at: now}
+	m := &meter{hash: hash, at: now, began: now}
 	m.size(q, t)
 	m.level = m.burst
 	m.head = m.slot(now)
@@ -113,7 +116,7 @@
 	m.level = min(m.level, m.burst)
 }
 
-func (m *meter) slot(now time.Time) int64 { return now.UnixNano() / (m.window.Nanoseconds() / slots) }
+func (m *meter) slot(now time.Time) int64 { return int64(now.Sub(m.began) / (m.window / slots)) }
 
 // advance takes in that time has passed.
 func (m *meter) advance(now time.Time) {
@@ -145,10 +148,12 @@
 
 // mayRace reports whether this instance may admit a call though others may have admitted
 // some that it does not know of. While there is room for half of a window's calls, that many
-// do not come in the time it takes to tell. Then each instance keeps to its share.
-func (m *meter) mayRace(limit float64) bool {
+// do not come in the time it takes to tell. Then each instance keeps to its share of the room
+// and of the calls that leave the window meanwhile.
+func (m *meter) mayRace(limit float64, telling time.Duration) bool {
 	room := limit - m.recent.sum
-	return room > freePart*limit || m.untold()+1 <= max(1, m.share()*(room+m.untold()))
+	leaving := m.ownPart() * limit * telling.Seconds() / m.window.Seconds()
+	return room > freePart*limit || m.untold()+1 <= max(1, m.share()*(room+m.untold())+leaving)
 }
 
 // mayBegin reports whether there is room for one more program beside those under way: one
@@ -227,11 +232,15 @@
 // share is the part of the room that this instance may use before the others know of it: by
 // its part of the calls, and something for one that begins to have calls.
 func (m *meter) share() float64 {
-	share := newcomersPart / float64(max(newcomersLeast, len(m.others)+1))
-	if m.shareAll > 0 {
-		share += (1 - newcomersPart) * m.shareOwn / m.shareAll
+	return newcomersPart/float64(max(newcomersLeast, len(m.others)+1)) + (1-newcomersPart)*m.ownPart()
+}
+
+// ownPart is this instance's part of the recent calls.
+func (m *meter) ownPart() float64 {
+	if m.shareAll <= 0 {
+		return 0
 	}
-	return share
+	return m.shareOwn / m.shareAll
 }
 
 // untold is the number of calls that others may not know of.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -1,9 +1,6 @@
 package limit
 
 import (
-	"maps"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,34 +26,6 @@
 	Overage, Slack float64
 }
 
-// Use is what an instance tells the others of a customer's calls.
-type Use struct {
-	// Customer is the hash of its name.
-	Customer uint64
-	// Made is the number of calls admitted since the instance started, Recent that of the
-	// last window.
-	Made   uint64
-	Recent uint32
-}
-
-// Telling is what an instance tells the others at once.
-type Telling struct {
-	// From names the instance, Run tells its starts apart.
-	From string
-	Run  uint64
-	// Known is for how long it knows what calls there were, up to a window.
-	Known time.Duration
-	Uses  []Use
-	// Counted is told to an instance that has started: all calls of the last window.
-	Counted []Count
-}
-
-// Count is the number of a customer's calls of the last window, at all instances.
-type Count struct {
-	Customer uint64
-	Calls    uint32
-}
-
 const (
 	// useMemory is the time over which an instance's part of a customer's calls is taken.
 	useMemory = 2 * time.Second
@@ -123,18 +92,6 @@
 	all     int
 }
 
-// peer is another instance, as far as it told.
-type peer struct {
-	run  uint64
-	made map[uint64]made
-}
-
-// made is the number of calls of a customer that a peer told of, and when it did.
-type made struct {
-	calls uint64
-	at    time.Time
-}
-
 // NewQuotas returns quotas of nobody, at the instance; the run tells its starts apart.
 func NewQuotas(name string, run uint64, t Tolerance) *Quotas {
 	return &Quotas{name: name, run: run, tolerance: t, meters: map[string]*meter{}, hashes: map[uint64]*meter{}, peers: map[string]*peer{}}
@@ -198,14 +155,15 @@
 	known := q.known(now)
 	limit := m.limit(q.part, known)
 	begins := c.Head && !m.programs.knows(c.Program)
+	telling := m.tellingTime(now, q.round)
 	full := m.recent.sum+1 > limit || m.level < 1 || begins && !m.mayBegin(now, limit)
 	switch {
 	case full && q.part < partKnown:
 		return Unknown, m.wait(q.part, known)
 	case full:
 		return Over, m.wait(q.part, known)
-	case !q.alone && !m.mayRace(limit):
-		return Over, max(refillLeast, m.tellingTime(now, q.round))
+	case !q.alone && !m.mayRace(limit, telling):
+		return Over, max(refillLeast, telling)
 	}
 	m.take(now)
 	if c.Program != "" {
@@ -231,125 +189,6 @@
 	}
 }
 
-// Hear takes in what another instance tells. One without a run admits no calls.
-func (q *Quotas) Hear(t Telling, now time.Time) {
-	if t.Run == 0 {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	p := q.peers[t.From]
-	if p == nil || p.run != t.Run {
-		p = &peer{run: t.Run, made: map[uint64]made{}}
-		q.peers[t.From] = p
-		if t.Known < q.window() && q.known(now) >= q.window() && q.tellsStarted(t.From) {
-			q.started = append(q.started, t.From)
-		}
-	}
-	if t.Known >= q.window() && len(t.Counted) > 0 {
-		q.count(t.Counted, now)
-	}
-	for _, u := range t.Uses {
-		q.hearUse(p, t.From, u, now)
-	}
-}
-
-// tellers is about the number of instances that tell one that has started what it does not
-// know. Some of them may be cut off from it, or may have started as well.
-const tellers = 6
-
-// tellsStarted reports whether it is for this instance to tell the one that has started; the
-// lock is held.
-func (q *Quotas) tellsStarted(instance string) bool {
-	return xxhash.Sum64String(q.name+" "+instance)%uint64(max(1, q.all)) < tellers
-}
-
-// count takes in how many calls there were; the lock is held. They are all of the window,
-// also those that this instance itself admitted before it was started again.
-func (q *Quotas) count(counted []Count, now time.Time) {
-	if q.known(now) >= q.window() {
-		return
-	}
-	for _, c := range counted {
-		if m := q.hashes[c.Customer]; m != nil {
-			m.advance(now)
-			m.recent.add(m.head, max(0, float64(c.Calls)-m.recent.sum))
-		}
-	}
-	q.counted = true
-	if !q.knows.IsZero() {
-		q.knows = now.Add(-q.window())
-	}
-}
-
-// Started returns the instances that have started, and what to tell them. The list may be
-// told in parts.
-func (q *Quotas) Started(now time.Time) (instances []string, t Telling) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.started) == 0 {
-		return nil, Telling{}
-	}
-	instances, q.started = q.started, nil
-	t = Telling{From: q.name, Run: q.run, Known: min(q.known(now), q.window())}
-	for _, m := range q.meters {
-		m.advance(now)
-		if m.recent.sum > 0 {
-			t.Counted = append(t.Counted, Count{Customer: m.hash, Calls: uint32(math.Ceil(m.recent.sum))})
-		}
-	}
-	if t.Counted == nil {
-		// That there were none is worth telling too.
-		t.Counted = []Count{{}}
-	}
-	return instances, t
-}
-
-// hearUse takes in the calls of one customer; the lock is held.
-func (q *Quotas) hearUse(p *peer, from string, u Use, now time.Time) {
-	before, known := p.made[u.Customer]
-	if u.Made < before.calls {
-		// Datagrams overtake each other.
-		return
-	}
-	p.made[u.Customer] = made{calls: u.Made, at: now}
-	fresh := u.Made - before.calls
-	switch {
-	case !known && q.counted:
-		// They are among those that were counted for this instance.
-		fresh = 0
-	case !known:
-		// How many of them were made before the window is not known.
-		fresh = min(fresh, uint64(u.Recent))
-	}
-	if m := q.hashes[u.Customer]; m != nil {
-		m.advance(now)
-		m.took(from, float64(fresh), now)
-	}
-}
-
-// Tell returns what the others are to be told now, and which of them are to hear it at once
-// and not by turns, since they have calls of the same customers.
-func (q *Quotas) Tell(now time.Time) (t Telling, atOnce []string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	t = Telling{From: q.name, Run: q.run, Known: min(q.known(now), q.window())}
-	sharing := map[string]bool{}
-	for _, m := range q.meters {
-		if !m.tells(now, q.round) {
-			continue
-		}
-		m.advance(now)
-		t.Uses = append(t.Uses, Use{Customer: m.hash, Made: m.made, Recent: uint32(max(0, math.Ceil(m.own.sum)))})
-		if q.round >= longRound {
-			for name := range m.others {
-				sharing[name] = true
-			}
-		}
-	}
-	return t, slices.Sorted(maps.Keys(sharing))
-}
-
 func (q *Quotas) window() time.Duration { return max(q.tolerance.Window, shortestWindow) }
 
 // Fleet takes in how many of all instances are heard, this one included, and how long it
@@ -407,21 +246,6 @@
 	}
 }
 
-// forget drops what peers told long ago, so that what is kept goes by the calls of the last
-// while and not by customers times instances; the lock is held.
-func (q *Quotas) forget(now time.Time) {
-	for name, p := range q.peers {
-		for customer, m := range p.made {
-			if now.Sub(m.at) > forgetAfter {
-				delete(p.made, customer)
-			}
-		}
-		if len(p.made) == 0 {
-			delete(q.peers, name)
-		}
-	}
-}
-
 // partOf is the part of each quota that a group of instances may use that hear each other
 // and nobody else. For any groups of a fleet the parts add up to one at most; most of it is
 // for a group of more than half, to which callers are sent.
