Late returns and first calls of others count right at a quota

Cause, found in reading: a call refused after seconds of waiting gave its place back in a later slot than its own, so that for the rest of the window one call too many could run; an entry that was told all calls at its start took the first telling of each other entry, at any later time, for calls that it knew. Change: given back within 0.5 s and in the slot of the admission; told calls are passed over only for three rounds after the start.

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -84,7 +84,9 @@
 	return f.verdict, 300 * time.Millisecond
 }
 
-func (f *fakeQuotas) Return(customer string) { f.returned = append(f.returned, customer) }
+func (f *fakeQuotas) Return(customer string, _, _ time.Time) {
+	f.returned = append(f.returned, customer)
+}
 
 // A call beyond its customer's quota runs, or waits for its end before it is refused.
 func TestCallsBeyondTheQuotaAreRefusedAtOnce(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,7 @@
 	// Admit admits a call, or tells when it is worth to come again.
 	Admit(c limit.Call, now time.Time) (limit.Verdict, time.Duration)
 	// Return gives the admission of a call back that has not run.
-	Return(customer string)
+	Return(customer string, admitted, now time.Time)
 }
 
 // latencySample is the number of recent calls that the histogram keeps.
@@ -156,9 +156,10 @@
 	if refusal := f.admit(); refusal != nil {
 		return *refusal
 	}
+	admitted := time.Now()
 	result := f.run(ctx)
 	if result.Outcome == NotRun && f.customer != nil {
-		f.gateway.settings.Quotas.Return(f.customer.Name)
+		f.gateway.settings.Quotas.Return(f.customer.Name, admitted, time.Now())
 	}
 	return result
 }
--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -199,13 +199,14 @@
 }
 
 // giveBack takes back a call of this instance that has not run.
-func (m *meter) giveBack() {
-	if m.own.sum < 1 {
+func (m *meter) giveBack(admitted time.Time) {
+	slot := m.slot(admitted)
+	if slot <= m.head-slots || m.own.counts[slot%(slots+1)] < 1 {
 		return
 	}
 	m.level = min(m.burst, m.level+1)
-	m.recent.add(m.head, -1)
-	m.own.add(m.head, -1)
+	m.recent.add(slot, -1)
+	m.own.add(slot, -1)
 	m.returned++
 }
 
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -45,6 +45,8 @@
 	tellingRounds = 3
 	// refillLeast keeps a caller that is refused from coming back at once.
 	refillLeast = 50 * time.Millisecond
+	// returnWithin is how long after its admission a call may be given back.
+	returnWithin = 500 * time.Millisecond
 	// forgetAfter is how long what a peer told of a customer is remembered: far longer than
 	// a datagram may be on its way, so that a late one does not count anew.
 	forgetAfter = 20 * time.Second
@@ -82,9 +84,11 @@
 	round time.Duration
 	// knows is since when all calls are known; zero before most instances were heard.
 	knows time.Time
-	// counted says that this instance was told all calls from before its start.
-	counted bool
-	swept   time.Time
+	// counted says that this instance was told all calls from before its start, and
+	// countedUntil until when others still tell of those for the first time.
+	counted      bool
+	countedUntil time.Time
+	swept        time.Time
 	// rising is since when more instances are heard than part says; zero while they are not.
 	rising time.Time
 	// started are instances that are to be told all calls of the window.
@@ -180,12 +184,17 @@
 	return now.Sub(q.knows)
 }
 
-// Return gives an admission back whose call has not run.
-func (q *Quotas) Return(customer string) {
+// Return gives an admission back whose call has not run. One that waited for long stays
+// counted: later calls would take its place while it has left the window already.
+func (q *Quotas) Return(customer string, admitted, now time.Time) {
+	if now.Sub(admitted) > returnWithin {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if m := q.meters[customer]; m != nil {
-		m.giveBack()
+		m.advance(now)
+		m.giveBack(admitted)
 	}
 }
 
--- a/internal/limit/quota_test.go
+++ b/internal/limit/quota_test.go
@@ -267,7 +267,7 @@
 	for range 200 {
 		verdict, _ := q.Admit(Call{Customer: "c"}, now)
 		is.Equal(verdict, Admitted)
-		q.Return("c")
+		q.Return("c", now, now)
 	}
 	admitted := 0
 	for verdict, _ := q.Admit(Call{Customer: "c"}, now); verdict == Admitted; verdict, _ = q.Admit(Call{Customer: "c"}, now) {
@@ -283,6 +283,43 @@
 	is.Equal(verdict, Admitted)
 }
 
+// A customer gets beyond its quota: calls that waited long and were refused leave the window
+// sooner than the credit for them.
+func TestCallsThatWaitedLongStayCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := NewQuotas("a", 1, tolerance)
+	q.Set(map[string]Quota{"c": {Rate: 2, Burst: 2}}, now)
+	q.Fleet(1, 1, tellTick, now)
+	now = now.Add(tolerance.Window)
+	q.Admit(Call{Customer: "c"}, now)
+	q.Return("c", now, now.Add(4*time.Second))
+	is.Equal(q.meters["c"].recent.sum, 1.0)
+	q.Return("c", now, now.Add(returnWithin))
+	is.Equal(q.meters["c"].recent.sum, 0.0)
+}
+
+// An instance that was told all calls at its start takes the first calls of others, long
+// after, for ones that it was told of.
+func TestFirstCallsOfOthersCountAfterAStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := NewQuotas("a", 1, tolerance)
+	q.Set(map[string]Quota{"c": {Rate: 20, Burst: 20}}, now)
+	m := q.meters["c"]
+	q.Fleet(2, 2, tellTick, now)
+	q.Fleet(2, 2, tellTick, now.Add(tellTick))
+	tell := func(from string, counted []Count, made uint64) {
+		uses := []Use{{Customer: m.hash, Made: made, Recent: uint32(made)}}
+		q.Hear(Telling{From: from, Run: 7, Known: tolerance.Window, Uses: uses, Counted: counted}, now)
+	}
+	tell("b", []Count{{Customer: m.hash, Calls: 30}}, 30)
+	is.Equal(m.recent.sum, 30.0) // not counted twice
+	now = now.Add(time.Second)
+	tell("c", nil, 9)
+	is.Equal(m.recent.sum, 39.0)
+}
+
 // The parts of groups that do not hear each other are more than the whole.
 func TestPartsOfGroupsAddUpToOneAtMost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/limit/telling.go
+++ b/internal/limit/telling.go
@@ -94,7 +94,9 @@
 			m.recent.add(m.head, max(0, float64(c.Calls)-m.recent.sum))
 		}
 	}
-	q.counted = true
+	if !q.counted {
+		q.counted, q.countedUntil = true, now.Add(tellingRounds*q.round)
+	}
 	if !q.knows.IsZero() {
 		q.knows = now.Add(-q.window())
 	}
@@ -133,7 +135,7 @@
 	p.made[u.Customer] = made{calls: u.Made, at: now}
 	fresh := u.Made - before.calls
 	switch {
-	case !known && q.counted:
+	case !known && now.Before(q.countedUntil):
 		// They are among those that were counted for this instance.
 		fresh = 0
 	case !known:
