--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -9,4 +9,6 @@
 // which divides the rest by demand. Inside an instance steps wait in one queue
 // for each plan, served by weighted fair queueing (Demers, Keshav and Shenker,
 // SIGCOMM 1989) over the time that slots are occupied.
+//
+// Quotas hold customers to a rate with a burst over all instances and data centres; see there.
 package limit
--- a/internal/limit/programs.go
+++ b/internal/limit/programs.go
@@ -20,6 +20,7 @@
 	known map[string]*programUse
 	// calls is the learned number of calls of a program in a window; 0 for unknown.
 	calls float64
+	swept time.Time
 }
 
 // programUse is what a program has used since it began.
@@ -39,10 +40,11 @@
 }
 
 // called counts a call of a program.
-func (p *programs) called(name string, now time.Time) {
+func (p *programs) called(name string, now time.Time, window time.Duration) {
 	if p.known == nil {
 		p.known = map[string]*programUse{}
 	}
+	p.sweep(now, window)
 	use := p.known[name]
 	if use == nil {
 		use = &programUse{began: now}
@@ -55,16 +57,26 @@
 // expected is the number of calls in a window that the programs under way and one more make.
 func (p *programs) expected(now time.Time, window time.Duration) float64 {
 	under := 1
-	for name, use := range p.known {
+	for _, use := range p.known {
 		if use.underWay(now, window) {
 			under++
 		}
+	}
+	return float64(under) * p.mean(now, window)
+}
+
+// sweep forgets programs that are over.
+func (p *programs) sweep(now time.Time, window time.Duration) {
+	if now.Sub(p.swept) < window {
+		return
+	}
+	p.swept = now
+	for name, use := range p.known {
 		if now.Sub(use.last) > rememberWindows*window {
 			p.learn(use, window)
 			delete(p.known, name)
 		}
 	}
-	return float64(under) * p.mean(now, window)
 }
 
 // learn takes in a program that is over.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -171,7 +171,7 @@
 	}
 	m.take(now)
 	if c.Program != "" {
-		m.programs.called(c.Program, now)
+		m.programs.called(c.Program, now, m.window)
 	}
 	return Admitted, 0
 }
--- a/internal/limit/quota_test.go
+++ b/internal/limit/quota_test.go
@@ -64,6 +64,13 @@
 	}
 }
 
+func (w *quotaWorld) cutAndHeal(chosen func(n int) bool) {
+	w.cut(chosen)
+	w.play(6 * time.Second)
+	w.cut(func(int) bool { return false })
+	w.play(6 * time.Second)
+}
+
 // loads are patterns of the worst load.
 var loads = map[string]func(w *quotaWorld){
 	"burst": func(w *quotaWorld) {
@@ -88,26 +95,17 @@
 	"a data centre is cut off": func(w *quotaWorld) {
 		manyCustomers(w, 0.8)
 		w.play(5 * time.Second)
-		w.cut(func(n int) bool { return n%dataCentres == 0 })
-		w.play(6 * time.Second)
-		w.cut(func(int) bool { return false })
-		w.play(6 * time.Second)
+		w.cutAndHeal(func(n int) bool { return n%dataCentres == 0 })
 	},
 	"a data centre is cut off under a flood": func(w *quotaWorld) {
 		manyCustomers(w, 3)
 		w.play(5 * time.Second)
-		w.cut(func(n int) bool { return n%dataCentres == 0 })
-		w.play(6 * time.Second)
-		w.cut(func(int) bool { return false })
-		w.play(6 * time.Second)
+		w.cutAndHeal(func(n int) bool { return n%dataCentres == 0 })
 	},
 	"halves do not hear each other under a flood": func(w *quotaWorld) {
 		manyCustomers(w, 3)
 		w.play(5 * time.Second)
-		w.cut(func(n int) bool { return n%2 == 0 })
-		w.play(6 * time.Second)
-		w.cut(func(int) bool { return false })
-		w.play(6 * time.Second)
+		w.cutAndHeal(func(n int) bool { return n%2 == 0 })
 	},
 	"a flood through many instances": func(w *quotaWorld) {
 		for n := range 4 {
@@ -320,6 +318,19 @@
 	is.Equal(m.recent.sum, 39.0)
 }
 
+// An instance's memory grows with all programs that ever made a call.
+func TestProgramsThatAreOverAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var p programs
+	for i := range 10_000 {
+		now = now.Add(100 * time.Millisecond)
+		p.called(fmt.Sprint(i), now, tolerance.Window)
+	}
+	is.True(len(p.known) <= int((rememberWindows+1)*tolerance.Window/(100*time.Millisecond)))
+	is.True(p.calls > 0)
+}
+
 // The parts of groups that do not hear each other are more than the whole.
 func TestPartsOfGroupsAddUpToOneAtMost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
