--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,9 +94,6 @@
 	// date: a change has 2 s to come into force.
 	pauseLook    = 500 * time.Millisecond
 	pauseLongest = 500 * time.Millisecond
-	// fleetEvery is how often it is counted how many instances are heard: several times
-	// before callers are sent elsewhere.
-	fleetEvery = 100 * time.Millisecond
 	// refreshEvery is how often held-back removals are looked at again.
 	refreshEvery = 250 * time.Millisecond
 )
@@ -303,24 +300,6 @@
 	return nil
 }
 
-// followFleet tells the quotas which part of the fleet this instance hears.
-func (n *Node) followFleet(ctx context.Context) {
-	for ctx.Err() == nil {
-		heard, all := 0, 1
-		if _, known := n.mirror.AsOf(mirror.Fleet); known {
-			heard, all = n.fleet.heardEntries(n.hearsEntry)
-		}
-		n.quotas.Fleet(heard, all, n.load.Round(), time.Now())
-		pause(ctx, fleetEvery)
-	}
-}
-
-// hearsEntry reports whether an instance is heard. Where nothing comes from its data centre,
-// that shows sooner than by its own silence.
-func (n *Node) hearsEntry(m member) bool {
-	return n.load.Silence(m.DataCentre) <= cutAfter && n.load.Alive(m.Name, cutAfter)
-}
-
 // takeStanding takes in how another keeper stands.
 func (n *Node) takeStanding(data []byte) {
 	status := &historypb.StatusResponse{}
