Lines and counters that tell why a sending ended without an answer

Each sending without a whole answer now writes one line with its verdict, cause, time, events, the age of the data centre's last sign and the replicas that may have run the call of the attempts allowed; a data centre that falls silent one with the age of each instance's last datagram. Counters by verdict, and of calls that may have run at more replicas than allowed. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -17,25 +17,6 @@
 // known to be complete.
 const maxAnswer = 16 << 20
 
-// verdict is what one sending came to.
-type verdict uint8
-
-const (
-	// whole says that the replica's whole answer is here.
-	whole verdict = iota
-	// notRun says that the replica refused the call.
-	notRun
-	// full says that no connection was free, notSent that none could be made.
-	full
-	notSent
-	// lost says that it may have run.
-	lost
-	// spoiled says that it ran and its answer is no use.
-	spoiled
-	// cutOff says that the replica stopped answering anything; it may have run.
-	cutOff
-)
-
 // exchange serves a call with a plain answer.
 func (f *flight) exchange(ctx context.Context) Result {
 	ran := 0
@@ -156,24 +137,37 @@
 		defer stop()
 		ctx = silent
 	}
-	started := time.Now()
-	answer, err := f.sendTo(ctx, g, "")
+	s := &sending{grant: g, began: time.Now()}
+	answer, body, v := f.receive(ctx, s)
+	f.sendingEnded(ctx, s, v)
+	return answer, body, v
+}
+
+// receive sends the call and reads the whole answer.
+func (f *flight) receive(ctx context.Context, s *sending) (*Answer, []byte, verdict) {
+	answer, err := f.sendTo(ctx, s.grant, "")
 	if err != nil {
-		return nil, nil, f.sendFailed(ctx, g, err)
+		s.err = err
+		return nil, nil, failedAs(ctx, err)
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
 		return answer, nil, v
 	}
-	g.FirstToken()
+	s.grant.FirstToken()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
-	if err != nil && wasSilent(ctx) {
-		return nil, nil, cutOff
+	if err != nil {
+		s.err = err
+		if wasSilent(ctx) {
+			return nil, nil, cutOff
+		}
+		return nil, nil, spoiled
 	}
-	if err != nil || answer.Length >= 0 && int64(len(body)) != answer.Length {
+	if answer.Length >= 0 && int64(len(body)) != answer.Length {
 		return nil, nil, spoiled
 	}
-	g.Done(scheduler.Feedback{Failure: ownFailure(answer.Status), Total: time.Since(started), FirstToken: time.Since(started)})
+	took := time.Since(s.began)
+	s.grant.Done(scheduler.Feedback{Failure: ownFailure(answer.Status), Total: took, FirstToken: took})
 	return answer, body, whole
 }
 
@@ -207,9 +201,8 @@
 
 func wasSilent(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDataCentreSilent) }
 
-// sendFailed tells what a sending without an answer came to.
-func (f *flight) sendFailed(ctx context.Context, g *scheduler.Grant, err error) verdict {
-	f.gateway.logger.WithError(err).WithField("request", f.call.ID).WithField("replica", g.Upstream).Info("send failed")
+// failedAs tells what a sending without an answer came to.
+func failedAs(ctx context.Context, err error) verdict {
 	switch {
 	case errors.Is(err, httpconn.ErrFull):
 		return full
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	latency  metrics.Histogram
 	outcomes [Gone + 1]metrics.Counter
 	refusals *refusals
+	sendings *sendings
 }
 
 // Settings are what a gateway is told by the instance that it serves in.
@@ -55,6 +56,8 @@
 	CutOffFor func() time.Duration
 	// Quotas holds customers to their quotas.
 	Quotas Quotas
+	// Silence returns for how long nothing was heard from a data centre; 0 where that can't be said.
+	Silence func(dataCentre string) time.Duration
 	// WhenSilent has f called should a data centre fall silent before stop is called.
 	WhenSilent func(dataCentre string, f func()) (stop func())
 }
@@ -72,7 +75,7 @@
 
 // New returns a gateway.
 func New(s Settings, sched *scheduler.Scheduler, replicas Replicas, turns Turns, logger log.Interface, registry metrics.Registry) *Gateway {
-	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger, refusals: newRefusals(registry)}
+	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger, refusals: newRefusals(registry), sendings: newSendings(registry)}
 	g.latency = metrics.GetOrRegisterHistogram("gateway.call.us", registry, metrics.NewUniformSample(latencySample))
 	for o := range g.outcomes {
 		g.outcomes[o] = metrics.GetOrRegisterCounter("gateway.calls."+Outcome(o).String(), registry)
@@ -117,6 +120,8 @@
 	home string
 	// sends counts sendings, ran the replicas that may have run the call.
 	sends, ran int
+	// ranAt are the replicas that may have run the call.
+	ranAt []string
 	// replica is the one that was sent to last.
 	replica string
 	// begun says that the answer's head was passed on.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -183,6 +183,7 @@
 		if settings.Quotas == nil {
 			settings.Quotas = limit.NewQuotas("entry", 1, limit.Tolerance{})
 		}
+		settings.Silence = func(string) time.Duration { return 0 }
 		if settings.WhenSilent == nil {
 			settings.WhenSilent = func(string, func()) func() { return func() {} }
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -94,7 +96,6 @@
 
 // runOnce sends the call once and passes events on until the stream ends.
 func (f *flight) runOnce(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
-	started := time.Now()
 	if f.route.Resumable {
 		silent, stop := f.untilSilent(ctx, g)
 		defer stop()
@@ -102,9 +103,20 @@
 	}
 	ctx, watch := f.watch(ctx, g)
 	defer watch.stop()
-	answer, err := f.sendTo(ctx, g, f.resumePoint(rec))
+	s := &sending{grant: g, began: time.Now()}
+	before := rec.events
+	v, answer, result := f.follow(ctx, s, rec, watch)
+	s.events = rec.events - before
+	f.sendingEnded(ctx, s, v)
+	return v, answer, result
+}
+
+// follow sends the call and passes on what comes.
+func (f *flight) follow(ctx context.Context, s *sending, rec *record, watch *watchdog) (verdict, *Answer, Result) {
+	answer, err := f.sendTo(ctx, s.grant, f.resumePoint(rec))
 	if err != nil {
-		return f.sendFailed(ctx, g, err), nil, Result{}
+		s.err = err
+		return failedAs(ctx, err), nil, Result{}
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -112,10 +124,10 @@
 	}
 	rec.sent = true
 	if answer.Status >= 300 {
-		v, result := f.passFailure(g, answer)
+		v, result := f.passFailure(s, answer)
 		return v, answer, result
 	}
-	v, result := f.relay(g, answer, rec, started, watch)
+	v, result := f.relay(s, answer, rec, watch)
 	if v == lost && wasSilent(ctx) {
 		v = cutOff
 	}
@@ -130,12 +142,13 @@
 }
 
 // passFailure passes on a replica's own failure.
-func (f *flight) passFailure(g *scheduler.Grant, a *Answer) (verdict, Result) {
+func (f *flight) passFailure(s *sending, a *Answer) (verdict, Result) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil || f.begun {
+		s.err = err
 		return lost, Result{}
 	}
-	g.Done(scheduler.Feedback{Failure: ownFailure(a.Status), Cancelled: ownFailure(a.Status) == nil})
+	s.grant.Done(scheduler.Feedback{Failure: ownFailure(a.Status), Cancelled: ownFailure(a.Status) == nil})
 	return whole, f.pass(a, body)
 }
 
@@ -149,7 +162,7 @@
 }
 
 // relay passes on whole events as they come.
-func (f *flight) relay(g *scheduler.Grant, a *Answer, rec *record, started time.Time, watch *watchdog) (verdict, Result) {
+func (f *flight) relay(s *sending, a *Answer, rec *record, watch *watchdog) (verdict, Result) {
 	var split splitter
 	var first time.Duration
 	before := rec.events
@@ -160,14 +173,14 @@
 			events := split.add(buffer[:n])
 			if len(events) > 0 {
 				if first == 0 {
-					first = time.Since(started)
-					g.FirstToken()
+					first = time.Since(s.began)
+					s.grant.FirstToken()
 				}
-				g.Progress()
+				s.grant.Progress()
 				watch.progress()
 			}
 			if !f.passEvents(a, events, rec) {
-				g.Done(scheduler.Feedback{Cancelled: true})
+				s.grant.Done(scheduler.Feedback{Cancelled: true})
 				return whole, f.end(Gone, CallerLeft, a.Status)
 			}
 		}
@@ -175,12 +188,13 @@
 			continue
 		}
 		if err != io.EOF || split.rest() {
+			s.err = err
 			return brokenBy(err), Result{}
 		}
 		made := (rec.events - before) * f.tokensPerEvent()
-		g.Done(scheduler.Feedback{
-			Prompt: f.call.PromptTokens, Cached: g.Cached(), Output: made,
-			FirstToken: first, Total: time.Since(started),
+		s.grant.Done(scheduler.Feedback{
+			Prompt: f.call.PromptTokens, Cached: s.grant.Cached(), Output: made,
+			FirstToken: first, Total: time.Since(s.began),
 		})
 		return whole, f.finish(a, rec)
 	}
@@ -201,17 +215,19 @@
 type watchdog struct {
 	timer  *time.Timer
 	gap    time.Duration
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
+var errStalled = errors.New("gateway: the replica makes no progress")
+
 // watch returns a context that ends when the run hangs, where it may be resumed.
 func (f *flight) watch(ctx context.Context, g *scheduler.Grant) (context.Context, *watchdog) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{cancel: cancel, gap: gapFactor * f.route.GapObjective}
 	if f.route.Resumable && w.gap > 0 {
 		e := g.Decision.Estimate
 		expected := time.Duration((e.Wait + e.Prefill) * float64(time.Second))
-		w.timer = time.AfterFunc(max(firstLeast, firstFactor*expected), cancel)
+		w.timer = time.AfterFunc(max(firstLeast, firstFactor*expected), func() { cancel(errStalled) })
 	}
 	return ctx, w
 }
@@ -226,7 +242,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	w.cancel()
+	w.cancel(nil)
 }
 
 func brokenBy(err error) verdict {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,6 +193,7 @@
 		CutOffFor: n.cutOffFor,
 		Quotas:    n.quotas,
 
+		Silence:    n.load.Silence,
 		WhenSilent: n.dataCentres.when,
 	}, sched, n.dialect.Replicas, turns, n.logger, n.registry)
 }
@@ -264,6 +265,7 @@
 		n.dataCentres.run(serving, func(dc string) bool { return n.load.Silence(dc) > cutAfter })
 		return nil
 	})
+	group.Go(func() error { n.logSilences(serving); return nil })
 	group.Go(func() error {
 		n.keepers.run(serving, func(name string) bool { return !n.fleet.hears(name) })
 		return nil
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -130,6 +130,14 @@
 	return time.Since(at)
 }
 
+// Unheard returns for how long an instance was not heard; false for one that never was.
+func (x *Exchange) Unheard(instance string) (time.Duration, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l, ok := x.lives[instance]
+	return time.Since(l.at), ok
+}
+
 // leastOthers is the number of other data centres, or of other instances of a
 // fleet within one, whose silence at the same time shows that this instance is
 // cut off and not they.
