--- /dev/null
+++ b/internal/gateway/attempts_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxhall/internal/routing"
+)
+
+// slowly streams an event at once and the next ones after pauses, unless its caller leaves.
+func slowly(pause time.Duration, events ...string) script {
+	return func(ctx context.Context, _ *Send) (*Answer, error) {
+		body := &slowReader{ctx: ctx, pause: pause, events: events}
+		return NewAnswer(Answer{Status: 200, Verified: true, Run: true, Length: -1, Body: body}, func() {}), nil
+	}
+}
+
+type slowReader struct {
+	ctx    context.Context
+	pause  time.Duration
+	events []string
+	begun  bool
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.events) == 0 {
+		return 0, io.EOF
+	}
+	if r.begun {
+		select {
+		case <-time.After(r.pause):
+		case <-r.ctx.Done():
+			return 0, r.ctx.Err()
+		}
+	}
+	r.begun = true
+	n, err := strings.NewReader(r.events[0]).Read(p)
+	r.events = r.events[1:]
+	return n, err
+}
+
+// silentOnce has each call told once, after the time, that the data centre is silent.
+func silentOnce(after time.Duration) func(string, func()) func() {
+	return func(_ string, f func()) func() {
+		timer := time.AfterFunc(after, f)
+		return func() { timer.Stop() }
+	}
+}
+
+func distinct(sends []string) int {
+	return len(slices.Compact(slices.Sorted(slices.Values(sends))))
+}
+
+// Calls run on more replicas than their route allows: the instances of a data centre are
+// silent while its replicas answer.
+func TestAttemptsHoldWhileInstancesAreSilentAndReplicasAnswer(t *testing.T) {
+	is := is.New(t)
+	route := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}
+	out := serveThrough(t, silentOnce(300*time.Millisecond), route, Call{}, nil,
+		slowly(200*time.Millisecond, event(1), event(2), event(3), event(4)), streams(nil, event(9)))
+	is.Equal(distinct(out.sends), 1)
+	is.Equal(out.result.Outcome, Answered)
+	is.Equal(out.body, event(1)+event(2)+event(3)+event(4))
+
+	idempotent := routing.Route{Repeat: routing.Idempotent, Attempts: 1}
+	late := func(ctx context.Context, s *Send) (*Answer, error) {
+		time.Sleep(400 * time.Millisecond)
+		if ctx.Err() != nil {
+			return hangs(ctx, s)
+		}
+		return good("late")(ctx, s)
+	}
+	out = serveThrough(t, silentOnce(300*time.Millisecond), idempotent, Call{}, nil, late, good("second"))
+	is.Equal(distinct(out.sends), 1)
+	is.Equal(out.body, "late")
+}
