A replica counts as cut off only when it accepts no connection

Cause: an entry took a data centre for cut off when it had heard no instance of foxhall there for 450 ms, closed its calls to the replicas there and, since what a replica behind a cut does reaches nobody, did not count these replicas against the route's attempts. That no instance is heard says nothing of the replicas: in a data centre with one entry and one keeper it takes an emptied keeper and a restarted entry, or an entry that is itself cut off from the keepers. Class: silence of one party taken as proof about another, where a promise hangs on it.

Change: silence now only raises the suspicion, after 250 ms. The replica is then tried with a new connection, twice 100 ms; calls leave it, and it does not count, only if it accepts none. The connection is kept for the next call, and calls share it. In a cut, calls leave after 450 ms as before. Calls whose replica answers stay with it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -133,9 +133,9 @@
 		ctx = limited
 	}
 	if f.route.Repeat == routing.Idempotent {
-		silent, stop := f.untilSilent(ctx, g)
+		connected, stop := f.untilCutOff(ctx, g)
 		defer stop()
-		ctx = silent
+		ctx = connected
 	}
 	s := &sending{grant: g, began: time.Now()}
 	answer, body, v := f.receive(ctx, s)
@@ -158,7 +158,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil {
 		s.err = err
-		if wasSilent(ctx) {
+		if wasCutOff(ctx) {
 			return nil, nil, cutOff
 		}
 		return nil, nil, spoiled
@@ -185,22 +185,6 @@
 	}
 }
 
-var errDataCentreSilent = errors.New("gateway: the replica's data centre is silent")
-
-// untilSilent returns a context that ends when the replica's data centre falls
-// silent. A call that may be repeated waits for its answer in vain then, until its
-// connection gives up, while others could serve it.
-func (f *flight) untilSilent(ctx context.Context, g *scheduler.Grant) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := f.gateway.settings.WhenSilent(g.DataCentre, func() { cancel(errDataCentreSilent) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-func wasSilent(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDataCentreSilent) }
-
 // failedAs tells what a sending without an answer came to.
 func failedAs(ctx context.Context, err error) verdict {
 	switch {
@@ -208,7 +192,7 @@
 		return full
 	case errors.Is(err, httpconn.ErrNotSent):
 		return notSent
-	case errors.Is(err, httpconn.ErrSilent), wasSilent(ctx):
+	case errors.Is(err, httpconn.ErrSilent), wasCutOff(ctx):
 		return cutOff
 	default:
 		return lost
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,8 @@
 	Quotas Quotas
 	// Silence returns for how long nothing was heard from a data centre; 0 where that can't be said.
 	Silence func(dataCentre string) time.Duration
-	// WhenSilent has f called should a data centre fall silent before stop is called.
+	// WhenSilent has f called should a data centre fall silent before stop is called. The
+	// replicas there may answer all the same.
 	WhenSilent func(dataCentre string, f func()) (stop func())
 }
 
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -51,10 +51,15 @@
 type sendings struct {
 	ended    [cutOff + 1]metrics.Counter
 	exceeded metrics.Counter
+	// reached counts the replicas in silent data centres that were found to answer.
+	reached metrics.Counter
 }
 
 func newSendings(registry metrics.Registry) *sendings {
-	s := &sendings{exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry)}
+	s := &sendings{
+		exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry),
+		reached:  metrics.GetOrRegisterCounter("gateway.silent.reached", registry),
+	}
 	for v := range s.ended {
 		s.ended[v] = metrics.GetOrRegisterCounter("gateway.sendings."+verdict(v).String(), registry)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,9 +97,9 @@
 // runOnce sends the call once and passes events on until the stream ends.
 func (f *flight) runOnce(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	if f.route.Resumable {
-		silent, stop := f.untilSilent(ctx, g)
+		connected, stop := f.untilCutOff(ctx, g)
 		defer stop()
-		ctx = silent
+		ctx = connected
 	}
 	ctx, watch := f.watch(ctx, g)
 	defer watch.stop()
@@ -128,7 +128,7 @@
 		return v, answer, result
 	}
 	v, result := f.relay(s, answer, rec, watch)
-	if v == lost && wasSilent(ctx) {
+	if v == lost && wasCutOff(ctx) {
 		v = cutOff
 	}
 	return v, answer, result
