A silent connection does not tell that its replica is cut off

Cause: a kept connection that goes silent without a reset, or loses packets for 900 ms, ended the sending as cut off, which does not count against the attempts. Connections may be gone while new ones work. The same class as the fault before: silence taken as proof.

Change: after such a silence the replica is tried with a new connection as well. Where it accepts one, the sending counts as lost: the replica counts, and the call is sent to it again over the new connection, as the code already does after a lost answer. Calls that may run once only are as before.

TestAttemptsHoldWhereOnlyAConnectionIsSilent failed before (2 replicas of 1).

--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"io"
+	"os"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"foxhall/internal/httpconn"
 	"foxhall/internal/routing"
 )
 
@@ -80,3 +83,22 @@
 	is.Equal(distinct(out.sends), 1)
 	is.Equal(out.body, "late")
 }
+
+// Calls run on more replicas than their route allows: a kept connection goes silent while its
+// replica accepts new ones and runs on. The same replica must be asked again.
+func TestAttemptsHoldWhereOnlyAConnectionIsSilent(t *testing.T) {
+	is := is.New(t)
+	idempotent := routing.Route{Repeat: routing.Idempotent, Attempts: 1}
+	out := serve(t, idempotent, Call{}, nil, fails(httpconn.ErrSilent), good("again"))
+	is.Equal(out.body, "again")
+	is.Equal(distinct(out.sends), 1)
+
+	stream := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}
+	timedOut := os.NewSyscallError("read", syscall.ETIMEDOUT)
+	out = serve(t, stream, Call{}, nil, streams(timedOut, event(1)), streams(nil, event(2)))
+	is.Equal(out.body, event(1)+event(2))
+	is.Equal(distinct(out.sends), 1)
+	out = serve(t, stream, Call{}, nil, streams(timedOut, event(1)))
+	is.Equal(out.result.Outcome, BrokenOff)
+	is.Equal(distinct(out.sends), 1)
+}
--- a/internal/gateway/cutoff.go
+++ b/internal/gateway/cutoff.go
@@ -40,6 +40,15 @@
 
 func wasCutOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutOff) }
 
+// silentAs tells what a sending came to whose connection went silent. The replica may run on
+// and only the connection be gone.
+func (f *flight) silentAs(ctx context.Context, g *scheduler.Grant) verdict {
+	if f.route.Repeatable() && f.reachable(ctx, g) {
+		return lost
+	}
+	return cutOff
+}
+
 // reachable reports whether the replica accepts connections, or the call is over.
 func (f *flight) reachable(ctx context.Context, g *scheduler.Grant) bool {
 	target := Target{ID: g.Upstream, Address: g.Address}
@@ -52,7 +61,7 @@
 			f.gateway.sendings.reached.Inc(1)
 			f.gateway.logger.WithField("request", f.call.ID).WithField("replica", g.Upstream).
 				WithField("unheard_ms", f.gateway.settings.Silence(g.DataCentre).Milliseconds()).
-				Info("replica answers though its data centre is silent")
+				Info("silent replica accepts a connection")
 			return true
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/httpconn"
+	"foxhall/internal/netdial"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -147,8 +148,7 @@
 func (f *flight) receive(ctx context.Context, s *sending) (*Answer, []byte, verdict) {
 	answer, err := f.sendTo(ctx, s.grant, "")
 	if err != nil {
-		s.err = err
-		return nil, nil, failedAs(ctx, err)
+		return nil, nil, f.failedAs(ctx, s, err)
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -185,15 +185,18 @@
 	}
 }
 
-// failedAs tells what a sending without an answer came to.
-func failedAs(ctx context.Context, err error) verdict {
+// failedAs tells what a sending came to that ended with an error.
+func (f *flight) failedAs(ctx context.Context, s *sending, err error) verdict {
+	s.err = err
 	switch {
 	case errors.Is(err, httpconn.ErrFull):
 		return full
 	case errors.Is(err, httpconn.ErrNotSent):
 		return notSent
-	case errors.Is(err, httpconn.ErrSilent), wasCutOff(ctx):
+	case wasCutOff(ctx):
 		return cutOff
+	case errors.Is(err, httpconn.ErrSilent), netdial.Silent(err):
+		return f.silentAs(ctx, s.grant)
 	default:
 		return lost
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
 )
@@ -115,8 +114,7 @@
 func (f *flight) follow(ctx context.Context, s *sending, rec *record, watch *watchdog) (verdict, *Answer, Result) {
 	answer, err := f.sendTo(ctx, s.grant, f.resumePoint(rec))
 	if err != nil {
-		s.err = err
-		return failedAs(ctx, err), nil, Result{}
+		return f.failedAs(ctx, s, err), nil, Result{}
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -127,10 +125,7 @@
 		v, result := f.passFailure(s, answer)
 		return v, answer, result
 	}
-	v, result := f.relay(s, answer, rec, watch)
-	if v == lost && wasCutOff(ctx) {
-		v = cutOff
-	}
+	v, result := f.relay(ctx, s, answer, rec, watch)
 	return v, answer, result
 }
 
@@ -162,7 +157,7 @@
 }
 
 // relay passes on whole events as they come.
-func (f *flight) relay(s *sending, a *Answer, rec *record, watch *watchdog) (verdict, Result) {
+func (f *flight) relay(ctx context.Context, s *sending, a *Answer, rec *record, watch *watchdog) (verdict, Result) {
 	var split splitter
 	var first time.Duration
 	before := rec.events
@@ -188,8 +183,7 @@
 			continue
 		}
 		if err != io.EOF || split.rest() {
-			s.err = err
-			return brokenBy(err), Result{}
+			return f.failedAs(ctx, s, err), Result{}
 		}
 		made := (rec.events - before) * f.tokensPerEvent()
 		s.grant.Done(scheduler.Feedback{
@@ -245,13 +239,6 @@
 	w.cancel(nil)
 }
 
-func brokenBy(err error) verdict {
-	if netdial.Silent(err) {
-		return cutOff
-	}
-	return lost
-}
-
 // finish ends a whole stream. A turn must be durable before its answer's end
 // is passed on, since from then on the caller may continue from it.
 func (f *flight) finish(a *Answer, rec *record) Result {
