A refused second sending does not hide that the first may have run

What callers could see: a call ran at more replicas than its route allows, or was told 503, 'not run', though it had run.

Cause: a stream that breaks, or an idempotent call whose answer is lost, is sent to the same replica once more. The outcome of that second sending replaced the first's. If the replica refused it or no connection was free, the call counted as not run and went on to other replicas without limit but sendsMost; a stream lost before its head was told as not run. Class: the last outcome standing for all.

Change: one record of the replicas that may have run the call, kept by each sending (runs), decides whether it may go on and whether 'not run' is true, for plain answers and streams alike; three counters and flags that each path kept by itself are gone. A call whose caller has left is not sent on either.

TestRefusedSecondSendingDoesNotHideTheFirst failed before (2 replicas of 1). It is red without the tries before leaving a silent data centre, without those after a silent connection, without the count, without the memory of what ran, and with calls that may run once repeated.

--- /dev/null
+++ b/internal/gateway/attempts_machine_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxhall/internal/fuzzing"
+	"foxhall/internal/httpconn"
+	"foxhall/internal/routing"
+)
+
+func TestMain(m *testing.M) {
+	fuzzing.Fix(32, 300)
+	os.Exit(m.Run())
+}
+
+// behaviour is what a replica does with one sending.
+type behaviour struct {
+	name string
+	// runs says that the replica works on the call.
+	runs   bool
+	script script
+}
+
+func behaviours(stream bool) []behaviour {
+	answer, breaksOff := good("whole"), streams(io.ErrUnexpectedEOF, event(1))
+	if stream {
+		answer = resumed(streams(nil, event(1), event(2)), streams(nil, event(2)))
+		breaksOff = resumed(breaksOff, streams(io.ErrUnexpectedEOF))
+	}
+	return []behaviour{
+		{"loses the answer", true, fails(httpconn.ErrLost)},
+		{"refuses", false, refuses},
+		{"breaks off", true, breaksOff},
+		{"is behind a connection that went silent", true, afterPause(100*time.Millisecond, fails(httpconn.ErrSilent))},
+		{"answers late", true, afterPause(700*time.Millisecond, answer)},
+		{"takes no connection", false, fails(httpconn.ErrNotSent)},
+		{"has no connection free", false, fails(httpconn.ErrFull)},
+		{"hangs", true, hangs},
+		{"sends nonsense", true, answers(Answer{Status: 200, Run: true}, "unsigned")},
+		{"answers", true, answer},
+	}
+}
+
+// resumed answers one way from the start, and another behind the first event.
+func resumed(start, behind script) script {
+	return func(ctx context.Context, s *Send) (*Answer, error) {
+		if s.ResumeAfter != "" {
+			return behind(ctx, s)
+		}
+		return start(ctx, s)
+	}
+}
+
+// afterPause runs the script after a time, unless the caller leaves.
+func afterPause(pause time.Duration, then script) script {
+	return func(ctx context.Context, s *Send) (*Answer, error) {
+		select {
+		case <-time.After(pause):
+			return then(ctx, s)
+		case <-ctx.Done():
+			return hangs(ctx, s)
+		}
+	}
+}
+
+// ran are the sendings that a replica worked on, by replica.
+type ran map[string]int
+
+// scripted makes replicas that behave as drawn, one behaviour for each sending. Those that are
+// cut off answer nothing.
+func scripted(drawn []behaviour, cut map[string]bool, ran ran) *fakeReplicas {
+	r := &fakeReplicas{cut: cut}
+	for _, b := range drawn {
+		r.steps = append(r.steps, func(ctx context.Context, s *Send) (*Answer, error) {
+			if cut[s.Target.ID] {
+				ran[s.Target.ID]++
+				return hangs(ctx, s)
+			}
+			if b.runs {
+				ran[s.Target.ID]++
+			}
+			return b.script(ctx, s)
+		})
+	}
+	return r
+}
+
+// Calls run at more replicas than their route allows, more than once where they may not, or are
+// told not to have run: any mix of lost answers, refusals, silent connections and data centres.
+func TestAttemptsMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		// rapid prefers small numbers, with which most calls are answered at once.
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		route := []routing.Route{
+			{Repeat: routing.Once}, {Repeat: routing.Idempotent},
+			{Repeat: routing.Stream}, {Repeat: routing.Stream, Resumable: true},
+		}[draw.IntN(4)]
+		route.Attempts = 1 + draw.IntN(3)
+		route.GapObjective = 150 * time.Millisecond
+		menu := behaviours(route.Repeat == routing.Stream)
+		var drawn []behaviour
+		var names []string
+		for range 8 {
+			b := menu[draw.IntN(len(menu))]
+			drawn, names = append(drawn, b), append(names, b.name)
+		}
+		cut := map[string]bool{}
+		for _, name := range replicaNames {
+			cut[name] = draw.IntN(4) == 0
+		}
+		silentAfter := time.Duration(1+draw.IntN(1500)) * time.Millisecond
+		ran := ran{}
+		replicas := scripted(drawn, cut, ran)
+		out := serveAt(t, replicas, nil, Settings{WhenSilent: silentOnce(silentAfter)}, route, Call{ID: "r"}, nil)
+
+		fail := func(what string) {
+			rt.Fatalf("%s: route %+v, sends %v, behaviours %v, cut %v, ran %v, result %+v", what, route, out.sends, names, cut, ran, out.result)
+		}
+		total, within := 0, 0
+		for name, n := range ran {
+			total += n
+			if !cut[name] {
+				within++
+			}
+		}
+		if within > route.Attempts {
+			fail("ran at more replicas than allowed")
+		}
+		if !route.Repeatable() && total > 1 {
+			fail("ran more than once")
+		}
+		if out.result.Outcome == NotRun && total > 0 {
+			fail("told not to have run")
+		}
+		if out.result.Outcome == Answered && out.body != "whole" && out.body != event(1)+event(2) {
+			fail("answered with " + out.body)
+		}
+	})
+}
+
+// A replica that may have run a call does not count, since it was cut off later.
+func TestReplicaThatMayHaveRunCountsThoughItIsCutOffLater(t *testing.T) {
+	is := is.New(t)
+	var r runs
+	r.note("a", notRun)
+	is.True(!r.any())
+	r.note("a", cutOff)
+	r.note("a", cutOff)
+	is.True(r.any())
+	is.Equal(r.counted(), 0)
+	r.note("a", lost)
+	r.note("a", cutOff)
+	r.note("b", spoiled)
+	is.Equal(r.counted(), 2)
+}
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -102,3 +102,22 @@
 	is.Equal(out.result.Outcome, BrokenOff)
 	is.Equal(distinct(out.sends), 1)
 }
+
+// Calls run on more replicas than their route allows, or are told not to have run: a replica
+// loses an answer and refuses the second sending, which hides that it may have run the first.
+func TestRefusedSecondSendingDoesNotHideTheFirst(t *testing.T) {
+	is := is.New(t)
+	stream := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}
+	idempotent := routing.Route{Repeat: routing.Idempotent, Attempts: 1}
+	for _, second := range []script{refuses, fails(httpconn.ErrNotSent), fails(httpconn.ErrFull)} {
+		out := serve(t, stream, Call{}, nil, streams(io.ErrUnexpectedEOF, event(1)), second, streams(nil, event(2)))
+		is.Equal(distinct(out.sends), 1)
+		is.Equal(out.result.Outcome, BrokenOff)
+		out = serve(t, stream, Call{}, nil, fails(httpconn.ErrLost), second)
+		is.Equal(distinct(out.sends), 1)
+		is.Equal(out.result.Outcome, Unknown)
+		out = serve(t, idempotent, Call{}, nil, fails(httpconn.ErrLost), second, good("second"))
+		is.Equal(distinct(out.sends), 1)
+		is.Equal(out.result.Outcome, Unknown)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,50 +20,35 @@
 
 // exchange serves a call with a plain answer.
 func (f *flight) exchange(ctx context.Context) Result {
-	ran := 0
 	for {
 		grant, refusal := f.acquire(ctx)
 		if refusal != nil {
-			return f.giveUp(ran, refusal)
+			return f.giveUp(lost, refusal)
 		}
 		answer, body, v := f.try(ctx, grant)
-		switch v {
-		case whole:
+		if v == whole {
 			return f.pass(answer, body)
-		case notRun, full, notSent:
-			f.tried = append(f.tried, grant.Upstream)
-			if f.sends >= sendsMost || f.late() {
-				return f.giveUp(ran, nil)
-			}
-		default:
-			f.noteRun(v)
-			ran++
-			f.tried = append(f.tried, grant.Upstream)
-			if f.route.Repeat != routing.Idempotent || !f.mayGoOn() {
-				return f.failed(v)
-			}
+		}
+		f.tried = append(f.tried, grant.Upstream)
+		if !f.mayGoOn(ctx) {
+			return f.giveUp(v, nil)
 		}
 	}
 }
 
-// noteRun counts a replica that may have run the call. One that is cut off
-// does not count against the route's attempts: what it does reaches nobody.
-func (f *flight) noteRun(v verdict) {
-	if v != cutOff {
-		f.ran++
+// mayGoOn reports whether the call may be sent to one more replica.
+func (f *flight) mayGoOn(ctx context.Context) bool {
+	if f.runs.any() && (!f.route.Repeatable() || f.runs.counted() >= f.route.Attempts) {
+		return false
 	}
+	return f.sends < sendsMost && !f.late() && ctx.Err() == nil
 }
 
-// mayGoOn reports whether the route allows one more replica.
-func (f *flight) mayGoOn() bool {
-	return f.ran < f.route.Attempts && f.sends < sendsMost && !f.late()
-}
-
-// giveUp ends a call for which no replica is left. Where an earlier sending
-// may have run, "not run" would be untrue.
-func (f *flight) giveUp(ran int, refusal *scheduler.Refusal) Result {
-	if ran > 0 {
-		return f.failed(lost)
+// giveUp ends a call for which no replica is left. Where one may have run it, "not run" would
+// be untrue.
+func (f *flight) giveUp(v verdict, refusal *scheduler.Refusal) Result {
+	if f.runs.any() {
+		return f.failed(v)
 	}
 	if refusal != nil {
 		return f.refusal(refusal)
@@ -85,6 +70,9 @@
 	case v == spoiled:
 		reason = ReplicaSpoiled
 	}
+	if f.begun {
+		return f.end(BrokenOff, reason, 0)
+	}
 	return f.end(Unknown, reason, 0)
 }
 
@@ -95,7 +83,9 @@
 func (f *flight) try(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
 	answer, body, v := f.sendOnce(ctx, g, f.patience(g))
 	if f.sameAgain(ctx, v) {
-		answer, body, v = f.sendOnce(ctx, g, 0)
+		var again verdict
+		answer, body, again = f.sendOnce(ctx, g, 0)
+		v = v.then(again)
 	}
 	if v == whole {
 		return answer, body, v
@@ -106,7 +96,7 @@
 
 func (f *flight) sameAgain(ctx context.Context, v verdict) bool {
 	return f.route.Repeat == routing.Idempotent && (v == lost || v == spoiled) &&
-		f.ran+1 >= f.route.Attempts && ctx.Err() == nil && !f.late()
+		f.runs.counted() >= f.route.Attempts && ctx.Err() == nil && !f.late()
 }
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,10 +119,9 @@
 	tried  []string
 	// home is the engine that most likely has the prompt cached.
 	home string
-	// sends counts sendings, ran the replicas that may have run the call.
-	sends, ran int
-	// ranAt are the replicas that may have run the call.
-	ranAt []string
+	// sends counts sendings.
+	sends int
+	runs  runs
 	// replica is the one that was sent to last.
 	replica string
 	// begun says that the answer's head was passed on.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,17 +32,20 @@
 	mu    sync.Mutex
 	steps []func(ctx context.Context, s *Send) (*Answer, error)
 	sends []Send
-	// cutOff says that no replica accepts a connection.
-	cutOff bool
+	// cut are the replicas that accept no connection.
+	cut map[string]bool
 }
 
-func (f *fakeReplicas) Reachable(_ Target, within time.Duration) bool {
-	if f.cutOff {
+func (f *fakeReplicas) Reachable(t Target, within time.Duration) bool {
+	if f.cut[t.ID] {
 		time.Sleep(within)
 	}
-	return !f.cutOff
+	return !f.cut[t.ID]
 }
 
+// replicaNames are the replicas of the service.
+var replicaNames = []string{"a", "b", "c", "d"}
+
 func (f *fakeReplicas) Send(ctx context.Context, s *Send) (*Answer, error) {
 	f.mu.Lock()
 	n := len(f.sends)
@@ -149,7 +152,7 @@
 	sent   []Send
 }
 
-// serve serves one call over two replicas of a service, on virtual time.
+// serve serves one call over the replicas of a service, on virtual time.
 func serve(t *testing.T, route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
 	heard := func(string, func()) func() { return func() {} }
 	return serveThrough(t, heard, route, call, turns, steps...)
@@ -180,7 +183,7 @@
 		table := routing.NewTable(1, routing.Limits{}, customers, []routing.Route{route}, []routing.Service{service})
 		upstreams := upstream.NewTable()
 		var list []usage.Upstream
-		for _, name := range []string{"a", "b"} {
+		for _, name := range replicaNames {
 			u := usage.Upstream{Name: name, Address: name, Kind: usage.KindService, Service: "s", Slots: 4}
 			if service.Engine != nil {
 				u.Kind, u.Service, u.Models = usage.KindEngine, "", []string{"s"}
@@ -379,7 +382,7 @@
 	}
 	serveCut := func(route routing.Route, steps ...script) outcome {
 		settings := Settings{WhenSilent: silentOnce(silentAfter)}
-		return serveAt(t, &fakeReplicas{steps: steps, cutOff: true}, nil, settings, route, Call{}, nil)
+		return serveAt(t, &fakeReplicas{steps: steps, cut: map[string]bool{"a": true, "b": true, "c": true, "d": true}}, nil, settings, route, Call{}, nil)
 	}
 	is := is.New(t)
 	out := serveCut(routing.Route{Repeat: routing.Idempotent, Attempts: 1}, hangs, good("done"))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,8 +21,6 @@
 	events int
 	data   [][]byte
 	lastID string
-	// sent says that some replica may have run the call.
-	sent bool
 	// settle is called before the end of a whole answer is passed on; nil for none.
 	settle func() bool
 }
@@ -42,30 +40,15 @@
 	for {
 		grant, refusal := f.acquire(ctx)
 		if refusal != nil {
-			if rec.sent {
-				return f.broken(lost)
-			}
-			return f.refusal(refusal)
+			return f.giveUp(lost, refusal)
 		}
 		v, result := f.runOn(ctx, grant, rec)
-		switch v {
-		case whole:
+		if v == whole {
 			return result
-		case notRun, full, notSent:
-			f.tried = append(f.tried, grant.Upstream)
-			if f.sends < sendsMost && !f.late() {
-				continue
-			}
-			if rec.sent {
-				return f.broken(lost)
-			}
-			return f.giveUp(0, nil)
 		}
-		rec.sent = true
-		f.noteRun(v)
 		f.tried = append(f.tried, grant.Upstream)
-		if !f.route.Resumable || !f.mayGoOn() || ctx.Err() != nil {
-			return f.broken(v)
+		if !f.mayGoOn(ctx) {
+			return f.giveUp(v, nil)
 		}
 	}
 }
@@ -76,7 +59,9 @@
 	v, answer, result := f.runOnce(ctx, g, rec)
 	again := f.route.Resumable && (v == lost || v == spoiled)
 	if again && ctx.Err() == nil && !f.late() {
-		v, answer, result = f.runOnce(ctx, g, rec)
+		var second verdict
+		second, answer, result = f.runOnce(ctx, g, rec)
+		v = v.then(second)
 	}
 	if v != whole {
 		f.report(ctx, g, answer, v)
@@ -84,15 +69,6 @@
 	return v, result
 }
 
-// broken ends a stream that could not be finished.
-func (f *flight) broken(v verdict) Result {
-	result := f.failed(v)
-	if f.begun {
-		result.Outcome = BrokenOff
-	}
-	return result
-}
-
 // runOnce sends the call once and passes events on until the stream ends.
 func (f *flight) runOnce(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
 	if f.route.Resumable {
@@ -120,7 +96,6 @@
 	if v := judge(answer); v != whole {
 		return v, answer, Result{}
 	}
-	rec.sent = true
 	if answer.Status >= 300 {
 		v, result := f.passFailure(s, answer)
 		return v, answer, result
