Every replica that may have run a call counts against its attempts

Cause: whether a replica counts was still guessed, by tries of new connections in place of datagrams.

Change: the guess is gone.

Weighed: judging only while this process runs on time, and counting replicas' bytes as signs of life. It stays a guess, with four kinds of evidence, and a promise would hang on it.

TestCallsLeaveAReplicaThatIsCutOff is replaced by one that demands that calls leave at the same moment within their attempts, and stay until their timeout without one.

--- a/internal/gateway/attempts_machine_test.go
+++ b/internal/gateway/attempts_machine_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"foxhall/internal/fuzzing"
@@ -75,11 +74,11 @@
 type ran map[string]int
 
 // scripted makes replicas that behave as drawn, one behaviour for each sending. Those that are
-// cut off answer nothing.
-func scripted(drawn []behaviour, cut map[string]bool, ran ran) *fakeReplicas {
-	r := &fakeReplicas{cut: cut}
+// cut off run what reaches them and answer nothing.
+func scripted(drawn []behaviour, cut map[string]bool, ran ran) []script {
+	var steps []script
 	for _, b := range drawn {
-		r.steps = append(r.steps, func(ctx context.Context, s *Send) (*Answer, error) {
+		steps = append(steps, func(ctx context.Context, s *Send) (*Answer, error) {
 			if cut[s.Target.ID] {
 				ran[s.Target.ID]++
 				return hangs(ctx, s)
@@ -90,7 +89,7 @@
 			return b.script(ctx, s)
 		})
 	}
-	return r
+	return steps
 }
 
 // Calls run at more replicas than their route allows, more than once where they may not, or are
@@ -118,20 +117,16 @@
 		}
 		silentAfter := time.Duration(1+draw.IntN(1500)) * time.Millisecond
 		ran := ran{}
-		replicas := scripted(drawn, cut, ran)
-		out := serveAt(t, replicas, nil, Settings{WhenSilent: silentOnce(silentAfter)}, route, Call{ID: "r"}, nil)
+		out := serveThrough(t, silentOnce(silentAfter), route, Call{ID: "r"}, nil, scripted(drawn, cut, ran)...)
 
 		fail := func(what string) {
 			rt.Fatalf("%s: route %+v, sends %v, behaviours %v, cut %v, ran %v, result %+v", what, route, out.sends, names, cut, ran, out.result)
 		}
-		total, within := 0, 0
-		for name, n := range ran {
+		total := 0
+		for _, n := range ran {
 			total += n
-			if !cut[name] {
-				within++
-			}
 		}
-		if within > route.Attempts {
+		if len(ran) > route.Attempts {
 			fail("ran at more replicas than allowed")
 		}
 		if !route.Repeatable() && total > 1 {
@@ -145,19 +140,3 @@
 		}
 	})
 }
-
-// A replica that may have run a call does not count, since it was cut off later.
-func TestReplicaThatMayHaveRunCountsThoughItIsCutOffLater(t *testing.T) {
-	is := is.New(t)
-	var r runs
-	r.note("a", notRun)
-	is.True(!r.any())
-	r.note("a", cutOff)
-	r.note("a", cutOff)
-	is.True(r.any())
-	is.Equal(r.counted(), 0)
-	r.note("a", lost)
-	r.note("a", cutOff)
-	r.note("b", spoiled)
-	is.Equal(r.counted(), 2)
-}
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -103,6 +103,16 @@
 	is.Equal(distinct(out.sends), 1)
 }
 
+// A caller waits for a connection into a cut in vain: its data centre is silent as well.
+func TestReplicaOfASilentDataCentreIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	silent := Settings{Silence: func(string) time.Duration { return heardWithin }}
+	route := routing.Route{Repeat: routing.Idempotent, Attempts: 1}
+	out := serveFor(t, nil, silent, route, Call{}, nil, fails(httpconn.ErrSilent), good("again"))
+	is.Equal(out.result.Outcome, Unknown)
+	is.Equal(len(out.sends), 1)
+}
+
 // Calls run on more replicas than their route allows, or are told not to have run: a replica
 // loses an answer and refuses the second sending, which hides that it may have run the first.
 func TestRefusedSecondSendingDoesNotHideTheFirst(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,8 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"foxhall/internal/httpconn"
-	"foxhall/internal/netdial"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -38,16 +36,21 @@
 
 // mayGoOn reports whether the call may be sent to one more replica.
 func (f *flight) mayGoOn(ctx context.Context) bool {
-	if f.runs.any() && (!f.route.Repeatable() || f.runs.counted() >= f.route.Attempts) {
+	if len(f.runs) > 0 && (!f.route.Repeatable() || len(f.runs) >= f.route.Attempts) {
 		return false
 	}
 	return f.sends < sendsMost && !f.late() && ctx.Err() == nil
 }
 
+// mayLeave reports whether the call may go on to another replica though this one may have run it.
+func (f *flight) mayLeave(g *scheduler.Grant) bool {
+	return f.route.Repeatable() && len(f.runs.with(g.Upstream)) < f.route.Attempts
+}
+
 // giveUp ends a call for which no replica is left. Where one may have run it, "not run" would
 // be untrue.
 func (f *flight) giveUp(v verdict, refusal *scheduler.Refusal) Result {
-	if f.runs.any() {
+	if len(f.runs) > 0 {
 		return f.failed(v)
 	}
 	if refusal != nil {
@@ -82,7 +85,7 @@
 // still runs.
 func (f *flight) try(ctx context.Context, g *scheduler.Grant) (*Answer, []byte, verdict) {
 	answer, body, v := f.sendOnce(ctx, g, f.patience(g))
-	if f.sameAgain(ctx, v) {
+	if f.sameAgain(ctx, g, v) {
 		var again verdict
 		answer, body, again = f.sendOnce(ctx, g, 0)
 		v = v.then(again)
@@ -94,9 +97,18 @@
 	return nil, nil, v
 }
 
-func (f *flight) sameAgain(ctx context.Context, v verdict) bool {
-	return f.route.Repeat == routing.Idempotent && (v == lost || v == spoiled) &&
-		f.runs.counted() >= f.route.Attempts && ctx.Err() == nil && !f.late()
+func (f *flight) sameAgain(ctx context.Context, g *scheduler.Grant, v verdict) bool {
+	return f.route.Repeat == routing.Idempotent && len(f.runs) >= f.route.Attempts && f.mayAnswer(ctx, g, v)
+}
+
+// heardWithin is how lately a data centre must have been heard for a replica there to be asked
+// once more after its connection went silent: only the connection may be gone.
+const heardWithin = 450 * time.Millisecond
+
+// mayAnswer reports whether the replica may answer a second sending after what the first came to.
+func (f *flight) mayAnswer(ctx context.Context, g *scheduler.Grant, v verdict) bool {
+	alive := v == lost || v == spoiled || v == cutOff && f.gateway.settings.Silence(g.DataCentre) < heardWithin
+	return alive && ctx.Err() == nil && !f.late()
 }
 
 const (
@@ -123,10 +135,10 @@
 		defer cancel()
 		ctx = limited
 	}
-	if f.route.Repeat == routing.Idempotent {
-		connected, stop := f.untilCutOff(ctx, g)
+	if f.mayLeave(g) {
+		silent, stop := f.untilSilent(ctx, g)
 		defer stop()
-		ctx = connected
+		ctx = silent
 	}
 	s := &sending{grant: g, began: time.Now()}
 	answer, body, v := f.receive(ctx, s)
@@ -138,7 +150,7 @@
 func (f *flight) receive(ctx context.Context, s *sending) (*Answer, []byte, verdict) {
 	answer, err := f.sendTo(ctx, s.grant, "")
 	if err != nil {
-		return nil, nil, f.failedAs(ctx, s, err)
+		return nil, nil, s.failedAs(ctx, err)
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -148,7 +160,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil {
 		s.err = err
-		if wasCutOff(ctx) {
+		if wasSilent(ctx) {
 			return nil, nil, cutOff
 		}
 		return nil, nil, spoiled
@@ -175,23 +187,22 @@
 	}
 }
 
-// failedAs tells what a sending came to that ended with an error.
-func (f *flight) failedAs(ctx context.Context, s *sending, err error) verdict {
-	s.err = err
-	switch {
-	case errors.Is(err, httpconn.ErrFull):
-		return full
-	case errors.Is(err, httpconn.ErrNotSent):
-		return notSent
-	case wasCutOff(ctx):
-		return cutOff
-	case errors.Is(err, httpconn.ErrSilent), netdial.Silent(err):
-		return f.silentAs(ctx, s.grant)
-	default:
-		return lost
+var errDataCentreSilent = errors.New("gateway: the replica's data centre is silent")
+
+// untilSilent returns a context that ends when the replica's data centre falls
+// silent. A call waits for its answer in vain then, until its connection gives up,
+// while others could serve it.
+func (f *flight) untilSilent(ctx context.Context, g *scheduler.Grant) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := f.gateway.settings.WhenSilent(g.DataCentre, func() { cancel(errDataCentreSilent) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
 	}
 }
 
+func wasSilent(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDataCentreSilent) }
+
 // report feeds back what a sending came to, unless this side ended the call.
 func (f *flight) report(ctx context.Context, g *scheduler.Grant, a *Answer, v verdict) {
 	if ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,8 @@
 	home string
 	// sends counts sendings.
 	sends int
-	runs  runs
+	// runs are the replicas that may have run the call.
+	runs runs
 	// replica is the one that was sent to last.
 	replica string
 	// begun says that the answer's head was passed on.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,15 +32,6 @@
 	mu    sync.Mutex
 	steps []func(ctx context.Context, s *Send) (*Answer, error)
 	sends []Send
-	// cut are the replicas that accept no connection.
-	cut map[string]bool
-}
-
-func (f *fakeReplicas) Reachable(t Target, within time.Duration) bool {
-	if f.cut[t.ID] {
-		time.Sleep(within)
-	}
-	return !f.cut[t.ID]
 }
 
 // replicaNames are the replicas of the service.
@@ -165,13 +156,9 @@
 
 // serveFor is the same with customers, and settings of which those not given are quiet ones.
 func serveFor(t *testing.T, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) outcome {
-	return serveAt(t, &fakeReplicas{steps: steps}, customers, settings, route, call, turns)
-}
-
-// serveAt is the same at given replicas.
-func serveAt(t *testing.T, replicas *fakeReplicas, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns) outcome {
 	var out outcome
 	synctest.Test(t, func(t *testing.T) {
+		replicas := &fakeReplicas{steps: steps}
 		route.Host, route.Prefix, route.Shares = "h", "/", []routing.Share{{Service: "s", Weight: 1}}
 		if route.Timeout == 0 {
 			route.Timeout = 5 * time.Second
@@ -199,7 +186,9 @@
 		if settings.Quotas == nil {
 			settings.Quotas = limit.NewQuotas("entry", 1, limit.Tolerance{})
 		}
-		settings.Silence = func(string) time.Duration { return 0 }
+		if settings.Silence == nil {
+			settings.Silence = func(string) time.Duration { return 0 }
+		}
 		if settings.WhenSilent == nil {
 			settings.WhenSilent = func(string, func()) func() { return func() {} }
 		}
@@ -370,33 +359,35 @@
 }
 
 // A caller waits for a replica behind a cut until its connection gives up. As its data
-// centre falls silent and the replica accepts no connection, a call that may be repeated must
-// go to another at once, also where the route allows one attempt, and one that may not must go
-// on waiting.
-func TestCallsLeaveAReplicaThatIsCutOff(t *testing.T) {
-	silentAfter := 300 * time.Millisecond
-	leavesAfter := silentAfter + reachTries*reachTime
+// centre falls silent, a call must go to another at once where its route allows one more
+// attempt, and go on waiting where it does not: the replica may run on.
+func TestCallsLeaveASilentDataCentreWithinTheirAttempts(t *testing.T) {
+	silentAfter, timeout := 300*time.Millisecond, 2*time.Second
 	halfway := func(ctx context.Context, s *Send) (*Answer, error) {
 		body := &hangingReader{ctx: ctx, begin: strings.NewReader(event(1))}
 		return NewAnswer(Answer{Status: 200, Length: -1, Verified: true, Run: true, Body: body}, func() {}), nil
 	}
-	serveCut := func(route routing.Route, steps ...script) outcome {
-		settings := Settings{WhenSilent: silentOnce(silentAfter)}
-		return serveAt(t, &fakeReplicas{steps: steps, cut: map[string]bool{"a": true, "b": true, "c": true, "d": true}}, nil, settings, route, Call{}, nil)
-	}
 	is := is.New(t)
-	out := serveCut(routing.Route{Repeat: routing.Idempotent, Attempts: 1}, hangs, good("done"))
+	route := routing.Route{Repeat: routing.Idempotent, Attempts: 2, Timeout: timeout}
+	out := serveThrough(t, silentOnce(silentAfter), route, Call{}, nil, hangs, good("done"))
 	is.Equal(out.result.Outcome, Answered)
-	is.Equal(out.took, leavesAfter)
+	is.Equal(out.took, silentAfter)
 
-	out = serveCut(routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 1}, halfway, streams(nil, event(2)))
+	stream := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 2, Timeout: timeout}
+	out = serveThrough(t, silentOnce(silentAfter), stream, Call{}, nil, halfway, streams(nil, event(2)))
 	is.Equal(out.result.Outcome, Answered)
 	is.Equal(out.body, event(1)+event(2))
-	is.Equal(out.took, leavesAfter)
+	is.Equal(out.took, silentAfter)
 
-	out = serveCut(routing.Route{Attempts: 1}, hangs, good("twice"))
-	is.Equal(out.result.Outcome, Unknown)
-	is.Equal(len(out.sends), 1)
+	for _, one := range []routing.Route{
+		{Repeat: routing.Idempotent, Attempts: 1, Timeout: timeout},
+		{Repeat: routing.Stream, Resumable: true, Attempts: 1, Timeout: timeout},
+		{Repeat: routing.Once, Attempts: 2, Timeout: timeout},
+	} {
+		out = serveThrough(t, silentOnce(silentAfter), one, Call{}, nil, hangs, hangs, good("twice"))
+		is.Equal(out.took, timeout)
+		is.Equal(distinct(out.sends), 1)
+	}
 }
 
 // hangingReader gives what it begins with and then nothing until ctx ends.
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -64,7 +64,4 @@
 // that no byte of the call left.
 type Replicas interface {
 	Send(ctx context.Context, s *Send) (*Answer, error)
-	// Reachable opens a connection to the replica, and reports false where the replica takes
-	// none within the time.
-	Reachable(t Target, within time.Duration) bool
 }
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/httpconn"
+	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
 )
 
@@ -25,7 +28,7 @@
 	lost
 	// spoiled says that it ran and its answer is no use.
 	spoiled
-	// cutOff says that the replica stopped answering anything; it may have run.
+	// cutOff says that its data centre or its connection went silent; it may have run.
 	cutOff
 )
 
@@ -46,31 +49,18 @@
 	return v
 }
 
-// runs are the replicas that may have run a call.
-type runs struct {
-	// within are those that count against the route's attempts, cutOff those that do not: a
-	// replica that is cut off works for nobody.
-	within, cutOff []string
-}
+// runs are the replicas that may have run a call, each once. All of them count against the
+// route's attempts: no sign that an instance can get tells that a replica has stopped.
+type runs []string
 
-// note takes down what a sending to the replica came to. One that was cut off after it may have
-// run the call before counts.
-func (r *runs) note(replica string, v verdict) {
-	switch {
-	case !v.mayHaveRun() || slices.Contains(r.within, replica):
-	case v == cutOff && !slices.Contains(r.cutOff, replica):
-		r.cutOff = append(r.cutOff, replica)
-	case v != cutOff:
-		r.within = append(r.within, replica)
+// with returns the runs and the replica.
+func (r runs) with(replica string) runs {
+	if slices.Contains(r, replica) {
+		return r
 	}
+	return append(slices.Clip(r), replica)
 }
 
-// any reports whether some replica may have run the call.
-func (r *runs) any() bool { return len(r.within)+len(r.cutOff) > 0 }
-
-// counted is the number of replicas that count against the route's attempts.
-func (r *runs) counted() int { return len(r.within) }
-
 // sending is one sending of a call to a replica.
 type sending struct {
 	grant *scheduler.Grant
@@ -81,19 +71,29 @@
 	err error
 }
 
+// failedAs tells what a sending came to that ended with an error.
+func (s *sending) failedAs(ctx context.Context, err error) verdict {
+	s.err = err
+	switch {
+	case errors.Is(err, httpconn.ErrFull):
+		return full
+	case errors.Is(err, httpconn.ErrNotSent):
+		return notSent
+	case wasSilent(ctx), errors.Is(err, httpconn.ErrSilent), netdial.Silent(err):
+		return cutOff
+	default:
+		return lost
+	}
+}
+
 // sendings counts how sendings ended.
 type sendings struct {
 	ended    [cutOff + 1]metrics.Counter
 	exceeded metrics.Counter
-	// reached counts the replicas in silent data centres that were found to answer.
-	reached metrics.Counter
 }
 
 func newSendings(registry metrics.Registry) *sendings {
-	s := &sendings{
-		exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry),
-		reached:  metrics.GetOrRegisterCounter("gateway.silent.reached", registry),
-	}
+	s := &sendings{exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry)}
 	for v := range s.ended {
 		s.ended[v] = metrics.GetOrRegisterCounter("gateway.sendings."+verdict(v).String(), registry)
 	}
@@ -103,10 +103,8 @@
 // sendingEnded takes down what a sending came to.
 func (f *flight) sendingEnded(ctx context.Context, s *sending, v verdict) {
 	f.gateway.sendings.ended[v].Inc(1)
-	before := f.runs.counted()
-	f.runs.note(s.grant.Upstream, v)
-	if n := f.runs.counted(); n > before && n == f.route.Attempts+1 {
-		f.gateway.sendings.exceeded.Inc(1)
+	if v.mayHaveRun() {
+		f.noteRun(s.grant.Upstream)
 	}
 	if v == whole {
 		return
@@ -114,7 +112,7 @@
 	entry := f.gateway.logger.WithField("request", f.call.ID).WithField("replica", s.grant.Upstream).
 		WithField("data_centre", s.grant.DataCentre).WithField("verdict", v.String()).
 		WithField("ms", time.Since(s.began).Milliseconds()).WithField("events", s.events).
-		WithField("ran_at", f.runs.counted()).WithField("cut_off", len(f.runs.cutOff)).WithField("attempts", f.route.Attempts).
+		WithField("ran_at", len(f.runs)).WithField("attempts", f.route.Attempts).
 		WithField("unheard_ms", f.gateway.settings.Silence(s.grant.DataCentre).Milliseconds())
 	if cause := context.Cause(ctx); cause != nil {
 		entry = entry.WithField("cause", cause.Error())
@@ -124,3 +122,12 @@
 	}
 	entry.Info("sending ended")
 }
+
+// noteRun takes down that the replica may have run the call.
+func (f *flight) noteRun(replica string) {
+	before := len(f.runs)
+	f.runs = f.runs.with(replica)
+	if len(f.runs) > before && len(f.runs) == f.route.Attempts+1 {
+		f.gateway.sendings.exceeded.Inc(1)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,8 +57,7 @@
 // goes on there once more after a broken answer: the replica has its prompt.
 func (f *flight) runOn(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, Result) {
 	v, answer, result := f.runOnce(ctx, g, rec)
-	again := f.route.Resumable && (v == lost || v == spoiled)
-	if again && ctx.Err() == nil && !f.late() {
+	if f.route.Resumable && f.mayAnswer(ctx, g, v) {
 		var second verdict
 		second, answer, result = f.runOnce(ctx, g, rec)
 		v = v.then(second)
@@ -71,10 +70,10 @@
 
 // runOnce sends the call once and passes events on until the stream ends.
 func (f *flight) runOnce(ctx context.Context, g *scheduler.Grant, rec *record) (verdict, *Answer, Result) {
-	if f.route.Resumable {
-		connected, stop := f.untilCutOff(ctx, g)
+	if f.mayLeave(g) {
+		silent, stop := f.untilSilent(ctx, g)
 		defer stop()
-		ctx = connected
+		ctx = silent
 	}
 	ctx, watch := f.watch(ctx, g)
 	defer watch.stop()
@@ -90,7 +89,7 @@
 func (f *flight) follow(ctx context.Context, s *sending, rec *record, watch *watchdog) (verdict, *Answer, Result) {
 	answer, err := f.sendTo(ctx, s.grant, f.resumePoint(rec))
 	if err != nil {
-		return f.failedAs(ctx, s, err), nil, Result{}
+		return s.failedAs(ctx, err), nil, Result{}
 	}
 	defer answer.Close()
 	if v := judge(answer); v != whole {
@@ -158,7 +157,7 @@
 			continue
 		}
 		if err != io.EOF || split.rest() {
-			return f.failedAs(ctx, s, err), Result{}
+			return s.failedAs(ctx, err), Result{}
 		}
 		made := (rec.events - before) * f.tokensPerEvent()
 		s.grant.Done(scheduler.Feedback{
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/singleflight"
 
 	"foxhall/internal/netdial"
 )
@@ -87,8 +86,6 @@
 	// opened counts connections since the start.
 	opened int64
 	closed bool
-	// reaching lets those who ask at once whether the address is reachable share a connection.
-	reaching singleflight.Group
 }
 
 // NewPool returns a pool without connections.
@@ -198,41 +195,6 @@
 	return nil, true
 }
 
-// Reachable opens a connection, which the next call may use, and reports false where the
-// address accepts none within the time. An error of this side says nothing of the other.
-func (p *Pool) Reachable(within time.Duration) bool {
-	reached, _, _ := p.reaching.Do("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), within)
-		defer cancel()
-		n, err := netdial.Dial(ctx, "tcp", p.address)
-		if err != nil {
-			return !netdial.Unaccepted(err), nil
-		}
-		p.add(n)
-		return true, nil
-	})
-	return reached.(bool)
-}
-
-// add puts a new connection among the idle ones.
-func (p *Pool) add(n net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		n.Close()
-		return
-	}
-	p.open++
-	p.opened++
-	c := p.connOver(n)
-	c.done, c.since = true, time.Now()
-	p.idle = append(p.idle, c)
-}
-
-func (p *Pool) connOver(n net.Conn) *conn {
-	return &conn{pool: p, net: n, reader: bufio.NewReaderSize(n, bufferSize), idleFor: defaultIdle}
-}
-
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	n, err := netdial.Dial(ctx, "tcp", p.address)
 	if err != nil {
@@ -241,7 +203,7 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return p.connOver(n), nil
+	return &conn{pool: p, net: n, reader: bufio.NewReaderSize(n, bufferSize), idleFor: defaultIdle}, nil
 }
 
 func (p *Pool) forget(c *conn) {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -145,33 +144,3 @@
 	answer.Close()
 	is.Equal(pool.Opened(), int64(2))
 }
-
-// A replica that answers is taken for cut off, or the reverse. It is reachable where it accepts
-// a connection, which the next call must use, and those who ask at once must share it.
-func TestReachableIsWhoAcceptsAConnection(t *testing.T) {
-	is := is.New(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
-	pool := NewPool(server.Listener.Addr().String())
-	is.True(pool.Reachable(time.Minute))
-	is.True(pool.Idle())
-	answer, err := pool.Do(context.Background(), get("/"), 1)
-	is.NoErr(err)
-	_, err = io.ReadAll(answer.Body)
-	is.NoErr(err)
-	is.Equal(pool.Opened(), int64(1))
-	server.Close()
-	is.True(!pool.Reachable(time.Minute))
-	is.True(!pool.Reachable(0))
-}
-
-// A pool is closed while its address is tried: the connection must not stay open.
-func TestConnectionOfAClosedPoolIsNotKept(t *testing.T) {
-	is := is.New(t)
-	server := httptest.NewServer(http.NotFoundHandler())
-	defer server.Close()
-	pool := NewPool(server.Listener.Addr().String())
-	pool.Close()
-	is.True(pool.Reachable(time.Minute))
-	is.True(!pool.Idle())
-	is.Equal(pool.inUse(), 0)
-}
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -48,14 +48,6 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EHOSTUNREACH)
 }
 
-// Unaccepted reports that a connection was not made since the other side did not accept it: it
-// is out of reach, or nobody listens there.
-func Unaccepted(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, syscall.ECONNREFUSED) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EHOSTUNREACH)
-}
-
 func control(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,10 +74,6 @@
 	// no more calls go there: three datagrams in a row from each of its
 	// instances are lost then.
 	cutAfter = 450 * time.Millisecond
-	// suspectAfter is how long nothing may be heard from another data centre before its
-	// replicas that have calls are tried: one datagram of an idle instance is late then. With
-	// the time of the tries, calls leave a cut as soon as no more go there.
-	suspectAfter = 250 * time.Millisecond
 	// missedAfter is how long an instance is not heard before that is told to a
 	// keeper which asks: two datagrams in a row are lost then, and the keeper
 	// has missed it by itself.
@@ -266,7 +262,7 @@
 		group.Go(func() error { n.followFleet(serving); return nil })
 	}
 	group.Go(func() error {
-		n.dataCentres.run(serving, func(dc string) bool { return n.load.Silence(dc) > suspectAfter })
+		n.dataCentres.run(serving, func(dc string) bool { return n.load.Silence(dc) > cutAfter })
 		return nil
 	})
 	group.Go(func() error { n.logSilences(serving); return nil })
