Tests of the lines that tell why runs are left

The machine of attempts also asks that gateway.attempts.exceeded stays 0. When a line is due is decided apart from the goroutine that writes it; nothing else changes.

--- a/internal/gateway/attempts_machine_test.go
+++ b/internal/gateway/attempts_machine_test.go
@@ -126,7 +126,7 @@
 		for _, n := range ran {
 			total += n
 		}
-		if len(ran) > route.Attempts {
+		if len(ran) > route.Attempts || out.exceeded > 0 {
 			fail("ran at more replicas than allowed")
 		}
 		if !route.Repeatable() && total > 1 {
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -131,3 +131,22 @@
 		is.Equal(out.result.Outcome, Unknown)
 	}
 }
+
+// Operators can't tell why a run was left, and whether its replica counts: a stream that breaks
+// leaves no line.
+func TestEndOfASendingIsTold(t *testing.T) {
+	is := is.New(t)
+	route := routing.Route{Repeat: routing.Stream, Resumable: true, Attempts: 2}
+	out := serveThrough(t, silentOnce(300*time.Millisecond), route, Call{ID: "r"}, nil, slowly(time.Second, event(1), event(2)), streams(nil, event(2)))
+	is.Equal(out.result.Outcome, Answered)
+	line := out.line("sending ended")
+	is.Equal(line["request"], "r")
+	is.Equal(line["replica"], out.sends[0])
+	is.Equal(line["verdict"], "cut-off")
+	is.Equal(line["cause"], errDataCentreSilent.Error())
+	is.Equal(line["ms"], int64(300))
+	is.Equal(line["events"], 1)
+	is.Equal(line["ran_at"], 1)
+	is.Equal(line["attempts"], 2)
+	is.True(serve(t, route, Call{}, nil, streams(nil, event(1))).line("sending ended") == nil)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -141,6 +141,9 @@
 	took   time.Duration
 	sends  []string
 	sent   []Send
+	// exceeded counts the calls that the gateway says ran at more replicas than allowed.
+	exceeded int64
+	lines    []*log.Entry
 }
 
 // serve serves one call over the replicas of a service, on virtual time.
@@ -178,7 +181,7 @@
 			list = append(list, u)
 		}
 		upstreams.Apply(list, time.Now())
-		quiet := &log.Logger{Handler: discard.Default}
+		lines, registry := memory.New(), metrics.NewRegistry()
 		sched := scheduler.New(scheduler.Settings{}, upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
 		settings.Table = func() *routing.Table { return table }
 		settings.Instances = func() int { return 1 }
@@ -192,18 +195,29 @@
 		if settings.WhenSilent == nil {
 			settings.WhenSilent = func(string, func()) func() { return func() {} }
 		}
-		g := New(settings, sched, replicas, turns, quiet, metrics.NewRegistry())
+		g := New(settings, sched, replicas, turns, &log.Logger{Handler: lines}, registry)
 		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
 		caller := &fakeCaller{}
 		began := time.Now()
 		out.result = g.Serve(context.Background(), &call, caller)
 		out.took, out.status, out.body, out.sends = time.Since(began), caller.status, caller.body.String(), replicas.targets()
-		out.sent = replicas.sends
+		out.sent, out.exceeded = replicas.sends, g.sendings.exceeded.Count()
 		time.Sleep(settleTime)
+		out.lines = lines.Entries
 	})
 	return out
 }
 
+// line returns the first line with the message.
+func (o outcome) line(message string) log.Fields {
+	for _, e := range o.lines {
+		if e.Message == message {
+			return e.Fields
+		}
+	}
+	return nil
+}
+
 // A caller is charged twice. The replica took the call and its answer was lost,
 // so it may have run; sent again it would run again. It must end as unknown.
 func TestCallThatMayHaveRunIsNotSentAgain(t *testing.T) {
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -27,3 +27,26 @@
 		time.Sleep(silenceEvery)
 	})
 }
+
+// Operators can't tell when an instance took a data centre for silent, or find a line for each
+// look at it.
+func TestSilenceOfADataCentreIsToldAsItBeginsAndEnds(t *testing.T) {
+	is := is.New(t)
+	s, now := silentSince{}, time.Now()
+	told := func(silence time.Duration, after time.Duration) string {
+		fell, back, since := s.note("dc", silence, now.Add(after))
+		switch {
+		case fell:
+			return "fell " + now.Add(after).Sub(since).String()
+		case back:
+			return "back " + now.Add(after).Sub(since).String()
+		}
+		return ""
+	}
+	is.Equal(told(cutAfter, 0), "")
+	is.Equal(told(500*time.Millisecond, 0), "fell 500ms")
+	is.Equal(told(time.Second, 500*time.Millisecond), "")
+	is.Equal(told(0, time.Second), "back 1.5s")
+	is.Equal(told(0, 2*time.Second), "")
+	is.Equal(told(time.Second, 3*time.Second), "fell 1s")
+}
--- a/internal/node/silencelog.go
+++ b/internal/node/silencelog.go
@@ -8,11 +8,29 @@
 	"time"
 )
 
+// silentSince is since when data centres are silent, by their names.
+type silentSince map[string]time.Time
+
+// note takes in for how long nothing was heard from a data centre. It reports whether that fell
+// silent or is heard again, and since when it was silent.
+func (s silentSince) note(dataCentre string, silence time.Duration, now time.Time) (fell, back bool, since time.Time) {
+	since, was := s[dataCentre]
+	silent := silence > cutAfter
+	switch {
+	case silent && !was:
+		since = now.Add(-silence)
+		s[dataCentre] = since
+	case !silent && was:
+		delete(s, dataCentre)
+	}
+	return silent && !was, was && !silent, since
+}
+
 // logSilences writes a line as a data centre falls silent, and one as it is heard again.
 func (n *Node) logSilences(ctx context.Context) {
 	ticker := time.NewTicker(silenceEvery)
 	defer ticker.Stop()
-	since := map[string]time.Time{}
+	silent := silentSince{}
 	for {
 		select {
 		case <-ticker.C:
@@ -20,16 +38,13 @@
 			return
 		}
 		for _, dataCentre := range n.fleet.dataCentres() {
-			silence := n.load.Silence(dataCentre)
-			began, was := since[dataCentre]
+			fell, back, since := silent.note(dataCentre, n.load.Silence(dataCentre), time.Now())
 			entry := n.logger.WithField("data_centre", dataCentre)
-			switch {
-			case silence > cutAfter && !was:
-				since[dataCentre] = time.Now().Add(-silence)
-				entry.WithField("unheard_ms", silence.Milliseconds()).WithField("instances", n.unheard(dataCentre)).Info("data centre silent")
-			case silence <= cutAfter && was:
-				delete(since, dataCentre)
-				entry.WithField("silent_ms", time.Since(began).Milliseconds()).Info("data centre heard again")
+			switch lasted := time.Since(since).Milliseconds(); {
+			case fell:
+				entry.WithField("unheard_ms", lasted).WithField("instances", n.unheard(dataCentre)).Info("data centre silent")
+			case back:
+				entry.WithField("silent_ms", lasted).Info("data centre heard again")
 			}
 		}
 	}
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -58,11 +58,15 @@
 		x, _ := exchange()
 		is.Equal(x.Silence("there"), time.Duration(0))
 		is.True(x.Hears("b", time.Second))
+		_, heard := x.Unheard("b")
+		is.True(!heard)
 		x.take(loadOf("b", "there", 1), time.Now())
 		time.Sleep(2 * time.Second)
 		is.Equal(x.Silence("there"), 2*time.Second)
 		is.Equal(x.Silence("here"), time.Duration(0))
 		is.True(!x.Hears("b", time.Second))
+		age, _ := x.Unheard("b")
+		is.Equal(age, 2*time.Second)
 	})
 }
 
