--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -203,6 +203,7 @@
 		out.took, out.status, out.body, out.sends = time.Since(began), caller.status, caller.body.String(), replicas.targets()
 		out.sent, out.exceeded = replicas.sends, g.sendings.exceeded.Count()
 		time.Sleep(settleTime)
+		synctest.Wait()
 		out.lines = lines.Entries
 	})
 	return out
