The line of a silent data centre tells of eight instances at most

In a data centre of seventy instances the line took 1.5 KB at each of the others. Those heard last tell whether the data centre or this instance was silent.

--- a/internal/node/silencelog.go
+++ b/internal/node/silencelog.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -50,19 +52,21 @@
 	}
 }
 
-// unheard tells for how long each instance of a data centre was not heard.
+// unheardMost bounds the instances that a line tells of.
+const unheardMost = 8
+
+// unheard tells for how long instances of a data centre were not heard, those heard last first.
 func (n *Node) unheard(dataCentre string) string {
-	var ages []string
+	ages := map[string]time.Duration{}
 	for _, m := range n.fleet.list() {
-		if m.DataCentre != dataCentre {
-			continue
-		}
-		age := "never"
-		if d, heard := n.load.Unheard(m.Name); heard {
-			age = fmt.Sprintf("%dms", d.Milliseconds())
+		if age, heard := n.load.Unheard(m.Name); heard && m.DataCentre == dataCentre {
+			ages[m.Name] = age
 		}
-		ages = append(ages, m.Name+"="+age)
 	}
-	slices.Sort(ages)
-	return strings.Join(ages, " ")
+	names := slices.SortedFunc(maps.Keys(ages), func(a, b string) int { return cmp.Compare(ages[a], ages[b]) })
+	var list []string
+	for _, name := range names[:min(unheardMost, len(names))] {
+		list = append(list, fmt.Sprintf("%s=%dms", name, ages[name].Milliseconds()))
+	}
+	return strings.Join(list, " ")
 }
