--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -109,14 +110,21 @@
 	if v == whole {
 		return
 	}
-	entry := f.gateway.logger.WithField("request", f.call.ID).WithField("replica", s.grant.Upstream).
-		WithField("data_centre", s.grant.DataCentre).WithField("verdict", v.String()).
-		WithField("ms", time.Since(s.began).Milliseconds()).WithField("events", s.events).
-		WithField("ran_at", len(f.runs)).WithField("attempts", f.route.Attempts).
-		WithField("unheard_ms", f.gateway.settings.Silence(s.grant.DataCentre).Milliseconds())
+	fields := log.Fields{
+		"request":     f.call.ID,
+		"replica":     s.grant.Upstream,
+		"data_centre": s.grant.DataCentre,
+		"verdict":     v.String(),
+		"ms":          time.Since(s.began).Milliseconds(),
+		"events":      s.events,
+		"ran_at":      len(f.runs),
+		"attempts":    f.route.Attempts,
+		"unheard_ms":  f.gateway.settings.Silence(s.grant.DataCentre).Milliseconds(),
+	}
 	if cause := context.Cause(ctx); cause != nil {
-		entry = entry.WithField("cause", cause.Error())
+		fields["cause"] = cause.Error()
 	}
+	entry := f.gateway.logger.WithFields(fields)
 	if s.err != nil {
 		entry = entry.WithError(s.err)
 	}
