A ring of seals is not broken into a log that is sealed itself

What callers saw (serve): programs of some slices without an owner ('owner dead, not taken over yet') from the moment an instance that had been paused lived again until it learned that its log was sealed, and meanwhile instances that call the store and each other without end.

Cause: a ring of seals is broken by giving its slices to living instances. An instance that was paused while its log was sealed lives and does not know yet; slices were given to it, also to the sealed log that let them out, so the ring stayed. Each try told the other successors, which tried again at once. Class: an instance that lives taken for one that owns its log.

Change: heirs are living instances whose logs are not known to be sealed. TestRingIsNotBrokenIntoASealedLog failed before (located at nobody, seals form a ring).

--- a/internal/ownership/failure_test.go
+++ b/internal/ownership/failure_test.go
@@ -131,6 +131,35 @@
 	is.Equal(len(distinct(&ledger.Seal{Successors: spread})), maxSuccessors)
 }
 
+// An instance was paused while its log was sealed, lives again and does not know yet. A ring that
+// its seal is part of is broken into its own log: nobody owns its slices, and the others wake each
+// other without end to break the ring again.
+func TestRingIsNotBrokenIntoASealedLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.manual = true
+		a, b, c := w.start(1), w.start(1), w.start(1)
+		ids := a.seed(t, 20)
+		ids = append(ids, b.seed(t, 20)...)
+		c.seed(t, 1)
+		_, _, err := b.log.Seal(t.Context(), Spread(b.self.Cohort, []Member{a.self}))
+		is.NoErr(err)
+		is.NoErr(b.keeper.Pass(t.Context()))
+		w.pause(a)
+		time.Sleep(time.Second)
+		_, err = c.keeper.takeOver(t.Context(), Dead{Cohort: a.self.Cohort}, []Member{b.self})
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		w.resume(a)
+		is.NoErr(c.keeper.Pass(t.Context()))
+		checkAllOn(t, c, ids)
+		for _, n := range w.all(running) {
+			n.shut()
+		}
+	})
+}
+
 // offering is an adopter that is offered a late record while it adopts.
 type offering struct {
 	*fakeOwner
--- a/internal/ownership/ring.go
+++ b/internal/ownership/ring.go
@@ -21,17 +21,22 @@
 // same one, the last sealed, so that the ring gets exactly one way out and all
 // that was in it leaves there.
 func (k *Keeper) breakRings(ctx context.Context, cohorts map[program.Cohort]*ledger.Cohort) error {
-	living := k.o.Members.Living()
-	if len(living) == 0 {
+	// An instance that lives may not know yet that its log is sealed: slices given to it would
+	// stay in a ring.
+	heirs := slices.DeleteFunc(k.o.Members.Living(), func(m Member) bool {
+		c := cohorts[m.Cohort]
+		return c != nil && c.Seal != nil
+	})
+	if len(heirs) == 0 {
 		return nil // cut off, as in takeOverDead
 	}
 	exits := k.rings(ctx, cohorts)
 	var failed error
 	for _, c := range slices.Sorted(mapKeys(exits)) {
-		if time.Since(cohorts[c].Seal.At) < k.turn(c, living) {
+		if time.Since(cohorts[c].Seal.At) < k.turn(c, heirs) {
 			continue
 		}
-		if err := k.amend(ctx, cohorts, c, exits[c], Spread(c, living)); failed == nil {
+		if err := k.amend(ctx, cohorts, c, exits[c], Spread(c, heirs)); failed == nil {
 			failed = err
 		}
 	}
