--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -101,7 +101,7 @@
 	return s
 }
 
-// sendingEnded takes down what a sending came to.
+// sendingEnded records what a sending came to.
 func (f *flight) sendingEnded(ctx context.Context, s *sending, v verdict) {
 	f.gateway.sendings.ended[v].Inc(1)
 	if v.mayHaveRun() {
@@ -131,7 +131,7 @@
 	entry.Info("sending ended")
 }
 
-// noteRun takes down that the replica may have run the call.
+// noteRun records that the replica may have run the call.
 func (f *flight) noteRun(replica string) {
 	before := len(f.runs)
 	f.runs = f.runs.with(replica)
--- a/internal/node/silencelog.go
+++ b/internal/node/silencelog.go
@@ -13,7 +13,7 @@
 // silentSince is since when data centres are silent, by their names.
 type silentSince map[string]time.Time
 
-// note takes in for how long nothing was heard from a data centre. It reports whether that fell
+// note records for how long nothing was heard from a data centre. It reports whether that fell
 // silent or is heard again, and since when it was silent.
 func (s silentSince) note(dataCentre string, silence time.Duration, now time.Time) (fell, back bool, since time.Time) {
 	since, was := s[dataCentre]
--- a/internal/ownership/ring.go
+++ b/internal/ownership/ring.go
@@ -23,7 +23,7 @@
 func (k *Keeper) breakRings(ctx context.Context, cohorts map[program.Cohort]*ledger.Cohort) error {
 	// An instance that lives may not know yet that its log is sealed: slices given to it would
 	// stay in a ring.
-	heirs := slices.DeleteFunc(k.o.Members.Living(), func(m Member) bool {
+	heirs := slices.DeleteFunc(slices.Clone(k.o.Members.Living()), func(m Member) bool {
 		c := cohorts[m.Cohort]
 		return c != nil && c.Seal != nil
 	})
