--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -76,6 +77,8 @@
 
 	mu      sync.Mutex
 	members map[string]member
+	// centres are the data centres of the members, which each call asks for.
+	centres []string
 	keepers map[string]historypb.Keeper
 	relays  map[string]mirrorpb.Relay
 }
@@ -135,9 +138,13 @@
 		members[m.Name] = m
 	}
 	members[f.settings.Instance] = f.self()
+	centres := map[string]bool{}
+	for _, m := range members {
+		centres[m.DataCentre] = true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.members = members
+	f.members, f.centres = members, slices.Sorted(maps.Keys(centres))
 }
 
 // entries returns the number of instances that take callers.
@@ -169,17 +176,11 @@
 	return heard, all
 }
 
-// dataCentres returns those that have instances.
+// dataCentres returns those that have instances. The list is not to be changed.
 func (f *fleet) dataCentres() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var names []string
-	for _, m := range f.members {
-		if !slices.Contains(names, m.DataCentre) {
-			names = append(names, m.DataCentre)
-		}
-	}
-	return names
+	return f.centres
 }
 
 // datagramAddresses returns where the other entries take datagrams.
