Calls wait for reports of their customer's quota; a flood from idle at all instances is bounded

And a call that the quota may cover is refused where the instance has used its share of what is left, although the others' reports arrive within a round. Change: an instance that was idle keeps to an equal part of the free calls for a round; a share below one call is drawn; AwaitsReports tells the gateway that a call may be admitted after the next reports, and it waits for them, 0.4 s and half of its deadline at most. Fleets of more than about 120 instances keep the former limit of the design.

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -76,11 +76,17 @@
 
 // fakeQuotas returns a fixed verdict and records returned admissions.
 type fakeQuotas struct {
-	verdict  limit.Verdict
+	verdict limit.Verdict
+	// reports is the number of reports for which calls wait before the verdict.
+	reports  int
 	returned []string
 }
 
 func (f *fakeQuotas) Admit(limit.Call, time.Time) (limit.Verdict, time.Duration) {
+	if f.reports > 0 {
+		f.reports--
+		return limit.AwaitsReports, 100 * time.Millisecond
+	}
 	return f.verdict, 300 * time.Millisecond
 }
 
@@ -107,6 +113,30 @@
 	}
 }
 
+// Guards against refusals of customers below their quota, whose calls arrive at one instance at once.
+// A call must wait for the reports by which the others leave it room, but only for a bounded time and
+// not for most of its deadline.
+func TestCallsWaitForReportsOfTheirQuota(t *testing.T) {
+	customers := newCustomers(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*digestOf("k1")}})
+	for _, c := range []struct {
+		reports int
+		timeout time.Duration
+		outcome Outcome
+		waited  time.Duration
+	}{
+		{reports: 3, timeout: 5 * time.Second, outcome: Completed, waited: 300 * time.Millisecond},
+		{reports: 99, timeout: 5 * time.Second, outcome: NotRun, waited: maxReportWait},
+		{reports: 3, timeout: 150 * time.Millisecond, outcome: NotRun},
+	} {
+		is := is.New(t)
+		route := routing.Route{Kind: routing.AtMostOnce, Attempts: 1, Timeout: c.timeout}
+		quotas := &fakeQuotas{reports: c.reports}
+		got := serveWith(t, customers, Settings{Quotas: quotas}, route, Call{ID: "r", Key: digestOf("k1")}, nil, succeedsWith("done"))
+		is.Equal(got.result.Outcome, c.outcome)
+		is.Equal(got.duration, c.waited)
+	}
+}
+
 // Guards against quotas that are used up by calls that were refused and have not run.
 func TestCallsThatDidNotRunAreReturnedToTheQuota(t *testing.T) {
 	customers := newCustomers(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*digestOf("k1")}})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,8 @@
 
 // stageTimes is the time that a call spent in each stage.
 type stageTimes struct {
+	// admitting is the wait for other instances' reports of the customer's calls.
+	admitting time.Duration
 	// reserving is the wait for the program's keepers before a turn, retaining the wait for them
 	// after it.
 	reserving, retaining time.Duration
@@ -160,7 +162,11 @@
 	if f.service == nil {
 		return refused(NoReplica, notReadyRetryAfter)
 	}
-	if refusal := f.admit(); refusal != nil {
+	f.deadline = f.call.Arrived.Add(f.route.Timeout)
+	if !f.call.Deadline.IsZero() && f.call.Deadline.Before(f.deadline) {
+		f.deadline = f.call.Deadline
+	}
+	if refusal := f.admit(ctx); refusal != nil {
 		return *refusal
 	}
 	admitted := time.Now()
@@ -171,33 +177,56 @@
 	return result
 }
 
-// admit checks the call against its customer's quota. It returns nil if the call is admitted.
-func (f *inFlightCall) admit() *Result {
+// maxReportWait bounds how long a call waits for other instances' reports of the customer's calls.
+// Three rounds of reports fit into it in a fleet of a hundred.
+const maxReportWait = 400 * time.Millisecond
+
+// admit checks the call against its customer's quota. It returns nil if the call is admitted. A
+// call that the quota may still cover waits for the reports of other instances.
+//
+// It prevents the following failure: a customer below its quota whose calls arrive at one instance
+// at once is refused there, although the other instances use nothing of the quota.
+func (f *inFlightCall) admit(ctx context.Context) *Result {
 	if f.customer == nil {
 		return nil
 	}
-	verdict, after := f.gateway.settings.Quotas.Admit(limit.Call{
-		Customer:      f.customer.Name,
-		Program:       f.call.Program.ID,
-		StartsProgram: f.route.Kind == routing.Stream && f.call.Previous == "",
-	}, time.Now())
-	if verdict == limit.Admitted {
-		return nil
+	began := time.Now()
+	for {
+		verdict, after := f.gateway.settings.Quotas.Admit(limit.Call{
+			Customer:      f.customer.Name,
+			Program:       f.call.Program.ID,
+			StartsProgram: f.route.Kind == routing.Stream && f.call.Previous == "",
+		}, time.Now())
+		switch {
+		case verdict == limit.Admitted:
+			f.stageTimes.admitting = time.Since(began)
+			return nil
+		case verdict == limit.AwaitsReports && time.Since(began)+after <= min(maxReportWait, time.Until(f.deadline)/2) && sleep(ctx, after):
+			continue
+		}
+		reason := OverQuota
+		if verdict == limit.Undetermined {
+			reason = QuotaUndetermined
+		}
+		result := refused(reason, after)
+		return &result
 	}
-	reason := OverQuota
-	if verdict == limit.Undetermined {
-		reason = QuotaUndetermined
+}
+
+// sleep waits for d and reports whether ctx is still active.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	result := refused(reason, after)
-	return &result
 }
 
 // serveAdmitted serves a call that its quota admitted.
 func (f *inFlightCall) serveAdmitted(ctx context.Context) Result {
-	f.deadline = f.call.Arrived.Add(f.route.Timeout)
-	if !f.call.Deadline.IsZero() && f.call.Deadline.Before(f.deadline) {
-		f.deadline = f.call.Deadline
-	}
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
 	f.body = f.call.Body
@@ -391,7 +420,7 @@
 // addTo adds the stages that took a millisecond or more to a log line's fields.
 func (s *stageTimes) addTo(fields log.Fields) {
 	for name, d := range map[string]time.Duration{
-		"reserving_ms": s.reserving, "keeping_ms": s.retaining, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
+		"admitting_ms": s.admitting, "reserving_ms": s.reserving, "keeping_ms": s.retaining, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
 	} {
 		if d >= time.Millisecond {
 			fields[name] = d.Milliseconds()
--- a/internal/limit/meter.go
+++ b/internal/limit/meter.go
@@ -1,8 +1,11 @@
 package limit
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -77,6 +80,8 @@
 	// those since rotatedAt and those of the round before.
 	unreportedPrevious, unreportedCurrent float64
 	rotatedAt                             time.Time
+	// rotations counts the changes of rotatedAt.
+	rotations uint64
 	// activeSince is when this instance last changed from idle to having calls of the customer.
 	activeSince time.Time
 	// reported is the value of admitted when the last report began, at reportedAt.
@@ -159,11 +164,41 @@
 // withinLocalShare reports whether this instance may admit a call while others may have admitted
 // calls that they have not reported yet. If more than half of the limit is free, the calls that
 // others admit within the report delay are assumed not to use it up. Otherwise each instance keeps
-// to its share of the free calls and of those that leave the window within the delay.
-func (m *meter) withinLocalShare(limit float64, delay time.Duration) bool {
+// to its share of the free calls and of those that leave the window within the delay. A share below
+// one call is drawn: with one call for each instance, a fleet of more instances than free calls
+// would exceed the limit.
+func (m *meter) withinLocalShare(limit float64, delay time.Duration, instance string) bool {
 	free := limit - m.recent.sum
+	if free > uncontendedFraction*limit {
+		return true
+	}
 	leaving := m.ownFraction() * limit * delay.Seconds() / m.window.Seconds()
-	return free > uncontendedFraction*limit || m.unreported()+1 <= max(1, m.localShare()*(free+m.unreported())+leaving)
+	share := m.localShare()*(free+m.unreported()) + leaving
+	if share < 1 && m.draw(instance) < share {
+		share = 1
+	}
+	return m.unreported()+1 <= share
+}
+
+// withinEqualShare reports whether this instance may admit a call while it can't know of the other
+// instances' calls. It keeps to an equal part of the free calls, and to one call at least.
+//
+// It prevents the following failure: a flood that begins at all instances at once is admitted by
+// each of them up to the burst, before any report arrives.
+func (m *meter) withinEqualShare(limit float64, instances int) bool {
+	free := limit - m.recent.sum
+	return m.unreported()+1 <= max(1, (free+m.unreported())/float64(max(1, instances)))
+}
+
+// draw returns a number between 0 and 1 that differs between instances and between report delays.
+func (m *meter) draw(instance string) float64 {
+	var seed [16]byte
+	binary.LittleEndian.PutUint64(seed[:8], m.hash)
+	binary.LittleEndian.PutUint64(seed[8:], m.rotations)
+	var digest xxhash.Digest
+	digest.ResetWithSeed(xxhash.Sum64String(instance))
+	_, _ = digest.Write(seed[:]) // never fails
+	return float64(digest.Sum64()>>11) / (1 << 53)
 }
 
 // canStartProgram reports whether the limit covers one more program beside the active ones, or this
@@ -264,6 +299,14 @@
 	return now.Sub(m.activeSince) < 2*round
 }
 
+// isUninformed reports whether this instance was idle until less than a round ago, so that reports
+// of other instances that became active at the same time may not have arrived. Where a round takes
+// longer than a call may wait for it, customers below their quota would be refused for that reason,
+// and the instance counts as informed.
+func (m *meter) isUninformed(now time.Time, round time.Duration) bool {
+	return round < longReportRound && (m.decayedOwn < idleCalls || now.Sub(m.activeSince) < round)
+}
+
 // reportDelay returns how long calls may stay unknown to other instances that have calls of the
 // customer.
 func (m *meter) reportDelay(now time.Time, round time.Duration) time.Duration {
@@ -286,6 +329,7 @@
 		m.unreportedPrevious = 0
 	}
 	m.unreportedCurrent, m.rotatedAt = 0, now
+	m.rotations++
 }
 
 // shouldReport reports whether the next report includes the customer's calls. It does for one round
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -143,6 +143,9 @@
 	OverQuota
 	// Undetermined means that too few other instances are reachable to decide.
 	Undetermined
+	// AwaitsReports means that this instance has used its share of the quota's rest, and that other
+	// instances may leave more of it. Their reports arrive within the returned delay.
+	AwaitsReports
 )
 
 // Call is a call to be admitted.
@@ -154,7 +157,7 @@
 	StartsProgram bool
 }
 
-// Admit admits a call, or refuses it and returns the time after which to retry. When the quota is
+// Admit admits a call, or returns why not and the time after which to retry. When the quota is
 // nearly exhausted, it refuses programs that start, not programs that have started.
 func (q *Quotas) Admit(c Call, now time.Time) (Verdict, time.Duration) {
 	q.mu.Lock()
@@ -175,8 +178,8 @@
 		return Undetermined, m.retryAfter(q.fraction, observed)
 	case full:
 		return OverQuota, m.retryAfter(q.fraction, observed)
-	case !q.singleInstance && !m.withinLocalShare(limit, delay):
-		return OverQuota, max(minRetryAfter, delay)
+	case !q.singleInstance && !q.withinLocalShare(m, limit, delay, now):
+		return AwaitsReports, max(minRetryAfter, delay)
 	}
 	m.recordOwn(now)
 	if c.Program != "" {
@@ -185,6 +188,15 @@
 	return Admitted, 0
 }
 
+// withinLocalShare reports whether this instance may admit a call while others may have admitted
+// calls that they have not reported yet; the lock is held.
+func (q *Quotas) withinLocalShare(m *meter, limit float64, delay time.Duration, now time.Time) bool {
+	if m.isUninformed(now, q.reportRound) {
+		return m.withinEqualShare(limit, q.fleetSize)
+	}
+	return m.withinLocalShare(limit, delay, q.name)
+}
+
 // observedFor returns how long all calls have been known; the lock is held.
 func (q *Quotas) observedFor(now time.Time) time.Duration {
 	if q.observedSince.IsZero() {
--- a/internal/limit/quota_world_test.go
+++ b/internal/limit/quota_world_test.go
@@ -35,10 +35,11 @@
 	return (q.Rate*tolerance.Window.Seconds()+q.Burst)*(1+tolerance.Overage) + tolerance.Slack
 }
 
-// admitter is a strategy by which an instance admits calls.
+// admitter is a strategy by which an instance admits calls. A call that is not admitted is refused,
+// or waits until retryAt if that is not zero.
 type admitter interface {
 	set(quotas map[string]Quota, now time.Time)
-	admit(customer string, now time.Time) bool
+	admit(customer string, now time.Time) (admitted bool, retryAt time.Time)
 }
 
 // reportingAdmitter is the strategy of the product, Quotas.
@@ -46,9 +47,12 @@
 
 func (w reportingAdmitter) set(quotas map[string]Quota, now time.Time) { w.Set(quotas, now) }
 
-func (w reportingAdmitter) admit(customer string, now time.Time) bool {
-	verdict, _ := w.Admit(Call{Customer: customer}, now)
-	return verdict == Admitted
+func (w reportingAdmitter) admit(customer string, now time.Time) (admitted bool, retryAt time.Time) {
+	verdict, after := w.Admit(Call{Customer: customer}, now)
+	if verdict == AwaitsReports {
+		retryAt = now.Add(after)
+	}
+	return verdict == Admitted, retryAt
 }
 
 // fixedAdmitter gives each instance the same part of each quota.
@@ -64,9 +68,9 @@
 	}
 }
 
-func (w *fixedAdmitter) admit(customer string, now time.Time) bool {
+func (w *fixedAdmitter) admit(customer string, now time.Time) (admitted bool, retryAt time.Time) {
 	l := w.limiters[customer]
-	return l == nil || l.AllowN(now, 1)
+	return l == nil || l.AllowN(now, 1), time.Time{}
 }
 
 // arbitratedAdmitter has an arbiter divide each quota by demand, as Gate does with plans' limits.
@@ -93,17 +97,17 @@
 	}
 }
 
-func (w *arbitratedAdmitter) admit(customer string, now time.Time) bool {
+func (w *arbitratedAdmitter) admit(customer string, now time.Time) (admitted bool, retryAt time.Time) {
 	limits, s := w.limits[customer], w.states[customer]
 	if s == nil {
-		return true
+		return true, time.Time{}
 	}
 	s.arrivals++
 	if s.limiter == nil || now.After(s.expires) {
 		w.apply(s, limits, w.members.defaultShare(limits, w.name), now)
 	}
 	if s.limiter.AllowN(now, 1) {
-		return true
+		return true, time.Time{}
 	}
 	if now.Sub(s.requestedAt) >= minRequestGap {
 		s.offeredRate = max(s.offeredRate/2, float64(s.arrivals)/max(minRequestGap, min(requestInterval, now.Sub(s.requestedAt))).Seconds())
@@ -111,7 +115,7 @@
 		w.apply(s, limits, w.arbiter.allocate(w.name, Demand{Plan: customer, Rate: s.offeredRate, Limits: limits}, w.members, now), now)
 		s.expires = now.Add(shareLifetime)
 	}
-	return false
+	return false, time.Time{}
 }
 
 func (w *arbitratedAdmitter) apply(s *arbitratedState, limits plan.Limits, share Share, now time.Time) {
@@ -140,8 +144,18 @@
 	sendAt        time.Time
 	updateFleetAt time.Time
 	inbox         []quotaDatagram
+	waiting       []waitingCall
 }
 
+// waitingCall is a call that waits for reports, for maxWait at most.
+type waitingCall struct {
+	customer         string
+	arrived, retryAt time.Time
+}
+
+// maxWait is how long a call waits for reports.
+const maxWait = 400 * time.Millisecond
+
 type quotaDatagram struct {
 	arrives time.Time
 	from    *quotaInstance
@@ -247,7 +261,7 @@
 
 func (w *quotaWorld) startInstance(i *quotaInstance) {
 	w.incarnations++
-	i.admitter, i.lastReport, i.inbox = w.newAdmitter(w, i.name), map[string]time.Time{}, nil
+	i.admitter, i.lastReport, i.inbox, i.waiting = w.newAdmitter(w, i.name), map[string]time.Time{}, nil, nil
 	i.lastContact = map[int]time.Time{}
 	i.paused = false
 	i.sendAt = w.now.Add(time.Duration(w.random.Int64N(int64(reportTick))))
@@ -318,6 +332,15 @@
 	if !ok {
 		return
 	}
+	waiting := i.waiting
+	i.waiting = nil
+	for _, c := range waiting {
+		if w.now.Before(c.retryAt) {
+			i.waiting = append(i.waiting, c)
+			continue
+		}
+		w.offer(i, c.customer, c.arrived)
+	}
 	i.inbox = slices.DeleteFunc(i.inbox, func(d quotaDatagram) bool {
 		if d.arrives.After(w.now) {
 			return false
@@ -398,11 +421,20 @@
 	if w.ideal[c.customer].AllowN(w.now, 1) {
 		w.idealAdmitted[c.customer]++
 	}
-	if c.instance.admitter.admit(c.customer, w.now) {
-		w.admittedAt[c.customer] = append(w.admittedAt[c.customer], w.now)
-		return
+	w.offer(c.instance, c.customer, w.now)
+}
+
+// offer offers a call to an instance, which admits or refuses it or lets it wait.
+func (w *quotaWorld) offer(i *quotaInstance, customer string, arrived time.Time) {
+	admitted, retryAt := i.admitter.admit(customer, w.now)
+	switch {
+	case admitted:
+		w.admittedAt[customer] = append(w.admittedAt[customer], w.now)
+	case retryAt.IsZero() || retryAt.Sub(arrived) > maxWait:
+		w.refused[customer]++
+	default:
+		i.waiting = append(i.waiting, waitingCall{customer: customer, arrived: arrived, retryAt: retryAt})
 	}
-	w.refused[c.customer]++
 }
 
 // lossFractions returns the fraction of the calls admitted by the ideal buckets that the instances
