Upstream table, load sums and decisions cost what changes, not what is listed

Cause: with 10,000 upstreams, each change of one rebuilt all maps of the table and searched the old endpoints of its service from the start (15 million comparisons for one change among 5,545 engines); each datagram's load, and each own send, walked and hashed all upstreams up to 67 and 16 times a second; a decision walked all endpoints to find 48 of them, and the mean speed all of them five times a second. Change: Table.Update edits the lists (last one takes the place) and finds upstreams by hash and id; a load that arrives replaces its sender's former one in running sums; own load comes from the set of upstreams with calls; the mean speed is a running sum of its group; a decision looks at its sample and at the holders of the prompt alone; the history of calls in flight (768 B) comes with the first call. Lists are no longer in the order of the usage list.

--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -40,10 +40,6 @@
 	// since there are few of them, and callers wait for a failed one until its silence is detected.
 	EntryFanout  = 24
 	KeeperFanout = 48
-	// sumInterval is the minimum time between two sums over the loads of all peers. In a fleet of
-	// seventy, four hundred datagrams arrive each second. A sum for each of them took 1.7% of a
-	// core (BenchmarkRecordLoad: 42 µs, 6 µs with the interval).
-	sumInterval = 15 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer, enough for some hundred upstreams.
 	maxDatagramBytes = 8 << 10
 )
@@ -60,11 +56,13 @@
 	logger log.Interface
 
 	mu    sync.Mutex
-	loads map[string]receivedLoad
+	loads loadSums
 	// dataCentreContacts holds the time of the last contact with each data centre, contacts the
 	// last contact with each instance.
 	dataCentreContacts map[string]time.Time
 	contacts           map[string]contact
+	// lastContactAt is the time of the last contact with any instance.
+	lastContactAt time.Time
 	// addresses holds, by instance, the source address of its datagrams, at which it also receives.
 	addresses map[string]netip.AddrPort
 	// pendingPeers are the peers that have not been sent a datagram in this round. Only the sending
@@ -84,15 +82,6 @@
 	// of calling peers under mu, so that callers of the exchange's methods may hold the lock that
 	// peers takes.
 	peerCount int
-	// summedAt is the time of the last sum over the peers' loads. sumPending is true if a load
-	// arrived since then.
-	summedAt   time.Time
-	sumPending bool
-}
-
-type receivedLoad struct {
-	load       *peerloadpb.Load
-	receivedAt time.Time
 }
 
 // contact is the last contact with an instance. sendsPerRound is the number of sends in which the
@@ -116,7 +105,7 @@
 	now := time.Now()
 	return &Exchange{
 		name: name, dataCentre: dataCentre, fanout: fanout, table: table, peers: peers, logger: logger,
-		loads: map[string]receivedLoad{}, dataCentreContacts: map[string]time.Time{}, contacts: map[string]contact{},
+		loads: newLoadSums(table), dataCentreContacts: map[string]time.Time{}, contacts: map[string]contact{},
 		addresses: map[string]netip.AddrPort{}, startedAt: now, listeningSince: now,
 	}
 }
@@ -160,12 +149,12 @@
 		}
 	}
 	delete(others, x.dataCentre)
-	instances := map[string]time.Time{}
-	for name, last := range x.contacts {
-		instances[name] = last.receivedAt
-	}
 	now := time.Now()
-	return max(commonSilence(others, now), commonSilence(instances, now))
+	silence := commonSilence(others, now)
+	if len(x.contacts) >= minSilentOthers {
+		silence = max(silence, now.Sub(x.lastContactAt))
+	}
+	return silence
 }
 
 // commonSilence returns the time since the latest of the contacts, or 0 if there are fewer than
@@ -206,7 +195,7 @@
 		case <-ctx.Done():
 			return
 		}
-		x.sumPendingLoads()
+		x.expireLoads(time.Now())
 		x.reportToNewInstances(conn)
 		load := x.ownLoad()
 		atOnce := x.addUsage(load, time.Now())
@@ -225,13 +214,11 @@
 // isDue reports whether it is time to send again.
 func isDue(busy bool, sinceLast time.Duration) bool { return busy || sinceLast >= idleSendInterval }
 
-// sumPendingLoads sums the loads again if some arrived after the last sum, too early for another.
-func (x *Exchange) sumPendingLoads() {
+// expireLoads removes the loads of peers that have sent none for loadLifetime.
+func (x *Exchange) expireLoads(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.sumPending {
-		x.sumLoads(time.Now())
-	}
+	x.loads.expire(x.peerCount, now)
 }
 
 // ReachableOrUnknown reports whether the last contact with an instance is recent. It returns true if
@@ -258,6 +245,16 @@
 	return last.isSilentFor(within, time.Now()), listening.isSilentFor(within, time.Now())
 }
 
+// SilentDataCentre reports whether nothing was received from another data centre for a time, and
+// whether this instance has listened for so long. It needs no round of sends: some instance of a
+// data centre sends to this one at every moment, however many instances there are.
+func (x *Exchange) SilentDataCentre(dataCentre string, within time.Duration) (silent, known bool) {
+	silentFor := x.DataCentreSilentFor(dataCentre)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return silentFor >= within, time.Since(x.listeningSince) >= within
+}
+
 // sendsPerRound returns the number of sends in which an instance sends one datagram to each of its
 // peers.
 func sendsPerRound(peers, fanout int) uint32 { return uint32(max(1, (peers+fanout-1)/fanout)) }
@@ -269,18 +266,22 @@
 	return time.Since(x.contacts[instance].receivedAt) < within
 }
 
+// ownLoad returns the load of this instance's calls. It costs as much as the upstreams with calls.
 func (x *Exchange) ownLoad() *peerloadpb.Load {
 	now := time.Now()
 	load := &peerloadpb.Load{From: x.name, DataCentre: x.dataCentre}
-	for _, u := range x.table.Snapshot().All {
+	isReported := func(u *upstream.Upstream) bool {
+		return u.HasHighErrorRate(now) || u.Load(now.UnixNano()).Own > 0
+	}
+	for _, u := range x.table.Active(isReported) {
 		if u.HasHighErrorRate(now) {
-			load.Erring = append(load.Erring, xxhash.Sum64String(u.Name))
+			load.Erring = append(load.Erring, u.Hash)
 		}
 		l := u.Load(now.UnixNano())
 		if l.Own == 0 {
 			continue
 		}
-		load.Upstreams = append(load.Upstreams, xxhash.Sum64String(u.Name))
+		load.Upstreams = append(load.Upstreams, u.Hash)
 		load.Calls = append(load.Calls, uint32(l.Own))
 		load.Backlog = append(load.Backlog, uint32(max(0, l.OwnBacklog)))
 	}
@@ -332,7 +333,7 @@
 // does not, so that each of them receives datagrams at regular intervals.
 func (x *Exchange) nextPeers() []*net.UDPAddr {
 	if len(x.pendingPeers) == 0 {
-		x.pendingPeers = x.peers()
+		x.pendingPeers = slices.Clone(x.peers())
 		x.mu.Lock()
 		x.peerCount = len(x.pendingPeers)
 		x.mu.Unlock()
@@ -429,12 +430,9 @@
 func (x *Exchange) recordLoad(load *peerloadpb.Load, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.loads[load.From] = receivedLoad{load: load, receivedAt: now}
+	x.loads.replace(load, x.peerCount, now)
+	x.lastContactAt = now
 	x.dataCentreContacts[load.DataCentre], x.contacts[load.From] = now, contact{receivedAt: now, sendsPerRound: x.sendsPerRoundOf(load), busy: isActive(load)}
-	x.sumPending = true
-	if now.Sub(x.summedAt) >= sumInterval {
-		x.sumLoads(now)
-	}
 }
 
 // sendsPerRoundOf returns the sender's number of sends per round. Older versions don't report it
@@ -445,37 +443,3 @@
 	}
 	return load.Turns
 }
-
-// sumLoads writes the summed load of the other instances into the table. The caller holds the lock.
-func (x *Exchange) sumLoads(now time.Time) {
-	x.summedAt, x.sumPending = now, false
-	calls, backlog, erring := map[uint64]int{}, map[uint64]int{}, map[uint64]bool{}
-	reporting := 0
-	for from, received := range x.loads {
-		if now.Sub(received.receivedAt) > loadLifetime {
-			delete(x.loads, from)
-			continue
-		}
-		reporting++
-		for _, hash := range received.load.Erring {
-			erring[hash] = true
-		}
-		for i, hash := range received.load.Upstreams {
-			calls[hash] += int(received.load.Calls[i])
-			backlog[hash] += int(received.load.Backlog[i])
-		}
-	}
-	scale := max(1, float64(x.peerCount)/float64(max(1, reporting)))
-	if reporting < EntryFanout/2 {
-		// With few loads, the peers that sent none are down or unreachable, so there is nothing to
-		// extrapolate to.
-		scale = 1
-	}
-	for _, u := range x.table.Snapshot().All {
-		hash := xxhash.Sum64String(u.Name)
-		if erring[hash] {
-			u.PeerReportedErrors(now.Add(loadLifetime))
-		}
-		u.SetRemoteLoad(int(scale*float64(calls[hash])), int(scale*float64(backlog[hash])), now.Add(loadLifetime))
-	}
-}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -23,7 +23,7 @@
 // sample can take the step.
 func (p *pool) decide(endpoints []*upstream.Endpoint, w *waiter, now time.Time) placement.Decision {
 	if p.key.service {
-		w.step.MeanCall = p.poolMeanSpeed(endpoints, now).CallSeconds
+		w.step.MeanCall = meanSpeed(endpoints).CallSeconds
 	}
 	p.scheduler.view.Lookup(w.blockHashes, &p.matches)
 	policy := p.scheduler.settings.Policy
@@ -46,33 +46,38 @@
 	w.step.MoveTokensPerSecond = p.moveRate(w, now)
 }
 
+// fillSample considers evenly spaced endpoints, and those with the longest part of the prompt cached.
+// It looks at no other, so that a decision costs the same for any number of endpoints.
 func (p *pool) fillSample(endpoints []*upstream.Endpoint, w *waiter, now time.Time) {
 	p.candidates = p.candidates[:0]
-	included := 0
-	minDepth := p.holderDepth()
-	start := int(w.step.Random % uint64(len(endpoints)))
 	stride := max(1, len(endpoints)/sampleSize)
-	for i := range endpoints {
-		id := endpoints[i].Upstream.ID
-		isHolder := id == w.step.LastUpstream || included < maxCacheHolders && p.matches.Depth(id) >= minDepth
-		if isHolder {
-			included++
-		}
-		if isHolder || (i+start)%stride == 0 {
+	first := int(w.step.Random % uint64(stride))
+	for i := first; i < len(endpoints); i += stride {
+		p.addCandidate(endpoints, i, w, now)
+	}
+	inSample := func(i int) bool { return i%stride == first }
+	if i, ok := p.positionOf(w.step.LastUpstream, endpoints); ok && !inSample(i) {
+		p.addCandidate(endpoints, i, w, now)
+	}
+	for _, holder := range p.matches.Found[:min(maxCacheHolders, len(p.matches.Found))] {
+		if i, ok := p.positionOf(holder.Upstream, endpoints); ok && !inSample(i) && holder.Upstream != w.step.LastUpstream {
 			p.addCandidate(endpoints, i, w, now)
 		}
 	}
 	w.step.MoveTokensPerSecond = p.moveRate(w, now)
 }
 
-// holderDepth returns the number of cached prompt blocks from which an upstream counts as a cache
-// holder.
-func (p *pool) holderDepth() int {
-	found := p.matches.Found
-	if len(found) == 0 {
-		return 1
+// positionOf returns the index of the upstream's endpoint in endpoints.
+func (p *pool) positionOf(id uint32, endpoints []*upstream.Endpoint) (int, bool) {
+	u := p.scheduler.table.ByID(id)
+	if u == nil {
+		return 0, false
+	}
+	endpoint := u.Endpoint(p.key.name)
+	if endpoint == nil {
+		return 0, false
 	}
-	return found[min(maxCacheHolders, len(found))-1].Blocks
+	return endpoint.Position(endpoints)
 }
 
 func (p *pool) addCandidate(endpoints []*upstream.Endpoint, i int, w *waiter, now time.Time) {
@@ -83,7 +88,7 @@
 		ID:           u.ID,
 		Slots:        max(1, u.Slots),
 		Load:         u.Load(now.UnixNano()),
-		Speed:        p.learnedOrMeanSpeed(endpoint, endpoints, now),
+		Speed:        learnedOrMeanSpeed(endpoint),
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
 	}
 	if idle := p.scheduler.settings.HasIdleConnection; idle != nil && !idle(u.Name, u.Address) {
@@ -116,43 +121,20 @@
 	return 0
 }
 
-// meanSpeedInterval is how often the mean speed of a pool is recomputed.
-const meanSpeedInterval = 200 * time.Millisecond
-
 // learnedOrMeanSpeed returns the learned speed of an upstream, or the mean of the others if it has
 // not completed a call yet. With a fixed default, a fleet of fast engines would leave new engines
 // idle while steps queue for the old ones.
-func (p *pool) learnedOrMeanSpeed(endpoint *upstream.Endpoint, endpoints []*upstream.Endpoint, now time.Time) upstream.Speed {
-	speed := endpoint.Speed()
-	if speed.Samples > 0 {
+func learnedOrMeanSpeed(endpoint *upstream.Endpoint) upstream.Speed {
+	if speed := endpoint.Speed(); speed.Samples > 0 {
 		return speed
 	}
-	return p.poolMeanSpeed(endpoints, now)
-}
-
-func (p *pool) poolMeanSpeed(endpoints []*upstream.Endpoint, now time.Time) upstream.Speed {
-	if now.Sub(p.meanSpeedAt) > meanSpeedInterval {
-		p.meanSpeed, p.meanSpeedAt = meanSpeed(endpoints), now
-	}
-	return p.meanSpeed
+	return endpoint.MeanSpeed()
 }
 
+// meanSpeed returns the mean learned speed of the endpoints, which belong to one pool.
 func meanSpeed(endpoints []*upstream.Endpoint) upstream.Speed {
-	var sum upstream.Speed
-	n := 0.0
-	for _, c := range endpoints {
-		s := c.Speed()
-		if s.Samples == 0 {
-			continue
-		}
-		n++
-		sum.Prefill += s.Prefill
-		sum.TokenBase += s.TokenBase
-		sum.TokenPerCall += s.TokenPerCall
-		sum.CallSeconds += s.CallSeconds
-	}
-	if n == 0 {
+	if len(endpoints) == 0 {
 		return upstream.DefaultSpeed
 	}
-	return upstream.Speed{Prefill: sum.Prefill / n, TokenBase: sum.TokenBase / n, TokenPerCall: sum.TokenPerCall / n, CallSeconds: sum.CallSeconds / n}
+	return endpoints[0].MeanSpeed()
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -51,9 +51,6 @@
 	// rotation is the queue index at which placeRotating continues.
 	rotation int
 	matches  cache.Matches
-	// meanSpeed is the mean of the learned speeds, computed at meanSpeedAt.
-	meanSpeed   upstream.Speed
-	meanSpeedAt time.Time
 }
 
 type waiter struct {
--- a/internal/scheduler/start_test.go
+++ b/internal/scheduler/start_test.go
@@ -28,14 +28,12 @@
 // old ones. It must count as fast as the mean of the others.
 func TestNewEngineUsesMeanSpeed(t *testing.T) {
 	is := is.New(t)
-	s, table := newTestScheduler(Settings{}, engineAt("old", "a", 4), engineAt("new", "a", 4))
+	_, table := newTestScheduler(Settings{}, engineAt("old", "a", 4), engineAt("new", "a", 4))
 	endpoints := table.Snapshot().Model(testModel)
 	for range 50 {
 		endpoints[0].Learn(upstream.Sample{Uncached: 1000, Output: 11, Batch: 1, FirstToken: 20 * time.Millisecond, Total: 120 * time.Millisecond})
 	}
-	r := testRequest("p")
-	p := s.pool(&r)
-	is.Equal(p.learnedOrMeanSpeed(endpoints[1], endpoints, time.Now()), endpoints[0].Speed().WithoutSamples())
+	is.Equal(learnedOrMeanSpeed(endpoints[1]), endpoints[0].Speed().WithoutSamples())
 }
 
 // An instance that has not seen a program yet would choose any engine for its step, and the prompt
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -96,6 +96,7 @@
 	if f.Kind == Errored {
 		u.RecordProgress(now.UnixNano())
 		u.errorRate.record(now.UnixNano(), true)
+		u.active.add(u)
 	}
 	u.breaker.failures++
 	u.breaker.unreachable = f.Kind == NotSent || f.Kind == Unresponsive
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -39,6 +39,9 @@
 // callsAt returns the number of own calls in flight at the given time (Unix nanoseconds). It is 0
 // before the first call. If the samples of that time have been overwritten, the oldest one counts.
 func (h *inFlightHistory) callsAt(at int64) int32 {
+	if h == nil {
+		return 0
+	}
 	for i := 1; i <= historySamples; i++ {
 		slot := (h.next + historySamples - i) % historySamples
 		if h.at[slot] == 0 {
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -58,6 +58,8 @@
 type learnedSpeed struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Speed]
+	// left is set once the endpoint is removed from the table.
+	left bool
 	// Decaying sums of the linear regression of the time per token over the batch size; n is the sum
 	// of the weights.
 	n, x, y, xx, xy float64
@@ -81,6 +83,9 @@
 	// The first responses outweigh the default, which may be far from the true value.
 	weight := max(callWeight, 1/float64(next.Samples))
 	next.CallSeconds += weight * (s.Total.Seconds() - next.CallSeconds)
+	if !e.speed.left && e.group != nil {
+		e.group.replace(e.speed.load(), next)
+	}
 	e.speed.current.Store(&next)
 }
 
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -11,18 +11,24 @@
 )
 
 // Table is the set of upstreams in the usage list that this instance may call.
+//
+// A change costs as much as the upstreams that change, and one copy of the lists of pointers that
+// they are in: a fleet has ten thousand upstreams, and some of them change at every moment.
 type Table struct {
 	snapshot atomic.Pointer[Snapshot]
+	index    index
+	active   activeSet
 
 	mu     sync.Mutex
 	nextID uint32
+	groups map[groupKey]*group
 }
 
 // Snapshot is an immutable view of the table.
 type Snapshot struct {
-	// All is in the order of the usage list.
+	// All is in no particular order.
 	All      []*Upstream
-	byName   map[string]*Upstream
+	index    *index
 	models   map[string][]*Endpoint
 	services map[string][]*Endpoint
 }
@@ -33,37 +39,70 @@
 // Service returns the replicas of the service.
 func (s *Snapshot) Service(name string) []*Endpoint { return s.services[name] }
 
-// Upstream returns the upstream of that name, or nil.
-func (s *Snapshot) Upstream(name string) *Upstream { return s.byName[name] }
+// Upstream returns the upstream that has the name at present, or nil.
+func (s *Snapshot) Upstream(name string) *Upstream { return s.index.byName(name) }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{}
-	t.snapshot.Store(&Snapshot{})
+	t := &Table{groups: map[groupKey]*group{}}
+	t.index.init()
+	t.active.upstreams = map[*Upstream]struct{}{}
+	t.snapshot.Store(&Snapshot{index: &t.index})
 	return t
 }
 
 // Snapshot returns the current snapshot.
 func (t *Table) Snapshot() *Snapshot { return t.snapshot.Load() }
 
+// ByHash returns the upstream whose name has the hash, or nil.
+func (t *Table) ByHash(hash uint64) *Upstream { return t.index.byHash(hash) }
+
+// ByID returns the upstream with the id, or nil.
+func (t *Table) ByID(id uint32) *Upstream { return t.index.byID(id) }
+
 // Apply replaces the table's upstreams by those of the usage list. An upstream whose entry did not
 // change keeps its state; one whose entry changed, for example to a new address, is replaced by a
 // new upstream. Apply marks the removed and replaced upstreams as draining and returns them.
 func (t *Table) Apply(listed []usage.Upstream, now time.Time) []*Upstream {
+	names := make(map[string]bool, len(listed))
+	for i := range listed {
+		names[listed[i].Name] = true
+	}
+	var removed []string
+	for _, u := range t.Snapshot().All {
+		if !names[u.Name] {
+			removed = append(removed, u.Name)
+		}
+	}
+	return t.Update(listed, removed, now)
+}
+
+// Update adds or replaces upstreams and removes those of the given names. Like Apply, it keeps the
+// state of an upstream whose entry did not change, marks the removed and replaced ones as draining
+// and returns them.
+func (t *Table) Update(changed []usage.Upstream, removed []string, now time.Time) []*Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.snapshot.Load()
-	next := &Snapshot{byName: map[string]*Upstream{}, models: map[string][]*Endpoint{}, services: map[string][]*Endpoint{}}
-	for _, entry := range listed {
-		u := old.byName[entry.Name]
-		if u == nil || !sameUpstream(&u.Upstream, &entry) {
-			t.nextID++
-			u = &Upstream{Upstream: entry, ID: t.nextID}
+	edit := newEdit(t)
+	for _, name := range removed {
+		edit.remove(t.index.byName(name))
+	}
+	for i := range changed {
+		entry := &changed[i]
+		u := t.index.byName(entry.Name)
+		if u != nil && sameUpstream(&u.Upstream, entry) {
+			continue
 		}
-		next.add(u, old)
+		edit.remove(u)
+		edit.add(entry)
+	}
+	if edit.changed {
+		t.snapshot.Store(edit.next)
+	}
+	for _, u := range edit.removed {
+		u.MarkDraining(now)
 	}
-	t.snapshot.Store(next)
-	return drainRemoved(old, next, now)
+	return edit.removed
 }
 
 func sameUpstream(a, b *usage.Upstream) bool {
@@ -72,38 +111,105 @@
 		a.Fenced == b.Fenced && slices.Equal(a.Models, b.Models)
 }
 
-func (s *Snapshot) add(u *Upstream, old *Snapshot) {
-	s.All = append(s.All, u)
-	s.byName[u.Name] = u
-	if u.Kind == usage.KindService {
-		s.services[u.Service] = append(s.services[u.Service], reuseEndpoint(old.services[u.Service], u, u.Service))
+// edit builds the snapshot after one update. It copies each list at the first change of it.
+type edit struct {
+	table   *Table
+	next    *Snapshot
+	copied  map[*group]bool
+	removed []*Upstream
+	changed bool
+}
+
+// newEdit returns an edit of the table's snapshot; the lock is held.
+func newEdit(t *Table) *edit {
+	old := t.snapshot.Load()
+	return &edit{
+		table:  t,
+		next:   &Snapshot{All: old.All, index: &t.index, models: maps.Clone(old.models), services: maps.Clone(old.services)},
+		copied: map[*group]bool{},
+	}
+}
+
+// begin copies what every change affects.
+func (e *edit) begin() {
+	if e.changed {
 		return
 	}
-	for _, model := range u.Models {
-		s.models[model] = append(s.models[model], reuseEndpoint(old.models[model], u, model))
+	e.changed = true
+	e.next.All = slices.Clone(e.next.All)
+	if e.next.models == nil {
+		e.next.models, e.next.services = map[string][]*Endpoint{}, map[string][]*Endpoint{}
 	}
 }
 
-// reuseEndpoint returns the endpoint of the upstream in old, or a new one.
-func reuseEndpoint(old []*Endpoint, u *Upstream, name string) *Endpoint {
-	for _, e := range old {
-		if e.Upstream == u {
-			return e
+func (e *edit) add(entry *usage.Upstream) {
+	e.begin()
+	t := e.table
+	t.nextID++
+	u := newUpstream(*entry, t.nextID, &t.active)
+	u.position = len(e.next.All)
+	e.next.All = append(e.next.All, u)
+	for _, key := range groupKeys(entry) {
+		g := t.groups[key]
+		if g == nil {
+			g = &group{key: key}
+			t.groups[key] = g
 		}
+		endpoint := &Endpoint{Upstream: u, Name: key.name, group: g}
+		u.endpoints = append(u.endpoints, endpoint)
+		list := e.list(g)
+		endpoint.position.Store(int32(len(list)))
+		e.setList(g, append(list, endpoint))
 	}
-	return &Endpoint{Upstream: u, Name: name}
+	t.index.add(u)
 }
 
-// drainRemoved marks the upstreams of old that are not in next as draining and returns them.
-func drainRemoved(old, next *Snapshot, now time.Time) []*Upstream {
-	var removed []*Upstream
-	for _, u := range old.All {
-		if next.byName[u.Name] != u {
-			u.MarkDraining(now)
-			removed = append(removed, u)
-		}
+// remove removes an upstream. The last one of each list takes its place.
+func (e *edit) remove(u *Upstream) {
+	if u == nil {
+		return
+	}
+	e.begin()
+	last := len(e.next.All) - 1
+	e.next.All[u.position] = e.next.All[last]
+	e.next.All[u.position].position = u.position
+	e.next.All = e.next.All[:last]
+	for _, endpoint := range u.endpoints {
+		g := endpoint.group
+		list := e.list(g)
+		at, last := endpoint.position.Load(), len(list)-1
+		list[at] = list[last]
+		list[at].position.Store(at)
+		e.setList(g, list[:last])
+		g.leave(endpoint)
+	}
+	e.table.index.remove(u)
+	e.removed = append(e.removed, u)
+}
+
+// list returns the group's endpoints, copied if they are those of the old snapshot.
+func (e *edit) list(g *group) []*Endpoint {
+	list := e.lists(g)[g.key.name]
+	if !e.copied[g] {
+		e.copied[g] = true
+		list = slices.Clone(list)
+	}
+	return list
+}
+
+func (e *edit) setList(g *group, list []*Endpoint) {
+	if len(list) == 0 {
+		delete(e.lists(g), g.key.name)
+		return
+	}
+	e.lists(g)[g.key.name] = list
+}
+
+func (e *edit) lists(g *group) map[string][]*Endpoint {
+	if g.key.service {
+		return e.next.services
 	}
-	return removed
+	return e.next.models
 }
 
 // ApplyList applies the platform's lagging list of one data centre: the names of the live and of
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,13 @@
 	usage.Upstream
 	// ID is a small number, unique among the upstreams in the table.
 	ID uint32
+	// Hash is the hash of the name, see NameHash.
+	Hash uint64
+
+	active *activeSet
+	// endpoints and position, the index in the newest snapshot's list, are the table's.
+	endpoints []*Endpoint
+	position  int
 
 	inFlight atomic.Int32
 	// backlog is the number of this instance's prompt tokens sent and not yet prefilled.
@@ -48,10 +55,15 @@
 	trial  atomic.Uint64
 	trials atomic.Uint64
 
-	mu       sync.Mutex
-	drain    drainState
-	breaker  breaker
-	ownCalls inFlightHistory
+	mu      sync.Mutex
+	drain   drainState
+	breaker breaker
+	// ownCalls is nil until the first call: most upstreams of a large fleet have none.
+	ownCalls *inFlightHistory
+}
+
+func newUpstream(entry usage.Upstream, id uint32, active *activeSet) *Upstream {
+	return &Upstream{Upstream: entry, ID: id, Hash: NameHash(entry.Name), active: active}
 }
 
 // Endpoint is an upstream's offer of one model or service.
@@ -60,8 +72,31 @@
 	// Name is the model's or service's name.
 	Name string
 
-	speed   learnedSpeed
-	serving atomic.Pointer[Serving]
+	group *group
+	// position is the index in the newest snapshot's list of the group.
+	position atomic.Int32
+	speed    learnedSpeed
+	serving  atomic.Pointer[Serving]
+}
+
+// Position returns the endpoint's index in endpoints, and false if it is not in that list.
+func (e *Endpoint) Position(endpoints []*Endpoint) (int, bool) {
+	at := int(e.position.Load())
+	return at, at < len(endpoints) && endpoints[at] == e
+}
+
+// MeanSpeed returns the mean of the learned speeds of all endpoints of the same model or service,
+// or DefaultSpeed if none has been learned.
+func (e *Endpoint) MeanSpeed() Speed { return e.group.mean() }
+
+// Endpoint returns the upstream's endpoint for a model or service of that name, or nil.
+func (u *Upstream) Endpoint(name string) *Endpoint {
+	for _, e := range u.endpoints {
+		if e.Name == name {
+			return e
+		}
+	}
+	return nil
 }
 
 // Serving describes how an engine serves a model: under which name, and whether it is loaded.
@@ -164,15 +199,14 @@
 // tokens; the call is expected to make progress within progressTimeout.
 func (u *Upstream) Begin(now int64, tokens int, progressTimeout time.Duration) {
 	if u.inFlight.Add(1) == 1 {
+		u.active.add(u)
 		u.lastProgress.Store(now)
 		u.progressTimeout.Store(int64(progressTimeout))
 	} else if int64(progressTimeout) > u.progressTimeout.Load() {
 		u.progressTimeout.Store(int64(progressTimeout))
 	}
 	u.backlog.Add(int64(tokens))
-	u.mu.Lock()
-	u.ownCalls.record(now, u.inFlight.Load())
-	u.mu.Unlock()
+	u.recordInFlight(now)
 }
 
 // RecordProgress records that a call to the upstream made progress: a first token, a chunk or its
@@ -185,7 +219,14 @@
 // Finish records the end of a call.
 func (u *Upstream) Finish(now int64) {
 	u.inFlight.Add(-1)
+	u.recordInFlight(now)
+}
+
+func (u *Upstream) recordInFlight(now int64) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ownCalls == nil {
+		u.ownCalls = &inFlightHistory{}
+	}
 	u.ownCalls.record(now, u.inFlight.Load())
-	u.mu.Unlock()
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -242,7 +242,7 @@
 	other := usage.Upstream{Name: "f", Address: "f", Kind: usage.KindEngine, Models: []string{"m"}}
 	is.Equal(len(table.Apply([]usage.Upstream{other, u.Upstream}, now)), 0)
 	is.Equal(table.Snapshot().Upstream("e"), u)
-	is.Equal(table.Snapshot().Model("m")[1].Speed().Samples, 1)
+	is.Equal(u.Endpoint("m").Speed().Samples, 1) // the order of the list does not matter
 	moved := u.Upstream
 	moved.Address = "elsewhere"
 	removed := table.Apply([]usage.Upstream{moved}, now)
