Thirty keepers share the shards; calls to a replaced keeper end with the assignment

Cause: each keeper sends its status to all others every 90 ms: at 119 keepers 1,300 datagrams a second each way, for 32 shards. And an entry hears a given keeper once in a round of its sends (2.7 s among 865 entries), so that a call to a dead one waited for its timeout long after its shards had another primary. Ruled out: broadcasts to co-holders only, with rarer ones to the rest (silence of the rest would be asked for by calls; the evidence for a last keeper needs all). Change: ActiveKeepers: the holders of shards, and by a hash of their names the same number of keepers of each data centre, 30 in all; others are spares, which hold nothing and say nothing. A change of the assignment cancels calls to keepers that are no longer primary. Limit: 32 shards on 30 keepers; beyond their throughput the shards need groups with an object each.

--- a/internal/history/assignment.go
+++ b/internal/history/assignment.go
@@ -14,8 +14,10 @@
 package history
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -88,6 +90,47 @@
 	return a, true
 }
 
+// Holders returns the names of the keepers that hold a shard or may be needed to recover one.
+func (a *Assignment) Holders() map[string]bool {
+	holders := map[string]bool{}
+	for i := range a.Shards {
+		for name := range a.Shards[i].allHolders() {
+			holders[name] = true
+		}
+	}
+	delete(holders, "")
+	return holders
+}
+
+// MaxActiveKeepers is the number of keepers that share the shards. Each of them hears of each other
+// several times a second, so that more would cost all of them more without taking load from them:
+// there are about as many shards.
+const MaxActiveKeepers = 30
+
+// ActiveKeepers returns the keepers that share the shards, sorted by name: those that hold shards,
+// and of each data centre the same number of others, at most MaxActiveKeepers in all. All instances
+// choose the same ones.
+func ActiveKeepers(keepers []Candidate, holders map[string]bool) []Candidate {
+	byDataCentre := map[string][]Candidate{}
+	for _, k := range keepers {
+		byDataCentre[k.DataCentre] = append(byDataCentre[k.DataCentre], k)
+	}
+	var active []Candidate
+	for _, members := range byDataCentre {
+		slices.SortFunc(members, func(a, b Candidate) int {
+			return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+		})
+		limit := max(1, MaxActiveKeepers/len(byDataCentre))
+		for i, k := range members {
+			if i < limit || holders[k.Name] {
+				active = append(active, k)
+			}
+		}
+	}
+	slices.SortFunc(active, func(a, b Candidate) int { return strings.Compare(a.Name, b.Name) })
+	return active
+}
+
 // countHeldBy counts the shards that a keeper holds as primary or backup.
 func (a *Assignment) countHeldBy(name string) int {
 	n := 0
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -52,13 +52,24 @@
 	// observedRoles are the roles from responses of keepers, which may be newer than the
 	// assignment.
 	observedRoles [ShardCount]ShardAssignment
+	// pending are the calls to keepers in flight.
+	pending map[*pendingCall]struct{}
+}
+
+// pendingCall is a call to a keeper in flight, with the epoch of the role by which the keeper was
+// chosen.
+type pendingCall struct {
+	shard  uint32
+	keeper string
+	epoch  uint64
+	cancel context.CancelFunc
 }
 
 var _ gateway.Turns = (*Client)(nil)
 
 // NewClient returns a client.
 func NewClient(keepers Keepers, assignment func() (Assignment, bool), logger log.Interface) *Client {
-	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger}
+	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger, pending: map[*pendingCall]struct{}{}}
 }
 
 func (c *Client) roleOf(shardID uint32) ShardAssignment {
@@ -109,7 +120,7 @@
 			if !ok {
 				continue
 			}
-			switch c.callKeeper(ctx, name, keeper, call) {
+			switch c.callKeeper(ctx, &pendingCall{shard: shardID, keeper: name, epoch: role.Epoch}, keeper, call) {
 			case outcomeDone:
 				return nil
 			case outcomeRetry:
@@ -125,15 +136,40 @@
 	return errors.Wrapf(ErrNoKeeperResult, "shard %d in epoch %d: primary %s, backups %v", shardID, role.Epoch, role.Primary, role.Backups)
 }
 
-// callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive: the response
-// of the next holder shows sooner which keeper replaced it.
-func (c *Client) callKeeper(ctx context.Context, name string, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
+// callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive or is
+// replaced: the next holder shows sooner which keeper replaced it.
+func (c *Client) callKeeper(ctx context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	defer c.keepers.OnSilence(name, cancel)()
+	defer c.keepers.OnSilence(p.keeper, cancel)()
+	p.cancel = cancel
+	c.mu.Lock()
+	c.pending[p] = struct{}{}
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.pending, p)
+	}()
 	return call(ctx, k)
 }
 
+// AssignmentChanged cancels the calls to keepers that are no longer the primary of their shard.
+//
+// It prevents the following failure: a keeper fails, and calls to it wait for their timeout long
+// after its shards were assigned to others. In a fleet of a thousand instances the silence of one
+// keeper shows only after seconds.
+func (c *Client) AssignmentChanged() {
+	a, _ := c.assignment()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for p := range c.pending {
+		if role := &a.Shards[p.shard]; role.Epoch > p.epoch && role.Primary != p.keeper {
+			p.cancel()
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -64,7 +64,8 @@
 	LogDir string
 	// MaxDiskFailures is the number of disks that may fail at once without loss of data.
 	MaxDiskFailures int
-	// Keepers returns the registered keepers, including this one.
+	// Keepers returns the active keepers, see ActiveKeepers. A keeper that is not among them is a
+	// spare: it holds no shards, and takes no part in their assignment.
 	Keepers func() []Candidate
 	// IsRetiring reports whether operators want a keeper drained.
 	IsRetiring func(name string) bool
@@ -256,6 +257,9 @@
 	k.witnessContact = contactPeriod{}
 }
 
+// isSpare reports whether this keeper is not among the active ones.
+func (k *Keeper) isSpare() bool { return !containsKeeper(k.settings.Keepers(), k.settings.Name) }
+
 // isPrimary reports whether this keeper is the shard's primary and complete in its epoch, so that
 // it may commit changes.
 func (k *Keeper) isPrimary(s *shard) bool {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -157,6 +157,9 @@
 // new primary, and proposes the reassignments that are needed.
 func (k *Keeper) reconcile(ctx context.Context) {
 	k.reconciliations.Add(1)
+	if k.isSpare() {
+		return
+	}
 	k.mu.Lock()
 	if k.version == 0 {
 		k.mu.Unlock()
--- a/internal/history/views.go
+++ b/internal/history/views.go
@@ -30,14 +30,9 @@
 	defer ticker.Stop()
 	lastEdition := uint64(0)
 	for n := 0; ; n++ {
-		k.mu.Lock()
-		status := k.status()
-		k.mu.Unlock()
-		if status.Edition == lastEdition && n%fullBroadcastEvery != 0 {
-			status.Slices = nil
+		if !k.isSpare() {
+			lastEdition = k.broadcastStatus(lastEdition, n%fullBroadcastEvery == 0)
 		}
-		lastEdition = status.Edition
-		k.peers.BroadcastStatus(status)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -46,6 +41,19 @@
 	}
 }
 
+// broadcastStatus broadcasts the status, with all shards if full is set or if they changed after
+// lastEdition. It returns the edition.
+func (k *Keeper) broadcastStatus(lastEdition uint64, full bool) uint64 {
+	k.mu.Lock()
+	status := k.status()
+	k.mu.Unlock()
+	if status.Edition == lastEdition && !full {
+		status.Slices = nil
+	}
+	k.peers.BroadcastStatus(status)
+	return status.Edition
+}
+
 // ObserveStatus records another keeper's broadcast status.
 func (k *Keeper) ObserveStatus(status *historypb.StatusResponse) {
 	if status.Name == k.settings.Name || status.Name == "" {
@@ -71,7 +79,11 @@
 	defer ticker.Stop()
 	polls := newKeyedLimiter(maxStatusRequests)
 	for {
-		for _, c := range k.settings.Keepers() {
+		keepers := k.settings.Keepers()
+		if !containsKeeper(keepers, k.settings.Name) {
+			keepers = nil // a spare needs no status
+		}
+		for _, c := range keepers {
 			if c.Name != k.settings.Name && !k.hasRecentContact(c.Name) {
 				polls.start(c.Name, func() { k.requestStatus(ctx, c.Name) })
 			}
--- a/internal/history/witness.go
+++ b/internal/history/witness.go
@@ -78,6 +78,9 @@
 // are left out: they stay registered for long, and asking about them would cost each keeper a call
 // to most entries ten times a second.
 func (k *Keeper) suspectedKeepers() []string {
+	if k.isSpare() {
+		return nil
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	last := k.allUnresponsive(suspicionDelay) || slices.ContainsFunc(k.shards[:], k.isSoleHolder)
