--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -141,6 +142,24 @@
 	p.idle = nil
 }
 
+// CloseIfUnused closes the connections that have reached their idle timeout. If none is left, it
+// closes the pool and returns true. Without it, a connection that its server closed would be kept
+// until the next call to the same address.
+func (p *Pool) CloseIfUnused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if time.Since(c.idleSince) < c.idleTimeout {
+			return false
+		}
+		p.openCount--
+		c.netConn.Close()
+		return true
+	})
+	p.closed = p.closed || p.openCount == 0
+	return p.closed
+}
+
 // Do sends the call over an idle connection, or over a new one if fewer than limit are open. When
 // ctx ends, the connection is closed immediately, which tells the server to stop its work.
 func (p *Pool) Do(ctx context.Context, call *Call, limit int) (*Response, error) {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -145,3 +145,32 @@
 	response.Close()
 	is.Equal(pool.OpenedCount(), int64(2))
 }
+
+// Guards against an instance that runs out of memory and descriptors in a fleet with thousands of
+// upstreams: a connection that its server closed would be kept until the next call to it. Those past
+// their idle timeout must be closed, and a pool without any must be closed as a whole.
+func TestConnectionsPastTheirIdleTimeoutAreClosed(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	pool := NewPool(server.Listener.Addr().String())
+	response, err := pool.Do(context.Background(), get("/"), 1)
+	is.NoErr(err)
+	is.True(!pool.CloseIfUnused())
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	response.Close()
+	is.True(!pool.CloseIfUnused())
+	is.True(pool.HasIdleConnection())
+	pool.mu.Lock()
+	pool.idle[0].idleTimeout = 0
+	pool.mu.Unlock()
+	is.True(pool.CloseIfUnused())
+	is.Equal(pool.inUse(), 0)
+	response, err = pool.Do(context.Background(), get("/"), 1)
+	is.NoErr(err)
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	response.Close()
+	is.True(!pool.HasIdleConnection())
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -53,6 +53,8 @@
 	// not responded, or 0 while it does.
 	unavailableSince []atomic.Int64
 	active           atomic.Bool
+	// listedAt is when the replicas were last listed, in Unix nanoseconds.
+	listedAt atomic.Int64
 	// standby is true while other followers poll for changes and relay them to this one.
 	standby atomic.Bool
 }
@@ -112,14 +114,30 @@
 }
 
 // Refresh reads all kinds once.
-func (f *Follower) Refresh(ctx context.Context) {
-	for _, k := range Kinds {
+func (f *Follower) Refresh(ctx context.Context) { f.refresh(ctx, Kinds...) }
+
+func (f *Follower) refresh(ctx context.Context, kinds ...Kind) {
+	for _, k := range kinds {
 		if err := f.snapshot(ctx, k); err != nil {
 			f.logger.WithError(err).WithField("kind", string(k)).Info("store read failed; present state stays until the next exchange or poll")
 		}
 	}
 }
 
+// maxStartReaders is the approximate number of instances that list the replicas when all of a fleet
+// restart. The others receive them from these.
+const maxStartReaders = 100
+
+// RefreshAtStart reads all kinds once, but in a large fleet the replicas only with a probability: if
+// all instances restart, each of them listing thousands of replicas would exceed the store's rate.
+func (f *Follower) RefreshAtStart(ctx context.Context) {
+	kinds := []Kind{Config, Fleet, Retirements}
+	f.refresh(ctx, kinds...)
+	if instances := f.mirror.Len(Fleet); instances <= maxStartReaders || rand.IntN(instances) < maxStartReaders {
+		f.refresh(ctx, Replicas)
+	}
+}
+
 // runChecks reads the configuration and the replicas whenever the store's last known response to
 // any instance about them is too old.
 func (f *Follower) runChecks(ctx context.Context) {
@@ -134,7 +152,7 @@
 			jitter = rand.N(checkJitter)
 		}
 		if f.mirror.Age(Replicas, time.Now()) > due {
-			f.handleCheckResult(ctx, Replicas, f.snapshot(ctx, Replicas))
+			f.handleCheckResult(ctx, Replicas, f.checkReplicas(ctx))
 			jitter = rand.N(checkJitter)
 		}
 	}
@@ -149,6 +167,24 @@
 	sleep(ctx, retryMaxDelay)
 }
 
+// entriesPerCheck is the number of replicas for which a check may list all of them. It is about the
+// number in one page of a listing.
+const entriesPerCheck = 500
+
+// checkReplicas asks for changes without waiting, and lists all replicas at an interval that grows
+// with their number, so that the calls per second do not.
+func (f *Follower) checkReplicas(ctx context.Context) error {
+	interval := checkInterval * time.Duration(1+f.mirror.Len(Replicas)/entriesPerCheck)
+	if _, known := f.mirror.AsOf(Replicas); !known || time.Since(time.Unix(0, f.listedAt.Load())) >= interval {
+		return f.snapshot(ctx, Replicas)
+	}
+	err := f.poll(ctx, Replicas, 0)
+	if errors.Is(err, store.ErrGone) {
+		return f.snapshot(ctx, Replicas)
+	}
+	return err
+}
+
 // checkConfig reads the only object of the kind, which is cheaper than a listing.
 func (f *Follower) checkConfig(ctx context.Context) error {
 	asOf, known := f.mirror.AsOf(Config)
@@ -258,6 +294,9 @@
 	}
 	f.detectOutageEnd(k)
 	f.mirror.Confirm(k, requestedAt)
+	if k == Replicas {
+		f.listedAt.Store(requestedAt.UnixNano())
+	}
 	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf}
 	for _, o := range listing.Objects {
 		d.Entries = append(d.Entries, Entry{Name: o.Key.Name, Revision: o.Version, Value: o.Value})
--- /dev/null
+++ b/internal/mirror/growth_test.go
@@ -0,0 +1,170 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"foxhall/internal/store"
+)
+
+// Guards against processor time that grows with the number of entries at each exchange. Only the
+// changed entries must be looked at for a peer that is a few changes behind.
+func TestChangesForAPeerAreFoundWithoutASearch(t *testing.T) {
+	for _, size := range []int{1000, 2000, 4000} {
+		is := is.New(t)
+		m := New()
+		d := Delta{Kind: Replicas, Full: true, AsOf: 10}
+		for i := range size {
+			d.Entries = append(d.Entries, Entry{Name: fmt.Sprint(i), Revision: 1})
+		}
+		m.Apply(d)
+		for i := range 3 {
+			revision := store.Version(11 + i)
+			m.Apply(Delta{Kind: Replicas, From: revision - 1, AsOf: revision, Entries: []Entry{{Name: "7", Revision: revision}}})
+		}
+		records, complete := m.kinds[Replicas].changes.since(11)
+		is.True(complete)
+		is.Equal(len(records), 2)
+		got, lacks := m.Since(Replicas, 11, true)
+		is.True(lacks && !got.Full)
+		is.Equal(got.Entries, []Entry{{Name: "7", Revision: 13}})
+	}
+}
+
+// Guards against a peer that misses changes because more of them came than are kept in order. The
+// entries must be searched then.
+func TestChangesBeyondTheLogAreSearched(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Apply(Delta{Kind: Replicas, Full: true, AsOf: 1})
+	for i := range 2 * maxLoggedChanges {
+		revision := store.Version(2 + i)
+		m.Apply(Delta{Kind: Replicas, From: revision - 1, AsOf: revision, Entries: []Entry{{Name: fmt.Sprint(i), Revision: revision}}})
+	}
+	is.True(len(m.kinds[Replicas].changes.records) <= maxLoggedChanges)
+	got, lacks := m.Since(Replicas, 1, true)
+	is.True(lacks)
+	is.Equal(len(got.Entries), 2*maxLoggedChanges)
+	got, _ = m.Since(Replicas, 2*maxLoggedChanges, true)
+	is.Equal(len(got.Entries), 1)
+}
+
+// Guards against an instance of a large fleet that holds connections to most others, because it
+// exchanges state with other peers each time. The number of peers that an instance calls in a minute
+// must not grow with the fleet.
+func TestInstancesCallFewPeersInAMinute(t *testing.T) {
+	const maxPeers = neighbourCount + int(time.Minute/neighbourLifetime) + watcherDataCentres + maxQueried + bigDataCentres
+	for _, size := range []int{50, 100, 200} {
+		runInBigFleet(t, size, func(f *bigFleet) error {
+			called := map[*instance]map[*instance]bool{}
+			f.net.mu.Lock()
+			f.net.lost = func(from, to *instance) bool {
+				if called[from] == nil {
+					called[from] = map[*instance]bool{}
+				}
+				called[from][to] = true
+				return false
+			}
+			f.net.mu.Unlock()
+			for range 20 {
+				f.store.change()
+				time.Sleep(3 * time.Second)
+			}
+			f.net.mu.Lock()
+			defer f.net.mu.Unlock()
+			most := 0
+			for _, peers := range called {
+				most = max(most, len(peers))
+			}
+			t.Logf("%d instances: at most %d peers called", size, most)
+			if most > maxPeers {
+				return fmt.Errorf("at %d instances one called %d peers, expected %d at most", size, most, maxPeers)
+			}
+			return nil
+		})
+	}
+}
+
+// pagedStore is a store with a number of replicas, whose listings take one call for each page.
+type pagedStore struct {
+	storeClient
+	replicas int
+	calls    int
+}
+
+func (s *pagedStore) Snapshot(_ context.Context, kind string) (store.Listing, error) {
+	listing := store.Listing{AsOf: 5}
+	if kind == string(Fleet) {
+		listing.AsOf = 1 // older than what the mirror has
+	}
+	s.calls++
+	for i := range s.replicas {
+		if kind != string(Replicas) {
+			break
+		}
+		if i > 0 && i%entriesPerCheck == 0 {
+			s.calls++
+		}
+		listing.Objects = append(listing.Objects, store.Object{Key: store.Key{Kind: kind, Name: fmt.Sprint(i)}, Version: 1})
+	}
+	return listing, nil
+}
+
+func (s *pagedStore) Poll(_ context.Context, _ string, from store.Version, _ time.Duration) (store.Changes, error) {
+	s.calls++
+	return store.Changes{AsOf: from}, nil
+}
+
+// Guards against calls to the store that grow with the number of replicas, because each check lists
+// them all. The calls of a minute of checks must be the same for any number.
+func TestChecksCostTheSameForAnyNumberOfReplicas(t *testing.T) {
+	const checks = 60
+	for _, replicas := range []int{100, 2500, 5000, 10000} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &pagedStore{storeClient: storeClient{newFakeStore(), "i"}, replicas: replicas}
+			f := NewFollower(New(), s, &log.Logger{Handler: discard.Default})
+			is.NoErr(f.snapshot(t.Context(), Replicas))
+			s.calls = 0
+			for range checks {
+				time.Sleep(checkInterval)
+				is.NoErr(f.checkReplicas(t.Context()))
+			}
+			t.Logf("%d replicas: %d calls in %d checks", replicas, s.calls, checks)
+			is.True(s.calls <= 2*checks)
+			is.Equal(f.mirror.Len(Replicas), replicas)
+		})
+	}
+}
+
+// Guards against a restart of a whole fleet that exceeds the store's rate, because each instance
+// lists all replicas. The number of instances that do must not grow with the fleet.
+func TestFewInstancesListTheReplicasAtARestart(t *testing.T) {
+	for _, size := range []int{50, 100, 1000, 2000} {
+		readers := 0
+		for range size {
+			m := New()
+			d := Delta{Kind: Fleet, Full: true, AsOf: 5}
+			for i := range size {
+				d.Entries = append(d.Entries, Entry{Name: fmt.Sprint(i), Revision: 1})
+			}
+			m.Apply(d)
+			f := NewFollower(m, &pagedStore{storeClient: storeClient{newFakeStore(), "i"}}, &log.Logger{Handler: discard.Default})
+			f.RefreshAtStart(t.Context())
+			if _, known := m.AsOf(Replicas); known {
+				readers++
+			}
+		}
+		t.Logf("%d instances: %d list the replicas", size, readers)
+		is := is.New(t)
+		is.True(readers <= 2*maxStartReaders)
+		is.True(size > maxStartReaders || readers == size)
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -55,12 +55,16 @@
 
 // kindCopy is the mirrored state of one kind.
 type kindCopy struct {
-	known      bool
-	asOf       store.Version
-	entries    map[string]Entry
+	known   bool
+	asOf    store.Version
+	entries map[string]Entry
+	// changes lists the latest changed entries in the order of their revisions.
+	changes    changeLog
 	tombstones []Entry
 	// tombstonesSince is the version after which tombstones are complete.
 	tombstonesSince store.Version
+	// feeds are told which entries change.
+	feeds []*Feed
 	// confirmedAt is the time of the store's last known response about the kind; zero if there is
 	// none or the state is stale. returnedAt is the time of the first response after the latest
 	// outage.
@@ -147,6 +151,13 @@
 	return m.kinds[k].sortedEntries()
 }
 
+// Len returns the number of the kind's entries.
+func (m *Mirror) Len(k Kind) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.kinds[k].entries)
+}
+
 // Get returns one entry.
 func (m *Mirror) Get(k Kind, name string) (Entry, bool) {
 	m.mu.Lock()
@@ -170,11 +181,7 @@
 		d.Entries = c.sortedEntries()
 		return d, true
 	}
-	for _, e := range c.sortedEntries() {
-		if e.Revision > from {
-			d.Entries = append(d.Entries, e)
-		}
-	}
+	d.Entries = c.changedSince(from)
 	for _, e := range c.tombstones {
 		if e.Revision > from {
 			d.Removed = append(d.Removed, e)
@@ -183,6 +190,44 @@
 	return d, true
 }
 
+// changedSince returns the entries that changed after a version.
+func (c *kindCopy) changedSince(from store.Version) []Entry {
+	var changed []Entry
+	if names, complete := c.changes.since(from); complete {
+		for _, r := range names {
+			if e, ok := c.entries[r.name]; ok && e.Revision == r.revision {
+				changed = append(changed, e)
+			}
+		}
+		return changed
+	}
+	for _, e := range c.entries {
+		if e.Revision > from {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
+// set adds or replaces an entry.
+func (c *kindCopy) set(e Entry) {
+	c.entries[e.Name] = e
+	c.changes.add(e.Name, e.Revision)
+	c.notify(e.Name)
+}
+
+// remove removes an entry.
+func (c *kindCopy) remove(name string) {
+	delete(c.entries, name)
+	c.notify(name)
+}
+
+func (c *kindCopy) notify(name string) {
+	for _, f := range c.feeds {
+		f.pending[name] = struct{}{}
+	}
+}
+
 // Apply applies a delta and reports whether an entry changed. A delta older than the mirrored state
 // has no effect, so that a delayed response never reverts that state.
 func (m *Mirror) Apply(d Delta) bool {
@@ -220,8 +265,12 @@
 	if !c.known {
 		for _, e := range d.Entries {
 			c.entries[e.Name] = e
+			c.notify(e.Name)
+			if e.Revision > d.AsOf {
+				c.changes.add(e.Name, e.Revision) // changed while the pages of the listing were read
+			}
 		}
-		c.tombstonesSince = d.AsOf
+		c.tombstonesSince, c.changes.completeSince = d.AsOf, d.AsOf
 		return len(d.Entries) > 0
 	}
 	listed := map[string]bool{}
@@ -240,7 +289,7 @@
 	changed := false
 	for _, e := range d.Entries {
 		if e.Revision > c.entries[e.Name].Revision {
-			c.entries[e.Name] = e
+			c.set(e)
 			changed = true
 		}
 	}
@@ -249,7 +298,7 @@
 			continue
 		}
 		if old, ok := c.entries[e.Name]; ok && old.Revision <= e.Revision {
-			delete(c.entries, e.Name)
+			c.remove(e.Name)
 			changed = true
 		}
 		c.tombstones = append(c.tombstones, Entry{Name: e.Name, Revision: e.Revision})
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -20,17 +20,10 @@
 	roundInterval = 300 * time.Millisecond
 	// exchangeTimeout bounds one exchange with a peer.
 	exchangeTimeout = 400 * time.Millisecond
-	// changeFanout is the number of peers to which a change is pushed at once.
+	// changeFanout is the number of neighbours to which a change is pushed at once.
 	changeFanout = 3
 )
 
-// Peer is another instance.
-type Peer struct {
-	Name       string
-	DataCentre string
-	Relay      mirrorpb.Relay
-}
-
 // Relay exchanges a mirror's state with other instances, and decides whether this instance follows
 // the store itself. In each data centre the first instance by name to which the store responds
 // follows it. Two followers at a time in a data centre do no harm.
@@ -39,7 +32,7 @@
 	dataCentre string
 	mirror     *Mirror
 	follower   *Follower
-	peers      func() []Peer
+	peers      func() *Peers
 	logger     log.Interface
 
 	changed chan struct{}
@@ -57,6 +50,7 @@
 	// unreachableUntil holds, for peers that did not respond, the time when they may be queried
 	// again.
 	unreachableUntil map[string]time.Time
+	neighbours       neighbours
 	// standbyRound counts the rounds in which this instance, a follower, relied on other watchers.
 	standbyRound int
 	// roundsWithoutFollower counts successive rounds in which no peer that this instance defers to
@@ -71,7 +65,7 @@
 
 // NewRelay returns a relay that is not yet running. peers returns the other instances known at
 // present.
-func NewRelay(name, dataCentre string, m *Mirror, f *Follower, peers func() []Peer, logger log.Interface) *Relay {
+func NewRelay(name, dataCentre string, m *Mirror, f *Follower, peers func() *Peers, logger log.Interface) *Relay {
 	r := &Relay{
 		name:             name,
 		dataCentre:       dataCentre,
@@ -105,7 +99,7 @@
 	case seed:
 		r.startFollowing(ctx)
 	case restarted:
-		go r.follower.Refresh(ctx)
+		go r.follower.RefreshAtStart(ctx)
 	}
 	defer r.stopFollowing()
 	for {
@@ -150,6 +144,9 @@
 	}
 	if p, ok := r.chooseExchangePeer(peers); ok {
 		_, responded := r.exchange(ctx, p)
+		if !responded {
+			r.markUnreachable(p)
+		}
 		// Until the members of the data centre are known, any peer that responds counts.
 		_, known := r.mirror.AsOf(Fleet)
 		hasFollower = hasFollower || responded && !known
@@ -170,15 +167,24 @@
 	}
 }
 
-// pushChange exchanges state with a few random peers right after a change.
+// pushChange exchanges state with a few neighbours right after a change.
 func (r *Relay) pushChange(ctx context.Context) {
-	peers := r.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers[:min(changeFanout, len(peers))] {
+	chosen := r.currentNeighbours(r.peers())
+	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	for _, p := range chosen[:min(changeFanout, len(chosen))] {
 		go r.exchange(ctx, p)
 	}
 }
 
+// currentNeighbours returns the neighbours that may be queried at present.
+func (r *Relay) currentNeighbours(peers *Peers) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.neighbours.refresh(peers, func(name string) bool { return !now.Before(r.unreachableUntil[name]) }, now)
+	return slices.Clone(r.neighbours.chosen)
+}
+
 // exchange applies the changes that this instance lacks and the peer has, and sends the peer those
 // that it lacks. It reports whether the peer follows the store and gets responses from it, and
 // whether the peer responded.
@@ -247,7 +253,8 @@
 // chooseExchangePeer returns the additional peer of a round. Followers prefer each other, so that
 // they need not repeat each other's store calls. A standby follower alternates between the watchers
 // that it relies on, to detect their failure soon.
-func (r *Relay) chooseExchangePeer(peers []Peer) (Peer, bool) {
+func (r *Relay) chooseExchangePeer(peers *Peers) (Peer, bool) {
+	chosen := r.currentNeighbours(peers)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if watchers := r.reliedOnWatchers(); r.cancelFollow != nil && len(watchers) >= watcherDataCentres {
@@ -269,10 +276,10 @@
 			}
 		}
 	}
-	if len(peers) == 0 {
+	if len(chosen) == 0 {
 		return Peer{}, false
 	}
-	return peers[rand.IntN(len(peers))], true
+	return chosen[rand.IntN(len(chosen))], true
 }
 
 func (r *Relay) versions() []*mirrorpb.Version {
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -126,14 +126,14 @@
 	for i := range size {
 		name := fmt.Sprintf("i%02d", i)
 		n := &instance{name: name, mirror: New()}
-		peers := func() []Peer {
+		peers := func() *Peers {
 			var peers []Peer
 			for j, other := range all {
 				if other != n {
 					peers = append(peers, Peer{Name: other.name, DataCentre: fmt.Sprint(j % 2), Relay: other.relay})
 				}
 			}
-			return peers
+			return NewPeers(peers)
 		}
 		quiet := &log.Logger{Handler: discard.Default}
 		follower := NewFollower(n.mirror, storeClient{s, name}, quiet)
--- a/internal/mirror/succession.go
+++ b/internal/mirror/succession.go
@@ -40,7 +40,7 @@
 // those that precede it by name in the data centre, sorted by name. Known followers come before
 // them, since others may have taken over where the preceding peers can't follow. Of several
 // followers the first by name continues. An instance that does not follow defers to any follower.
-func (r *Relay) peersToDeferTo(peers []Peer) []Peer {
+func (r *Relay) peersToDeferTo(peers *Peers) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	preceding := r.precedingPeers(peers)
@@ -70,16 +70,18 @@
 
 // precedingPeers returns the first peers by name in this data centre that precede this instance and
 // may be queried at present, at most maxQueried. The caller holds the lock.
-func (r *Relay) precedingPeers(peers []Peer) []Peer {
+func (r *Relay) precedingPeers(peers *Peers) []Peer {
 	var preceding []Peer
 	now := time.Now()
-	for _, p := range peers {
-		if p.DataCentre == r.dataCentre && p.Name < r.name && now.After(r.unreachableUntil[p.Name]) {
+	for _, p := range peers.byDataCentre[r.dataCentre] {
+		if p.Name >= r.name || len(preceding) == maxQueried {
+			break
+		}
+		if now.After(r.unreachableUntil[p.Name]) {
 			preceding = append(preceding, p)
 		}
 	}
-	slices.SortFunc(preceding, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	return preceding[:min(maxQueried, len(preceding))]
+	return preceding
 }
 
 func (r *Relay) startFollowing(ctx context.Context) {
@@ -186,13 +188,10 @@
 	if name == "" || name == r.name || !r.isUndiscovered(name) {
 		return
 	}
-	for _, p := range r.peers() {
-		if p.Name == name && p.DataCentre == r.dataCentre {
-			r.mu.Lock()
-			r.namedFollower = &p
-			r.mu.Unlock()
-			return
-		}
+	if p, ok := r.peers().byName[name]; ok && p.DataCentre == r.dataCentre {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.namedFollower = &p
 	}
 }
 
@@ -203,19 +202,16 @@
 	if name == "" || !r.follower.Active() || !r.isUndiscovered(name) {
 		return
 	}
-	for _, p := range r.peers() {
-		if p.Name == name && p.DataCentre == dataCentre {
-			r.mu.Lock()
-			r.remoteFollowers[dataCentre] = p
-			r.mu.Unlock()
-			return
-		}
+	if p, ok := r.peers().byName[name]; ok && p.DataCentre == dataCentre {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.remoteFollowers[dataCentre] = p
 	}
 }
 
 // undiscoveredPeers returns, for a follower that knows too few watchers, the peers of the first
 // data centres that precede its own and in which it knows no watcher. The caller holds the lock.
-func (r *Relay) undiscoveredPeers(peers []Peer) []Peer {
+func (r *Relay) undiscoveredPeers(peers *Peers) []Peer {
 	if !r.follower.Active() || len(r.reliedOnWatchers()) >= watcherDataCentres {
 		return nil
 	}
@@ -223,15 +219,13 @@
 	for _, p := range r.watching {
 		known[p.DataCentre] = true
 	}
-	byDataCentre := map[string][]Peer{}
-	for _, p := range peers {
-		if p.DataCentre < r.dataCentre && !known[p.DataCentre] {
-			byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p)
-		}
-	}
 	var first []Peer
-	for _, dc := range slices.Sorted(maps.Keys(byDataCentre))[:min(watcherDataCentres, len(byDataCentre))] {
-		first = append(first, byDataCentre[dc]...)
+	found := 0
+	for _, dc := range slices.Sorted(maps.Keys(peers.byDataCentre)) {
+		if dc < r.dataCentre && !known[dc] && found < watcherDataCentres {
+			first = append(first, peers.byDataCentre[dc]...)
+			found++
+		}
 	}
 	return first
 }
--- a/internal/mirror/watch_test.go
+++ b/internal/mirror/watch_test.go
@@ -72,14 +72,14 @@
 		logger := &log.Logger{Handler: discard.Default}
 		for i := range size {
 			n := &instance{name: fmt.Sprintf("i%03d", i), mirror: New()}
-			peers := func() []Peer {
+			peers := func() *Peers {
 				var peers []Peer
 				for _, other := range f.all {
 					if other != n {
 						peers = append(peers, Peer{Name: other.name, DataCentre: other.dataCentre(), Relay: link{f.net, n, other}})
 					}
 				}
-				return peers
+				return NewPeers(peers)
 			}
 			follower := NewFollower(n.mirror, storeClient{f.store, n.name}, logger)
 			n.relay = NewRelay(n.name, fmt.Sprint("dc-", i%bigDataCentres), n.mirror, follower, peers, logger)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -73,18 +74,29 @@
 	broadcast func(status []byte, keepers []*net.UDPAddr)
 	logger    log.Interface
 
-	// decodedMembers and decodedAssignment cache decoded mirror entries. Only the refreshing
-	// goroutine uses them.
-	decodedMembers    *decodeCache[member]
-	decodedAssignment *decodeCache[history.Assignment]
-
-	mu      sync.Mutex
-	members map[string]member
-	// dataCentreNames are the sorted data centres of the members. They are computed in advance,
-	// since each call asks for them.
-	dataCentreNames []string
-	keeperClients   map[string]historypb.Keeper
-	relayClients    map[string]mirrorpb.Relay
+	// feed reports the changed registrations. members holds the registered instances by name, and
+	// latestAssignment the last decoded assignment. Only the refreshing goroutine uses them.
+	feed             *mirror.Feed
+	members          map[string]member
+	latestAssignment decodedAssignment
+	// holders are the keepers that the latest assignment names.
+	holders map[string]bool
+
+	// current is derived from members whenever they change, since each call and each datagram needs
+	// a part of it.
+	current atomic.Pointer[membership]
+
+	mu            sync.Mutex
+	keeperClients map[string]historypb.Keeper
+	relayClients  map[string]mirrorpb.Relay
+}
+
+// decodedAssignment is the assignment of shards as of a revision; ok is false if it can't be
+// decoded.
+type decodedAssignment struct {
+	revision   store.Version
+	assignment history.Assignment
+	ok         bool
 }
 
 func newFleet(s *Settings, m *mirror.Mirror, o Objects, logger log.Interface) *fleet {
@@ -95,17 +107,17 @@
 		DisableCompression:  true,
 	}
 	f := &fleet{
-		settings:       s,
-		mirror:         m,
-		objects:        o,
-		logger:         logger,
-		client:         &http.Client{Transport: transport},
-		decodedMembers: newDecodeCache(decodeMember),
-		members:        map[string]member{},
-		keeperClients:  map[string]historypb.Keeper{},
-		relayClients:   map[string]mirrorpb.Relay{},
-	}
-	f.decodedAssignment = newDecodeCache(f.decodeAssignment)
+		settings:      s,
+		mirror:        m,
+		objects:       o,
+		logger:        logger,
+		client:        &http.Client{Transport: transport},
+		feed:          m.NewFeed(mirror.Fleet),
+		members:       map[string]member{s.Instance: selfOf(s)},
+		keeperClients: map[string]historypb.Keeper{},
+		relayClients:  map[string]mirrorpb.Relay{},
+	}
+	f.current.Store(f.newMembership())
 	return f
 }
 
@@ -116,54 +128,58 @@
 	return m, ok
 }
 
-// decodeAssignment decodes the assignment of shards. One that can't be decoded changes nothing.
-func (f *fleet) decodeAssignment(e mirror.Entry) (history.Assignment, bool) {
-	a, err := history.DecodeAssignment(e.Value)
-	if err != nil {
-		f.logger.WithError(err).WithField("revision", uint64(e.Revision)).Error("assignment of shards can't be decoded; ignored")
-	}
-	return a, err == nil
-}
+func (f *fleet) self() member { return selfOf(f.settings) }
 
-func (f *fleet) self() member {
+func selfOf(s *Settings) member {
 	return member{
-		Name:       f.settings.Instance,
-		IP:         f.settings.IP,
-		DataCentre: f.settings.DataCentre,
-		Entry:      f.settings.CallersAddress != "",
-		Keeper:     f.settings.DataFolder != "",
+		Name:       s.Instance,
+		IP:         s.IP,
+		DataCentre: s.DataCentre,
+		Entry:      s.CallersAddress != "",
+		Keeper:     s.DataFolder != "",
 	}
 }
 
-// refresh reads the registered instances from the mirror.
+// refresh applies the changes of the registered instances.
 func (f *fleet) refresh() {
-	members := map[string]member{}
-	for _, m := range f.decodedMembers.all(f.mirror.Entries(mirror.Fleet)) {
-		members[m.Name] = m
+	entries, removed := f.feed.Take()
+	changed := false
+	for _, e := range entries {
+		if m, ok := decodeMember(e); ok {
+			changed = f.setMember(m) || changed
+		} else {
+			removed = append(removed, e.Name)
+		}
 	}
-	members[f.settings.Instance] = f.self()
-	dataCentres := map[string]bool{}
-	for _, m := range members {
-		dataCentres[m.DataCentre] = true
+	for _, name := range removed {
+		changed = f.removeMember(strings.TrimPrefix(name, instancePrefix)) || changed
+	}
+	if changed {
+		f.current.Store(f.newMembership())
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members, f.dataCentreNames = members, slices.Sorted(maps.Keys(dataCentres))
 }
 
-// entryCount returns the number of instances that take callers' calls.
-func (f *fleet) entryCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, m := range f.members {
-		if m.Entry {
-			n++
-		}
+// setMember adds or replaces a member and reports whether it changed. What this instance is follows
+// from its settings alone.
+func (f *fleet) setMember(m member) (changed bool) {
+	if m.Name == f.settings.Instance || f.members[m.Name] == m {
+		return false
 	}
-	return n
+	f.members[m.Name] = m
+	return true
 }
 
+func (f *fleet) removeMember(name string) (changed bool) {
+	if _, known := f.members[name]; !known || name == f.settings.Instance {
+		return false
+	}
+	delete(f.members, name)
+	return true
+}
+
+// entryCount returns the number of instances that take callers' calls.
+func (f *fleet) entryCount() int { return f.current.Load().entryCount }
+
 // countAliveEntries returns the number of entries for which isAlive holds and the number of all
 // entries, both including this instance.
 func (f *fleet) countAliveEntries(isAlive func(member) bool) (alive, all int) {
@@ -182,64 +198,20 @@
 
 // dataCentres returns the names of the data centres that have instances. Callers must not modify
 // the slice.
-func (f *fleet) dataCentres() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.dataCentreNames
-}
+func (f *fleet) dataCentres() []string { return f.current.Load().dataCentres }
 
-// entryAddresses returns the datagram addresses of the other instances that take callers' calls.
-func (f *fleet) entryAddresses() []*net.UDPAddr {
-	return f.addressesOf(func(m member) bool { return m.Entry })
-}
+// dataCentreOf returns the data centre of an instance, or "" if the instance is unknown.
+func (f *fleet) dataCentreOf(name string) string { return f.current.Load().members[name].DataCentre }
 
-// addressesOf returns the datagram addresses of the other instances for which include returns true.
-func (f *fleet) addressesOf(include func(member) bool) []*net.UDPAddr {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []*net.UDPAddr
-	for _, m := range f.members {
-		if m.Name != f.settings.Instance && include(m) {
-			list = append(list, &net.UDPAddr{IP: net.ParseIP(m.IP), Port: f.settings.PeerPort})
-		}
-	}
-	return list
-}
+// entryAddresses returns the datagram addresses of the other instances that take callers' calls.
+// Callers must not modify the slice.
+func (f *fleet) entryAddresses() []*net.UDPAddr { return f.current.Load().entryAddresses }
 
 // candidates returns the instances that have a disk, sorted by name.
-func (f *fleet) candidates() []history.Candidate {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []history.Candidate
-	for _, m := range f.members {
-		if m.Keeper {
-			list = append(list, history.Candidate{Name: m.Name, DataCentre: m.DataCentre})
-		}
-	}
-	slices.SortFunc(list, func(a, b history.Candidate) int { return strings.Compare(a.Name, b.Name) })
-	return list
-}
+func (f *fleet) candidates() []history.Candidate { return slices.Clone(f.current.Load().candidates) }
 
 // peers returns the other instances, or those at the seeds' addresses while no others are known.
-func (f *fleet) peers() []mirror.Peer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []mirror.Peer
-	for _, m := range f.members {
-		if m.Name != f.settings.Instance {
-			list = append(list, mirror.Peer{Name: m.Name, DataCentre: m.DataCentre, Relay: f.relayClient(m.IP)})
-		}
-	}
-	if len(list) > 0 {
-		return list
-	}
-	for _, ip := range f.settings.Seeds {
-		if ip != f.settings.IP {
-			list = append(list, mirror.Peer{Name: ip, Relay: f.relayClient(ip)})
-		}
-	}
-	return list
-}
+func (f *fleet) peers() *mirror.Peers { return f.current.Load().peers }
 
 // relayClient returns the client of the instance at an IP address. The caller holds the lock.
 func (f *fleet) relayClient(ip string) mirrorpb.Relay {
@@ -251,12 +223,12 @@
 
 // keeperClient returns a client of the named keeper.
 func (f *fleet) keeperClient(name string) (historypb.Keeper, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m, ok := f.members[name]
+	m, ok := f.current.Load().members[name]
 	if !ok {
 		return nil, false
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.keeperClientAt("http://" + f.settings.peerAddress(m.IP)), true
 }
 
@@ -346,7 +318,7 @@
 		f.logger.WithError(err).Warn("keeper status can't be encoded; not broadcast")
 		return
 	}
-	f.broadcast(data, f.addressesOf(func(m member) bool { return m.Keeper }))
+	f.broadcast(data, f.current.Load().keeperAddresses)
 }
 
 // Fetch implements history.Peers.
@@ -401,17 +373,25 @@
 	return present, conflict.Current.Version, err
 }
 
-// assignment returns the newest assignment in the mirror.
+// assignment returns the newest assignment in the mirror. One that can't be decoded changes nothing.
 func (f *fleet) assignment() (history.Assignment, store.Version, bool) {
-	e, ok := f.mirror.Get(mirror.Fleet, assignmentName)
-	if !ok {
+	e, exists := f.mirror.Get(mirror.Fleet, assignmentName)
+	if !exists {
 		return history.Assignment{}, 0, false
 	}
-	list := f.decodedAssignment.all([]mirror.Entry{e})
-	if len(list) == 0 {
-		return history.Assignment{}, 0, false
+	latest := &f.latestAssignment
+	if latest.revision != e.Revision {
+		a, err := history.DecodeAssignment(e.Value)
+		if err != nil {
+			f.logger.WithError(err).WithField("revision", uint64(e.Revision)).Error("assignment of shards can't be decoded; ignored")
+		}
+		*latest = decodedAssignment{revision: e.Revision, assignment: a, ok: err == nil}
+		if holders := a.Holders(); err == nil && !maps.Equal(holders, f.holders) {
+			f.holders = holders
+			f.current.Store(f.newMembership())
+		}
 	}
-	return list[0], e.Revision, true
+	return latest.assignment, latest.revision, latest.ok
 }
 
 // register keeps this instance registered in the store, so that others find it, until ctx ends. It
@@ -470,18 +450,8 @@
 	}
 }
 
-// others returns the other instances.
-func (f *fleet) others() []member {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var others []member
-	for _, m := range f.members {
-		if m.Name != f.settings.Instance {
-			others = append(others, m)
-		}
-	}
-	return others
-}
+// others returns the other instances. Callers must not modify the slice.
+func (f *fleet) others() []member { return f.current.Load().others }
 
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,9 @@
 // Replicas sends calls to the present replicas and keeps connections to them.
 type Replicas interface {
 	gateway.Replicas
-	RetainTargets(targets map[gateway.Target]bool)
+	// RetainTargets closes the connections to targets that are not listed, and those that have been
+	// idle for too long.
+	RetainTargets(isListed func(gateway.Target) bool)
 	Idle(name, address string) bool
 }
 
@@ -97,6 +99,9 @@
 	maxHarmlessPause   = 500 * time.Millisecond
 	// removalCheckInterval is how often delayed removals of replicas are reconsidered.
 	removalCheckInterval = 250 * time.Millisecond
+	// connectionSweepInterval is how often connections to replicas that have been idle for too long
+	// are closed. An entry of a large fleet calls a replica again only after minutes.
+	connectionSweepInterval = time.Second
 )
 
 // Node is one running instance.
@@ -114,6 +119,7 @@
 	table    atomic.Pointer[routing.Table]
 	upstream *upstream.Table
 	quotas   *limit.Quotas
+	turns    *history.Client
 	gateway  *gateway.Gateway
 	// dataCentreSilence and keeperSilence notify waiting calls of an unresponsive data centre or
 	// keeper.
@@ -127,9 +133,11 @@
 	// assigned is the newest assignment of shards, assignedRevision its store revision.
 	assigned         atomic.Pointer[history.Assignment]
 	assignedRevision store.Version
-	decodedReplicas  *decodeCache[routing.Replica]
-	replicas         []routing.Replica
-	removals         removalHold
+	// replicaFeed reports the changes that replicas has yet to apply. appliedTable is the table by
+	// which the upstreams were made from the replicas. Only the refreshing goroutine uses them.
+	replicaFeed  *mirror.Feed
+	replicas     *replicaSet
+	appliedTable *routing.Table
 }
 
 // New returns a node that is not yet running.
@@ -147,7 +155,7 @@
 		dataCentreSilence: newSilenceMonitor(),
 		keeperSilence:     newSilenceMonitor(),
 	}
-	n.decodedReplicas = newDecodeCache(func(e mirror.Entry) (routing.Replica, bool) { return d.Replica(e.Name, e.Value) })
+	n.replicaFeed, n.replicas = n.mirror.NewFeed(mirror.Replicas), newReplicaSet(d.Replica)
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
@@ -169,8 +177,8 @@
 	if s.CallersAddress != "" {
 		n.load.SetQuotas(n.quotas)
 	}
-	n.fleet.isReachable = func(name string) bool { return n.load.ReachableOrUnknown(name, partitionTimeout) }
-	n.fleet.isSilent = func(name string) (bool, bool) { return n.load.Silent(name, keeperSilenceTimeout) }
+	n.fleet.isReachable = n.isReachable
+	n.fleet.isSilent = n.isSilent
 	n.fleet.isIsolated = n.isIsolated
 	n.openGateway()
 	return n, nil
@@ -188,7 +196,7 @@
 		MaxViewAge:        partitionTimeout,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: cacheViewBlocks}))
 	n.fleet.onSilence = n.keeperSilence.onSilence
-	turns := history.NewClient(n.fleet, n.assignment, n.logger)
+	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:       n.table.Load,
 		Instances:   n.fleet.entryCount,
@@ -197,7 +205,7 @@
 
 		SilentFor: n.load.DataCentreSilentFor,
 		OnSilence: n.dataCentreSilence.onSilence,
-	}, sched, n.adapter.Replicas, turns, n.logger, n.registry)
+	}, sched, n.adapter.Replicas, n.turns, n.logger, n.registry)
 }
 
 func (n *Node) openKeeper() error {
@@ -358,14 +366,18 @@
 func (n *Node) runRefresh(ctx context.Context) {
 	ticker := time.NewTicker(removalCheckInterval)
 	defer ticker.Stop()
+	sweep := time.NewTicker(connectionSweepInterval)
+	defer sweep.Stop()
 	for {
 		select {
 		case <-n.refreshRequested:
 			n.refresh()
 		case <-ticker.C:
-			if len(n.removals.held) > 0 {
+			if len(n.replicas.held) > 0 {
 				n.refresh()
 			}
+		case <-sweep.C:
+			n.adapter.Replicas.RetainTargets(n.replicas.contains)
 		case <-ctx.Done():
 			return
 		}
@@ -381,13 +393,21 @@
 	if table == nil {
 		return
 	}
-	listed := n.decodedReplicas.all(n.mirror.Entries(mirror.Replicas))
-	previous := n.replicas
-	n.replicas = n.removals.merge(previous, listed, n.mirror.RegistrationGrace(time.Now()))
+	changed, removed := n.replicaFeed.Take()
+	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
 	asOf, _ := n.mirror.AsOf(mirror.Replicas)
-	n.logReplicas(previous, n.replicas, uint64(asOf))
-	n.upstream.Apply(upstreamsOf(table, n.replicas), time.Now())
-	n.adapter.Replicas.RetainTargets(targetsOf(n.replicas))
+	n.logReplicas(changes, uint64(asOf))
+	if !table.SameServices(n.appliedTable) {
+		// The upstreams of removed replicas are no longer in the set.
+		changes = append(changes, n.replicas.all()...)
+	}
+	n.appliedTable = table
+	if len(changes) == 0 {
+		return
+	}
+	upstreams, gone := upstreamChanges(table, changes)
+	n.upstream.Update(upstreams, gone, time.Now())
+	n.adapter.Replicas.RetainTargets(n.replicas.contains)
 }
 
 func (n *Node) refreshAssignment() {
@@ -397,6 +417,7 @@
 	}
 	n.assignedRevision = version
 	n.assigned.Store(&a)
+	n.turns.AssignmentChanged()
 	if n.keeper != nil {
 		n.keeper.ApplyAssignment(a, version)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,7 +23,7 @@
 // stubReplicas sends nothing.
 type stubReplicas struct{ gateway.Replicas }
 
-func (stubReplicas) RetainTargets(map[gateway.Target]bool) {}
+func (stubReplicas) RetainTargets(func(gateway.Target) bool) {}
 
 func (stubReplicas) Idle(string, string) bool { return false }
 
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -87,3 +87,19 @@
 	delete(s.callbacks, source)
 	return callbacks
 }
+
+// isReachable reports whether an instance is reachable, or not known to be unreachable. In a large
+// fleet the silence of one instance shows only after seconds, that of its data centre at once.
+func (n *Node) isReachable(name string) bool {
+	dataCentre := n.fleet.dataCentreOf(name)
+	return n.load.DataCentreSilentFor(dataCentre) <= partitionTimeout && n.load.ReachableOrUnknown(name, partitionTimeout)
+}
+
+// isSilent reports, as a witness, whether a keeper has sent nothing recently, and whether this
+// instance has listened long enough to know.
+func (n *Node) isSilent(name string) (silent, known bool) {
+	if silent, known := n.load.SilentDataCentre(n.fleet.dataCentreOf(name), keeperSilenceTimeout); silent {
+		return true, known
+	}
+	return n.load.Silent(name, keeperSilenceTimeout)
+}
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"foxhall/internal/mirror"
+	"foxhall/internal/peerload"
+	"foxhall/internal/peerload/peerloadpb"
 )
 
 // Without a notification, a call to a data centre behind a network partition waits until its
@@ -50,3 +56,34 @@
 	is.Equal(observe(0, 2*time.Second), "")
 	is.Equal(observe(time.Second, 3*time.Second), "fell 1s")
 }
+
+// Guards against calls that wait for keepers of a lost data centre for as long as the silence of one
+// instance among a thousand takes to show. Its silence as a whole must show within the same time in
+// a fleet of any size, to this instance and to keepers that ask it.
+func TestKeepersOfASilentDataCentreAreUnreachable(t *testing.T) {
+	for _, size := range []int{9, 90, 900} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newTestNode(t)
+			d := mirror.Delta{Kind: mirror.Fleet, Full: true, AsOf: 2}
+			for i := range size {
+				m := member{Name: fmt.Sprint("i", i), IP: "10.0.0.2", DataCentre: string(rune('a' + i%3)), Entry: true}
+				value, err := json.Marshal(m)
+				is.NoErr(err)
+				d.Entries = append(d.Entries, mirror.Entry{Name: instancePrefix + m.Name, Revision: 2, Value: value})
+			}
+			n.mirror.Apply(d)
+			n.refresh()
+			rounds := uint32(size/peerload.EntryFanout + 1)
+			n.load.RecordLoad(&peerloadpb.Load{From: "i1", DataCentre: "b", Turns: rounds}, time.Now())
+			n.load.RecordLoad(&peerloadpb.Load{From: "i2", DataCentre: "c", Turns: rounds}, time.Now())
+			is.True(n.isReachable("i1") && n.isReachable("i2"))
+			time.Sleep(partitionTimeout + time.Millisecond)
+			n.load.RecordLoad(&peerloadpb.Load{From: "i5", DataCentre: "c", Turns: rounds}, time.Now())
+			is.True(!n.isReachable("i1"))
+			silent, known := n.isSilent("i1")
+			is.True(silent && known)
+			is.True(size == 9 || n.isReachable("i2")) // another instance of its data centre was heard
+		})
+	}
+}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -2,102 +2,146 @@
 
 import (
 	"time"
+	"unique"
 
 	"foxhall/internal/gateway"
+	"foxhall/internal/mirror"
 	"foxhall/internal/routing"
 	"foxhall/internal/usage"
 )
 
-// upstreamsOf converts replicas to the scheduler's upstreams. Draining replicas are omitted, which
-// marks them as draining for waiting calls.
-func upstreamsOf(table *routing.Table, replicas []routing.Replica) []usage.Upstream {
-	var list []usage.Upstream
-	for i := range replicas {
-		r := &replicas[i]
-		service := table.Service(r.Service)
-		if r.Draining || service == nil {
+// replicaSet holds the replicas in use, draining ones included. It is brought up to date by the
+// changes of the mirror's entries, at a cost that does not depend on the number of replicas. Not
+// safe for concurrent use.
+type replicaSet struct {
+	decode func(id string, data []byte) (routing.Replica, bool)
+	byID   map[string]routing.Replica
+	// held are the ids of replicas whose removal is delayed because they may still be alive: entries
+	// expire while the store is unavailable.
+	held map[string]bool
+}
+
+func newReplicaSet(decode func(id string, data []byte) (routing.Replica, bool)) *replicaSet {
+	return &replicaSet{decode: decode, byID: map[string]routing.Replica{}, held: map[string]bool{}}
+}
+
+// replicaChange is the change of one replica. before is nil for a new one, after for a removed one.
+type replicaChange struct{ before, after *routing.Replica }
+
+// update applies changed and removed entries. grace is how much longer a removed replica may
+// register again; until then it stays in use, unless it was draining.
+func (s *replicaSet) update(changed []mirror.Entry, removed []string, grace time.Duration) []replicaChange {
+	var changes []replicaChange
+	for _, e := range changed {
+		r, ok := s.decode(e.Name, e.Value)
+		if !ok {
+			removed = append(removed, e.Name)
 			continue
 		}
-		u := usage.Upstream{Name: r.Name(), Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots}
-		if service.Engine != nil {
-			u.Kind, u.Models = usage.KindEngine, []string{service.Name}
-			u.CacheTokens = service.Engine.CacheTokens
-		} else {
-			u.Kind, u.Service = usage.KindService, service.Name
+		delete(s.held, e.Name)
+		// Thousands of replicas have few services and data centres.
+		r.Service, r.DataCentre = unique.Make(r.Service).Value(), unique.Make(r.DataCentre).Value()
+		change := replicaChange{after: &r}
+		if before, known := s.byID[e.Name]; known {
+			change.before = &before
 		}
-		list = append(list, u)
-	}
-	return list
-}
-
-// logReplicas logs each replica that was added, changed its draining state or was removed.
-func (n *Node) logReplicas(previous, current []routing.Replica, revision uint64) {
-	old := map[string]routing.Replica{}
-	for _, r := range previous {
-		old[r.Name()] = r
+		s.byID[e.Name] = r
+		changes = append(changes, change)
 	}
-	logChange := func(r *routing.Replica, message string) {
-		n.logger.WithField("replica", r.Name()).WithField("service", r.Service).WithField("address", r.Address).
-			WithField("revision", revision).Info(message)
-	}
-	for i := range current {
-		r := &current[i]
-		before, known := old[r.Name()]
-		delete(old, r.Name())
+	for _, id := range removed {
+		r, known := s.byID[id]
 		switch {
 		case !known:
-			logChange(r, "replica added")
-		case before.Draining != r.Draining:
-			logChange(r, "replica draining")
+		case grace > 0 && !r.Draining:
+			s.held[id] = true
+		default:
+			changes = append(changes, s.remove(id))
 		}
 	}
-	for _, r := range old {
-		logChange(&r, "replica removed")
+	if grace <= 0 {
+		for id := range s.held {
+			changes = append(changes, s.remove(id))
+		}
 	}
+	return changes
 }
 
-// targetsOf returns the targets whose connections are retained, including draining replicas, which
-// still complete calls.
-func targetsOf(replicas []routing.Replica) map[gateway.Target]bool {
-	targets := map[gateway.Target]bool{}
-	for i := range replicas {
-		targets[gateway.Target{ID: replicas[i].Name(), Address: replicas[i].Address}] = true
-	}
-	return targets
+func (s *replicaSet) remove(id string) replicaChange {
+	r := s.byID[id]
+	delete(s.byID, id)
+	delete(s.held, id)
+	return replicaChange{before: &r}
 }
 
-// removalHold delays removals of replicas that may still be alive: entries expire while the store
-// is unavailable.
-type removalHold struct {
-	held map[string]routing.Replica
+// contains reports whether a target is in use, draining ones included: they still complete calls.
+func (s *replicaSet) contains(t gateway.Target) bool {
+	r, ok := s.byID[routing.ReplicaID(t.ID)]
+	return ok && r.Name() == t.ID && r.Address == t.Address
 }
 
-// merge returns the replicas to use: those listed now, and those listed before that may register
-// again within the remaining grace period.
-func (h *removalHold) merge(previous, current []routing.Replica, grace time.Duration) []routing.Replica {
-	listed := map[string]bool{}
-	for i := range current {
-		listed[current[i].ID] = true
+// all returns every replica as a change, for a table with other services.
+func (s *replicaSet) all() []replicaChange {
+	changes := make([]replicaChange, 0, len(s.byID))
+	for _, r := range s.byID {
+		changes = append(changes, replicaChange{before: &r, after: &r})
 	}
-	if grace <= 0 {
-		h.held = nil
-		return current
+	return changes
+}
+
+// upstreamChanges converts changes of replicas to changes of the scheduler's upstreams. A draining
+// replica is removed, which marks it as draining for waiting calls.
+func upstreamChanges(table *routing.Table, changes []replicaChange) (changed []usage.Upstream, removed []string) {
+	for _, c := range changes {
+		u, usable := usage.Upstream{}, false
+		if c.after != nil {
+			u, usable = upstreamOf(table, c.after)
+		}
+		if usable {
+			changed = append(changed, u)
+		}
+		if c.before == nil {
+			continue
+		}
+		if name := c.before.Name(); !usable || name != u.Name {
+			removed = append(removed, name)
+		}
 	}
-	if h.held == nil {
-		h.held = map[string]routing.Replica{}
+	return changed, removed
+}
+
+// upstreamOf converts a replica to an upstream. It returns false if the replica gets no calls.
+func upstreamOf(table *routing.Table, r *routing.Replica) (usage.Upstream, bool) {
+	service := table.Service(r.Service)
+	if r.Draining || service == nil {
+		return usage.Upstream{}, false
 	}
-	for _, r := range previous {
-		if !listed[r.ID] && !r.Draining {
-			h.held[r.ID] = r
-		}
+	u := usage.Upstream{Name: r.Name(), Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots}
+	if service.Engine != nil {
+		u.Kind, u.Models = usage.KindEngine, []string{service.Name}
+		u.CacheTokens = service.Engine.CacheTokens
+	} else {
+		u.Kind, u.Service = usage.KindService, service.Name
 	}
-	all := current
-	for id, r := range h.held {
-		if listed[id] {
-			delete(h.held, id)
-			continue
+	return u, true
+}
+
+// logReplicas logs each replica that was added, changed its draining state or was removed.
+func (n *Node) logReplicas(changes []replicaChange, revision uint64) {
+	logChange := func(r *routing.Replica, message string) {
+		n.logger.WithField("replica", r.Name()).WithField("service", r.Service).WithField("address", r.Address).
+			WithField("revision", revision).Info(message)
+	}
+	for _, c := range changes {
+		switch {
+		case c.after == nil:
+			logChange(c.before, "replica removed")
+		case c.before == nil:
+			logChange(c.after, "replica added")
+		case c.before.Name() != c.after.Name():
+			logChange(c.before, "replica removed")
+			logChange(c.after, "replica added")
+		case c.before.Draining != c.after.Draining:
+			logChange(c.after, "replica draining")
 		}
-		all = append(all, r)
 	}
-	return all
 }
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 
 // witnesses returns up to witnessesPerDataCentre randomly chosen entries of each data centre.
 func (f *fleet) witnesses() []member {
-	others := f.others()
+	others := slices.Clone(f.others())
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	chosen := map[string]int{}
 	var entries []member
--- a/internal/peerload/growth_test.go
+++ b/internal/peerload/growth_test.go
@@ -41,9 +41,9 @@
 		named := func(from string, i int) *peerloadpb.Load {
 			return &peerloadpb.Load{From: from, Upstreams: []uint64{upstream.NameHash(fmt.Sprint("u", i))}, Calls: []uint32{2}, Backlog: []uint32{0}}
 		}
-		x.recordLoad(named("a", 1), now)
-		x.recordLoad(named("b", 1), now)
-		x.recordLoad(named("a", 2), now)
+		x.RecordLoad(named("a", 1), now)
+		x.RecordLoad(named("b", 1), now)
+		x.RecordLoad(named("a", 2), now)
 		want := map[string]int{"u1": 2, "u2": 2}
 		for _, u := range table.Snapshot().All {
 			expected, isNamed := want[u.Name]
@@ -65,9 +65,9 @@
 		return &peerloadpb.Load{From: from, Upstreams: []uint64{u.Hash}, Calls: []uint32{calls}, Backlog: []uint32{0}}
 	}
 	begin := time.Now()
-	x.recordLoad(load("silent", 5), begin)
+	x.RecordLoad(load("silent", 5), begin)
 	later := begin.Add(loadLifetime)
-	x.recordLoad(load("other", 3), later)
+	x.RecordLoad(load("other", 3), later)
 	is.Equal(u.Load(later.UnixNano()).Total, 8)
 	later = later.Add(time.Millisecond)
 	x.expireLoads(later)
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -380,7 +380,7 @@
 			x.mergeCounts(load, now)
 			continue
 		}
-		x.recordLoad(load, now)
+		x.RecordLoad(load, now)
 		x.recordAddress(load.From, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		if x.quotas != nil {
 			x.quotas.Merge(decodeQuotaReport(load), now)
@@ -426,8 +426,8 @@
 // before Run.
 func (x *Exchange) OnKeeperStatus(f func([]byte)) { x.onKeeperStatus = f }
 
-// recordLoad records a peer's load and the contact with it.
-func (x *Exchange) recordLoad(load *peerloadpb.Load, now time.Time) {
+// RecordLoad records a peer's load and the contact with it.
+func (x *Exchange) RecordLoad(load *peerloadpb.Load, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.loads.replace(load, x.peerCount, now)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -138,6 +139,21 @@
 // Service returns the service of that name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// SameServices reports whether another table has the same services with the same engines.
+func (t *Table) SameServices(other *Table) bool {
+	return other != nil && maps.EqualFunc(t.services, other.services, func(a, b *Service) bool {
+		return a.Engine.equal(b.Engine)
+	})
+}
+
+func (e *Engine) equal(other *Engine) bool {
+	if e == nil || other == nil {
+		return e == other
+	}
+	return e.Slots == other.Slots && e.CacheTokens == other.CacheTokens &&
+		e.TokensPerEvent == other.TokensPerEvent && slices.Equal(e.Models, other.Models)
+}
+
 // ServiceCount returns the number of services.
 func (t *Table) ServiceCount() int { return len(t.services) }
 
