Memory held for calls is bounded; slow callers get whole answers

Bodies, chains, answers and connections were bounded one by one (4 MB, 16 MB, none), not together; a slow caller stopped the reading of its replica's stream. Two ways for a slow caller's stream, in the test with a replica that cuts off after 2 s and a caller that takes 3 s for a part: kept in step (the former), the answer is broken off; read ahead within a budget, it arrives whole. The second serves more callers; where the budget is used up it falls back to the first, and a broken answer shows as broken. Not done: an upstream's memory by requests of all instances; patterns in the load model.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/routing"
 )
 
@@ -29,13 +30,16 @@
 // Call is one request of a caller.
 type Call struct {
 	// ID identifies the request; a caller's retry has another ID.
-	ID      string
-	Host    string
-	Method  string
-	Path    string
-	Target  string
-	Header  http.Header
-	Body    []byte
+	ID     string
+	Host   string
+	Method string
+	Path   string
+	Target string
+	Header http.Header
+	Body   []byte
+	// Hold is the memory that the call holds, its body included. Whoever sets it releases it after
+	// Serve.
+	Hold    *buffer.Hold
 	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero if unknown.
 	Deadline time.Time
@@ -96,6 +100,7 @@
 	QuotaUndetermined      Reason = "quota_unknown"
 	BadRequest             Reason = "bad_request"
 	TooLarge               Reason = "too_large"
+	BuffersFull            Reason = "buffers_full"
 	BudgetExhausted        Reason = "budget_spent"
 	NoSuchTurn             Reason = "no_such_turn"
 	TurnsUnavailable       Reason = "turns_unreached"
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -160,9 +161,12 @@
 		return response, nil, v
 	}
 	state.grant.RecordFirstToken()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		state.err = err
+		if errors.Is(err, buffer.ErrFull) {
+			state.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
+		}
 		if cancelledBySilence(ctx) {
 			return nil, nil, unresponsive
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/engine"
 	"foxhall/internal/limit"
 	"foxhall/internal/routing"
@@ -21,6 +22,9 @@
 	// notReadyRetryAfter is the retry delay given to callers while the instance has no
 	// configuration; reading it takes about that long.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// buffersFullRetryAfter is the retry delay given to callers while the memory for calls is in use:
+	// a call of usual size ends in about that time.
+	buffersFullRetryAfter = 500 * time.Millisecond
 	// maxAttempts bounds the attempts of one call, refused ones included. These don't count against
 	// the route's attempts, since a replica that refuses a call has not run it.
 	maxAttempts = 4
@@ -55,6 +59,8 @@
 	IsolatedFor func() time.Duration
 	// Quotas enforces the customers' quotas.
 	Quotas Quotas
+	// Buffers bounds the memory held for calls; nil for no bound.
+	Buffers *buffer.Budget
 	// SilentFor returns the time since the last contact with a data centre; 0 if unknown.
 	SilentFor func(dataCentre string) time.Duration
 	// OnSilence registers f to be called if a data centre falls silent before stop is called.
@@ -75,6 +81,9 @@
 
 // New returns a gateway.
 func New(s Settings, sched *scheduler.Scheduler, replicas Replicas, turns Turns, logger log.Interface, registry metrics.Registry) *Gateway {
+	if s.Buffers == nil {
+		s.Buffers = buffer.NewBudget(0, registry)
+	}
 	g := &Gateway{settings: s, scheduler: sched, replicas: replicas, turns: turns, logger: logger, reasons: newReasonCounters(registry), attempts: newAttemptCounters(registry)}
 	g.latency = metrics.GetOrRegisterHistogram("gateway.call.us", registry, metrics.NewUniformSample(latencySampleSize))
 	for o := range g.outcomes {
@@ -85,7 +94,11 @@
 
 // Serve serves a call until it ends. ctx is cancelled when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) Result {
-	f := &inFlightCall{gateway: g, call: call, caller: caller, callerCtx: ctx}
+	f := &inFlightCall{gateway: g, call: call, caller: caller, callerCtx: ctx, hold: call.Hold}
+	if f.hold == nil {
+		f.hold = g.NewHold()
+		defer f.hold.Release()
+	}
 	result := f.serve(ctx)
 	if ctx.Err() != nil && result.Outcome != Completed {
 		result.Outcome, result.Reason = CallerGone, CallerDisconnected
@@ -104,6 +117,8 @@
 	gateway *Gateway
 	call    *Call
 	caller  Caller
+	// hold is the memory held for the call.
+	hold *buffer.Hold
 	// callerCtx is cancelled when the caller disconnects.
 	callerCtx context.Context
 	table     *routing.Table
@@ -428,6 +443,20 @@
 	}
 }
 
+// NewHold returns a hold on the memory budget of calls.
+func (g *Gateway) NewHold() *buffer.Hold { return g.settings.Buffers.NewHold() }
+
+// RefuseUnbuffered records a call whose body did not fit into the memory budget, and returns its
+// result.
+func (g *Gateway) RefuseUnbuffered(call *Call) Result {
+	f := &inFlightCall{gateway: g, call: call, table: g.settings.Table()}
+	result := refused(BuffersFull, buffersFullRetryAfter)
+	g.outcomes[result.Outcome].Inc(1)
+	g.reasons.count(result.Reason, "")
+	f.logResult(&result)
+	return result
+}
+
 // MaxHeaderBytes returns the largest request header that callers may send, in bytes. Without a
 // configured limit only the server's own limit applies.
 func (g *Gateway) MaxHeaderBytes() int {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -124,6 +124,8 @@
 type fakeCaller struct {
 	status int
 	body   strings.Builder
+	// writeDelay is how long the caller takes to read one part.
+	writeDelay time.Duration
 }
 
 func (c *fakeCaller) Begin(status int, _ http.Header, _ int64) error {
@@ -132,6 +134,7 @@
 }
 
 func (c *fakeCaller) Write(part []byte) error {
+	time.Sleep(c.writeDelay)
 	c.body.Write(part)
 	return nil
 }
@@ -162,6 +165,11 @@
 // serveWith is serve with customers and settings. Settings that are nil get defaults under which
 // nothing falls silent and no quota applies.
 func serveWith(t *testing.T, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) testOutcome {
+	return serveCaller(t, &fakeCaller{}, customers, settings, route, call, turns, steps...)
+}
+
+// serveCaller is serveWith for a caller.
+func serveCaller(t *testing.T, caller *fakeCaller, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) testOutcome {
 	var got testOutcome
 	synctest.Test(t, func(t *testing.T) {
 		replicas := &fakeReplicas{steps: steps}
@@ -200,7 +208,6 @@
 		}
 		g := New(settings, sched, replicas, turns, &log.Logger{Handler: lines}, registry)
 		call.Host, call.Path, call.Arrived = "h", "/x", time.Now()
-		caller := &fakeCaller{}
 		began := time.Now()
 		got.result = g.Serve(context.Background(), &call, caller)
 		got.duration, got.status, got.body, got.targets = time.Since(began), caller.status, caller.body.String(), replicas.targets()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
 )
@@ -89,6 +90,8 @@
 
 // streamResponse sends the call and forwards the response.
 func (f *inFlightCall) streamResponse(ctx context.Context, state *attemptState, rec *streamRecord, watchdog *watchdog) (verdict, *Response, Result) {
+	ctx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
 	response, err := f.sendTo(ctx, state.grant, f.resumeAfter(rec))
 	if err != nil {
 		return state.classifyError(ctx, err), nil, Result{}
@@ -101,7 +104,12 @@
 		v, result := f.forwardFailure(state, response)
 		return v, response, result
 	}
-	v, result := f.relayEvents(ctx, state, response, rec, watchdog)
+	source := newReadAhead(response.Body, f.hold, func() {
+		state.grant.RecordProgress()
+		watchdog.recordProgress()
+	})
+	defer source.close(interrupt)
+	v, result := f.relayEvents(ctx, state, response, source, rec, watchdog)
 	return v, response, result
 }
 
@@ -115,7 +123,7 @@
 // forwardFailure forwards a response with a status of 300 or more. If a header was already
 // forwarded, the attempt counts as lost instead.
 func (f *inFlightCall) forwardFailure(state *attemptState, response *Response) (verdict, Result) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil || f.headerSent {
 		state.err = err
 		return responseLost, Result{}
@@ -134,15 +142,15 @@
 }
 
 // relayEvents forwards complete events as they arrive.
-func (f *inFlightCall) relayEvents(ctx context.Context, state *attemptState, response *Response, rec *streamRecord, watchdog *watchdog) (verdict, Result) {
+func (f *inFlightCall) relayEvents(ctx context.Context, state *attemptState, response *Response, source *readAhead, rec *streamRecord, watchdog *watchdog) (verdict, Result) {
 	var splitter eventSplitter
 	var firstEventTime time.Duration
 	countBefore := rec.eventCount
-	buffer := make([]byte, readBufferSize)
+	received := make([]byte, readBufferSize)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := source.Read(received)
 		if n > 0 {
-			events := splitter.add(buffer[:n])
+			events := splitter.add(received[:n])
 			if len(events) > 0 {
 				if firstEventTime == 0 {
 					firstEventTime = time.Since(state.began)
@@ -151,7 +159,7 @@
 				state.grant.RecordProgress()
 				watchdog.recordProgress()
 			}
-			if !f.forwardEvents(response, events, rec) {
+			if !f.forwardEvents(response, events, source, rec) {
 				state.grant.Done(scheduler.Feedback{Cancelled: true})
 				return complete, f.result(CallerGone, CallerDisconnected, response.Status)
 			}
@@ -245,14 +253,14 @@
 	return f.caller.Begin(response.Status, response.Header, -1) == nil
 }
 
-func (f *inFlightCall) forwardEvents(response *Response, events []Event, rec *streamRecord) bool {
+func (f *inFlightCall) forwardEvents(response *Response, events []Event, source *readAhead, rec *streamRecord) bool {
 	for _, e := range events {
 		if !f.forwardHeader(response) {
 			return false
 		}
 		// The event counts before it is written: a caller that disconnects may have received it.
 		rec.add(e)
-		if f.caller.Write(e.Raw) != nil {
+		if source.duringWrite(func() error { return f.caller.Write(e.Raw) }) != nil {
 			return false
 		}
 	}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/buffer"
 )
 
 const (
@@ -47,6 +49,12 @@
 		return f.refuseTurn(err)
 	}
 	f.lastUpstream = reserved.LastUpstream
+	if err := f.hold.Grow(buffer.Prompt, chainSize(reserved.Chain)); err != nil {
+		f.settleInBackground(&streamRecord{})
+		result := refused(BuffersFull, buffersFullRetryAfter)
+		result.Cause = err
+		return result
+	}
 	f.body = joinChain(reserved.Chain, f.call.Body)
 	rec := &streamRecord{retainData: f.route.RetainsTurns}
 	var foreignChain []Turn
@@ -86,6 +94,18 @@
 	return result
 }
 
+// chainSize returns the number of bytes of a chain, as it is held and as it is sent.
+func chainSize(chain []Turn) int {
+	size := 0
+	for i := range chain {
+		size += len(chain[i].Input)
+		for _, data := range chain[i].Events {
+			size += len(data) + 1
+		}
+	}
+	return 2 * size
+}
+
 // joinChain returns the request body of a turn: for each turn of the chain its input and the data
 // of its events, each followed by a line feed, then the new input.
 func joinChain(chain []Turn, input []byte) []byte {
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"container/list"
+	"math"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"foxhall/internal/routing"
 )
 
@@ -15,21 +20,115 @@
 type callerListener struct {
 	net.Listener
 	limits func() routing.Limits
+	conns  *callerConns
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns}
+		if l.conns.open(caller) {
+			return caller, nil
+		}
+		c.Close()
+	}
+}
+
+const (
+	// callerConnBytes is the memory that a caller's connection takes without a call: its goroutine
+	// and the server's buffers.
+	callerConnBytes = 24 << 10
+	// callerConnShare is the part of the instance's memory that callers' connections may take.
+	callerConnShare = 0.25
+	// minCallerConns is the least number of connections allowed.
+	minCallerConns = 64
+)
+
+// callerConns bounds the number of callers' connections by the instance's memory. At the bound, a
+// new connection replaces the one that has been idle for longest, and is closed if none is idle.
+//
+// It prevents the following failure: callers open thousands of connections, and the instance exceeds
+// its memory without serving a call.
+type callerConns struct {
+	limit    int
+	rejected metrics.Counter
+
+	mu   sync.Mutex
+	all  map[*callerConn]struct{}
+	idle *list.List
+}
+
+func newCallerConns(memory int64, registry metrics.Registry) *callerConns {
+	limit := max(minCallerConns, int(callerConnShare*float64(memory)/callerConnBytes))
+	if memory == 0 {
+		limit = math.MaxInt
+	}
+	return &callerConns{
+		limit: limit, rejected: metrics.GetOrRegisterCounter("callers.connections.rejected", registry),
+		all: map[*callerConn]struct{}{}, idle: list.New(),
+	}
+}
+
+// open adds a connection. It returns false if there is no room for it.
+func (s *callerConns) open(c *callerConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.all) >= s.limit {
+		oldest := s.idle.Front()
+		if oldest == nil {
+			s.rejected.Inc(1)
+			return false
+		}
+		replaced := oldest.Value.(*callerConn)
+		s.remove(replaced)
+		replaced.Conn.Close()
+	}
+	s.all[c] = struct{}{}
+	return true
+}
+
+// setIdle records whether a connection waits for its next call.
+func (s *callerConns) setIdle(c *callerConn, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.all[c]; !open || idle == (c.idleElement != nil) {
+		return
+	}
+	if idle {
+		c.idleElement = s.idle.PushBack(c)
+		return
+	}
+	s.idle.Remove(c.idleElement)
+	c.idleElement = nil
+}
+
+func (s *callerConns) close(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(c)
+}
+
+// remove removes a connection; the lock is held.
+func (s *callerConns) remove(c *callerConn) {
+	delete(s.all, c)
+	if c.idleElement != nil {
+		s.idle.Remove(c.idleElement)
+		c.idleElement = nil
 	}
-	return &callerConn{Conn: c, limits: l.limits}, nil
 }
 
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
 	limits func() routing.Limits
+	conns  *callerConns
+	// idleElement is the connection's place among the idle ones; nil while it is not idle. The lock
+	// of conns guards it.
+	idleElement *list.Element
 	// serving is true from the end of a call's header until its response is written. In that time,
 	// deadlines are set by the handler and stay as they are.
 	serving atomic.Bool
@@ -37,9 +136,16 @@
 
 // trackConnState records the state that http.Server reports for a connection.
 func trackConnState(c net.Conn, s http.ConnState) {
-	if caller, ok := c.(*callerConn); ok {
-		caller.serving.Store(s == http.StateActive)
+	caller, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	caller.serving.Store(s == http.StateActive)
+	if s == http.StateClosed || s == http.StateHijacked {
+		caller.conns.close(caller)
+		return
 	}
+	caller.conns.setIdle(caller, s == http.StateIdle)
 }
 
 // SetReadDeadline implements net.Conn. Between calls the server sets two deadlines: one for the
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/routing"
@@ -53,7 +54,7 @@
 		l.conn <- side
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
-		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }})
+		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, metrics.NewRegistry())})
 		defer server.Close()
 
 		_, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
@@ -81,10 +82,53 @@
 		l.conn <- side
 		server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
 		limits := func() routing.Limits { return routing.Limits{HeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute} }
-		go server.Serve(&callerListener{Listener: l, limits: limits})
+		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, metrics.NewRegistry())})
 		defer server.Close()
 		_, err := caller.Write([]byte("GET / HT"))
 		is.NoErr(err)
 		is.Equal(timeUntilClosed(caller), 2*time.Second)
 	})
 }
+
+// Guards against an instance that exceeds its memory because callers open thousands of connections.
+// Their number must be bounded: a new one replaces the one that has been idle for longest, and is
+// rejected while all of them have calls.
+func TestNumberOfCallersConnectionsIsBounded(t *testing.T) {
+	is := is.New(t)
+	conns := newCallerConns(1, metrics.NewRegistry())
+	is.Equal(conns.limit, minCallerConns)
+	var opened []*callerConn
+	open := func() *callerConn {
+		c := &callerConn{Conn: &closeCounter{}, conns: conns}
+		opened = append(opened, c)
+		if !conns.open(c) {
+			return nil
+		}
+		return c
+	}
+	for range minCallerConns {
+		is.True(open() != nil)
+	}
+	is.True(open() == nil)
+	trackConnState(opened[5], http.StateIdle)
+	trackConnState(opened[3], http.StateIdle)
+	trackConnState(opened[5], http.StateActive)
+	is.True(open() != nil)
+	is.Equal(opened[3].Conn.(*closeCounter).closed, 1)
+	trackConnState(opened[3], http.StateClosed)
+	is.True(open() == nil)
+	trackConnState(opened[5], http.StateClosed)
+	is.True(open() != nil)
+	is.Equal(conns.rejected.Count(), int64(2))
+}
+
+// closeCounter counts the calls of Close.
+type closeCounter struct {
+	net.Conn
+	closed int
+}
+
+func (c *closeCounter) Close() error {
+	c.closed++
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/cache"
 	"foxhall/internal/gateway"
 	"foxhall/internal/history"
@@ -67,6 +68,8 @@
 	// memoryLimitShare is the part of the allowed memory that is set as the Go runtime's soft
 	// limit. The rest is for the kernel's buffers, which count as well.
 	memoryLimitShare = 0.7
+	// bufferShare is the part of the allowed memory that calls under way may hold.
+	bufferShare = 0.2
 	// balancerDelay is how long a stopping entry still accepts connections: the load balancer
 	// probes every second and removes an instance after two failed probes.
 	balancerDelay = 2600 * time.Millisecond
@@ -202,6 +205,7 @@
 		Instances:   n.fleet.entryCount,
 		IsolatedFor: n.isolatedFor,
 		Quotas:      n.quotas,
+		Buffers:     buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry),
 
 		SilentFor: n.load.DataCentreSilentFor,
 		OnSilence: n.dataCentreSilence.onSilence,
@@ -456,7 +460,7 @@
 	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
 	group.Go(func() error {
 		return n.listenWrapped(serving, callers, n.settings.CallersAddress, func(l net.Listener) net.Listener {
-			return &callerListener{Listener: l, limits: n.limits}
+			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.registry)}
 		})
 	})
 	group.Go(func() error {
