A fleet's start costs few store calls; changes cross between data centres a few times

An instance that knows the registrations but none of its own data centre's yet finds nobody to leave the store to and follows it itself, all of them at the start; all knew three seeds only and asked them in each round. And neighbours were drawn from all data centres, so that each instance had the list of replicas (3 MB) four times in five from another one. Change: until an instance sees its own registration any peer that responds counts as a follower, and it asks the seeds at growing intervals; six of eight neighbours are in the own data centre, and only followers push to others.

--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -38,9 +38,12 @@
 }
 
 const (
-	// neighbourCount is the number of neighbours of an instance. The graph of all instances is then
-	// connected, and stays so when a third of them are lost.
-	neighbourCount = 8
+	// neighbourCount is the number of neighbours of an instance, and remoteNeighbourCount that of
+	// those in other data centres. The graph of all instances is then connected, and stays so when a
+	// third of them are lost, and a change crosses to another data centre a few times and not once for
+	// each instance there: bytes between data centres are slow and charged for.
+	neighbourCount       = 8
+	remoteNeighbourCount = 2
 	// neighbourLifetime is the time after which one of the neighbours is replaced, so that no group
 	// of instances has only each other for long.
 	neighbourLifetime = 10 * time.Second
@@ -50,31 +53,48 @@
 // each exchange with another peer opens a connection, and with random peers an instance of a large
 // fleet would hold connections to most of the others.
 type neighbours struct {
-	chosen    []Peer
-	rotatedAt time.Time
+	local, remote []Peer
+	rotatedAt     time.Time
 }
 
 // refresh replaces neighbours that are gone or may not be queried, and the oldest one after
 // neighbourLifetime.
-func (n *neighbours) refresh(peers *Peers, isUsable func(name string) bool, now time.Time) {
-	n.chosen = slices.DeleteFunc(n.chosen, func(p Peer) bool {
+func (n *neighbours) refresh(peers *Peers, dataCentre string, isUsable func(name string) bool, now time.Time) {
+	gone := func(p Peer) bool {
 		present, ok := peers.byName[p.Name]
 		return !ok || present != p || !isUsable(p.Name)
-	})
-	if len(n.chosen) >= neighbourCount && now.Sub(n.rotatedAt) >= neighbourLifetime {
-		n.chosen, n.rotatedAt = slices.Delete(n.chosen, 0, 1), now
 	}
-	for range neighbourCount {
-		if len(n.chosen) >= min(neighbourCount, len(peers.all)) {
-			return
+	n.local, n.remote = slices.DeleteFunc(n.local, gone), slices.DeleteFunc(n.remote, gone)
+	if n.rotatedAt.IsZero() {
+		n.rotatedAt = now
+	}
+	if now.Sub(n.rotatedAt) >= neighbourLifetime {
+		n.rotatedAt = now
+		n.local, n.remote = n.local[min(1, len(n.local)):], n.remote[min(1, len(n.remote)):]
+	}
+	own := peers.byDataCentre[dataCentre]
+	others := len(peers.all) - len(own)
+	wantLocal := min(len(own), max(neighbourCount-remoteNeighbourCount, neighbourCount-others))
+	n.local = fill(n.local, wantLocal, own, isUsable)
+	isRemote := func(p Peer) bool { return p.DataCentre != dataCentre && isUsable(p.Name) }
+	n.remote = fill(n.remote, min(others, neighbourCount-wantLocal), peers.all, func(name string) bool { return isRemote(peers.byName[name]) })
+}
+
+// fill adds random peers to the chosen ones until there are count. It gives up after a number of
+// draws; a later round continues.
+func fill(chosen []Peer, count int, from []Peer, isUsable func(name string) bool) []Peer {
+	for range 4 * neighbourCount {
+		if len(chosen) >= count || len(from) == 0 {
+			break
 		}
-		p := peers.all[rand.IntN(len(peers.all))]
-		if !n.contains(p.Name) && isUsable(p.Name) {
-			n.chosen = append(n.chosen, p)
+		p := from[rand.IntN(len(from))]
+		isChosen := slices.ContainsFunc(chosen, func(c Peer) bool { return c.Name == p.Name })
+		if !isChosen && isUsable(p.Name) {
+			chosen = append(chosen, p)
 		}
 	}
+	return chosen
 }
 
-func (n *neighbours) contains(name string) bool {
-	return slices.ContainsFunc(n.chosen, func(p Peer) bool { return p.Name == name })
-}
+// all returns the neighbours.
+func (n *neighbours) all() []Peer { return append(slices.Clone(n.local), n.remote...) }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -56,9 +56,13 @@
 	// roundsWithoutFollower counts successive rounds in which no peer that this instance defers to
 	// responded that it follows the store.
 	roundsWithoutFollower int
-	cancelFollow          context.CancelFunc
-	followerDone          chan struct{}
-	followingSince        time.Time
+	// joined reports whether this instance is registered. startExchanges counts the exchanges before
+	// it was, and skippedRounds the rounds to skip until the next one.
+	joined                        func() bool
+	startExchanges, skippedRounds int
+	cancelFollow                  context.CancelFunc
+	followerDone                  chan struct{}
+	followingSince                time.Time
 }
 
 var _ mirrorpb.Relay = (*Relay)(nil)
@@ -88,6 +92,13 @@
 	return r
 }
 
+// SetJoined sets the function that reports whether this instance is registered, so that the members
+// of its data centre know it. It must be called before Run.
+//
+// It prevents the following failure: a fleet starts, no instance knows another one in its data
+// centre yet, and all of them follow the store.
+func (r *Relay) SetJoined(joined func() bool) { r.joined = joined }
+
 // Run exchanges state with peers until ctx ends. With seed it follows the store at once, since the
 // other instances contact the seeds first and follow the store only if these are unresponsive. With
 // restarted it reads the store once itself: the sooner a restarted instance knows what is in force,
@@ -125,7 +136,11 @@
 // with one peer of any data centre. Through the latter, a data centre that can't reach the store
 // stays current.
 func (r *Relay) runRound(ctx context.Context) {
-	peers := r.peers()
+	peers, joined := r.peers(), r.hasJoined()
+	if !joined && r.skippedRounds > 0 {
+		r.skippedRounds--
+		return
+	}
 	hasFollower, responding := false, 0
 	for _, p := range r.peersToDeferTo(peers) {
 		following, ok := r.exchange(ctx, p)
@@ -147,9 +162,10 @@
 		if !responded {
 			r.markUnreachable(p)
 		}
-		// Until the members of the data centre are known, any peer that responds counts.
-		_, known := r.mirror.AsOf(Fleet)
-		hasFollower = hasFollower || responded && !known
+		// Until this instance is registered, its data centre's members may be too: any peer that
+		// responds counts.
+		hasFollower = hasFollower || responded && !joined
+		r.backOffSeeds(responded && !joined)
 	}
 	if hasFollower {
 		r.roundsWithoutFollower = 0
@@ -159,7 +175,7 @@
 		return
 	}
 	requiredRounds := takeOverRounds
-	if _, known := r.mirror.AsOf(Fleet); !known {
+	if !joined {
 		requiredRounds = takeOverRoundsAtStart
 	}
 	if r.roundsWithoutFollower++; r.roundsWithoutFollower >= requiredRounds<<responding {
@@ -167,22 +183,47 @@
 	}
 }
 
-// pushChange exchanges state with a few neighbours right after a change.
+// hasJoined reports whether this instance is registered as far as it knows, so that it knows the
+// others that registered before it.
+func (r *Relay) hasJoined() bool {
+	_, known := r.mirror.AsOf(Fleet)
+	return known && (r.joined == nil || r.joined())
+}
+
+// maxSkippedRounds bounds the rounds that an instance skips before it is registered.
+const maxSkippedRounds = 8
+
+// backOffSeeds has an instance skip rounds after exchanges with the seeds, more after each. All
+// instances of a fleet may start at once and know only the seeds.
+func (r *Relay) backOffSeeds(waiting bool) {
+	if !waiting {
+		return
+	}
+	r.startExchanges++
+	r.skippedRounds = rand.IntN(min(maxSkippedRounds, 1<<min(r.startExchanges, 8)))
+}
+
+// pushChange exchanges state with a few neighbours right after a change. Only an instance that
+// follows the store pushes to other data centres: theirs have followers, too, and spread the change.
 func (r *Relay) pushChange(ctx context.Context) {
 	chosen := r.currentNeighbours(r.peers())
-	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
-	for _, p := range chosen[:min(changeFanout, len(chosen))] {
+	targets := chosen.local
+	if len(targets) == 0 || r.cancelFollow != nil {
+		targets = append(targets, chosen.remote...)
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	for _, p := range targets[:min(changeFanout, len(targets))] {
 		go r.exchange(ctx, p)
 	}
 }
 
-// currentNeighbours returns the neighbours that may be queried at present.
-func (r *Relay) currentNeighbours(peers *Peers) []Peer {
+// currentNeighbours returns a copy of the neighbours that may be queried at present.
+func (r *Relay) currentNeighbours(peers *Peers) neighbours {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.neighbours.refresh(peers, func(name string) bool { return !now.Before(r.unreachableUntil[name]) }, now)
-	return slices.Clone(r.neighbours.chosen)
+	r.neighbours.refresh(peers, r.dataCentre, func(name string) bool { return !now.Before(r.unreachableUntil[name]) }, now)
+	return neighbours{local: slices.Clone(r.neighbours.local), remote: slices.Clone(r.neighbours.remote)}
 }
 
 // exchange applies the changes that this instance lacks and the peer has, and sends the peer those
@@ -254,7 +295,8 @@
 // they need not repeat each other's store calls. A standby follower alternates between the watchers
 // that it relies on, to detect their failure soon.
 func (r *Relay) chooseExchangePeer(peers *Peers) (Peer, bool) {
-	chosen := r.currentNeighbours(peers)
+	current := r.currentNeighbours(peers)
+	chosen := current.all()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if watchers := r.reliedOnWatchers(); r.cancelFollow != nil && len(watchers) >= watcherDataCentres {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -420,6 +420,12 @@
 	return nil
 }
 
+// isJoined reports whether this instance is registered as far as it knows.
+func (f *fleet) isJoined() bool {
+	_, exists := f.mirror.Get(mirror.Fleet, instancePrefix+f.settings.Instance)
+	return exists
+}
+
 func (f *fleet) isRegistered(self member, name string) bool {
 	e, exists := f.mirror.Get(mirror.Fleet, name)
 	var listed member
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
 	n.relay = mirror.NewRelay(s.Instance, s.DataCentre, n.mirror, follower, n.fleet.peers, n.logger)
+	n.relay.SetJoined(n.fleet.isJoined)
 	if s.DataFolder != "" {
 		if err := n.openKeeper(); err != nil {
 			return nil, err
