Decisions among thousands consider the upstreams used last

Above 128 upstreams a decision sees an even sample of 48, which hardly ever has one to which a connection is open. Change: the sixteen used last are candidates too.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"foxhall/internal/engine"
@@ -17,6 +18,9 @@
 	sampleThreshold = 128
 	sampleSize      = 48
 	maxCacheHolders = 32
+	// maxRecent is the number of upstreams used last that a decision considers beside the sample. In a
+	// fleet of thousands the sample hardly ever has one with an open connection.
+	maxRecent = 16
 )
 
 // decide makes one decision over a sample of the upstreams, or over all of them if none in the
@@ -46,8 +50,9 @@
 	w.step.MoveTokensPerSecond = p.moveRate(w, now)
 }
 
-// fillSample considers evenly spaced endpoints, and those with the longest part of the prompt cached.
-// It looks at no other, so that a decision costs the same for any number of endpoints.
+// fillSample considers evenly spaced endpoints, those with the longest part of the prompt cached, and
+// those used last, to which connections are open. It looks at no other, so that a decision costs the
+// same for any number of endpoints.
 func (p *pool) fillSample(endpoints []*upstream.Endpoint, w *waiter, now time.Time) {
 	p.candidates = p.candidates[:0]
 	stride := max(1, len(endpoints)/sampleSize)
@@ -55,18 +60,30 @@
 	for i := first; i < len(endpoints); i += stride {
 		p.addCandidate(endpoints, i, w, now)
 	}
-	inSample := func(i int) bool { return i%stride == first }
-	if i, ok := p.positionOf(w.step.LastUpstream, endpoints); ok && !inSample(i) {
-		p.addCandidate(endpoints, i, w, now)
-	}
+	p.extra = append(p.extra[:0], w.step.LastUpstream)
 	for _, holder := range p.matches.Found[:min(maxCacheHolders, len(p.matches.Found))] {
-		if i, ok := p.positionOf(holder.Upstream, endpoints); ok && !inSample(i) && holder.Upstream != w.step.LastUpstream {
+		p.extra = append(p.extra, holder.Upstream)
+	}
+	p.extra = append(p.extra, p.recent...)
+	for n, id := range p.extra {
+		i, ok := p.positionOf(id, endpoints)
+		if ok && i%stride != first && !slices.Contains(p.extra[:n], id) {
 			p.addCandidate(endpoints, i, w, now)
 		}
 	}
 	w.step.MoveTokensPerSecond = p.moveRate(w, now)
 }
 
+// recordRecent records that a step was placed on an upstream.
+func (p *pool) recordRecent(id uint32) {
+	if at := slices.Index(p.recent, id); at >= 0 {
+		p.recent = slices.Delete(p.recent, at, at+1)
+	} else if len(p.recent) == maxRecent {
+		p.recent = slices.Delete(p.recent, 0, 1)
+	}
+	p.recent = append(p.recent, id)
+}
+
 // positionOf returns the index of the upstream's endpoint in endpoints.
 func (p *pool) positionOf(id uint32, endpoints []*upstream.Endpoint) (int, bool) {
 	u := p.scheduler.table.ByID(id)
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -114,6 +114,7 @@
 	}
 	p.planMove(g, d)
 	u.Begin(now.UnixNano(), g.uncachedTokens(), g.ProgressTimeout)
+	p.recordRecent(u.ID)
 	p.running++
 	return g
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -51,6 +51,8 @@
 	// rotation is the queue index at which placeRotating continues.
 	rotation int
 	matches  cache.Matches
+	// recent are the upstreams used last, the latest at the end. extra is scratch space of fillSample.
+	recent, extra []uint32
 }
 
 type waiter struct {
