The store is asked as often as the operators' bounds require

Cause: the configuration and the replicas are read each 1.1 s where no poll was answered, and polls with changes are 0.25 s apart, whatever the operators require: 2 s on the first deployments, 5 s on the fleet, 3 s on others. Change: both intervals, and the silence that counts as an outage, follow from the shortest of the times within which a configuration, a draining replica or a removed key has to be in force and from the replicas' heartbeat; at 2 s and 1.2 s they are what they were. Tests: a change is in force after each loss of watchers, and with all polls unanswered, at 2, 3 and 5 s.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -18,10 +18,6 @@
 	// pollTimeout is how long a poll for changes waits at the store. It may be long, since
 	// keep-alive probes detect an unresponsive connection, and each poll is charged for.
 	pollTimeout = 25 * time.Second
-	// checkInterval is how often the configuration and the replicas are read in addition to polls,
-	// which the store may leave unanswered for seconds while it drops its history. It is below the
-	// 2 s within which a change has to be in force, with a margin for relaying it.
-	checkInterval = 1100 * time.Millisecond
 	// checkJitter spreads the checks of followers, so that the later ones learn of the first
 	// response through the relay and need no check.
 	checkJitter = 350 * time.Millisecond
@@ -30,18 +26,11 @@
 	standbyDelay = 300 * time.Millisecond
 	// checkDueInterval is how often a follower determines whether a check is due.
 	checkDueInterval = 60 * time.Millisecond
-	// debounceDelay is the delay after a response with changes. A burst of changes, such as the
-	// start of all replicas, then costs a few polls rather than one for each.
-	debounceDelay = 250 * time.Millisecond
 	// retryInitialDelay and retryMaxDelay bound the backoff between failed calls.
 	retryInitialDelay = 100 * time.Millisecond
 	retryMaxDelay     = 700 * time.Millisecond
 	// registrationTime is how long live replicas need to register again after a store outage.
 	registrationTime = 2500 * time.Millisecond
-	// outageThreshold is how long the store must have sent no response before entries may have
-	// expired. Three heartbeats of a replica take over 3 s, and checks keep the last response less
-	// than 1.5 s old while the store is available.
-	outageThreshold = 2500 * time.Millisecond
 )
 
 // Follower updates a mirror directly from the store while it is active.
@@ -143,7 +132,7 @@
 func (f *Follower) runChecks(ctx context.Context) {
 	jitter := rand.N(checkJitter)
 	for sleep(ctx, checkDueInterval); ctx.Err() == nil; sleep(ctx, checkDueInterval) {
-		due := checkInterval + jitter
+		due := f.mirror.timing.checkInterval + jitter
 		if f.standby.Load() {
 			due += standbyDelay
 		}
@@ -174,7 +163,7 @@
 // checkReplicas asks for changes without waiting, and lists all replicas at an interval that grows
 // with their number, so that the calls per second do not.
 func (f *Follower) checkReplicas(ctx context.Context) error {
-	interval := checkInterval * time.Duration(1+f.mirror.Len(Replicas)/entriesPerCheck)
+	interval := f.mirror.timing.checkInterval * time.Duration(1+f.mirror.Len(Replicas)/entriesPerCheck)
 	if _, known := f.mirror.AsOf(Replicas); !known || time.Since(time.Unix(0, f.listedAt.Load())) >= interval {
 		return f.snapshot(ctx, Replicas)
 	}
@@ -262,7 +251,7 @@
 	f.mirror.Apply(compactChanges(k, from, changes))
 	f.mirror.Confirm(k, time.Now())
 	if len(changes.Events) > 0 {
-		sleep(ctx, debounceDelay)
+		sleep(ctx, f.mirror.timing.debounceDelay)
 	}
 	return nil
 }
@@ -340,7 +329,7 @@
 // listeners see with the change. The first response to a process does not count as the end of an
 // outage; otherwise a rolling restart of instances would retain removed replicas indefinitely.
 func (f *Follower) detectOutageEnd(k Kind) {
-	if now := time.Now(); k == Replicas && f.mirror.EntriesMayHaveExpired(k, now) && f.mirror.Age(k, now) >= outageThreshold {
+	if now := time.Now(); k == Replicas && f.mirror.EntriesMayHaveExpired(k, now) && f.mirror.Age(k, now) >= f.mirror.timing.outageThreshold {
 		f.mirror.SetRegistrationGrace(now.Add(registrationTime))
 	}
 }
--- a/internal/mirror/growth_test.go
+++ b/internal/mirror/growth_test.go
@@ -134,7 +134,7 @@
 			is.NoErr(f.snapshot(t.Context(), Replicas))
 			s.calls = 0
 			for range checks {
-				time.Sleep(checkInterval)
+				time.Sleep(f.mirror.timing.checkInterval)
 				is.NoErr(f.checkReplicas(t.Context()))
 			}
 			t.Logf("%d replicas: %d calls in %d checks", replicas, s.calls, checks)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -73,6 +73,7 @@
 
 // Mirror is the local copy of all kinds. It is safe for concurrent use.
 type Mirror struct {
+	timing    Timing
 	mu        sync.Mutex
 	kinds     map[Kind]*kindCopy
 	listeners []func(Kind)
@@ -83,7 +84,7 @@
 
 // New returns an empty mirror.
 func New() *Mirror {
-	m := &Mirror{kinds: map[Kind]*kindCopy{}}
+	m := &Mirror{timing: NewTiming(0, 0), kinds: map[Kind]*kindCopy{}}
 	for _, k := range Kinds {
 		m.kinds[k] = &kindCopy{entries: map[string]Entry{}}
 	}
@@ -118,7 +119,7 @@
 	if !at.After(c.confirmedAt) {
 		return
 	}
-	if !c.confirmedAt.IsZero() && at.Sub(c.confirmedAt) >= outageThreshold {
+	if !c.confirmedAt.IsZero() && at.Sub(c.confirmedAt) >= m.timing.outageThreshold {
 		c.returnedAt = at
 	}
 	c.confirmedAt = at
@@ -130,7 +131,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[k]
-	silent := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) >= outageThreshold
+	silent := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) >= m.timing.outageThreshold
 	return silent || now.Sub(c.returnedAt) < registrationTime
 }
 
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -329,11 +329,11 @@
 		r.follower = NewFollower(m, nil, r.logger)
 		announcement := &mirrorpb.ExchangeRequest{From: "j", UnsettledMs: registrationTime.Milliseconds()}
 		m.Confirm(Replicas, time.Now())
-		time.Sleep(outageThreshold / 2)
+		time.Sleep(m.timing.outageThreshold / 2)
 		_, err := r.Exchange(context.Background(), announcement)
 		is.NoErr(err)
 		is.Equal(m.RegistrationGrace(time.Now()), time.Duration(0))
-		time.Sleep(outageThreshold)
+		time.Sleep(m.timing.outageThreshold)
 		_, err = r.Exchange(context.Background(), announcement)
 		is.NoErr(err)
 		is.Equal(m.RegistrationGrace(time.Now()), registrationTime)
--- a/internal/mirror/watch_test.go
+++ b/internal/mirror/watch_test.go
@@ -18,9 +18,9 @@
 	"foxhall/internal/store"
 )
 
-// changeDeadline is the shortest time within which operators of present sites require a change to
-// be in force.
-const changeDeadline = 2 * time.Second
+// changeDeadlines are the times within which operators of present sites require a change to be in
+// force.
+var changeDeadlines = []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second}
 
 // discoveryTime is longer than followers need to discover each other through random exchanges.
 const discoveryTime = 30 * time.Second
@@ -65,6 +65,11 @@
 
 // runInBigFleet runs a test in virtual time on a fleet whose followers have discovered each other.
 func runInBigFleet(t *testing.T, size int, test func(f *bigFleet) error) {
+	runInBigFleetWith(t, size, NewTiming(0, 0), test)
+}
+
+// runInBigFleetWith is runInBigFleet with intervals.
+func runInBigFleetWith(t *testing.T, size int, timing Timing, test func(f *bigFleet) error) {
 	var failed error
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -72,6 +77,7 @@
 		logger := &log.Logger{Handler: discard.Default}
 		for i := range size {
 			n := &instance{name: fmt.Sprintf("i%03d", i), mirror: New()}
+			n.mirror.SetTiming(timing)
 			peers := func() *Peers {
 				var peers []Peer
 				for _, other := range f.all {
@@ -218,16 +224,18 @@
 		t.Run(c.name, func(t *testing.T) {
 			// The loss is worst just before the change, or some time before it.
 			for _, pause := range []time.Duration{0, 500 * time.Millisecond, 5 * time.Second} {
-				runInBigFleet(t, 50, func(f *bigFleet) error {
-					except := c.lose(f, f.watching())
-					time.Sleep(pause)
-					f.store.change()
-					time.Sleep(changeDeadline)
-					if late := f.outdated(6, except...); late != nil {
-						return errors.Errorf("%v after the loss, outdated: %v", pause, late)
-					}
-					return nil
-				})
+				for _, deadline := range changeDeadlines {
+					runInBigFleetWith(t, 50, NewTiming(deadline, deadline), func(f *bigFleet) error {
+						except := c.lose(f, f.watching())
+						time.Sleep(pause)
+						f.store.change()
+						time.Sleep(deadline)
+						if late := f.outdated(6, except...); late != nil {
+							return errors.Errorf("%v after the loss, to be in force in %v, outdated: %v", pause, deadline, late)
+						}
+						return nil
+					})
+				}
 			}
 		})
 	}
@@ -236,15 +244,17 @@
 // The same where the store leaves all polls for changes unanswered. Only the configuration and the
 // replicas are read by checks then.
 func TestChangeIsInForceWhileAllPollsAreUnanswered(t *testing.T) {
-	runInBigFleet(t, 50, func(f *bigFleet) error {
-		f.store.set(func() { f.store.ignorePolls = true })
-		f.store.change()
-		time.Sleep(changeDeadline)
-		if late := outdated(f.all, 6); late != nil {
-			return errors.Errorf("outdated: %v", late)
-		}
-		return nil
-	})
+	for _, deadline := range changeDeadlines {
+		runInBigFleetWith(t, 50, NewTiming(deadline, deadline), func(f *bigFleet) error {
+			f.store.set(func() { f.store.ignorePolls = true })
+			f.store.change()
+			time.Sleep(deadline)
+			if late := outdated(f.all, 6); late != nil {
+				return errors.Errorf("to be in force in %v, outdated: %v", deadline, late)
+			}
+			return nil
+		})
+	}
 }
 
 // Guards against all data centres polling for changes after an outage. Two must remain.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 		dataCentreSilence: newSilenceMonitor(),
 		keeperSilence:     newSilenceMonitor(),
 	}
+	n.mirror.SetTiming(mirror.NewTiming(s.ChangeDeadline, s.Heartbeat))
 	n.replicaFeed, n.replicas = n.mirror.NewFeed(mirror.Replicas), newReplicaSet(d.Replica)
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,9 @@
 	MaxDiskFailures int
 	// DataFolder is empty on an instance without a disk.
 	DataFolder string
+	// ChangeDeadline is the time within which a change of the configuration or of a replica has to be
+	// in force, Heartbeat the interval between two heartbeats of a replica; 0 if unknown.
+	ChangeDeadline, Heartbeat time.Duration
 	// Tolerance is how far customers may exceed their quotas.
 	Tolerance limit.Tolerance
 	// Memory is the memory that the process may use, in bytes.
