One peer at a time sends a started instance the list of replicas, compressed

Cause (found in reading): an instance that knows no replicas was sent the whole list, 3 MB at 10,000, by each peer that it exchanged with, within 0.4 s each: on a link of 22 Mbit/s none arrives, and each takes the link from the others. Change: exchanges state the highest version while the replicas are unknown; the list is fetched from one neighbour after another with 5 s, and from the store after two failures; responses of 32 KB and more between instances are compressed.

--- a/internal/mirror/growth_test.go
+++ b/internal/mirror/growth_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/store"
 )
 
@@ -168,3 +169,54 @@
 		is.True(size > maxStartReaders || readers == size)
 	}
 }
+
+// listCounter passes exchanges on and counts the whole lists of replicas that responses hold.
+type listCounter struct {
+	to    *Relay
+	lists *int
+}
+
+func (c listCounter) Exchange(ctx context.Context, r *mirrorpb.ExchangeRequest) (*mirrorpb.ExchangeResponse, error) {
+	response, err := c.to.Exchange(ctx, r)
+	if err == nil {
+		for _, d := range response.Deltas {
+			if d.Full && d.Kind == string(Replicas) {
+				*c.lists++
+			}
+		}
+	}
+	return response, err
+}
+
+// Guards against a restarted instance on a slow link that never gets the list of replicas, because all
+// of its neighbours send it at once and none within the time of an exchange. It must be sent once.
+func TestRestartedInstanceIsSentTheListOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		lists := 0
+		logger := &log.Logger{Handler: discard.Default}
+		var peers []Peer
+		for i := range 8 {
+			m := New()
+			d := Delta{Kind: Replicas, Full: true, AsOf: 5}
+			for j := range 100 {
+				d.Entries = append(d.Entries, Entry{Name: fmt.Sprint(j), Revision: 5})
+			}
+			m.Apply(d)
+			m.Apply(Delta{Kind: Fleet, Full: true, AsOf: 5})
+			other := NewRelay(fmt.Sprint("peer-", i), "a", m, NewFollower(m, nil, logger), nil, logger)
+			peers = append(peers, Peer{Name: fmt.Sprint("peer-", i), DataCentre: "a", Relay: listCounter{other, &lists}})
+		}
+		m := New()
+		store := storeClient{newFakeStore(), "i"}
+		store.refused["i"] = true
+		r := NewRelay("i", "a", m, NewFollower(m, store, logger), func() *Peers { return NewPeers(peers) }, logger)
+		go r.Run(ctx, false, true)
+		time.Sleep(2 * time.Second)
+		is.Equal(m.Len(Replicas), 100)
+		is.Equal(lists, 1)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -113,6 +114,7 @@
 		go r.follower.RefreshAtStart(ctx)
 	}
 	defer r.stopFollowing()
+	go r.fetchReplicas(ctx)
 	for {
 		select {
 		case <-ticker.C:
@@ -230,11 +232,16 @@
 // that it lacks. It reports whether the peer follows the store and gets responses from it, and
 // whether the peer responded.
 func (r *Relay) exchange(ctx context.Context, p Peer) (following, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	return r.exchangeFor(ctx, p, r.versions(), exchangeTimeout)
+}
+
+// exchangeFor is exchange with the versions that this instance states, and a timeout.
+func (r *Relay) exchangeFor(ctx context.Context, p Peer, versions []*mirrorpb.Version, timeout time.Duration) (following, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := &mirrorpb.ExchangeRequest{
 		From:        r.name,
-		Versions:    r.versions(),
+		Versions:    versions,
 		UnsettledMs: r.mirror.RegistrationGrace(time.Now()).Milliseconds(),
 	}
 	response, err := p.Relay.Exchange(ctx, request)
@@ -324,7 +331,19 @@
 	return chosen[rand.IntN(len(chosen))], true
 }
 
+// versions returns the versions of all kinds. While the replicas are unknown, it states the highest
+// version of them, so that peers do not send the whole list: thousands of replicas take longer than an
+// exchange may, and each of the peers would begin to send them. See fetchReplicas.
 func (r *Relay) versions() []*mirrorpb.Version {
+	versions := r.knownVersions()
+	if _, known := r.mirror.AsOf(Replicas); !known {
+		versions = append(versions, &mirrorpb.Version{Kind: string(Replicas), AsOf: math.MaxUint64})
+	}
+	return versions
+}
+
+// knownVersions returns the versions of the kinds that are known.
+func (r *Relay) knownVersions() []*mirrorpb.Version {
 	var versions []*mirrorpb.Version
 	now := time.Now()
 	for _, k := range Kinds {
@@ -336,6 +355,45 @@
 	return versions
 }
 
+const (
+	// fetchTimeout bounds the transfer of the whole list of replicas from a peer: a megabyte, compressed,
+	// over the slowest links in use, shared by a few transfers.
+	fetchTimeout = 5 * time.Second
+	// fetchInterval is the pause between two attempts to fetch the list.
+	fetchInterval = 200 * time.Millisecond
+	// maxFetchFailures is the number of peers that may fail before the list is read from the store.
+	maxFetchFailures = 2
+)
+
+// fetchReplicas asks one peer after another for the whole list of replicas until it is known.
+func (r *Relay) fetchReplicas(ctx context.Context) {
+	failures := 0
+	for ; ctx.Err() == nil; sleep(ctx, fetchInterval) {
+		if _, known := r.mirror.AsOf(Replicas); known {
+			return
+		}
+		if failures >= maxFetchFailures {
+			failures = 0
+			r.follower.refresh(ctx, Replicas)
+			continue
+		}
+		current := r.currentNeighbours(r.peers())
+		chosen := current.local
+		if len(chosen) == 0 {
+			chosen = current.remote
+		}
+		if len(chosen) == 0 {
+			continue
+		}
+		p := chosen[rand.IntN(len(chosen))]
+		if _, ok := r.exchangeFor(ctx, p, r.knownVersions(), fetchTimeout); !ok {
+			r.logger.WithField("peer", p.Name).Info("list of replicas not received from a peer; asking another one")
+			r.markUnreachable(p)
+			failures++
+		}
+	}
+}
+
 // missingDeltas returns the changes that an instance with these versions lacks.
 func (r *Relay) missingDeltas(versions []*mirrorpb.Version) []*mirrorpb.Delta {
 	known := map[Kind]store.Version{}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -104,7 +104,6 @@
 		DialContext:         netdial.Dial,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
 	}
 	f := &fleet{
 		settings:      s,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -351,7 +351,7 @@
 func (n *Node) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	relay := mirrorpb.NewRelayServer(n.relay)
-	mux.Handle(relay.PathPrefix(), relay)
+	mux.Handle(relay.PathPrefix(), compressed(relay))
 	if n.settings.CallersAddress != "" {
 		mux.HandleFunc(viaPath, n.fleet.forwardToKeeper)
 		witness := historypb.NewWitnessServer(n.fleet)
