One registration, and fewer reads of the first assignment, at a start

Change: a second between two such reads; five seconds for a written registration to come back; the list is fetched once the instance is registered.

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -87,6 +87,9 @@
 	edition         uint64
 	broadcastStates [ShardCount]epochState
 	started         time.Time
+	// bootstrapReadAt is when the assignment was last read before the first one was known. Only the
+	// reconciler uses it.
+	bootstrapReadAt time.Time
 
 	mu     sync.Mutex
 	shards [ShardCount]*shard
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -33,6 +33,9 @@
 	diskStallTimeout = 500 * time.Millisecond
 	// startupGrace is how long after its start a keeper counts no other as unresponsive.
 	startupGrace = 1200 * time.Millisecond
+	// bootstrapReadInterval is the time between two reads of the assignment by a keeper that waits for
+	// the first one. Gossip delivers it sooner.
+	bootstrapReadInterval = time.Second
 	// forceRecoveryAfter is how long a shard may be unrecoverable, with all its holders live,
 	// before it continues with the records that are left. All its disks are lost then, or it never
 	// began.
@@ -195,7 +198,10 @@
 	keepers := k.liveKeepers()
 	complete := len(keepers) == len(k.settings.Keepers())
 	if len(keepers) == 0 || keepers[0].Name != k.settings.Name || !complete && age < 2*startupGrace {
-		notify(k.wakeReader)
+		if time.Since(k.bootstrapReadAt) >= bootstrapReadInterval {
+			k.bootstrapReadAt = time.Now()
+			notify(k.wakeReader)
+		}
 		return
 	}
 	a, version, err := k.assignments.Read(ctx)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -331,12 +331,13 @@
 	return chosen[rand.IntN(len(chosen))], true
 }
 
-// versions returns the versions of all kinds. While the replicas are unknown, it states the highest
-// version of them, so that peers do not send the whole list: thousands of replicas take longer than an
-// exchange may, and each of the peers would begin to send them. See fetchReplicas.
+// versions returns the versions of all kinds. While a registered instance does not know the replicas,
+// it states the highest version of them, so that peers do not send the whole list: thousands of
+// replicas take longer than an exchange may, and each of the peers would begin to send them. See
+// fetchReplicas. Before it is registered the whole system may be starting, with few replicas.
 func (r *Relay) versions() []*mirrorpb.Version {
 	versions := r.knownVersions()
-	if _, known := r.mirror.AsOf(Replicas); !known {
+	if _, known := r.mirror.AsOf(Replicas); !known && r.hasJoined() {
 		versions = append(versions, &mirrorpb.Version{Kind: string(Replicas), AsOf: math.MaxUint64})
 	}
 	return versions
@@ -365,13 +366,17 @@
 	maxFetchFailures = 2
 )
 
-// fetchReplicas asks one peer after another for the whole list of replicas until it is known.
+// fetchReplicas asks one peer after another for the whole list of replicas until it is known, once
+// this instance is registered.
 func (r *Relay) fetchReplicas(ctx context.Context) {
 	failures := 0
 	for ; ctx.Err() == nil; sleep(ctx, fetchInterval) {
 		if _, known := r.mirror.AsOf(Replicas); known {
 			return
 		}
+		if !r.hasJoined() {
+			continue
+		}
 		if failures >= maxFetchFailures {
 			failures = 0
 			r.follower.refresh(ctx, Replicas)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -35,8 +35,11 @@
 	// registrationDelay is the delay before an instance registers, since its present registration may
 	// not have reached the mirror yet. registrationInterval is how often it checks that the
 	// registration exists.
-	registrationDelay    = 300 * time.Millisecond
-	registrationInterval = 10 * time.Second
+	registrationDelay = 300 * time.Millisecond
+	// registrationConfirmTime is how long a written registration may take to reach the mirror. At the
+	// start of a large fleet it takes seconds, and a second write would only conflict.
+	registrationConfirmTime = 5 * time.Second
+	registrationInterval    = 10 * time.Second
 	// staleTimeout is how long an instance may send nothing before its registration is removed. It
 	// is longer than network partitions between data centres last.
 	staleTimeout       = 30 * time.Minute
@@ -414,7 +417,9 @@
 		e, _ := f.mirror.Get(mirror.Fleet, key.Name)
 		if _, err := f.objects.Put(ctx, key, value, e.Revision); err != nil {
 			f.logger.WithError(err).Warn("registration of this instance in the store failed; will retry")
+			continue
 		}
+		sleep(ctx, registrationConfirmTime)
 	}
 	return nil
 }
