Entries without quotas do not count each other

Cause: each entry counted the reachable others ten times a second (1,730 lock operations at 865), also where no customer has a quota. Change: it does while some customer has one.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// InUse reports whether any customer has a quota.
+func (q *Quotas) InUse() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.meters) > 0
+}
+
 func (q *Quotas) window() time.Duration { return max(q.tolerance.Window, minWindow) }
 
 // SetFleet sets the number of reachable instances, including this one, the number of all
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -12,9 +12,13 @@
 const fleetSizeInterval = 100 * time.Millisecond
 
 // reportFleetSize reports to the quotas how many entries this instance reaches, and how many there
-// are.
+// are. Without quotas nobody needs to count them.
 func (n *Node) reportFleetSize(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !n.quotas.InUse() {
+			sleep(ctx, fleetSizeInterval)
+			continue
+		}
 		alive, all := 0, 1
 		if _, known := n.mirror.AsOf(mirror.Fleet); known {
 			alive, all = n.fleet.countAliveEntries(n.isEntryAlive)
