--- a/internal/mirror/start_test.go
+++ b/internal/mirror/start_test.go
@@ -19,12 +19,11 @@
 
 // registryStore holds the registrations of instances, and counts the calls to it.
 type registryStore struct {
-	mu       sync.Mutex
-	version  store.Version
-	changed  chan struct{}
-	objects  []store.Object
-	calls    int
-	watching map[string]bool
+	mu      sync.Mutex
+	version store.Version
+	changed chan struct{}
+	objects []store.Object
+	calls   int
 }
 
 func (s *registryStore) register(name string) {
--- /dev/null
+++ b/internal/node/refresh.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"foxhall/internal/mirror"
+)
+
+// runRefresh updates this instance's state after each change of the mirror until ctx ends. Only its
+// goroutine calls refresh.
+func (n *Node) runRefresh(ctx context.Context) {
+	ticker := time.NewTicker(removalCheckInterval)
+	defer ticker.Stop()
+	sweep := time.NewTicker(connectionSweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-n.refreshRequested:
+			n.refresh()
+		case <-ticker.C:
+			if len(n.replicas.held) > 0 {
+				n.refresh()
+			}
+		case <-sweep.C:
+			n.adapter.Replicas.RetainTargets(n.replicas.contains)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh brings the mirror's contents into force.
+func (n *Node) refresh() {
+	n.fleet.refresh()
+	n.refreshAssignment()
+	n.refreshTable()
+	table := n.table.Load()
+	if table == nil {
+		return
+	}
+	changed, removed := n.replicaFeed.Take()
+	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
+	asOf, _ := n.mirror.AsOf(mirror.Replicas)
+	n.logReplicas(changes, uint64(asOf))
+	if !table.SameServices(n.appliedTable) {
+		// The upstreams of removed replicas are no longer in the set.
+		changes = append(changes, n.replicas.all()...)
+	}
+	n.appliedTable = table
+	if len(changes) == 0 {
+		return
+	}
+	upstreams, gone := upstreamChanges(table, changes)
+	n.upstream.Update(upstreams, gone, time.Now())
+	n.adapter.Replicas.RetainTargets(n.replicas.contains)
+}
+
+func (n *Node) refreshAssignment() {
+	a, version, ok := n.fleet.assignment()
+	if !ok || version == n.assignedRevision {
+		return
+	}
+	n.assignedRevision = version
+	n.assigned.Store(&a)
+	n.turns.AssignmentChanged()
+	if n.keeper != nil {
+		n.keeper.ApplyAssignment(a, version)
+	}
+}
+
+func (n *Node) refreshTable() {
+	e, ok := n.mirror.Get(mirror.Config, mirror.ConfigName)
+	if !ok || e.Revision == n.configRevision {
+		return
+	}
+	n.configRevision = e.Revision
+	table, err := n.adapter.Table(e.Value)
+	if err != nil {
+		n.logger.WithError(err).WithField("revision", uint64(e.Revision)).Warn("configuration can't be decoded; the previous one stays in force")
+		return
+	}
+	if old := n.table.Load(); old != nil && table.Version <= old.Version {
+		return
+	}
+	n.quotas.Set(table.Customers.Quotas(), time.Now())
+	n.table.Store(table)
+	n.logger.WithField("config", table.Version).WithField("revision", uint64(e.Revision)).Info("configuration in force")
+}
