A follower is asked by a few instances of its data centre; whole lists are limited

All instances of a data centre ask its follower in each round, and at a start any number of peers are sent whole lists at once. Change: the first eight by name ask in each round, the others in turn so that eight more do on average; one that found no follower asks in each. Whole lists have 20,000 entries a second and at once.

--- a/internal/mirror/growth_test.go
+++ b/internal/mirror/growth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/store"
@@ -220,3 +222,69 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against followers whose connections, messages and memory grow with their data centre, because
+// all of its instances ask the follower in each round. The exchanges that a follower gets must not grow
+// with the fleet, and another instance must take over in time if those that ask each round are lost.
+func TestFollowersGetFewExchanges(t *testing.T) {
+	const maxPerRound = 40
+	for _, size := range []int{100, 200, 400} {
+		runInBigFleet(t, size, func(f *bigFleet) error {
+			received := map[*instance]int{}
+			f.setLoss(func(_, to *instance) bool {
+				received[to]++
+				return false
+			})
+			const rounds = 50
+			time.Sleep(rounds * roundInterval)
+			f.net.mu.Lock()
+			most := 0
+			for _, n := range received {
+				most = max(most, n/rounds)
+			}
+			f.net.mu.Unlock()
+			t.Logf("%d instances: at most %d exchanges a round", size, most)
+			if most > maxPerRound {
+				return errors.Errorf("%d instances: one gets %d exchanges a round, expected %d at most", size, most, maxPerRound)
+			}
+			first := slices.DeleteFunc(slices.Clone(f.all), func(n *instance) bool {
+				return n.dataCentre() != "dc-0" || n.name > fmt.Sprintf("i%03d", bigDataCentres*followerCheckers)
+			})
+			f.isolate(first...)
+			f.refuse(first...)
+			time.Sleep(5 * time.Second)
+			for _, n := range f.all {
+				if n.dataCentre() == "dc-0" && !slices.Contains(first, n) && n.relay.Following() {
+					return nil
+				}
+			}
+			return errors.Errorf("%d instances: nobody follows the store in the data centre after the loss of %d", size, len(first))
+		})
+	}
+}
+
+// Guards against an instance that exceeds its memory because many peers ask it for whole lists at once.
+func TestWholeListsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := New()
+		d := Delta{Kind: Replicas, Full: true, AsOf: 5}
+		for i := range maxListedEntries / 2 {
+			d.Entries = append(d.Entries, Entry{Name: fmt.Sprint(i), Revision: 5})
+		}
+		m.Apply(d)
+		logger := &log.Logger{Handler: discard.Default}
+		r := NewRelay("i", "a", m, NewFollower(m, nil, logger), nil, logger)
+		sent := 0
+		for range 100 {
+			response, err := r.Exchange(t.Context(), &mirrorpb.ExchangeRequest{From: "j"})
+			is.NoErr(err)
+			sent += len(response.Deltas)
+		}
+		is.Equal(sent, 2)
+		time.Sleep(time.Second)
+		response, err := r.Exchange(t.Context(), &mirrorpb.ExchangeRequest{From: "j"})
+		is.NoErr(err)
+		is.Equal(len(response.Deltas), 1)
+	})
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/time/rate"
 
 	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/store"
@@ -37,6 +38,8 @@
 	logger     log.Interface
 
 	changed chan struct{}
+	// lists limits the whole lists that are sent to peers.
+	lists *rate.Limiter
 
 	mu sync.Mutex
 	// followers are the peers that follow the store according to their last response, and watching
@@ -79,6 +82,7 @@
 		peers:            peers,
 		logger:           logger,
 		changed:          make(chan struct{}, 1),
+		lists:            rate.NewLimiter(maxListedEntries, maxListedEntries),
 		followers:        map[string]Peer{},
 		watching:         map[string]Peer{},
 		remoteFollowers:  map[string]Peer{},
@@ -144,7 +148,12 @@
 		return
 	}
 	hasFollower, responding := false, 0
+	checks := r.shouldCheckFollower(peers)
 	for _, p := range r.peersToDeferTo(peers) {
+		if !checks {
+			hasFollower = true
+			break
+		}
 		following, ok := r.exchange(ctx, p)
 		if !ok {
 			r.markUnreachable(p)
@@ -185,6 +194,21 @@
 	}
 }
 
+// followerCheckers is the number of instances of a data centre that ask its follower in each round
+// whether it follows the store, on average: the first ones by name always, and the others in turn.
+// If all asked, a follower's connections, messages and memory would grow with its data centre.
+const followerCheckers = 8
+
+// shouldCheckFollower reports whether this instance asks its follower in this round. One that found
+// none in its last check asks in each round, so that it can take over.
+func (r *Relay) shouldCheckFollower(peers *Peers) bool {
+	own := peers.byDataCentre[r.dataCentre]
+	if r.cancelFollow != nil || r.roundsWithoutFollower > 0 || len(own) <= followerCheckers {
+		return true
+	}
+	return own[followerCheckers-1].Name > r.name || rand.IntN(len(own)) < followerCheckers
+}
+
 // hasJoined reports whether this instance is registered as far as it knows, so that it knows the
 // others that registered before it.
 func (r *Relay) hasJoined() bool {
@@ -275,7 +299,7 @@
 	now := time.Now()
 	return &mirrorpb.ExchangeResponse{
 		Versions:    r.versions(),
-		Deltas:      r.missingDeltas(request.Versions),
+		Deltas:      r.limitLists(r.missingDeltas(request.Versions)),
 		Following:   r.Following(),
 		Watching:    r.Watching(),
 		UnsettledMs: r.mirror.RegistrationGrace(now).Milliseconds(),
@@ -415,6 +439,17 @@
 	return deltas
 }
 
+// maxListedEntries is the number of entries per second that whole lists sent to peers may have, and at
+// once. A list of thousands takes several megabytes until it is sent, and at a start many peers ask.
+const maxListedEntries = 20000
+
+// limitLists removes whole lists beyond maxListedEntries. Their receiver asks again, or another peer.
+func (r *Relay) limitLists(deltas []*mirrorpb.Delta) []*mirrorpb.Delta {
+	return slices.DeleteFunc(deltas, func(d *mirrorpb.Delta) bool {
+		return d.Full && !r.lists.AllowN(time.Now(), min(maxListedEntries, len(d.Entries)))
+	})
+}
+
 func (r *Relay) applyDeltas(deltas []*mirrorpb.Delta, graceMs int64) {
 	// An instance that was isolated mistakes its own return for the end of a store outage, and
 	// announces a registration grace. Instances that kept contact with the store must not retain
