--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -194,9 +194,9 @@
 	}
 }
 
-// followerCheckers is the number of instances of a data centre that ask its follower in each round
-// whether it follows the store, on average: the first ones by name always, and the others in turn.
-// If all asked, a follower's connections, messages and memory would grow with its data centre.
+// followerCheckers is the number of instances of a data centre, the first ones by name, that ask its
+// follower in each round whether it follows the store. As many of the others do on average. If all
+// asked, a follower's connections, messages and memory would grow with its data centre.
 const followerCheckers = 8
 
 // shouldCheckFollower reports whether this instance asks its follower in this round. One that found
@@ -219,8 +219,8 @@
 // maxSkippedRounds bounds the rounds that an instance skips before it is registered.
 const maxSkippedRounds = 8
 
-// backOffSeeds has an instance skip rounds after exchanges with the seeds, more after each. All
-// instances of a fleet may start at once and know only the seeds.
+// backOffSeeds skips rounds after an exchange with a seed, more after each. All instances of a fleet
+// may start at once and know only the seeds.
 func (r *Relay) backOffSeeds(waiting bool) {
 	if !waiting {
 		return
