--- a/internal/scheduler/pause.go
+++ b/internal/scheduler/pause.go
@@ -5,7 +5,6 @@
 
 	"foxhall/internal/engine"
 	"foxhall/internal/placement"
-	"foxhall/internal/upstream"
 )
 
 // seed returns the model name from which the hashes of a prompt's blocks are computed.
