A restarted instance begins with one page of the replicas

Ruled out: the same first page for all (the calls of a fleet on 200 replicas); all instances reading all pages (49,000 calls, 16,000 a second allowed). Change: a restarted instance reads one page from a random name on, two calls at most, serves with it, and reads the same part again while the list is not there; the list replaces it. A list of one page is the whole list, as before. Tests: a sample after two calls at 1,000, 2,000, 10,000 replicas, replaced by the list; a later sample drops what is gone; 200 samples cover three quarters of 20 pages; names of any form.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -42,6 +42,9 @@
 	// not responded, or 0 while it does.
 	unavailableSince []atomic.Int64
 	active           atomic.Bool
+	// sampleAfter is the name after which the sample of the replicas begins. Only the goroutine that
+	// samples uses it.
+	sampleAfter string
 	// listedAt is when the replicas were last listed, in Unix nanoseconds.
 	listedAt atomic.Int64
 	// standby is true while other followers poll for changes and relay them to this one.
@@ -117,11 +120,18 @@
 // restart. The others receive them from these.
 const maxStartReaders = 100
 
-// RefreshAtStart reads all kinds once, but in a large fleet the replicas only with a probability: if
-// all instances restart, each of them listing thousands of replicas would exceed the store's rate.
+// RefreshAtStart reads all kinds once, but in a large fleet the whole list of replicas only with a
+// probability: if all instances restart, each of them listing thousands of replicas would exceed the
+// store's rate. The others begin with a sample.
 func (f *Follower) RefreshAtStart(ctx context.Context) {
-	kinds := []Kind{Config, Fleet, Retirements}
-	f.refresh(ctx, kinds...)
+	f.refresh(ctx, Config)
+	if err := f.SampleReplicas(ctx); err != nil {
+		f.logger.WithError(err).Info("sample of the replicas not read; peers send the list")
+	}
+	f.refresh(ctx, Fleet, Retirements)
+	if _, known := f.mirror.AsOf(Replicas); known {
+		return
+	}
 	if instances := f.mirror.Len(Fleet); instances <= maxStartReaders || rand.IntN(instances) < maxStartReaders {
 		f.refresh(ctx, Replicas)
 	}
@@ -286,11 +296,7 @@
 	if k == Replicas {
 		f.listedAt.Store(requestedAt.UnixNano())
 	}
-	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf}
-	for _, o := range listing.Objects {
-		d.Entries = append(d.Entries, Entry{Name: o.Key.Name, Revision: o.Version, Value: o.Value})
-	}
-	f.mirror.Apply(d)
+	f.mirror.Apply(Delta{Kind: k, Full: true, AsOf: listing.AsOf, Entries: entriesOf(listing)})
 	return nil
 }
 
--- a/internal/mirror/growth_test.go
+++ b/internal/mirror/growth_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,9 @@
 	}
 }
 
+// replicaName returns a name like those of replicas.
+func replicaName(i int) string { return fmt.Sprintf("i-%08x", uint32(i)*2654435761) }
+
 // pagedStore is a store with a number of replicas, whose listings take one call for each page.
 type pagedStore struct {
 	storeClient
@@ -115,11 +119,21 @@
 		if i > 0 && i%entriesPerCheck == 0 {
 			s.calls++
 		}
-		listing.Objects = append(listing.Objects, store.Object{Key: store.Key{Kind: kind, Name: fmt.Sprint(i)}, Version: 1})
+		listing.Objects = append(listing.Objects, store.Object{Key: store.Key{Kind: kind, Name: replicaName(i)}, Version: 1})
 	}
 	return listing, nil
 }
 
+func (s *pagedStore) Page(ctx context.Context, kind, after string) (store.Listing, bool, error) {
+	calls := s.calls
+	listing, err := s.Snapshot(ctx, kind)
+	s.calls = calls + 1
+	objects := slices.DeleteFunc(listing.Objects, func(o store.Object) bool { return o.Key.Name <= after })
+	slices.SortFunc(objects, func(a, b store.Object) int { return strings.Compare(a.Key.Name, b.Key.Name) })
+	listing.Objects = objects[:min(entriesPerCheck, len(objects))]
+	return listing, len(objects) > entriesPerCheck, err
+}
+
 func (s *pagedStore) Poll(_ context.Context, _ string, from store.Version, _ time.Duration) (store.Changes, error) {
 	s.calls++
 	return store.Changes{AsOf: from}, nil
@@ -159,7 +173,7 @@
 				d.Entries = append(d.Entries, Entry{Name: fmt.Sprint(i), Revision: 1})
 			}
 			m.Apply(d)
-			f := NewFollower(m, &pagedStore{storeClient: storeClient{newFakeStore(), "i"}}, &log.Logger{Handler: discard.Default})
+			f := NewFollower(m, &pagedStore{storeClient: storeClient{newFakeStore(), "i"}, replicas: 2 * entriesPerCheck}, &log.Logger{Handler: discard.Default})
 			f.RefreshAtStart(t.Context())
 			if _, known := m.AsOf(Replicas); known {
 				readers++
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -264,6 +264,7 @@
 // to its own. They get tombstones, so that peers need not be sent all entries of the kind again.
 func (c *kindCopy) applyListing(d Delta) bool {
 	if !c.known {
+		c.removeUnlisted(d.Entries)
 		for _, e := range d.Entries {
 			c.entries[e.Name] = e
 			c.notify(e.Name)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -111,14 +111,12 @@
 func (r *Relay) Run(ctx context.Context, seed, restarted bool) {
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
-	switch {
-	case seed:
+	if seed {
 		r.startFollowing(ctx)
-	case restarted:
-		go r.follower.RefreshAtStart(ctx)
+		restarted = false
 	}
 	defer r.stopFollowing()
-	go r.fetchReplicas(ctx)
+	go r.fetchReplicas(ctx, restarted)
 	for {
 		select {
 		case <-ticker.C:
@@ -391,13 +389,22 @@
 )
 
 // fetchReplicas asks one peer after another for the whole list of replicas until it is known, once
-// this instance is registered.
-func (r *Relay) fetchReplicas(ctx context.Context) {
-	failures := 0
+// this instance is registered. A restarted instance reads the store first.
+func (r *Relay) fetchReplicas(ctx context.Context, restarted bool) {
+	if restarted {
+		r.follower.RefreshAtStart(ctx)
+	}
+	failures, sampledAt := 0, time.Now()
 	for ; ctx.Err() == nil; sleep(ctx, fetchInterval) {
 		if _, known := r.mirror.AsOf(Replicas); known {
 			return
 		}
+		if restarted && time.Since(sampledAt) >= r.mirror.timing.checkInterval {
+			sampledAt = time.Now()
+			if err := r.follower.SampleReplicas(ctx); err != nil {
+				r.logger.WithError(err).Debug("sample of the replicas not read; the present one stays")
+			}
+		}
 		if !r.hasJoined() {
 			continue
 		}
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -67,6 +67,11 @@
 	return store.Listing{AsOf: s.version, Objects: []store.Object{s.object()}}, nil
 }
 
+func (s storeClient) Page(ctx context.Context, kind, _ string) (store.Listing, bool, error) {
+	page, err := s.Snapshot(ctx, kind)
+	return page, false, err
+}
+
 func (s storeClient) Poll(ctx context.Context, _ string, from store.Version, wait time.Duration) (store.Changes, error) {
 	if err := s.beginCall("poll"); err != nil {
 		return store.Changes{}, err
--- a/internal/mirror/start_test.go
+++ b/internal/mirror/start_test.go
@@ -75,6 +75,11 @@
 	return listing, nil
 }
 
+func (s *registryStore) Page(ctx context.Context, kind, _ string) (store.Listing, bool, error) {
+	page, err := s.Snapshot(ctx, kind)
+	return page, false, err
+}
+
 func (s *registryStore) Poll(ctx context.Context, kind string, from store.Version, wait time.Duration) (store.Changes, error) {
 	s.count()
 	timer := time.NewTimer(wait)
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -16,6 +16,7 @@
 
 func (n *Node) isReady() bool {
 	_, known := n.mirror.AsOf(mirror.Replicas)
+	known = known || n.mirror.Len(mirror.Replicas) > 0 // a sample serves, too
 	return known && n.table.Load() != nil && !n.divertsCallers()
 }
 
--- a/internal/store/poll.go
+++ b/internal/store/poll.go
@@ -25,6 +25,9 @@
 type Poller interface {
 	Get(ctx context.Context, key Key) (Object, error)
 	Snapshot(ctx context.Context, kind string) (Listing, error)
+	// Page returns the objects of a kind that follow a name, as many as the store returns at once, and
+	// whether there are more.
+	Page(ctx context.Context, kind, after string) (page Listing, more bool, err error)
 	Poll(ctx context.Context, kind string, from Version, wait time.Duration) (Changes, error)
 }
 
