httpconn: the header of a response is bounded

An entry was killed four to seven times in 12 s for its memory (134 MB), and 92 to 138 calls that sound replicas were running lost their connections. Cause: http.ReadResponse reads the status line and the header without a bound. A replica that sends bytes without a line feed is read until its end or the deadline, and all of it is held. Evidence, by a count of bytes over a pipe that buffers nothing: of 8 MB sent, all 8 were read where a status line, bytes that are no response, one header line, header lines, continued lines or an informational header do not end. 64 MB of a status line held 178 MB of heap, 84 MB held 223 (growth of one slice, and its copy as text). Ruled out as holders: chunk sizes, chunk extensions, trailers (net/http gives up below 20 KB), a series of informational responses (four are read). Change: 16 KB for the status line and header of each response (a header of 16 KB in the shortest lines takes 260 KB once parsed; a replica has 50 connections at most on the smallest deployment: 13 MB). A response that exceeds it ends with the verdict `oversized`, which is counted and logged, and counts in the replica's error rate, so that calls shun it while others of its answers are sound. Tests: TestEndlessPartsOfResponsesAreBounded failed before in six of its eleven cases (status line, bytes, header line, header lines, continued line, informational); TestOversizedResponseCountsAgainstItsReplica is new with the verdict; a header just below the bound passes.

--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -155,3 +155,16 @@
 	is.Equal(line["attempts"], 2)
 	is.True(serve(t, route, Call{}, nil, streams(nil, event(1))).logFields("attempt failed") == nil)
 }
+
+// Guards against a replica that goes on getting calls although its responses exceed a bound on memory.
+// It must count as failing, and operators must see why.
+func TestOversizedResponseCountsAgainstItsReplica(t *testing.T) {
+	is := is.New(t)
+	route := routing.Route{Kind: routing.Idempotent, Attempts: 2}
+	got := serve(t, route, Call{ID: "r"}, nil, failsWith(httpconn.ErrHeaderTooLarge), succeedsWith("second"))
+	is.Equal(got.body, "second")
+	is.Equal(countDistinct(got.targets), 2)
+	is.Equal(got.erring, got.targets[:1])
+	is.Equal(got.logFields("attempt failed")["verdict"], "oversized")
+	is.Equal(got.attemptsBy(oversizedResponse), int64(1))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,7 +72,7 @@
 	switch {
 	case f.isOutOfTime():
 		reason = TimedOut
-	case v == invalidResponse:
+	case v == invalidResponse || v == oversizedResponse:
 		reason = ReplicaInvalidResponse
 	}
 	if f.headerSent {
@@ -225,6 +225,9 @@
 		failure.Kind = upstream.NotSent
 	case unresponsive:
 		failure.Kind = upstream.Unresponsive
+	case oversizedResponse:
+		// The error rate counts: calls shun the replica even while others of its responses are sound.
+		failure.Kind = upstream.Errored
 	}
 	failure.Draining = response != nil && (response.Draining || response.Misdirected)
 	g.Done(scheduler.Feedback{Failure: &failure})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -148,7 +148,15 @@
 	attempts []Attempt
 	// exceeded is the gateway's count of calls that may have run at more replicas than allowed.
 	exceeded int64
+	// erring are the replicas whose error rate is above 0 after the call.
+	erring   []string
 	lines    []*log.Entry
+	registry metrics.Registry
+}
+
+// attemptsBy returns the gateway's count of attempts with the verdict.
+func (o testOutcome) attemptsBy(v verdict) int64 {
+	return metrics.GetOrRegisterCounter("gateway.sendings."+v.String(), o.registry).Count()
 }
 
 // serve serves one call by the replicas of a service, in virtual time.
@@ -212,6 +220,7 @@
 		got.result = g.Serve(context.Background(), &call, caller)
 		got.duration, got.status, got.body, got.targets = time.Since(began), caller.status, caller.body.String(), replicas.targets()
 		got.attempts, got.exceeded = replicas.attempts, g.attempts.exceeded.Count()
+		got.registry, got.erring = registry, erringUpstreams(upstreams)
 		time.Sleep(settleTimeout)
 		synctest.Wait()
 		got.lines = lines.Entries
@@ -219,6 +228,16 @@
 	return got
 }
 
+func erringUpstreams(t *upstream.Table) []string {
+	var names []string
+	for _, u := range t.Snapshot().All {
+		if u.Load(time.Now().UnixNano()).ErrorRate > 0 {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
 // logFields returns the fields of the first log line with the message; nil if there is none.
 func (o testOutcome) logFields(message string) log.Fields {
 	for _, e := range o.lines {
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -30,13 +30,15 @@
 	responseLost
 	// invalidResponse: the call ran and its response can't be used.
 	invalidResponse
+	// oversizedResponse: the call ran and a part of its response exceeded a bound on memory.
+	oversizedResponse
 	// unresponsive: the replica's data centre or the connection fell silent; the call may have run.
 	unresponsive
 )
 
 // String returns the verdict's name in log lines and counters.
 func (v verdict) String() string {
-	return [...]string{"whole", "not-run", "full", "not-sent", "lost", "spoiled", "cut-off"}[v]
+	return [...]string{"whole", "not-run", "full", "not-sent", "lost", "spoiled", "oversized", "cut-off"}[v]
 }
 
 // mayHaveRun reports whether the replica may have worked on the call.
@@ -81,6 +83,8 @@
 		return noFreeConnection
 	case errors.Is(err, httpconn.ErrNotSent):
 		return notSent
+	case errors.Is(err, httpconn.ErrHeaderTooLarge):
+		return oversizedResponse
 	case cancelledBySilence(ctx), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
 		return unresponsive
 	default:
--- /dev/null
+++ b/internal/httpconn/bounds_test.go
@@ -0,0 +1,101 @@
+package httpconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// floodBytes is the size in bytes of an unbounded part of a response.
+const floodBytes = 8 << 20
+
+// maxBuffered is the most that a call may read of a part that it has to hold: the bound of a header
+// and one read more.
+const maxBuffered = maxHeaderBytes + readBufferSize
+
+// poolOverPipe returns a pool whose only connection is a pipe, which buffers nothing. The server sends
+// prefix and then unit again and again. sent receives the number of bytes that were read of it.
+func poolOverPipe(prefix, unit string) (pool *Pool, sent chan int) {
+	client, server := net.Pipe()
+	pool, sent = NewPool("pipe"), make(chan int, 1)
+	pool.addIdle(newConn(pool, client))
+	go func() {
+		defer server.Close()
+		request := make([]byte, maxInlineWrite)
+		_, _ = server.Read(request)
+		total, part := 0, []byte(prefix)
+		for total < floodBytes {
+			n, err := server.Write(part)
+			total += n
+			if err != nil {
+				break
+			}
+			part = []byte(unit)
+		}
+		sent <- total
+	}()
+	return pool, sent
+}
+
+func (p *Pool) addIdle(c *conn) {
+	c.idleSince = time.Now()
+	p.openCount++
+	p.idle = append(p.idle, c)
+}
+
+// Guards against a replica whose response has no end where it must be held in memory: the instance
+// would exceed its memory, and the calls of all others end with it.
+func TestEndlessPartsOfResponsesAreBounded(t *testing.T) {
+	const head, long = "HTTP/1.1 200 OK\r\n", 1 << 10
+	for name, flood := range map[string]struct{ prefix, unit string }{
+		"status line":      {"", strings.Repeat("x", long)},
+		"bytes":            {"", strings.Repeat("\xa5", long)},
+		"header line":      {head + "A: ", strings.Repeat("x", long)},
+		"header lines":     {head, "A: b\r\n"},
+		"continued line":   {head + "A: b\r\n", " c\r\n"},
+		"informational":    {"HTTP/1.1 103 Early Hints\r\n", "A: b\r\n"},
+		"chunk extension":  {head + "Transfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", long)},
+		"chunk extensions": {head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", long) + "\r\ny\r\n"},
+		"chunk size":       {head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", long)},
+		"trailer":          {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		"trailer line":     {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", strings.Repeat("x", long)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			pool, sent := poolOverPipe(flood.prefix, flood.unit)
+			response, err := pool.Do(context.Background(), get("/"), 1)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				response.Close()
+			}
+			is.True(err != nil)
+			is.True(<-sent <= maxBuffered)
+		})
+	}
+}
+
+// Guards against a bound that refuses sound responses: a header just below it passes.
+func TestLargeHeaderPasses(t *testing.T) {
+	is := is.New(t)
+	value := strings.Repeat("x", maxHeaderBytes-100)
+	pool, _ := poolOverPipe("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: "+value+"\r\n\r\n", "ok")
+	response, err := pool.Do(context.Background(), get("/"), 1)
+	is.NoErr(err)
+	is.Equal(response.Header.Get("A"), value)
+	response.Close()
+}
+
+// Guards against a series of informational responses without end.
+func TestInformationalResponsesAreBounded(t *testing.T) {
+	is := is.New(t)
+	pool, sent := poolOverPipe("", "HTTP/1.1 102 Processing\r\n\r\n")
+	_, err := pool.Do(context.Background(), get("/"), 1)
+	is.True(errors.Is(err, ErrResponseLost))
+	is.True(<-sent <= maxBuffered)
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -33,6 +33,9 @@
 	// ErrUnresponsive is an ErrResponseLost: the server sends nothing at all, so that the responses
 	// of other calls to it would be lost too.
 	ErrUnresponsive = errors.Wrap(ErrResponseLost, "server unresponsive")
+	// ErrHeaderTooLarge is an ErrResponseLost: the server sent more than a status line and header may
+	// take. Bytes that are no response at all, without a line feed, count as such.
+	ErrHeaderTooLarge = errors.Wrap(ErrResponseLost, "response header too large")
 )
 
 const (
@@ -50,6 +53,9 @@
 	// maxResponsesPerCall bounds the responses read for a call: its own, stray and informational ones.
 	maxResponsesPerCall = 4
 	readBufferSize      = 4 << 10
+	// maxHeaderBytes bounds the status line and header of a response, in bytes. Proxies commonly allow
+	// 4 to 16 KB. Once parsed, a header of many short lines takes sixteen times its size.
+	maxHeaderBytes = 16 << 10
 )
 
 // Call is one HTTP call.
@@ -96,6 +102,8 @@
 type conn struct {
 	pool    *Pool
 	netConn net.Conn
+	// limited reads from netConn, and reader from limited.
+	limited *limitedReader
 	reader  *bufio.Reader
 	// idleTimeout is how long the connection may be idle before it is no longer used.
 	idleTimeout time.Duration
@@ -226,7 +234,40 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return &conn{pool: p, netConn: n, reader: bufio.NewReaderSize(n, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	return newConn(p, n), nil
+}
+
+func newConn(p *Pool, n net.Conn) *conn {
+	limited := &limitedReader{reader: n}
+	return &conn{pool: p, netConn: n, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}
+}
+
+// limitedReader fails with ErrHeaderTooLarge once more than the allowed bytes were read.
+//
+// It prevents the following failure: a faulty server sends bytes without a line feed, all of them are
+// held in search of the end of the status line, and the instance exceeds its memory.
+type limitedReader struct {
+	reader io.Reader
+	// limited is false while a body is read. remaining is the number of bytes still allowed.
+	limited   bool
+	remaining int
+}
+
+func (r *limitedReader) limit(n int) { r.limited, r.remaining = true, n }
+
+func (r *limitedReader) unlimit() { r.limited = false }
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.reader.Read(p)
+	}
+	if r.remaining == 0 {
+		return 0, ErrHeaderTooLarge
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
 }
 
 func (p *Pool) closeConn(c *conn) {
@@ -251,7 +292,7 @@
 		return nil, err
 	}
 	for range maxResponsesPerCall {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHeader(request)
 		if err != nil {
 			return nil, responseLost(err)
 		}
@@ -268,6 +309,14 @@
 	return nil, errors.Wrap(ErrResponseLost, "too many responses before the call's own")
 }
 
+// readHeader reads a response up to its body. The bytes that are buffered already come on top of the
+// limit.
+func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
+	c.limited.limit(maxHeaderBytes)
+	defer c.limited.unlimit()
+	return http.ReadResponse(c.reader, request)
+}
+
 func newRequest(call *Call) (*http.Request, error) {
 	path, query, _ := strings.Cut(call.Target, "?")
 	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
@@ -323,6 +372,9 @@
 }
 
 func responseLost(err error) error {
+	if errors.Is(err, ErrHeaderTooLarge) {
+		return ErrHeaderTooLarge
+	}
 	if netdial.IsUnresponsive(err) {
 		return errors.Wrap(ErrUnresponsive, err.Error())
 	}
