httpconn: a long response to another call ends the connection

What callers could see: an answer made of bytes from within the body of a response to another call. None was seen; found while the bounds of what a replica sends were counted. Cause: of a response to another call 256 KB were read, and the rest of a longer body was then read as the header of the call's own response. Change: if the body does not end within the bound, the call ends as lost and its connection is closed. Tests: TestLongStrayBodyEndsTheCall, failed before: the call got the forged response.

--- a/internal/httpconn/bounds_test.go
+++ b/internal/httpconn/bounds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -99,3 +100,15 @@
 	is.True(errors.Is(err, ErrResponseLost))
 	is.True(<-sent <= maxBuffered)
 }
+
+// Guards against a response made of the body of a response to another call: a stray body that is
+// longer than what is skipped of it may hold anything.
+func TestLongStrayBodyEndsTheCall(t *testing.T) {
+	is := is.New(t)
+	const forged = "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 3\r\n\r\nbad"
+	pool, _ := poolOverPipe("HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", maxStrayBody), forged)
+	call := get("/")
+	call.Matches = func(h http.Header) bool { return h.Get("Call") == "2" }
+	_, err := pool.Do(context.Background(), call, 1)
+	is.True(errors.Is(err, ErrResponseLost))
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -302,13 +302,29 @@
 		if call.Matches == nil || call.Matches(response.Header) {
 			return c.newResponse(response), nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody)); err != nil || response.Close {
-			return nil, errors.Wrap(ErrResponseLost, "connection unusable after a response to another call")
+		if err := skipBody(response); err != nil {
+			return nil, errors.Wrap(ErrResponseLost, err.Error())
 		}
 	}
 	return nil, errors.Wrap(ErrResponseLost, "too many responses before the call's own")
 }
 
+// skipBody reads the body of a response to another call. After an error the connection is unusable:
+// the rest of a body that is not read to its end would be taken for the call's own response.
+func skipBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody+1))
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "response to another call")
+	case n > maxStrayBody:
+		return errors.New("response to another call is too long to be skipped")
+	case response.Close:
+		return errors.New("connection closes after a response to another call")
+	default:
+		return nil
+	}
+}
+
 // readHeader reads a response up to its body. The bytes that are buffered already come on top of the
 // limit.
 func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
