gateway: events of a stream, and a turn's output, are held within bounds

Cause: an event of a stream is held until it is complete, without a bound and outside the memory budget; so is the output of a turn until it is retained. A stream that exceeds the event's bound, or takes most of what one call may hold, ends with the verdict `oversized` and counts in its replica's error rate. A turn whose output can't be held is not retained and does not look complete.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,8 +18,9 @@
 
 // streamRecord is the part of a stream that was forwarded, over all attempts.
 type streamRecord struct {
-	// retainData is set if eventData is needed after the stream ends.
+	// retainData is set if eventData is needed after the stream ends. It is counted in hold.
 	retainData  bool
+	hold        *buffer.Hold
 	eventCount  int
 	eventData   [][]byte
 	lastEventID string
@@ -28,14 +29,22 @@
 	settle func() bool
 }
 
-func (r *streamRecord) add(e Event) {
+// retainedEventOverhead is the memory in bytes that a retained event takes beside its data.
+const retainedEventOverhead = 64
+
+// add records an event that is about to be forwarded. An error means that it can't be retained.
+func (r *streamRecord) add(e Event) error {
+	if r.retainData {
+		if err := r.hold.Grow(buffer.Output, len(e.Data)+retainedEventOverhead); err != nil {
+			return err
+		}
+		r.eventData = append(r.eventData, e.Data)
+	}
 	r.eventCount++
 	if e.ID != "" {
 		r.lastEventID = e.ID
 	}
-	if r.retainData {
-		r.eventData = append(r.eventData, e.Data)
-	}
+	return nil
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -143,14 +152,15 @@
 
 // relayEvents forwards complete events as they arrive.
 func (f *inFlightCall) relayEvents(ctx context.Context, state *attemptState, response *Response, source *readAhead, rec *streamRecord, watchdog *watchdog) (verdict, Result) {
-	var splitter eventSplitter
+	splitter := eventSplitter{hold: f.hold}
+	defer splitter.release()
 	var firstEventTime time.Duration
 	countBefore := rec.eventCount
 	received := make([]byte, readBufferSize)
 	for {
 		n, err := source.Read(received)
 		if n > 0 {
-			events := splitter.add(received[:n])
+			events, splitErr := splitter.add(received[:n])
 			if len(events) > 0 {
 				if firstEventTime == 0 {
 					firstEventTime = time.Since(state.began)
@@ -159,9 +169,15 @@
 				state.grant.RecordProgress()
 				watchdog.recordProgress()
 			}
-			if !f.forwardEvents(response, events, source, rec) {
+			forwardErr := f.forwardEvents(response, events, source, rec)
+			switch {
+			case errors.Is(forwardErr, errCallerDisconnected):
 				state.grant.Done(scheduler.Feedback{Cancelled: true})
 				return complete, f.result(CallerGone, CallerDisconnected, response.Status)
+			case forwardErr != nil:
+				return f.classifyBufferError(state, forwardErr, buffer.Output), Result{}
+			case splitErr != nil:
+				return f.classifyBufferError(state, splitErr, buffer.Event), Result{}
 			}
 		}
 		if err == nil {
@@ -179,6 +195,17 @@
 	}
 }
 
+// classifyBufferError records the error for which a part of a response could not be buffered, and
+// returns the attempt's verdict. The replica is at fault only if the response itself is too large.
+func (f *inFlightCall) classifyBufferError(state *attemptState, err error, kind buffer.Kind) verdict {
+	state.err = err
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, buffer.ErrCallFull) && f.hold.Dominates(kind) {
+		return oversizedResponse
+	}
+	state.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
+	return invalidResponse
+}
+
 const (
 	// A resumable stream is closed and resumed if no first event arrives within firstEventFactor
 	// times the expected time (at least minFirstEventTimeout), or no further event within gapFactor
@@ -253,16 +280,22 @@
 	return f.caller.Begin(response.Status, response.Header, -1) == nil
 }
 
-func (f *inFlightCall) forwardEvents(response *Response, events []Event, source *readAhead, rec *streamRecord) bool {
+var errCallerDisconnected = errors.New("gateway: caller disconnected")
+
+// forwardEvents forwards events to the caller. The error is errCallerDisconnected, or that for which
+// an event can't be retained.
+func (f *inFlightCall) forwardEvents(response *Response, events []Event, source *readAhead, rec *streamRecord) error {
 	for _, e := range events {
 		if !f.forwardHeader(response) {
-			return false
+			return errCallerDisconnected
 		}
 		// The event counts before it is written: a caller that disconnects may have received it.
-		rec.add(e)
+		if err := rec.add(e); err != nil {
+			return err
+		}
 		if source.duringWrite(func() error { return f.caller.Write(e.Raw) }) != nil {
-			return false
+			return errCallerDisconnected
 		}
 	}
-	return true
+	return nil
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -56,7 +56,7 @@
 		return result
 	}
 	f.body = joinChain(reserved.Chain, f.call.Body)
-	rec := &streamRecord{retainData: f.route.RetainsTurns}
+	rec := &streamRecord{retainData: f.route.RetainsTurns, hold: f.hold}
 	var foreignChain []Turn
 	if reserved.ForeignChain {
 		foreignChain = reserved.Chain
