gateway: a response body beyond its bound ends the call and counts against its replica

And a replica that sends endless bodies goes on getting calls: giving up a response for its size was no evidence against it. Cause: the reader stopped at the bound and took that for the end. All exhaustions of the memory budget counted alike, whether others hold it or the response itself. Change: one byte more than the bound is read and ends the call as `oversized`; so does a response that is most of what a call may hold. A response that finds no room beside others is still no fault of its replica. What came of a failed response is given back, so that the next replica's has room. A failure that is forwarded by a stream's route is checked for its length too. Tests: TestResponseBeyondTheBoundIsNotCompleted and TestFailedResponseGivesItsMemoryBack failed before; the oracle of the budget tells the two kinds of exhaustion apart.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -38,8 +38,9 @@
 var (
 	// ErrFull indicates that the budget, or the part of it that one call may use, is exhausted.
 	ErrFull = errors.New("buffer: memory budget for calls exhausted")
-	// ErrCallFull is an ErrFull: the call would hold more than one call may.
-	ErrCallFull = errors.Wrap(ErrFull, "part of one call")
+	// ErrOversized is an ErrFull: the call would hold more than one call may, most of it bytes of the
+	// kind that it asks room for.
+	ErrOversized = errors.Wrap(ErrFull, "more than one call may hold")
 )
 
 // perCallDivisor sets the part of the budget that one call may use, so that a few large calls leave
@@ -125,8 +126,10 @@
 	switch {
 	case b.limit == 0:
 		return nil
+	case total > b.limit/perCallDivisor && 2*(h.bytes[k]+size) > total:
+		return ErrOversized
 	case total > b.limit/perCallDivisor:
-		return ErrCallFull
+		return ErrFull
 	case k == Stream && b.streams+size > b.limit/streamDivisor, b.used+size > available:
 		return ErrFull
 	default:
@@ -134,13 +137,6 @@
 	}
 }
 
-// Dominates reports whether most of what is held is of this kind.
-func (h *Hold) Dominates(k Kind) bool {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return 2*h.bytes[k] > h.total
-}
-
 // Shrink gives n bytes back.
 func (h *Hold) Shrink(k Kind, n int) {
 	h.budget.mu.Lock()
@@ -169,15 +165,24 @@
 }
 
 // ReadAll reads r to its end. It takes the bytes as they arrive: the length that a peer announces
-// costs it nothing, and must not cost the others their part of the budget.
+// costs it nothing, and must not cost the others their part of the budget. After an error nothing
+// is held of them.
 func (h *Hold) ReadAll(k Kind, r io.Reader) ([]byte, error) {
-	return io.ReadAll(&heldReader{hold: h, kind: k, reader: r})
+	held := &heldReader{hold: h, kind: k, reader: r}
+	data, err := io.ReadAll(held)
+	if err != nil {
+		h.Shrink(k, held.size)
+		return nil, err
+	}
+	return data, nil
 }
 
 type heldReader struct {
 	hold   *Hold
 	kind   Kind
 	reader io.Reader
+	// size is the number of bytes held.
+	size int
 }
 
 func (r *heldReader) Read(p []byte) (int, error) {
@@ -186,6 +191,7 @@
 		if full := r.hold.Grow(r.kind, n); full != nil {
 			return 0, full
 		}
+		r.size += n
 	}
 	return n, err
 }
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -54,8 +54,9 @@
 				if (err == nil) != fits {
 					t.Fatalf("grow by %d: got %v, oracle expects room: %t", n, err, fits)
 				}
-				if aboveShare := byHold[i]+int64(n) > limit/perCallDivisor; errors.Is(err, ErrCallFull) != aboveShare {
-					t.Fatalf("grow by %d: got %v, oracle expects more than one call may hold: %t", n, err, aboveShare)
+				total, ofKind := byHold[i]+int64(n), held[i][k]+int64(n)
+				if oversized := total > limit/perCallDivisor && ofKind > total-ofKind; errors.Is(err, ErrOversized) != oversized {
+					t.Fatalf("grow by %d: got %v, oracle expects an oversized call: %t", n, err, oversized)
 				}
 				if fits {
 					held[i][k] += int64(n)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -17,6 +17,12 @@
 // to be complete.
 const maxResponseBytes = 16 << 20
 
+// errBodyTooLarge indicates a non-streaming response of more than maxResponseBytes.
+var errBodyTooLarge = errors.New("gateway: response body too large")
+
+// errBodyLength indicates a response whose body has another length than its header states.
+var errBodyLength = errors.New("gateway: response body has another length than stated")
+
 // serveNonStreaming serves a call whose response is not a stream.
 func (f *inFlightCall) serveNonStreaming(ctx context.Context) Result {
 	for {
@@ -161,18 +167,15 @@
 		return response, nil, v
 	}
 	state.grant.RecordFirstToken()
-	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
+	body, err := f.readBody(response)
+	switch {
+	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
+		return nil, nil, state.classifyBufferError(err)
+	case err != nil && cancelledBySilence(ctx):
+		state.err = err
+		return nil, nil, unresponsive
+	case err != nil:
 		state.err = err
-		if errors.Is(err, buffer.ErrFull) {
-			state.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
-		}
-		if cancelledBySilence(ctx) {
-			return nil, nil, unresponsive
-		}
-		return nil, nil, invalidResponse
-	}
-	if response.Length >= 0 && int64(len(body)) != response.Length {
 		return nil, nil, invalidResponse
 	}
 	took := time.Since(state.began)
@@ -180,6 +183,24 @@
 	return response, body, complete
 }
 
+// readBody reads a response's body, of which there may be at most maxResponseBytes. After an error
+// nothing is held of it.
+func (f *inFlightCall) readBody(response *Response) ([]byte, error) {
+	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxResponseBytes:
+		err = errBodyTooLarge
+	case response.Length >= 0 && int64(len(body)) != response.Length:
+		err = errBodyLength
+	default:
+		return body, nil
+	}
+	f.hold.Shrink(buffer.Response, len(body))
+	return nil, err
+}
+
 // classifyResponse returns complete if the response's body may be forwarded, judging by its header.
 func classifyResponse(response *Response) verdict {
 	switch {
--- a/internal/gateway/oversized_test.go
+++ b/internal/gateway/oversized_test.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
+	"foxhall/internal/routing"
 )
 
 // repeated reads as the same bytes without end, and counts what is read.
@@ -107,3 +108,56 @@
 	}
 	is.Equal(budget.Used(), int64(0))
 }
+
+// Guards against a response of unknown length that is cut at the bound of a body and forwarded as if
+// it were complete. It must be held whole or not at all.
+func TestResponseBeyondTheBoundIsNotCompleted(t *testing.T) {
+	for name, body := range map[string]struct{ size, budget int }{
+		"larger than the bound":           {maxResponseBytes + 1, 8 * maxResponseBytes},
+		"larger than one call may hold":   {entryBudget, entryBudget},
+		"without end, and no budget":      {2 * maxResponseBytes, 0},
+		"without end, and a small budget": {2 * maxResponseBytes, 1 << 20},
+	} {
+		for _, status := range []int{200, 500} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				budget := buffer.NewBudget(int64(body.budget), metrics.NewRegistry())
+				route := routing.Route{Kind: routing.AtMostOnce, Attempts: 1}
+				if status == 500 {
+					route.Kind = routing.Stream
+				}
+				response := respondsWith(Response{Status: status, Verified: true, Executed: true, Length: -1}, strings.Repeat("x", body.size))
+				got := serveWith(t, nil, Settings{Buffers: budget}, route, Call{ID: "r"}, nil, response)
+				is.Equal(got.result.Outcome, Unknown)
+				is.Equal(got.status, 0)
+				is.Equal(got.attemptsBy(oversizedResponse), int64(1))
+				is.Equal(got.erring, got.targets)
+				is.Equal(budget.Used(), int64(0))
+			})
+		}
+	}
+}
+
+// Guards against a replica that is blamed for what other calls hold: its response is of usual size.
+func TestResponseThatFindsNoRoomIsNoFaultOfTheReplica(t *testing.T) {
+	is := is.New(t)
+	budget := buffer.NewBudget(entryBudget, metrics.NewRegistry())
+	for h := budget.NewHold(); budget.Used() < entryBudget*7/8; h = budget.NewHold() {
+		is.NoErr(h.Grow(buffer.Request, entryBudget/64))
+	}
+	got := serveWith(t, nil, Settings{Buffers: budget}, routing.Route{Kind: routing.AtMostOnce, Attempts: 1}, Call{ID: "r"}, nil, succeedsWith(strings.Repeat("x", 1<<20)))
+	is.Equal(got.result.Outcome, Unknown)
+	is.Equal(len(got.erring), 0)
+}
+
+// Guards against a call that has no memory left for the response of the next replica, because what
+// came of the first one's still counts.
+func TestFailedResponseGivesItsMemoryBack(t *testing.T) {
+	is := is.New(t)
+	budget := buffer.NewBudget(1<<20, metrics.NewRegistry())
+	route := routing.Route{Kind: routing.Idempotent, Attempts: 2}
+	oversized := respondsWith(Response{Status: 200, Verified: true, Executed: true, Length: -1}, strings.Repeat("x", 1<<20))
+	got := serveWith(t, nil, Settings{Buffers: budget}, route, Call{ID: "r"}, nil, oversized, succeedsWith(strings.Repeat("y", 200<<10)))
+	is.Equal(got.result.Outcome, Completed)
+	is.Equal(budget.Used(), int64(0))
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/httpconn"
 	"foxhall/internal/netdial"
 	"foxhall/internal/scheduler"
@@ -92,6 +93,17 @@
 	}
 }
 
+// classifyBufferError records the error for which a part of a response could not be buffered, and
+// returns the attempt's verdict. The replica is at fault only if the response itself is too large.
+func (a *attemptState) classifyBufferError(err error) verdict {
+	a.err = err
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, errBodyTooLarge) || errors.Is(err, buffer.ErrOversized) {
+		return oversizedResponse
+	}
+	a.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
+	return invalidResponse
+}
+
 // attemptCounters counts attempts by verdict, and calls that may have run at more replicas than
 // their route allows.
 type attemptCounters struct {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,8 +132,11 @@
 // forwardFailure forwards a response with a status of 300 or more. If a header was already
 // forwarded, the attempt counts as lost instead.
 func (f *inFlightCall) forwardFailure(state *attemptState, response *Response) (verdict, Result) {
-	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil || f.headerSent {
+	body, err := f.readBody(response)
+	switch {
+	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
+		return state.classifyBufferError(err), Result{}
+	case err != nil || f.headerSent:
 		state.err = err
 		return responseLost, Result{}
 	}
@@ -175,9 +178,9 @@
 				state.grant.Done(scheduler.Feedback{Cancelled: true})
 				return complete, f.result(CallerGone, CallerDisconnected, response.Status)
 			case forwardErr != nil:
-				return f.classifyBufferError(state, forwardErr, buffer.Output), Result{}
+				return state.classifyBufferError(forwardErr), Result{}
 			case splitErr != nil:
-				return f.classifyBufferError(state, splitErr, buffer.Event), Result{}
+				return state.classifyBufferError(splitErr), Result{}
 			}
 		}
 		if err == nil {
@@ -195,17 +198,6 @@
 	}
 }
 
-// classifyBufferError records the error for which a part of a response could not be buffered, and
-// returns the attempt's verdict. The replica is at fault only if the response itself is too large.
-func (f *inFlightCall) classifyBufferError(state *attemptState, err error, kind buffer.Kind) verdict {
-	state.err = err
-	if errors.Is(err, errEventTooLarge) || errors.Is(err, buffer.ErrCallFull) && f.hold.Dominates(kind) {
-		return oversizedResponse
-	}
-	state.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
-	return invalidResponse
-}
-
 const (
 	// A resumable stream is closed and resumed if no first event arrives within firstEventFactor
 	// times the expected time (at least minFirstEventTimeout), or no further event within gapFactor
