A call that claims more tokens than an engine can hold is refused at once

Cause: a hash for each 64 tokens that a header claims. The figures were not bounded at all: three parts of 2^62 tokens overflow their sum, and a turn that claims 2^63 output tokens overflows its program's account. Calls to services without engines make no hashes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,6 +100,7 @@
 	QuotaUndetermined      Reason = "quota_unknown"
 	BadRequest             Reason = "bad_request"
 	TooLarge               Reason = "too_large"
+	PromptTooLarge         Reason = "prompt_too_large"
 	BuffersFull            Reason = "buffers_full"
 	BudgetExhausted        Reason = "budget_spent"
 	NoSuchTurn             Reason = "no_such_turn"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,9 @@
 	if f.service == nil {
 		return refused(NoReplica, notReadyRetryAfter)
 	}
+	if f.service.Engine != nil && exceedsEngines(f.call, f.service.Engine) {
+		return refused(PromptTooLarge, 0)
+	}
 	f.deadline = f.call.Arrived.Add(f.route.Timeout)
 	if !f.call.Deadline.IsZero() && f.call.Deadline.Before(f.deadline) {
 		f.deadline = f.call.Deadline
@@ -245,7 +248,9 @@
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
 	f.body = f.call.Body
-	f.blocks = hashBlocks(f.service.Name, f.call.Prompt)
+	if f.service.Engine != nil {
+		f.blocks = hashBlocks(f.service.Name, f.call.Prompt)
+	}
 	if f.route.Kind != routing.Stream {
 		return f.serveNonStreaming(ctx)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -176,8 +176,21 @@
 	return serveCaller(t, &fakeCaller{}, customers, settings, route, call, turns, steps...)
 }
 
+// serveService is serve by the replicas of a service.
+func serveService(t *testing.T, service routing.Service, route routing.Route, call Call, steps ...script) testOutcome {
+	return serveServiceCaller(t, service, &fakeCaller{}, nil, Settings{}, route, call, nil, steps...)
+}
+
 // serveCaller is serveWith for a caller.
 func serveCaller(t *testing.T, caller *fakeCaller, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) testOutcome {
+	service := routing.Service{Name: "s"}
+	if route.Kind == routing.Stream {
+		service.Engine = &routing.Engine{TokensPerEvent: 2}
+	}
+	return serveServiceCaller(t, service, caller, customers, settings, route, call, turns, steps...)
+}
+
+func serveServiceCaller(t *testing.T, service routing.Service, caller *fakeCaller, customers *routing.Customers, settings Settings, route routing.Route, call Call, turns *fakeTurns, steps ...script) testOutcome {
 	var got testOutcome
 	synctest.Test(t, func(t *testing.T) {
 		replicas := &fakeReplicas{steps: steps}
@@ -185,10 +198,6 @@
 		if route.Timeout == 0 {
 			route.Timeout = 5 * time.Second
 		}
-		service := routing.Service{Name: "s"}
-		if route.Kind == routing.Stream {
-			service.Engine = &routing.Engine{TokensPerEvent: 2}
-		}
 		table := routing.NewTable(1, routing.Limits{}, customers, []routing.Route{route}, []routing.Service{service})
 		upstreams := upstream.NewTable()
 		var list []usage.Upstream
