node, platform: messages of instances and of the store are read within bounds

What callers could see: an instance over its memory, and the calls on it cut. Cause: twirp reads a request, and the response to one, to its end; a compressed response is unpacked without a bound. Pages of the store were cut at 16 MiB, as if they ended there, and headers of both may have a megabyte or ten. Change: bodies of peers have 16 MB at most, the store's 8 MB (pages have about one), after decompression; headers 16 KB. What exceeds it fails and is counted as `peers.oversized` and `store.oversized`. Ruled out: datagrams (one buffer of fixed size), streams of the store (none is used here). Tests: TestMessagesOfPeersAreBounded (without the bound the test process takes 12 GB and ends), TestBoundedTransport, TestPagesOfTheStoreAreBounded.

--- a/internal/node/datacentres_test.go
+++ b/internal/node/datacentres_test.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/mirror"
 )
@@ -14,7 +15,7 @@
 // so can't detect that it is isolated.
 func TestOwnDataCentreIsKnownFromTheStart(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(&Settings{Instance: "a", DataCentre: "x"}, mirror.New(), nil, &log.Logger{Handler: discard.Default})
+	f := newFleet(&Settings{Instance: "a", DataCentre: "x"}, mirror.New(), nil, &log.Logger{Handler: discard.Default}, metrics.NewRegistry())
 	f.refresh()
 	is.Equal(f.dataCentres(), []string{"x"})
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -15,10 +15,12 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"foxhall/internal/history"
 	"foxhall/internal/history/historypb"
+	"foxhall/internal/httpconn"
 	"foxhall/internal/mirror"
 	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/netdial"
@@ -102,7 +104,7 @@
 	ok         bool
 }
 
-func newFleet(s *Settings, m *mirror.Mirror, o Objects, logger log.Interface) *fleet {
+func newFleet(s *Settings, m *mirror.Mirror, o Objects, logger log.Interface, registry metrics.Registry) *fleet {
 	transport := &http.Transport{
 		DialContext:         netdial.Dial,
 		MaxIdleConnsPerHost: 4,
@@ -113,7 +115,7 @@
 		mirror:        m,
 		objects:       o,
 		logger:        logger,
-		client:        &http.Client{Transport: transport},
+		client:        &http.Client{Transport: httpconn.NewBoundedTransport(transport, maxPeerBytes, oversizedPeerBodies(registry))},
 		feed:          m.NewFeed(mirror.Fleet),
 		members:       map[string]member{s.Instance: selfOf(s)},
 		keeperClients: map[string]historypb.Keeper{},
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/history"
 	"foxhall/internal/mirror"
@@ -29,7 +30,7 @@
 	}
 	m.Apply(d)
 	logger := &log.Logger{Handler: discard.Default}
-	f := newFleet(s, m, nil, logger)
+	f := newFleet(s, m, nil, logger, metrics.NewRegistry())
 	f.refresh()
 	x := peerload.New("me", "a", peerload.EntryFanout, upstream.NewTable(), f.entryAddresses, logger)
 	f.isReachable = func(name string) bool { return x.ReachableOrUnknown(name, partitionTimeout) }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,7 +27,7 @@
 		metrics.GetOrRegisterGauge("process.goroutines", n.registry).Update(int64(runtime.NumGoroutine()))
 		n.registry.Each(func(name string, metric any) { writeMetric(w, name, metric) })
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	return n.listen(ctx, server, net.JoinHostPort(n.settings.IP, strconv.Itoa(metricsPort)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,7 +22,6 @@
 	"foxhall/internal/history/historypb"
 	"foxhall/internal/limit"
 	"foxhall/internal/mirror"
-	"foxhall/internal/mirror/mirrorpb"
 	"foxhall/internal/netdial"
 	"foxhall/internal/peerload"
 	"foxhall/internal/routing"
@@ -160,7 +159,7 @@
 	}
 	n.mirror.SetTiming(mirror.NewTiming(s.ChangeDeadline, s.Heartbeat))
 	n.replicaFeed, n.replicas = n.mirror.NewFeed(mirror.Replicas), newReplicaSet(d.Replica)
-	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger)
+	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger, registry)
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
 	n.relay = mirror.NewRelay(s.Instance, s.DataCentre, n.mirror, follower, n.fleet.peers, n.logger)
@@ -347,26 +346,6 @@
 // handoffMargin is the part of the grace period left after a handoff.
 const handoffMargin = 1500 * time.Millisecond
 
-// servePeers serves other instances.
-func (n *Node) servePeers(ctx context.Context) error {
-	mux := http.NewServeMux()
-	relay := mirrorpb.NewRelayServer(n.relay)
-	mux.Handle(relay.PathPrefix(), compressed(relay))
-	if n.settings.CallersAddress != "" {
-		mux.HandleFunc(viaPath, n.fleet.forwardToKeeper)
-		witness := historypb.NewWitnessServer(n.fleet)
-		mux.Handle(witness.PathPrefix(), witness)
-	}
-	if n.keeper != nil {
-		keeper := historypb.NewKeeperServer(n.keeper)
-		mux.Handle(keeper.PathPrefix(), keeper)
-	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	return n.listen(ctx, server, n.settings.peerAddress(n.settings.IP))
-}
-
 // serveEntry serves callers until ctx ends, then completes calls in flight.
 func (n *Node) serveEntry(ctx, serving context.Context) error {
 	callers := &http.Server{
@@ -376,7 +355,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         trackConnState,
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	var group errgroup.Group
 	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
 	group.Go(func() error {
@@ -406,6 +385,8 @@
 	// idleTimeout is long, since a caller may keep its connection idle up to the operators' limit.
 	idleTimeout    = 5 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// maxInternalHeaderBytes bounds the headers of other instances, readiness probes and metrics.
+	maxInternalHeaderBytes = 16 << 10
 )
 
 // limits returns the operators' limits in force, or the zero value before the first configuration.
