history: a keeper's log is read record by record

What callers could see: a keeper that exceeds its memory as it starts, again and again, and turns that wait for it. Cause: each segment was read whole and held beside the turns read from it, and the memory limit of the runtime was set only once that was done. Change: one record is held at a time, with a buffer of 256 KB; the limit is set first. Tests: TestReplayTakesNoMemoryForTheLog: 5,036 KB for a log of 5 MB and 40,206 KB for one of 40 MB before, 277 and 272 KB now; torn records in five ways end the log as before.

--- a/internal/history/disk.go
+++ b/internal/history/disk.go
@@ -1,11 +1,13 @@
 package history
 
 import (
+	"bufio"
 	"encoding/binary"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +29,8 @@
 	segmentNameFormat = "history-%08d.log"
 	// compactionBufferSize is how many bytes a compaction buffers before it writes them.
 	compactionBufferSize = 1 << 20
+	// replayBufferSize is how many bytes of a segment are read at once.
+	replayBufferSize = 256 << 10
 )
 
 // diskLog is the segmented write-ahead log of records on this instance's disk. It is used by one
@@ -93,26 +97,64 @@
 	return nil
 }
 
+// readSegment calls visit for every record of a segment. It holds one record at a time: the keeper's
+// memory is sized for what it retains, not for its log beside it.
 func readSegment(path string, visit func(*historypb.Record)) error {
-	data, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return errors.Wrap(err, "history")
 	}
-	for len(data) >= frameHeaderSize {
-		size := int(binary.LittleEndian.Uint32(data))
-		checksum := binary.LittleEndian.Uint64(data[4:])
-		if size > maxRecordSize || len(data) < frameHeaderSize+size {
-			return nil
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return errors.Wrap(err, "history")
+	}
+	frames := &frameReader{reader: bufio.NewReaderSize(file, replayBufferSize), remaining: info.Size()}
+	for {
+		r, err := frames.next()
+		if err != nil {
+			return errors.Wrap(err, "history")
 		}
-		body := data[frameHeaderSize : frameHeaderSize+size]
-		r := &historypb.Record{}
-		if xxhash.Sum64(body) != checksum || proto.Unmarshal(body, r) != nil {
+		if r == nil {
 			return nil
 		}
 		visit(r)
-		data = data[frameHeaderSize+size:]
 	}
-	return nil
+}
+
+// frameReader reads the records of a segment.
+type frameReader struct {
+	reader io.Reader
+	// remaining is the number of bytes that the segment still has.
+	remaining int64
+	header    [frameHeaderSize]byte
+	body      []byte
+}
+
+// next returns the next record; nil at the end of the segment, which is before a record that was
+// written in part.
+func (f *frameReader) next() (*historypb.Record, error) {
+	if f.remaining < frameHeaderSize {
+		return nil, nil
+	}
+	if _, err := io.ReadFull(f.reader, f.header[:]); err != nil {
+		return nil, err
+	}
+	size := int64(binary.LittleEndian.Uint32(f.header[:]))
+	checksum := binary.LittleEndian.Uint64(f.header[4:])
+	f.remaining -= frameHeaderSize + size
+	if size > maxRecordSize || f.remaining < 0 {
+		return nil, nil
+	}
+	f.body = slices.Grow(f.body[:0], int(size))[:size]
+	if _, err := io.ReadFull(f.reader, f.body); err != nil {
+		return nil, err
+	}
+	r := &historypb.Record{}
+	if xxhash.Sum64(f.body) != checksum || proto.Unmarshal(f.body, r) != nil {
+		return nil, nil
+	}
+	return r, nil
 }
 
 // appendFrame appends a record with its header to b.
--- /dev/null
+++ b/internal/history/disk_test.go
@@ -0,0 +1,89 @@
+package history
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxhall/internal/history/historypb"
+)
+
+// testRecordBytes is the size in bytes of the input of the turns in a test's log.
+const testRecordBytes = 5 << 10
+
+func writeTestSegment(t *testing.T, dir string, turns int) {
+	is := is.New(t)
+	var framed []byte
+	for i := range turns {
+		var err error
+		turn := &historypb.Turn{Id: fmt.Sprint(i), Input: make([]byte, testRecordBytes)}
+		framed, err = appendFrame(framed, turnRecord(1, turn))
+		is.NoErr(err)
+	}
+	is.NoErr(os.WriteFile(filepath.Join(dir, fmt.Sprintf(segmentNameFormat, 1)), framed, 0o600))
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// replayHeap returns the most memory that reading a log of that many turns holds, apart from what is
+// retained of them, which is nothing here.
+func replayHeap(t *testing.T, turns int) int64 {
+	is := is.New(t)
+	dir := t.TempDir()
+	writeTestSegment(t, dir, turns)
+	before, most, visited := heapBytes(), int64(0), 0
+	l, err := openLog(dir, func(*historypb.Record) {
+		if visited++; visited%(turns/4) == 1 {
+			most = max(most, heapBytes()-before)
+		}
+	})
+	is.NoErr(err)
+	is.NoErr(l.close())
+	is.Equal(visited, turns)
+	return most
+}
+
+// Guards against a keeper that exceeds its memory as it starts, because it holds its log beside the
+// turns that are read from it. What reading takes must not grow with the log.
+func TestReplayTakesNoMemoryForTheLog(t *testing.T) {
+	small, large := replayHeap(t, 1000), replayHeap(t, 8000)
+	t.Logf("%d KB for a log of 5 MB, %d KB for one of 40 MB", small>>10, large>>10)
+	is.New(t).True(large-small < 1<<20)
+}
+
+// Guards against a torn record that hides what was acknowledged before it, or that takes memory by the
+// size that it states: the log ends before it.
+func TestReplayEndsAtATornRecord(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	writeTestSegment(t, dir, 3)
+	path := filepath.Join(dir, fmt.Sprintf(segmentNameFormat, 1))
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	frame := len(whole) / 3
+	stated := append([]byte(nil), whole...)
+	copy(stated[2*frame:], []byte{0xff, 0xff, 0xff, 0x03})
+	flipped := append([]byte(nil), whole...)
+	flipped[3*frame-1] ^= 1
+	for name, torn := range map[string][]byte{
+		"in the header": whole[:2*frame+frameHeaderSize/2], "in the body": whole[:3*frame-1],
+		"stated size": stated, "checksum": flipped, "nothing after": whole[:2*frame],
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(os.WriteFile(path, torn, 0o600))
+			visited := 0
+			is.NoErr(readSegment(path, func(*historypb.Record) { visited++ }))
+			is.Equal(visited, 2)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,10 @@
 
 // New returns a node that is not yet running.
 func New(s Settings, d Adapter, logger log.Interface, registry metrics.Registry) (*Node, error) {
+	if s.Memory > 0 {
+		// A keeper reads its log below, which needs the limit most.
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
+	}
 	n := &Node{
 		settings:         s,
 		adapter:          d,
@@ -244,7 +248,6 @@
 
 // Run serves until ctx ends, then completes calls in flight and stops.
 func (n *Node) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(n.settings.Memory)))
 	n.logger.WithField("keeper", n.keeper != nil).WithField("data_centre", n.settings.DataCentre).Info("start")
 	// Serving outlasts ctx: a planned stop first completes calls in flight.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
