node: large headers of callers count in the memory budget of calls

What callers could see: an entry over its memory, killed with all its calls. Cause: a header has 64 KB at most, but takes sixteen times that in its shortest lines once parsed (measured: 204 to 260 KB for 16), and the smallest entries (120 MB) allow 1,280 connections; what a connection may hold is 24 KB. Change: beyond 4 KB and 64 lines, a header counts in the budget as it arrives (`buffer.header`); where it finds no room the call is refused with 503 and a time to return. Headers of usual size cost nothing. Ruled out: chunk extensions and trailers of callers (net/http bounds both), bodies (counted already).

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -27,12 +27,14 @@
 	Event
 	// Output is the output of a turn, until the turn is retained.
 	Output
+	// Header is the part of a call's header beyond the usual size.
+	Header
 	kindCount
 )
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string {
-	return [...]string{"request", "prompt", "response", "stream", "event", "output"}[k]
+	return [...]string{"request", "prompt", "response", "stream", "event", "output", "header"}[k]
 }
 
 var (
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/routing"
 )
 
@@ -19,8 +21,9 @@
 // connected. The limits are therefore applied where net/http sets deadlines.
 type callerListener struct {
 	net.Listener
-	limits func() routing.Limits
-	conns  *callerConns
+	limits  func() routing.Limits
+	conns   *callerConns
+	buffers *buffer.Budget
 }
 
 // Accept implements net.Listener.
@@ -30,7 +33,7 @@
 		if err != nil {
 			return nil, err
 		}
-		caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns}
+		caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns, hold: l.buffers.NewHold()}
 		if l.conns.open(caller) {
 			return caller, nil
 		}
@@ -132,6 +135,45 @@
 	// serving is true from the end of a call's header until its response is written. In that time,
 	// deadlines are set by the handler and stay as they are.
 	serving atomic.Bool
+	// header measures the call's header, and hold counts it in the memory budget until the call ends.
+	header headerMeter
+	hold   *buffer.Hold
+	held   int
+}
+
+const (
+	// headerRefusal is sent when a call's header finds no room in the memory budget. The call has not
+	// run, and a call of usual size ends within the time to return.
+	headerRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
+	// headerRefusalTimeout bounds the sending of the refusal; it fits into the socket's buffer.
+	headerRefusalTimeout = 100 * time.Millisecond
+)
+
+// Read implements net.Conn. Beyond the usual size, a header counts in the memory budget of calls.
+//
+// It prevents the following failure: callers send large headers, or many short lines, on hundreds of
+// connections, and the instance exceeds its memory before any call is read.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || c.serving.Load() {
+		return n, err
+	}
+	c.header.add(p[:n])
+	if more := c.header.excess() - c.held; more > 0 {
+		if c.hold.Grow(buffer.Header, more) != nil {
+			_ = c.SetWriteDeadline(time.Now().Add(headerRefusalTimeout))
+			_, _ = io.WriteString(c.Conn, headerRefusal) // a caller that is gone gets none
+			return 0, io.EOF
+		}
+		c.held += more
+	}
+	return n, err
+}
+
+// endCall gives back what the header of the connection's last call held.
+func (c *callerConn) endCall() {
+	c.hold.Release()
+	c.header, c.held = headerMeter{}, 0
 }
 
 // trackConnState records the state that http.Server reports for a connection.
@@ -141,6 +183,9 @@
 		return
 	}
 	caller.serving.Store(s == http.StateActive)
+	if s != http.StateActive {
+		caller.endCall()
+	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		caller.conns.close(caller)
 		return
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -10,10 +10,13 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/buffer"
 	_ "foxhall/internal/fuzzing" // one processor under the race detector
 	"foxhall/internal/routing"
 )
 
+func unboundedBuffers() *buffer.Budget { return buffer.NewBudget(0, metrics.NewRegistry()) }
+
 // timeUntilClosed returns the time until the server closes the caller's connection.
 func timeUntilClosed(c net.Conn) time.Duration {
 	began := time.Now()
@@ -54,7 +57,7 @@
 		l.conn <- side
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
-		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, metrics.NewRegistry())})
+		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, metrics.NewRegistry()), buffers: unboundedBuffers()})
 		defer server.Close()
 
 		_, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
@@ -82,7 +85,7 @@
 		l.conn <- side
 		server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
 		limits := func() routing.Limits { return routing.Limits{HeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute} }
-		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, metrics.NewRegistry())})
+		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, metrics.NewRegistry()), buffers: unboundedBuffers()})
 		defer server.Close()
 		_, err := caller.Write([]byte("GET / HT"))
 		is.NoErr(err)
@@ -99,7 +102,7 @@
 	is.Equal(conns.limit, minCallerConns)
 	var opened []*callerConn
 	open := func() *callerConn {
-		c := &callerConn{Conn: &closeCounter{}, conns: conns}
+		c := &callerConn{Conn: &closeCounter{}, conns: conns, hold: unboundedBuffers().NewHold()}
 		opened = append(opened, c)
 		if !conns.open(c) {
 			return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,8 @@
 	quotas   *limit.Quotas
 	turns    *history.Client
 	gateway  *gateway.Gateway
+	// buffers is the memory that calls under way may hold.
+	buffers *buffer.Budget
 	// dataCentreSilence and keeperSilence notify waiting calls of an unresponsive data centre or
 	// keeper.
 	dataCentreSilence, keeperSilence *silenceMonitor
@@ -204,13 +206,14 @@
 		MaxViewAge:        partitionTimeout,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: cacheViewBlocks}))
 	n.fleet.onSilence = n.keeperSilence.onSilence
+	n.buffers = buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry)
 	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:       n.table.Load,
 		Instances:   n.fleet.entryCount,
 		IsolatedFor: n.isolatedFor,
 		Quotas:      n.quotas,
-		Buffers:     buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry),
+		Buffers:     n.buffers,
 
 		SilentFor: n.load.DataCentreSilentFor,
 		OnSilence: n.dataCentreSilence.onSilence,
@@ -363,7 +366,7 @@
 	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
 	group.Go(func() error {
 		return n.listenWrapped(serving, callers, n.settings.CallersAddress, func(l net.Listener) net.Listener {
-			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.registry)}
+			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.registry), buffers: n.buffers}
 		})
 	})
 	group.Go(func() error {
