node: a call that was read and not served leaves a line and a count

Cause: the server may close a connection after it has read a call, without a line of ours: at a stop, for instance. Change: `callers.calls.unserved` and a line for each call whose header was read whole and that no handler got.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"io"
 	"math"
 	"net"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
@@ -63,21 +65,26 @@
 // its memory without serving a call.
 type callerConns struct {
 	limit    int
+	logger   log.Interface
 	rejected metrics.Counter
+	// unserved counts the calls whose header was read and that were not served.
+	unserved metrics.Counter
 
 	mu   sync.Mutex
 	all  map[*callerConn]struct{}
 	idle *list.List
 }
 
-func newCallerConns(memory int64, registry metrics.Registry) *callerConns {
+func newCallerConns(memory int64, logger log.Interface, registry metrics.Registry) *callerConns {
 	limit := max(minCallerConns, int(callerConnShare*float64(memory)/callerConnBytes))
 	if memory == 0 {
 		limit = math.MaxInt
 	}
 	return &callerConns{
-		limit: limit, rejected: metrics.GetOrRegisterCounter("callers.connections.rejected", registry),
-		all: map[*callerConn]struct{}{}, idle: list.New(),
+		limit: limit, logger: logger,
+		rejected: metrics.GetOrRegisterCounter("callers.connections.rejected", registry),
+		unserved: metrics.GetOrRegisterCounter("callers.calls.unserved", registry),
+		all:      map[*callerConn]struct{}{}, idle: list.New(),
 	}
 }
 
@@ -144,6 +151,26 @@
 	header headerMeter
 	hold   *buffer.Hold
 	held   int
+	// served is set once the call was handed to the handler.
+	served bool
+}
+
+// connKey is the key of a caller's connection in the context of its calls.
+type connKey struct{}
+
+// withConn returns the context of a connection's calls.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// markServed records for each call that h serves it.
+func markServed(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			c.served = true
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 const (
@@ -177,8 +204,12 @@
 
 // endCall gives back what the header of the connection's last call held.
 func (c *callerConn) endCall() {
+	if c.header.ended && !c.served {
+		c.conns.unserved.Inc(1)
+		c.conns.logger.WithField("caller", c.RemoteAddr()).Info("call was read and not served")
+	}
 	c.hold.Release()
-	c.header, c.held = headerMeter{}, 0
+	c.header, c.held, c.served = headerMeter{}, 0, false
 }
 
 // trackConnState records the state that http.Server reports for a connection.
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
@@ -15,6 +17,8 @@
 	"foxhall/internal/routing"
 )
 
+var discardLogger = &log.Logger{Handler: discard.Default}
+
 func unboundedBuffers() *buffer.Budget { return buffer.NewBudget(0, metrics.NewRegistry()) }
 
 // timeUntilClosed returns the time until the server closes the caller's connection.
@@ -57,7 +61,7 @@
 		l.conn <- side
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
-		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, metrics.NewRegistry()), buffers: unboundedBuffers()})
+		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers()})
 		defer server.Close()
 
 		_, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
@@ -85,7 +89,7 @@
 		l.conn <- side
 		server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
 		limits := func() routing.Limits { return routing.Limits{HeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute} }
-		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, metrics.NewRegistry()), buffers: unboundedBuffers()})
+		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers()})
 		defer server.Close()
 		_, err := caller.Write([]byte("GET / HT"))
 		is.NoErr(err)
@@ -98,7 +102,7 @@
 // rejected while all of them have calls.
 func TestNumberOfCallersConnectionsIsBounded(t *testing.T) {
 	is := is.New(t)
-	conns := newCallerConns(1, metrics.NewRegistry())
+	conns := newCallerConns(1, discardLogger, metrics.NewRegistry())
 	is.Equal(conns.limit, minCallerConns)
 	var opened []*callerConn
 	open := func() *callerConn {
--- a/internal/node/headermeter_test.go
+++ b/internal/node/headermeter_test.go
@@ -59,7 +59,7 @@
 		}
 		go server.Serve(&callerListener{
 			Listener: l, limits: func() routing.Limits { return routing.Limits{} },
-			conns: newCallerConns(0, metrics.NewRegistry()), buffers: budget,
+			conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: budget,
 		})
 		defer server.Close()
 		connect := func() net.Conn {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -355,18 +355,19 @@
 // serveEntry serves callers until ctx ends, then completes calls in flight.
 func (n *Node) serveEntry(ctx, serving context.Context) error {
 	callers := &http.Server{
-		Handler:           n.adapter.Callers(n.gateway, n.divertsCallers),
+		Handler:           markServed(n.adapter.Callers(n.gateway, n.divertsCallers)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         trackConnState,
+		ConnContext:       withConn,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	var group errgroup.Group
 	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
 	group.Go(func() error {
 		return n.listenWrapped(serving, callers, n.settings.CallersAddress, func(l net.Listener) net.Listener {
-			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.registry), buffers: n.buffers}
+			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.logger, n.registry), buffers: n.buffers}
 		})
 	})
 	group.Go(func() error {
