A reload while an instance starts does not end it

What callers could see: an instance that is missing for a start more. Cause: SIGHUP was handled only once the settings had been read; until then its default ends the process. On a busy machine that takes a tenth of a second. Change: it is received from the program's initialization on, about 2 ms after its start. What comes before that can't be handled by the process itself. Other commands keep the default.

--- a/command/command.go
+++ b/command/command.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"foxhall/internal/hangup"
 )
 
 // Version is the version printed by `foxhall version`.
@@ -35,6 +37,9 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands:              commands(),
 	}
+	if len(args) < 2 || args[1] != runName {
+		hangup.Default()
+	}
 	err := app.Run(ctx, args)
 	if err == nil {
 		return ExitOK
--- a/command/run.go
+++ b/command/run.go
@@ -9,13 +9,17 @@
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
+	"foxhall/internal/hangup"
 	"foxhall/internal/logging"
 	"foxhall/platform"
 )
 
+// runName is the name of the command that runs an instance. It alone takes SIGHUP for a reload.
+const runName = "run"
+
 func runCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "run",
+		Name:  runName,
 		Usage: "run an instance on the users' platform",
 		Description: `The settings file is the platform's. An instance with callers in its settings takes
 calls; one with a data folder stores turns. SIGTERM starts a graceful shutdown.`,
@@ -55,14 +59,12 @@
 }
 
 // logReloads logs each SIGHUP until ctx is done. A reload changes none of the settings read at the
-// start; without a handler the signal would terminate the process.
+// start.
 func logReloads(ctx context.Context, logger log.Interface) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
 		for {
 			select {
-			case <-reloads:
+			case <-hangup.Signals():
 				logger.Info("reload: settings are read at the start only; the present ones stay in force")
 			case <-ctx.Done():
 				return
