node: a planned stop answers the calls that it has read

Shown by tests: a call that arrives as a stop closes connections ends without an answer. Cause: http.Server.Shutdown drops each call that it reads from then on, also of connections accepted just before, and closes idle connections on which a call waits in the kernel, or has been read by a goroutine that has not run since. Evidence: 50 connections opened with a call right before Shutdown: none is answered. With the read held back, as on a busy machine, a call on an idle or a new connection is dropped. Change: the stop accepts what is queued, closes the listener, and closes a connection once it has waited 0.5 s for a call and neither has bytes in the kernel nor has been read from. A connection that gives way to a new one ends in the same way.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -284,7 +284,7 @@
 // isUsable reports whether the connection is open, within its idle timeout, and free of stray bytes
 // that the next call would take for its response.
 func (c *conn) isUsable() bool {
-	return time.Since(c.idleSince) < c.idleTimeout && c.reader.Buffered() == 0 && isIdleAndOpen(c.netConn)
+	return time.Since(c.idleSince) < c.idleTimeout && c.reader.Buffered() == 0 && netdial.IsIdleAndOpen(c.netConn)
 }
 
 func (c *conn) exchange(call *Call) (*Response, error) {
--- a/internal/httpconn/quiet.go
+++ b/internal/netdial/idle.go
@@ -1,4 +1,4 @@
-package httpconn
+package netdial
 
 import (
 	"net"
@@ -7,10 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// isIdleAndOpen reports whether an unused connection is open and has nothing to read. Unread bytes
-// belong to no call, and an end of file means that the server has closed the connection: a call
-// sent over it would be lost.
-func isIdleAndOpen(c net.Conn) bool {
+// IsIdleAndOpen reports whether an unused connection is open and has nothing to read: neither bytes
+// nor the end that its peer has sent. Other than TCP connections count as idle.
+func IsIdleAndOpen(c net.Conn) bool {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -27,17 +27,25 @@
 	limits  func() routing.Limits
 	conns   *callerConns
 	buffers *buffer.Budget
+	// stopping is set by stop, and closed once no further connection will be accepted. drains counts
+	// how often the stopping listener has waited for one more; only Accept uses it.
+	stopping, closed atomic.Bool
+	drains           int
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
+		began := time.Now()
 		c, err := l.Listener.Accept()
+		if err != nil && l.acceptStopped(err, time.Since(began)) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
 		netdial.LimitReceiveBuffer(c, callerReceiveBuffer)
-		caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns, hold: l.buffers.NewHold()}
+		caller := newCallerConn(c, l)
 		if l.conns.open(caller) {
 			return caller, nil
 		}
@@ -100,7 +108,7 @@
 		}
 		replaced := oldest.Value.(*callerConn)
 		s.remove(replaced)
-		replaced.Conn.Close()
+		replaced.expire()
 	}
 	s.all[c] = struct{}{}
 	return true
@@ -153,8 +161,30 @@
 	held   int
 	// served is set once the call was handed to the handler.
 	served bool
+	// waitingSince is when the connection began to wait for a call, in Unix nanoseconds; 0 once a part
+	// of the call has arrived.
+	waitingSince atomic.Int64
+}
+
+func newCallerConn(c net.Conn, l *callerListener) *callerConn {
+	caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns, hold: l.buffers.NewHold()}
+	caller.waitingSince.Store(time.Now().UnixNano())
+	return caller
+}
+
+// closeIfWaiting closes the connection if it has waited for a call for some time. A call that has
+// arrived keeps it open, whether it has been read or not.
+func (c *callerConn) closeIfWaiting(atLeast time.Duration) {
+	since := c.waitingSince.Load()
+	if since != 0 && time.Since(time.Unix(0, since)) >= atLeast && netdial.IsIdleAndOpen(c.Conn) {
+		c.expire()
+	}
 }
 
+// expire ends the wait for a call. The server then closes the connection, unless it has read a part
+// of a call by then: it sets the deadline anew for the rest.
+func (c *callerConn) expire() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // connKey is the key of a caller's connection in the context of its calls.
 type connKey struct{}
 
@@ -190,6 +220,7 @@
 	if n == 0 || c.serving.Load() {
 		return n, err
 	}
+	c.waitingSince.Store(0)
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
@@ -226,6 +257,9 @@
 		caller.conns.close(caller)
 		return
 	}
+	if s == http.StateIdle {
+		caller.waitingSince.Store(time.Now().UnixNano())
+	}
 	caller.conns.setIdle(caller, s == http.StateIdle)
 }
 
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// drainInterval is the time between two looks at the connections that are left.
+	drainInterval = 20 * time.Millisecond
+	// drainIdleTime is how long a connection must have waited for a call before a stop closes it. A
+	// caller that has just connected, or received an answer, may be about to send.
+	drainIdleTime = 500 * time.Millisecond
+	// acceptDrainTime is how long a stopping listener waits for one more connection in its queue, and
+	// maxAcceptDrains how often it does so while the process runs late.
+	acceptDrainTime = 50 * time.Millisecond
+	maxAcceptDrains = 10
+)
+
+// drain stops a server for callers: it accepts the connections that are queued, closes the listener,
+// and then each connection once it waits for a call that has not come. It returns an error if calls
+// are left when ctx ends; their connections are closed.
+//
+// It prevents the following failure: http.Server.Shutdown drops the calls that it reads from then on,
+// and closes connections on which a call has arrived that the process has yet to read.
+func drain(ctx context.Context, server *http.Server, l *callerListener) error {
+	defer server.Close()
+	l.stop()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		if l.isClosed() && l.conns.closeWaiting() == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections of callers are left", l.conns.count())
+		}
+	}
+}
+
+// stop ends the accepting of connections once those in the queue are accepted.
+func (l *callerListener) stop() {
+	l.stopping.Store(true)
+	l.allowAccept()
+}
+
+// allowAccept lets Accept wait for one more connection.
+func (l *callerListener) allowAccept() {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptDrainTime)) == nil {
+		return
+	}
+	l.Close()
+}
+
+// acceptStopped handles an error of Accept. It returns true if the stopping listener is to try again:
+// a process that runs late finds the deadline passed before it has looked at the queue.
+func (l *callerListener) acceptStopped(err error, waited time.Duration) bool {
+	if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if l.drains++; l.drains <= maxAcceptDrains && waited > 2*acceptDrainTime {
+		l.allowAccept()
+		return true
+	}
+	l.Close()
+	return false
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
+func (l *callerListener) isClosed() bool { return l.closed.Load() }
+
+// closeWaiting closes the connections that have waited for a call for drainIdleTime, and returns the
+// number of connections that are left.
+func (s *callerConns) closeWaiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.all {
+		c.closeIfWaiting(drainIdleTime)
+	}
+	return len(s.all)
+}
+
+// count returns the number of open connections.
+func (s *callerConns) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
+var _ net.Listener = (*callerListener)(nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,13 +363,14 @@
 		ConnContext:       withConn,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	listener, err := netdial.Listen(serving, n.settings.CallersAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	limited := &callerListener{Listener: listener, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.logger, n.registry), buffers: n.buffers}
 	var group errgroup.Group
 	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
-	group.Go(func() error {
-		return n.listenWrapped(serving, callers, n.settings.CallersAddress, func(l net.Listener) net.Listener {
-			return &callerListener{Listener: l, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.logger, n.registry), buffers: n.buffers}
-		})
-	})
+	group.Go(func() error { return serve(serving, callers, limited) })
 	group.Go(func() error {
 		<-ctx.Done()
 		began := time.Now()
@@ -378,10 +379,10 @@
 		time.Sleep(balancerDelay)
 		drainCtx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-shutdownMargin))
 		defer cancel()
-		err := callers.Shutdown(drainCtx)
+		err := drain(drainCtx, callers, limited)
 		n.gateway.Drain(drainCtx)
 		_ = ready.Close()
-		return errors.Wrap(err, "calls still in flight at the end of the grace period")
+		return errors.Wrap(err, "end of the grace period")
 	})
 	return group.Wait()
 }
@@ -405,19 +406,17 @@
 }
 
 func (n *Node) listen(ctx context.Context, server *http.Server, address string) error {
-	return n.listenWrapped(ctx, server, address, func(l net.Listener) net.Listener { return l })
-}
-
-// listenWrapped listens on the address and serves the connections that the wrapped listener
-// accepts.
-func (n *Node) listenWrapped(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := netdial.Listen(ctx, address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	listener = wrap(listener)
+	return serve(ctx, server, listener)
+}
+
+// serve serves the connections of a listener until it is closed.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
