netdial: a caller that pauses while it reads is not cut off

What callers saw: an answer that ends early, on real kernels alone: a caller that reads nothing for 0.9 s while its receive buffer is full is reset. It concerns large answers and the slow readers of demands/. Cause: TCP_USER_TIMEOUT, set against peers behind a partition, also bounds the time for which the peer takes no bytes. The 30 s that callers have to read a part of an answer were never reached. Change: callers' connections have no such bound. A write has its deadline as before; a caller that is gone is noticed by keep-alive probes, three of them, since one lost packet must not cut off a caller that waits. Not changed: connections to replicas, where the bound finds partitions.

--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -43,6 +43,22 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+// callerProbeCount is the number of keep-alive probes that a caller may leave unanswered. One lost packet
+// must not cut a caller off that waits for its answer.
+const callerProbeCount = 3
+
+var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: callerProbeCount}
+
+// ListenForCallers listens at the TCP address for callers, who may read slowly: unlike those of Listen,
+// the accepted connections may have bytes that wait for their reader for any time. Writers set deadlines.
+//
+// It prevents the following failure: TCP_USER_TIMEOUT also bounds the time for which the peer's receive
+// buffer is full, so that a caller that pauses is cut off in the middle of its answer.
+func ListenForCallers(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
+	return config.Listen(ctx, "tcp", address)
+}
+
 // IsUnresponsive reports whether a connection failed because the peer sends nothing at all, as after
 // a power failure or behind a network partition.
 func IsUnresponsive(err error) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,7 +363,7 @@
 		ConnContext:       withConn,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	listener, err := netdial.Listen(serving, n.settings.CallersAddress)
+	listener, err := netdial.ListenForCallers(serving, n.settings.CallersAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
