history: a chain's retention does not depend on the order in which its turns are read

Cause: a turn extends the retention of those before it, but only of those that are known already. The log is written anew at each start, and transferred, in the order of a map; what is read after its successor keeps its own end. Change: what a later turn needs of one that has not arrived is kept, and given to it as it comes.

--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -22,6 +22,9 @@
 	// accounts and turns are keyed by customer and id, see recordKey.
 	accounts map[string]*historypb.Account
 	turns    map[string]*retainedTurn
+	// neededUntil is the end of the retention, in Unix milliseconds, of turns that later ones continue
+	// and that have not arrived yet, by id.
+	neededUntil map[string]int64
 	// primaryEpoch is the latest epoch in which this keeper is or was the primary.
 	primaryEpoch uint64
 	// diskStarts counts the starts of the keeper on this disk.
@@ -35,7 +38,7 @@
 }
 
 func newState() *state {
-	return &state{accounts: map[string]*historypb.Account{}, turns: map[string]*retainedTurn{}}
+	return &state{accounts: map[string]*historypb.Account{}, turns: map[string]*retainedTurn{}, neededUntil: map[string]int64{}}
 }
 
 // reserve opens a turn in the program's account.
@@ -129,15 +132,27 @@
 	return turnRecord(shardID, s.turns[recordKey(t.Customer, t.Id)].turn)
 }
 
-// addTurn retains a turn, and the chain before it at least as long as the turn itself.
+// addTurn retains a turn, and the chain before it at least as long as the turn itself. Turns may
+// arrive in any order.
 func (s *state) addTurn(t *historypb.Turn) {
 	key := recordKey(t.Customer, t.Id)
-	if s.turns[key] == nil {
-		s.turns[key] = &retainedTurn{turn: t}
+	k := s.turns[key]
+	if k == nil {
+		k = &retainedTurn{turn: t}
+		s.turns[key] = k
 	}
-	expires := t.EndedUnixMs + t.RetentionMs + retentionMargin.Milliseconds()
-	for k := s.turns[key]; k != nil && k.expires < expires; k = s.turn(t.Customer, k.turn.Previous) {
+	expires := max(t.EndedUnixMs+t.RetentionMs+retentionMargin.Milliseconds(), s.neededUntil[t.Id])
+	delete(s.neededUntil, t.Id)
+	for k.expires < expires {
 		k.expires = expires
+		previous := k.turn.Previous
+		if previous == "" {
+			return
+		}
+		if k = s.turn(t.Customer, previous); k == nil {
+			s.neededUntil[previous] = max(s.neededUntil[previous], expires)
+			return
+		}
 	}
 }
 
@@ -194,6 +209,11 @@
 			delete(s.turns, key)
 		}
 	}
+	for id, expires := range s.neededUntil {
+		if expires < at {
+			delete(s.neededUntil, id)
+		}
+	}
 	for key, a := range s.accounts {
 		if a.TouchedUnixMs+max(a.RetentionMs, defaultRetention.Milliseconds())+retentionMargin.Milliseconds() < at {
 			delete(s.accounts, key)
