history: an entry spends only tokens that the keepers still count for it

What callers saw: the review's account command, a program is handed 1,272 tokens where 1,128 are allowed; and 1,400 of 1,088 when it comes back to an entry that it had left. An entry spends from an allowance without a word while the keepers remove the program's account after its retention, and grant the budget anew. And an allowance that was evicted came back under the same id with a count of 0: the keepers return what that id has used as still held. Change: each draw counts for the account's retention only, 20 s less than the keepers keep it; beyond that a turn is reserved at the keepers. An allowance in use is drawn anew every 5 s, so that the account outlives the last turn by its retention. Ids of allowances are used once, and an allowance is kept until the keepers have forgotten it. Ruled out: telling the keepers of each turn, which is what allowances are there to avoid. Cost: a draw each 5 s of a program that is active on an allowance.

--- a/internal/history/allowance.go
+++ b/internal/history/allowance.go
@@ -19,8 +19,12 @@
 	// refillThresholdTurns is the number of turns of the largest output below which an allowance is
 	// refilled.
 	refillThresholdTurns = 2
-	// allowanceIdleTimeout is how long an allowance without turns is retained.
-	allowanceIdleTimeout = time.Minute
+	// renewInterval is how long an allowance in use goes without a draw. Each draw keeps the program's
+	// account at the keepers, which they would remove after retentionMargin beyond its retention: it
+	// must outlive the program's last turn by its retention, and a draw may take drawTimeout.
+	renewInterval = 5 * time.Second
+	// evictionInterval is the time between two searches for allowances that are no longer needed.
+	evictionInterval = 15 * time.Second
 	// drawTimeout bounds all attempts of one draw, for which no caller waits.
 	drawTimeout = 10 * time.Second
 )
@@ -37,6 +41,8 @@
 	incarnation string
 
 	mu sync.Mutex
+	// created counts the allowances, to give each an id of its own.
+	created uint64
 	// programs are keyed by customer and id, see recordKey.
 	programs map[string]*allowance
 	// turns are the turns in flight that run on an allowance.
@@ -46,6 +52,9 @@
 
 // allowance is what this entry has reserved of one program's tokens.
 type allowance struct {
+	// id names the allowance at the keepers. It is never used for another one: the keepers know what
+	// the first one used, and a second one would be granted that again.
+	id                string
 	customer, program string
 	// outputTokens is the output of all settled turns; inFlight is the maximum output of turns in
 	// flight; limit is what outputTokens may reach.
@@ -56,9 +65,18 @@
 	retention           time.Duration
 	replica             string
 	drawInFlight        bool
-	lastUsed            time.Time
+	// drawStarted is when the latest draw began, drawnAt when the latest successful one did.
+	drawStarted, drawnAt time.Time
+	lastUsed             time.Time
 }
 
+// accountRetention is how long the keepers certainly know the allowance after a draw.
+func (a *allowance) accountRetention() time.Duration { return max(a.retention, defaultRetention) }
+
+// isKnown reports whether the keepers still know the allowance. They may give the tokens of one that
+// they have forgotten to others.
+func (a *allowance) isKnown(now time.Time) bool { return now.Sub(a.drawnAt) <= a.accountRetention() }
+
 type allowanceTurn struct {
 	allowance       *allowance
 	maxOutputTokens int64
@@ -78,7 +96,7 @@
 	defer s.mu.Unlock()
 	a := s.programs[recordKey(&r.Customer, r.Program)]
 	maxOutputTokens := int64(r.MaxOutputTokens)
-	if a == nil || r.Retain || r.Previous != "" || a.outputTokens+a.inFlight+maxOutputTokens > a.limit {
+	if a == nil || r.Retain || r.Previous != "" || !a.isKnown(now) || a.outputTokens+a.inFlight+maxOutputTokens > a.limit {
 		return false
 	}
 	a.inFlight += maxOutputTokens
@@ -112,39 +130,45 @@
 	key := recordKey(&r.Customer, r.Program)
 	a := s.programs[key]
 	if a == nil {
-		a = &allowance{customer: r.Customer, program: r.Program, largestTurn: int64(r.MaxOutputTokens), budget: int64(r.Budget), retention: r.Retention}
+		s.created++
+		a = &allowance{
+			id: s.incarnation + "-" + strconv.FormatUint(s.created, 36), customer: r.Customer, program: r.Program,
+			largestTurn: int64(r.MaxOutputTokens), budget: int64(r.Budget), retention: r.Retention,
+		}
 		s.programs[key] = a
 	}
 	a.lastUsed = now
 	return a
 }
 
-// evictIdle removes allowances that were idle for allowanceIdleTimeout; the lock is held.
+// evictIdle removes allowances that the keepers no longer know; the lock is held. Before that, a
+// program that returns would lose the unused part.
 func (s *allowances) evictIdle(now time.Time) {
-	if now.Sub(s.lastEviction) < allowanceIdleTimeout/4 {
+	if now.Sub(s.lastEviction) < evictionInterval {
 		return
 	}
 	s.lastEviction = now
 	for key, a := range s.programs {
-		if a.inFlight == 0 && now.Sub(a.lastUsed) > allowanceIdleTimeout {
+		if idle := now.Sub(a.lastUsed); a.inFlight == 0 && idle > a.accountRetention()+retentionMargin {
 			delete(s.programs, key)
 		}
 	}
 }
 
 // nextDraw returns the draw that the allowance needs now, if any. One is in flight at a time.
-func (s *allowances) nextDraw(a *allowance) (*historypb.DrawRequest, bool) {
+func (s *allowances) nextDraw(a *allowance, now time.Time) (*historypb.DrawRequest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.drawInFlight || a.limit-a.outputTokens-a.inFlight >= refillThresholdTurns*a.largestTurn {
+	isLow := a.limit-a.outputTokens-a.inFlight < refillThresholdTurns*a.largestTurn
+	if a.drawInFlight || !isLow && now.Sub(a.drawnAt) < renewInterval {
 		return nil, false
 	}
-	a.drawInFlight = true
+	a.drawInFlight, a.drawStarted = true, now
 	return &historypb.DrawRequest{
 		Slice:       ShardOf(a.program),
 		Program:     a.program,
 		Customer:    &a.customer,
-		Allowance:   s.incarnation,
+		Allowance:   a.id,
 		Made:        a.outputTokens,
 		Want:        targetAllowanceTurns * a.largestTurn,
 		Budget:      a.budget,
@@ -153,18 +177,25 @@
 	}, true
 }
 
-// completeDraw applies the outcome of a draw. The keeper has reserved held tokens beyond the output
-// that the request reported.
+// completeDraw applies a successful draw. The keeper has reserved held tokens beyond the output that
+// the request reported.
 func (s *allowances) completeDraw(a *allowance, r *historypb.DrawRequest, held int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a.drawInFlight = false
+	a.drawInFlight, a.drawnAt = false, a.drawStarted
 	a.limit = max(a.limit, r.Made+held)
 }
 
+// failDraw ends a draw of which the outcome is unknown.
+func (s *allowances) failDraw(a *allowance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.drawInFlight = false
+}
+
 // refill draws for an allowance that runs low, in the background.
 func (c *Client) refill(a *allowance) {
-	request, needed := c.allowances.nextDraw(a)
+	request, needed := c.allowances.nextDraw(a, time.Now())
 	if !needed {
 		return
 	}
@@ -186,7 +217,8 @@
 			// The settlement of the next turn tries again; until then turns are reserved at the
 			// keepers.
 			c.logger.WithError(err).WithField("program", request.Program).Info("allowance not refilled; retrying at the next settlement")
-			held = 0
+			c.allowances.failDraw(a)
+			return
 		}
 		c.allowances.completeDraw(a, request, held)
 	}()
