history: what a failing disk did not take is neither acknowledged nor followed by more

What callers could see: a turn that was answered whole and is gone. Cause: a batch whose write fails while the keeper stops counted as done, and its callers were told so. And after a compaction that failed in the middle, the next records were written behind its torn end, where no start reads them. Change: a batch that the disk did not take ends the writer without a word to its callers, and a line. After any failed write or sync the next one begins a new segment. Tests: TestWriteThatFailsAtAStopIsNotAcknowledged and TestRecordsAfterAFailedCompactionAreRead, each red with its safeguard taken out.

--- a/internal/history/disk.go
+++ b/internal/history/disk.go
@@ -37,10 +37,24 @@
 // goroutine.
 type diskLog struct {
 	dir     string
-	file    *os.File
+	open    func(path string) (logFile, error)
+	file    logFile
 	segment int
 	// size is the segment's length in bytes, and synced how much of it is durable.
 	size, synced int64
+	// torn means that a write failed, so that the segment may end within a record. What follows there
+	// would not be read again.
+	torn bool
+}
+
+// logFile is the file of a segment.
+type logFile interface {
+	io.WriteCloser
+	Sync() error
+}
+
+func createSegment(path string) (logFile, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
 }
 
 // openLog calls visit for every record of all segments, and opens a new segment for writing. A
@@ -53,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &diskLog{dir: dir}
+	l := &diskLog{dir: dir, open: createSegment}
 	for _, n := range numbers {
 		if err := readSegment(l.segmentPath(n), visit); err != nil {
 			return nil, err
@@ -85,14 +99,14 @@
 
 // startSegment begins a new segment.
 func (l *diskLog) startSegment() error {
-	file, err := os.OpenFile(l.segmentPath(l.segment+1), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
+	file, err := l.open(l.segmentPath(l.segment + 1))
 	if err != nil {
 		return errors.Wrap(err, "history")
 	}
 	if l.file != nil {
 		l.file.Close()
 	}
-	l.file, l.size, l.synced = file, 0, 0
+	l.file, l.size, l.synced, l.torn = file, 0, 0, false
 	l.segment++
 	return nil
 }
@@ -171,12 +185,19 @@
 	return b, nil
 }
 
-// write appends framed records and waits until they are durable.
+// write appends framed records and waits until they are durable. After a failure it begins a new
+// segment.
 func (l *diskLog) write(framed []byte) error {
+	if l.torn {
+		if err := l.startSegment(); err != nil {
+			return err
+		}
+	}
 	if err := l.append(framed); err != nil {
 		return err
 	}
 	if err := l.file.Sync(); err != nil {
+		l.torn = true
 		return errors.Wrap(err, "history")
 	}
 	l.synced = l.size
@@ -189,6 +210,7 @@
 	if err == nil && n < len(framed) {
 		err = io.ErrShortWrite
 	}
+	l.torn = l.torn || err != nil
 	return errors.Wrap(err, "history")
 }
 
--- a/internal/history/disk_test.go
+++ b/internal/history/disk_test.go
@@ -1,13 +1,19 @@
 package history
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"foxhall/internal/history/historypb"
 )
@@ -87,3 +93,84 @@
 		})
 	}
 }
+
+var errDisk = errors.New("disk refuses the write")
+
+// faultyFile takes a number of bytes, and then fails each write in the middle.
+type faultyFile struct {
+	logFile
+	room int
+}
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if len(p) <= f.room {
+		f.room -= len(p)
+		return f.logFile.Write(p)
+	}
+	n, err := f.logFile.Write(p[:f.room])
+	f.room = 0
+	if err == nil {
+		err = errDisk
+	}
+	return n, err
+}
+
+// openFaulty returns a log whose segments take room bytes each while faulty is set, and the function
+// that reads the ids of the turns on its disk.
+func openFaulty(t *testing.T, room int, faulty *bool) (*diskLog, func() []string) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, err := openLog(dir, func(*historypb.Record) {})
+	is.NoErr(err)
+	l.open = func(path string) (logFile, error) {
+		file, err := createSegment(path)
+		if *faulty {
+			return &faultyFile{logFile: file, room: room}, err
+		}
+		return file, err
+	}
+	return l, func() []string {
+		var ids []string
+		l, err := openLog(dir, func(r *historypb.Record) { ids = append(ids, r.GetTurn().GetId()) })
+		is.NoErr(err)
+		is.NoErr(l.close())
+		return ids
+	}
+}
+
+func testTurnRecord(id string) *historypb.Record {
+	return turnRecord(1, &historypb.Turn{Id: id, Input: make([]byte, 100)})
+}
+
+// Guards against acknowledged records that are not read again: the disk fails in the middle of a
+// compaction, and what is written next must not follow a torn record.
+func TestRecordsAfterAFailedCompactionAreRead(t *testing.T) {
+	is := is.New(t)
+	faulty := true
+	l, read := openFaulty(t, 150, &faulty)
+	is.True(l.compact([]*historypb.Record{testTurnRecord("a"), testTurnRecord("b")}) != nil)
+	faulty = false
+	framed, err := appendFrame(nil, testTurnRecord("acknowledged"))
+	is.NoErr(err)
+	is.NoErr(l.write(framed))
+	is.NoErr(l.close())
+	is.True(slices.Contains(read(), "acknowledged"))
+}
+
+// Guards against an acknowledgement without a durable record: the disk fails while the keeper stops.
+func TestWriteThatFailsAtAStopIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	faulty := true
+	l, read := openFaulty(t, 0, &faulty)
+	is.NoErr(l.startSegment())
+	k := &Keeper{log: l, wakeWriter: make(chan struct{}, 1), settings: Settings{Logger: &log.Logger{Handler: discard.Default}}}
+	acknowledged := false
+	k.mu.Lock()
+	k.persist([]*historypb.Record{testTurnRecord("a")}, func() { acknowledged = true })
+	k.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	time.AfterFunc(2*appendRetryInterval, stop)
+	k.runWriter(ctx)
+	is.NoErr(l.close())
+	is.Equal(acknowledged, slices.Contains(read(), "a"))
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -360,7 +360,12 @@
 		k.pendingWrites = nil
 		k.writingSince = time.Now()
 		k.mu.Unlock()
-		k.writeBatch(ctx, batch)
+		err := k.writeBatch(ctx, batch)
+		if err != nil {
+			// Nobody is told that these records are durable.
+			k.settings.Logger.WithError(err).WithField("writes", len(batch)).Error("stopped before the disk took all records")
+			return
+		}
 		k.mu.Lock()
 		k.writingSince = time.Time{}
 		for _, w := range batch {
@@ -373,9 +378,8 @@
 	}
 }
 
-// writeBatch retries until the batch is on the disk. After a failed write the end of the segment is
-// unknown, so the batch goes to a new one.
-func (k *Keeper) writeBatch(ctx context.Context, batch []diskWrite) {
+// writeBatch retries until the batch is on the disk. It returns an error if ctx ends before.
+func (k *Keeper) writeBatch(ctx context.Context, batch []diskWrite) error {
 	var framed []byte
 	for _, w := range batch {
 		for _, r := range w.records {
@@ -387,15 +391,15 @@
 		}
 	}
 	if len(framed) == 0 {
-		return
+		return nil
 	}
-	err := k.log.write(framed)
-	for err != nil && ctx.Err() == nil {
+	for {
+		err := k.log.write(framed)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
 		k.settings.Logger.WithError(err).Error("disk write failed; retrying in a new segment")
 		time.Sleep(appendRetryInterval)
-		if err = k.log.startSegment(); err == nil {
-			err = k.log.write(framed)
-		}
 	}
 }
 
