An instance outlives the reader of its log

What callers could see: all calls of an instance, or of all instances, end at once. Cause: a write to a pipe that nobody reads ends a Go program by SIGPIPE if it is standard output. Change: the signal is ignored; the write fails, and lines are lost as for any full or broken output.

--- a/command/run.go
+++ b/command/run.go
@@ -36,6 +36,8 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
+	// A write to a log that nobody reads any more fails, instead of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	settings, err := platform.LoadSettings(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
