A response to HEAD is whole without a body

Cause: the stated length was compared with the body, which a response to HEAD does not have. Change: such a response has length 0 inside, and its caller gets the length that the replica states.

--- a/internal/httpconn/bounds_test.go
+++ b/internal/httpconn/bounds_test.go
@@ -112,3 +112,19 @@
 	_, err := pool.Do(context.Background(), call, 1)
 	is.True(errors.Is(err, ErrResponseLost))
 }
+
+// Guards against a response to HEAD that is taken for a truncated one: it states the length of a body
+// that it does not have, and its connection is free for the next call.
+func TestResponseToHeadHasNoBody(t *testing.T) {
+	is := is.New(t)
+	pool, _ := poolOverPipe("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	call := get("/")
+	call.Method = http.MethodHead
+	response, err := pool.Do(context.Background(), call, 1)
+	is.NoErr(err)
+	is.Equal(response.Length, int64(0))
+	is.Equal(response.Header.Get("Content-Length"), "1000")
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(len(body), 0)
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -413,7 +413,8 @@
 	response := &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, callNumber: c.callCount}
 	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		response.Body = http.NoBody
+		// A response to HEAD states the length of a body that it does not have.
+		response.Body, response.Length = http.NoBody, 0
 		c.release(response.callNumber, r.Close)
 	}
 	return response
