history: a turn is kept for those that continue it, whoever else uses its id

A client account whose turn t1 reaches a keeper before the t0 that it continues loses its chain when another account has a turn t0 of its own: callers choose the ids, so that one account can shorten what another keeps. Cause: what a later turn needs of one that has not arrived was remembered by the turn's id alone, and the first turn of that id took it, whoever's it was. Ruled out: keying the memory by customer and id. Turns of older versions name no customer; which of several turns they need then still depends on which arrives first. Change: nothing is remembered of missing turns. Before turns are removed, each turn whose predecessor was not found is linked to it again, and extends it. The ends of retention are a function of the set of turns, and a turn that never comes costs no memory beyond the turn that names it. The walk that removes expired turns existed; nothing walks over all turns while a call waits. Tests: TestTurnOfAnotherCustomerDoesNotTakeTheNeedOfATurn failed before ("not true: whole"). TestRetentionDoesNotDependOnTheOrderOfTurns drew ids that no two customers share; it draws ids, customers, turns of older versions, cycles and retentions to 10 minutes now, with removals in between, and compares every end with the oracle. Its check of the memory for missing turns, which is gone, is one that nothing but known turns is held; so is that of TestNeedOfAMissingTurnExpires (the whole state equals a new one). TestAccountsDoNotDependOnTheOrderOfVersions holds before and after: any permutation, duplicates, two parts merged.

--- /dev/null
+++ b/internal/history/chain.go
@@ -0,0 +1,171 @@
+package history
+
+import (
+	"slices"
+
+	"foxhall/internal/history/historypb"
+)
+
+// retainedTurn is a turn with the end of its retention.
+type retainedTurn struct {
+	turn *historypb.Turn
+	// expires is the end of the retention, in Unix milliseconds.
+	expires int64
+	// linked means that the turn begins its chain, or that the turn that it continues was found.
+	linked bool
+	// missed counts the searches that did not find the turn that it continues, up to reportAfterMissed.
+	missed uint8
+}
+
+// reportAfterMissed is the number of searches after which a turn without the one that it continues is
+// reported. The first search may fall into the transfer of a chain.
+const reportAfterMissed = 2
+
+// ownEnd returns the end of the turn's own retention, in Unix milliseconds.
+func ownEnd(t *historypb.Turn) int64 {
+	return t.EndedUnixMs + t.RetentionMs + retentionMargin.Milliseconds()
+}
+
+// addTurn retains a turn, and the chain before it at least as long as the turn itself. Turns may
+// arrive in any order: those that arrive after one that continues them are extended by linkTurns.
+func (s *state) addTurn(t *historypb.Turn) {
+	key := recordKey(t.Customer, t.Id)
+	k := s.turns[key]
+	if k == nil {
+		k = &retainedTurn{turn: t}
+		s.turns[key] = k
+	}
+	s.extend(k, ownEnd(t))
+}
+
+// extend retains a turn, and the known turns before it, at least until expires.
+func (s *state) extend(k *retainedTurn, expires int64) {
+	for k != nil && k.expires < expires {
+		k.expires = expires
+		k = s.predecessor(k)
+	}
+}
+
+// predecessor returns the turn that k continues, or nil, and records whether it is found.
+func (s *state) predecessor(k *retainedTurn) *retainedTurn {
+	t := k.turn
+	switch {
+	case t.Previous == "":
+		k.linked = true
+		return nil
+	case t.Customer == nil:
+		return s.turns[t.Previous] // see linkByID
+	}
+	p := s.turn(t.Customer, t.Previous)
+	k.linked = p != nil
+	return p
+}
+
+// linkTurns extends the turns that arrived after those that continue them. The ends of retention then
+// depend on the set of turns alone.
+func (s *state) linkTurns() {
+	ofOlderVersion := false
+	for _, k := range s.turns {
+		ofOlderVersion = ofOlderVersion || k.turn.Customer == nil
+		if !k.linked {
+			s.extend(s.predecessor(k), k.expires)
+		}
+	}
+	if ofOlderVersion {
+		s.linkByID()
+	}
+}
+
+// linkByID extends each turn that a later one may continue. It is needed only while there are turns of
+// an older version: these name no customer, and each customer may continue them and be continued by
+// them.
+func (s *state) linkByID() {
+	byID := s.turnsByID()
+	for extended := true; extended; {
+		extended = false
+		for _, k := range s.turns {
+			for _, p := range byID[k.turn.Previous] {
+				if p.expires < k.expires && ownedBy(p.turn, k.turn.Customer) {
+					s.extend(p, k.expires)
+					extended = true
+				}
+			}
+		}
+	}
+}
+
+// turnsByID returns the turns of all customers by their ids.
+func (s *state) turnsByID() map[string][]*retainedTurn {
+	byID := map[string][]*retainedTurn{}
+	for _, k := range s.turns {
+		byID[k.turn.Id] = append(byID[k.turn.Id], k)
+	}
+	return byID
+}
+
+// expireTurns removes the turns whose retention has passed. It returns the turns that were found
+// without the turn that they continue for the reportAfterMissed-th time.
+func (s *state) expireTurns(at int64) []*historypb.Turn {
+	s.linkTurns()
+	var incomplete []*historypb.Turn
+	for key, k := range s.turns {
+		if k.expires < at {
+			delete(s.turns, key)
+			continue
+		}
+		if !k.linked && k.turn.Customer != nil && k.missed < reportAfterMissed && s.predecessor(k) == nil {
+			if k.missed++; k.missed == reportAfterMissed {
+				incomplete = append(incomplete, k.turn)
+			}
+		}
+	}
+	return incomplete
+}
+
+// chain returns the customer's turns up to and including the named one, the oldest first; false if
+// any of them is missing.
+func (s *state) chain(customer *string, id string) ([]*historypb.Turn, bool) {
+	chain, missing := s.walkChain(customer, id)
+	return chain, missing == ""
+}
+
+// walkChain does the same, and returns the id of the newest turn that is missing, or "".
+func (s *state) walkChain(customer *string, id string) (chain []*historypb.Turn, missing string) {
+	for id != "" {
+		k := s.turn(customer, id)
+		if k == nil || len(chain) > len(s.turns) {
+			return nil, id
+		}
+		chain = append(chain, k.turn)
+		id = k.turn.Previous
+	}
+	slices.Reverse(chain)
+	return chain, ""
+}
+
+// turn returns the customer's retained turn, or nil.
+func (s *state) turn(customer *string, id string) *retainedTurn {
+	if id == "" {
+		return nil
+	}
+	if k := s.turns[recordKey(customer, id)]; k != nil && ownedBy(k.turn, customer) {
+		return k
+	}
+	if customer == nil {
+		return s.turnByID(id)
+	}
+	if k := s.turns[id]; k != nil && k.turn.Customer == nil {
+		return k
+	}
+	return nil
+}
+
+// turnByID finds a turn for an entry of an older version, which names no customer.
+func (s *state) turnByID(id string) *retainedTurn {
+	for _, k := range s.turns {
+		if k.turn.Id == id {
+			return k
+		}
+	}
+	return nil
+}
--- a/internal/history/customer.go
+++ b/internal/history/customer.go
@@ -21,33 +21,6 @@
 	return t.Customer == nil || customer == nil || *t.Customer == *customer
 }
 
-// turn returns the customer's retained turn, or nil.
-func (s *state) turn(customer *string, id string) *retainedTurn {
-	if id == "" {
-		return nil
-	}
-	if k := s.turns[recordKey(customer, id)]; k != nil && ownedBy(k.turn, customer) {
-		return k
-	}
-	if customer == nil {
-		return s.turnByID(id)
-	}
-	if k := s.turns[id]; k != nil && k.turn.Customer == nil {
-		return k
-	}
-	return nil
-}
-
-// turnByID finds a turn for an entry of an older version, which names no customer.
-func (s *state) turnByID(id string) *retainedTurn {
-	for _, k := range s.turns {
-		if k.turn.Id == id {
-			return k
-		}
-	}
-	return nil
-}
-
 // account returns the token account of the customer's program, or nil. An account of an older
 // version goes to the first customer that continues the program.
 func (s *state) account(customer *string, program string) *historypb.Account {
--- a/internal/history/retention_test.go
+++ b/internal/history/retention_test.go
@@ -14,36 +14,52 @@
 	"foxhall/internal/history/historypb"
 )
 
-// drawTurns draws chains of turns that branch, with retentions of their own. Some turns come from an
-// older version, which names no customer.
-func drawTurns(t *rapid.T) []*historypb.Turn {
+// testCustomers are the customers of drawn turns: an older version names none, and the empty name stands
+// for callers without a key.
+var testCustomers = []*string{nil, customer(""), customer("a"), customer("b")}
+
+// testIDs is the number of ids of drawn turns.
+const testIDs = 6
+
+// drawTurns draws turns of several customers that use the same ids, with retentions of their own. Chains
+// branch, and may be cyclic if set, since callers choose the ids.
+func drawTurns(t *rapid.T, cyclic bool) []*historypb.Turn {
 	var turns []*historypb.Turn
-	customer := "c"
-	for i := range rapid.IntRange(1, 12).Draw(t, "turns") {
+	known := map[string]bool{}
+	for range rapid.IntRange(1, 16).Draw(t, "turns") {
+		id := rapid.IntRange(0, testIDs-1).Draw(t, "id")
 		turn := &historypb.Turn{
-			Id:          fmt.Sprint("t", i),
-			EndedUnixMs: int64(rapid.IntRange(0, 200).Draw(t, "ended")) * 1000,
-			RetentionMs: int64(rapid.IntRange(1, 120).Draw(t, "retention")) * 1000,
+			Id:          fmt.Sprint("t", id),
+			Customer:    rapid.SampledFrom(testCustomers).Draw(t, "customer"),
+			EndedUnixMs: int64(rapid.IntRange(0, 700).Draw(t, "ended")) * 1000,
+			RetentionMs: int64(rapid.SampledFrom([]int{1, 10, 60, 600}).Draw(t, "retention")) * 1000,
 		}
-		if i > 0 && rapid.IntRange(0, 4).Draw(t, "continues") > 0 {
-			turn.Previous = turns[rapid.IntRange(0, i-1).Draw(t, "previous")].Id
+		if previous := rapid.IntRange(-1, testIDs-1).Draw(t, "previous"); previous >= 0 && (cyclic || previous < id) {
+			turn.Previous = fmt.Sprint("t", previous)
 		}
-		if rapid.IntRange(0, 3).Draw(t, "customer") > 0 {
-			turn.Customer = &customer
+		if key := recordKey(turn.Customer, turn.Id); !known[key] {
+			known[key] = true
+			turns = append(turns, turn)
 		}
-		turns = append(turns, turn)
 	}
 	return turns
 }
 
-// lastNeeded returns the end of each turn's retention: its own, or that of any turn that continues it.
-func lastNeeded(turns []*historypb.Turn) map[string]int64 {
-	needed := map[string]int64{}
-	for _, t := range slices.Backward(turns) { // a turn is drawn after the one that it continues
-		own := t.EndedUnixMs + t.RetentionMs + retentionMargin.Milliseconds()
-		needed[t.Id] = max(needed[t.Id], own)
-		if t.Previous != "" {
-			needed[t.Previous] = max(needed[t.Previous], needed[t.Id])
+// lastNeeded returns the end of each turn's retention, in the order of the turns: its own, or that of
+// any turn that may continue it.
+func lastNeeded(turns []*historypb.Turn) []int64 {
+	needed := make([]int64, len(turns))
+	for i, t := range turns {
+		needed[i] = t.EndedUnixMs + t.RetentionMs + retentionMargin.Milliseconds()
+	}
+	for range turns { // each pass extends a chain by at least one turn
+		for i, earlier := range turns {
+			for j, later := range turns {
+				sameCustomer := earlier.Customer == nil || later.Customer == nil || *earlier.Customer == *later.Customer
+				if later.Previous == earlier.Id && sameCustomer {
+					needed[i] = max(needed[i], needed[j])
+				}
+			}
 		}
 	}
 	return needed
@@ -53,7 +69,7 @@
 // one was read first: logs and transfers give turns in any order, and more than once.
 func TestRetentionDoesNotDependOnTheOrderOfTurns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		turns := drawTurns(t)
+		turns := drawTurns(t, true)
 		needed := lastNeeded(turns)
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
 		s := newState()
@@ -61,16 +77,58 @@
 		random.Shuffle(len(arriving), func(i, j int) { arriving[i], arriving[j] = arriving[j], arriving[i] })
 		for _, turn := range arriving {
 			s.apply(turnRecord(0, turn))
+			if random.IntN(4) == 0 {
+				s.expire(time.UnixMilli(0)) // removes nothing, but links
+			}
 		}
-		at := int64(rapid.IntRange(0, 400).Draw(t, "at")) * 1000
+		at := int64(rapid.IntRange(0, 1400).Draw(t, "at")) * 1000
 		s.expire(time.UnixMilli(at))
-		for _, turn := range turns {
-			if retained := s.turn(turn.Customer, turn.Id) != nil; retained != (needed[turn.Id] >= at) {
-				t.Fatalf("turn %s is retained: %t at %d; oracle expects its end at %d", turn.Id, retained, at, needed[turn.Id])
+		retained := 0
+		for i, turn := range turns {
+			is := s.turns[recordKey(turn.Customer, turn.Id)] != nil
+			if is != (needed[i] >= at) {
+				t.Fatalf("turn %s of %v is retained: %t at %d; oracle expects its end at %d", turn.Id, turn.Customer, is, at, needed[i])
+			}
+			if is {
+				retained++
+			}
+		}
+		if len(s.turns) != retained {
+			t.Fatalf("%d turns are held, of which %d are known", len(s.turns), retained)
+		}
+	})
+}
+
+// Guards against spent tokens that come back, because an account's older version arrives after a newer
+// one or is read back from another part of the log.
+func TestAccountsDoNotDependOnTheOrderOfVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		newest := map[string]uint64{}
+		var records []*historypb.Record
+		for range rapid.IntRange(1, 20).Draw(t, "accounts") {
+			a := &historypb.Account{
+				Program:  fmt.Sprint("p", rapid.IntRange(0, 2).Draw(t, "program")),
+				Customer: rapid.SampledFrom(testCustomers[1:]).Draw(t, "customer"),
+				Version:  rapid.Uint64Range(1, 20).Draw(t, "version"),
 			}
+			a.Spent = int64(a.Version) // spent grows with the version
+			newest[recordKey(a.Customer, a.Program)] = max(newest[recordKey(a.Customer, a.Program)], a.Version)
+			records = append(records, accountRecord(0, a))
 		}
-		if len(s.neededUntil) > 0 {
-			t.Fatalf("ends of missing turns are left: %v", s.neededUntil)
+		parts := [2]*state{newState(), newState()}
+		for _, i := range random.Perm(len(records)) {
+			for range 1 + random.IntN(2) {
+				parts[random.IntN(2)].apply(records[i])
+			}
+		}
+		for _, r := range parts[0].recordsMissingFrom(0, parts[1].inventory()) {
+			parts[1].apply(r)
+		}
+		for key, version := range newest {
+			if a := parts[1].accounts[key]; a == nil || a.Version != version || a.Spent != int64(version) {
+				t.Fatalf("account %q is %v after the merge; the newest version is %d", key, a, version)
+			}
 		}
 	})
 }
@@ -98,13 +156,27 @@
 	}
 }
 
-// Guards against memory for turns that never come: what is known of a missing turn ends with its
-// retention.
+// Guards against memory for turns that never come: nothing is remembered of a missing turn but in the
+// turn that continues it.
 func TestNeedOfAMissingTurnExpires(t *testing.T) {
 	is := is.New(t)
 	s := newState()
 	s.apply(turnRecord(0, &historypb.Turn{Id: "b", Previous: "a", RetentionMs: 1000}))
-	is.Equal(len(s.neededUntil), 1)
+	is.Equal(len(s.turns), 1)
 	s.expire(time.UnixMilli(0).Add(retentionMargin + time.Minute))
-	is.Equal(len(s.neededUntil), 0)
+	is.Equal(*s, *newState())
+}
+
+// Guards against a customer whose turn shortens the retention of another customer's turn with the same
+// id: callers choose ids.
+func TestTurnOfAnotherCustomerDoesNotTakeTheNeedOfATurn(t *testing.T) {
+	is := is.New(t)
+	const retention = 60_000
+	s := newState()
+	s.apply(turnRecord(0, &historypb.Turn{Id: "t1", Previous: "t0", Customer: customer("a"), EndedUnixMs: 100_000, RetentionMs: retention}))
+	s.apply(turnRecord(0, &historypb.Turn{Id: "t0", Customer: customer("b"), RetentionMs: retention}))
+	s.apply(turnRecord(0, &historypb.Turn{Id: "t0", Customer: customer("a"), RetentionMs: retention}))
+	s.expire(time.UnixMilli(120_000))
+	_, whole := s.chain(customer("a"), "t1")
+	is.True(whole)
 }
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -22,23 +22,14 @@
 	// accounts and turns are keyed by customer and id, see recordKey.
 	accounts map[string]*historypb.Account
 	turns    map[string]*retainedTurn
-	// neededUntil is the end of the retention, in Unix milliseconds, of turns that later ones continue
-	// and that have not arrived yet, by id.
-	neededUntil map[string]int64
 	// primaryEpoch is the latest epoch in which this keeper is or was the primary.
 	primaryEpoch uint64
 	// diskStarts counts the starts of the keeper on this disk.
 	diskStarts uint64
 }
 
-type retainedTurn struct {
-	turn *historypb.Turn
-	// expires is the end of the retention, in Unix milliseconds.
-	expires int64
-}
-
 func newState() *state {
-	return &state{accounts: map[string]*historypb.Account{}, turns: map[string]*retainedTurn{}, neededUntil: map[string]int64{}}
+	return &state{accounts: map[string]*historypb.Account{}, turns: map[string]*retainedTurn{}}
 }
 
 // reserve opens a turn in the program's account.
@@ -132,46 +123,6 @@
 	return turnRecord(shardID, s.turns[recordKey(t.Customer, t.Id)].turn)
 }
 
-// addTurn retains a turn, and the chain before it at least as long as the turn itself. Turns may
-// arrive in any order.
-func (s *state) addTurn(t *historypb.Turn) {
-	key := recordKey(t.Customer, t.Id)
-	k := s.turns[key]
-	if k == nil {
-		k = &retainedTurn{turn: t}
-		s.turns[key] = k
-	}
-	expires := max(t.EndedUnixMs+t.RetentionMs+retentionMargin.Milliseconds(), s.neededUntil[t.Id])
-	delete(s.neededUntil, t.Id)
-	for k.expires < expires {
-		k.expires = expires
-		previous := k.turn.Previous
-		if previous == "" {
-			return
-		}
-		if k = s.turn(t.Customer, previous); k == nil {
-			s.neededUntil[previous] = max(s.neededUntil[previous], expires)
-			return
-		}
-	}
-}
-
-// chain returns the customer's turns up to and including the named one, the oldest first; false if
-// any of them is missing.
-func (s *state) chain(customer *string, id string) ([]*historypb.Turn, bool) {
-	var chain []*historypb.Turn
-	for id != "" {
-		k := s.turn(customer, id)
-		if k == nil || len(chain) > len(s.turns) {
-			return nil, false
-		}
-		chain = append(chain, k.turn)
-		id = k.turn.Previous
-	}
-	slices.Reverse(chain)
-	return chain, true
-}
-
 // preferredReplica returns the engine that most likely has a turn's prompt cached: the one that ran
 // the previous turn, or else the program's last turn.
 func (s *state) preferredReplica(customer *string, program string, chain []*historypb.Turn) string {
@@ -201,30 +152,22 @@
 	return false
 }
 
-// expire removes the turns and accounts whose retention has passed.
-func (s *state) expire(now time.Time) {
+// expire removes the turns and accounts whose retention has passed. It returns the turns that were
+// found without the turn that they continue.
+func (s *state) expire(now time.Time) (incomplete []*historypb.Turn) {
 	at := now.UnixMilli()
-	for key, k := range s.turns {
-		if k.expires < at {
-			delete(s.turns, key)
-		}
-	}
-	for id, expires := range s.neededUntil {
-		if expires < at {
-			delete(s.neededUntil, id)
-		}
-	}
 	for key, a := range s.accounts {
 		if a.TouchedUnixMs+max(a.RetentionMs, defaultRetention.Milliseconds())+retentionMargin.Milliseconds() < at {
 			delete(s.accounts, key)
 		}
 	}
+	return s.expireTurns(at)
 }
 
 // defaultRetention is the minimum retention of an account.
 const defaultRetention = time.Minute
 
-// records returns all records of the shard.
+// records returns all records of the shard, in any order.
 func (s *state) records(shardID uint32) []*historypb.Record {
 	records := make([]*historypb.Record, 0, len(s.turns)+len(s.accounts))
 	for _, a := range s.accounts {
