history: a transfer leaves no chain without an earlier turn

A holder that was away while a turn was settled gets that turn alone, since its inventory lists the turn before it; between its inventory and the arrival it removes the listed one, whose own retention has ended. A transfer in parts can also bring the earlier turn first, which is removed before the later one arrives. The holder is declared complete, and answers 404 as the primary. Cause: what a transfer means depended on the parts in which it comes, and on removals in between. Ruled out: a pause of removals at the receiver while a transfer goes on. It would hold memory at a receiver whose sender is gone. Change: records of a transfer are in the order in which each turn comes after those that continue it, and a listed turn whose own retention ends within the margin is sent again if a turn that continues it is missing. Each turn is visited once; no message changes, and receivers of the version before read them right.

--- a/internal/history/chain.go
+++ b/internal/history/chain.go
@@ -2,6 +2,9 @@
 
 import (
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"foxhall/internal/history/historypb"
 )
@@ -169,3 +172,63 @@
 	}
 	return nil
 }
+
+// missingTurns returns the turns that a receiver lacks, each after those that continue it. listed has
+// the hashes of the keys of the turns that the receiver has.
+//
+// The receiver removes expired turns while the missing ones are on their way. A listed turn that it may
+// remove before the turn that continues it arrives is therefore sent again.
+func (s *state) missingTurns(listed map[uint64]bool, now time.Time) []*historypb.Turn {
+	w := &chainWalk{state: s, listed: listed, safeUntil: now.Add(retentionMargin).UnixMilli(), visited: map[*retainedTurn]bool{}}
+	for _, k := range s.turns {
+		if !w.isListed(k) {
+			w.visit(k)
+		}
+	}
+	slices.Reverse(w.turns)
+	return w.turns
+}
+
+// chainWalk collects turns, each after those that it continues.
+type chainWalk struct {
+	state  *state
+	listed map[uint64]bool
+	// safeUntil is the time, in Unix milliseconds, by which a transfer has long ended: the largest shard
+	// takes a few seconds.
+	safeUntil int64
+	visited   map[*retainedTurn]bool
+	turns     []*historypb.Turn
+	// byID is built for the first turn of an older version.
+	byID map[string][]*retainedTurn
+}
+
+func (w *chainWalk) isListed(k *retainedTurn) bool {
+	return w.listed[xxhash.Sum64String(recordKey(k.turn.Customer, k.turn.Id))]
+}
+
+func (w *chainWalk) visit(k *retainedTurn) {
+	if w.visited[k] {
+		return
+	}
+	w.visited[k] = true
+	for _, p := range w.predecessors(k) {
+		if !w.isListed(p) || ownEnd(p.turn) < w.safeUntil {
+			w.visit(p)
+		}
+	}
+	w.turns = append(w.turns, k.turn)
+}
+
+// predecessors returns the turns of which k continues one.
+func (w *chainWalk) predecessors(k *retainedTurn) []*retainedTurn {
+	if k.turn.Customer == nil {
+		if w.byID == nil {
+			w.byID = w.state.turnsByID()
+		}
+		return w.byID[k.turn.Previous]
+	}
+	if p := w.state.predecessor(k); p != nil {
+		return []*retainedTurn{p}
+	}
+	return nil
+}
--- a/internal/history/fill.go
+++ b/internal/history/fill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -48,7 +49,7 @@
 	}()
 	have := k.fetchInventory(ctx, f)
 	k.mu.Lock()
-	records := f.shard.state.recordsMissingFrom(f.shard.id, have)
+	records := f.shard.state.recordsMissingFrom(f.shard.id, have, time.Now())
 	k.mu.Unlock()
 	for {
 		n, size := 0, 0
--- a/internal/history/inventory.go
+++ b/internal/history/inventory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,8 +23,9 @@
 	return have
 }
 
-// recordsMissingFrom returns the records that the inventory does not list; all of them for nil.
-func (s *state) recordsMissingFrom(shardID uint32, have *historypb.Inventory) []*historypb.Record {
+// recordsMissingFrom returns the records that the inventory does not list; all of them for nil. A turn
+// comes after those that continue it, and listed turns come again where missingTurns says so.
+func (s *state) recordsMissingFrom(shardID uint32, have *historypb.Inventory, now time.Time) []*historypb.Record {
 	turns, versions := map[uint64]bool{}, map[uint64]uint64{}
 	for _, hash := range have.GetTurns() {
 		turns[hash] = true
@@ -39,10 +41,8 @@
 			records = append(records, accountRecord(shardID, a))
 		}
 	}
-	for key, retained := range s.turns {
-		if !turns[xxhash.Sum64String(key)] {
-			records = append(records, turnRecord(shardID, retained.turn))
-		}
+	for _, t := range s.missingTurns(turns, now) {
+		records = append(records, turnRecord(shardID, t))
 	}
 	return records
 }
--- a/internal/history/retention_test.go
+++ b/internal/history/retention_test.go
@@ -99,6 +99,61 @@
 	})
 }
 
+// transfersPerCheck is the number of transfers of each drawn set of turns: few interleavings of parts and
+// removals show a fault.
+const transfersPerCheck = 50
+
+// Guards against a holder that lacks a turn of a chain after a transfer, because it removed the turn
+// between its inventory and the arrival of the later one, or between two parts of the transfer.
+func TestTransferLeavesNoChainIncomplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		turns := drawTurns(t, false)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		for range transfersPerCheck {
+			transferTurns(t, turns, random)
+		}
+	})
+}
+
+// transferTurns gives all turns to one state and some of them to another, transfers what that one lacks
+// in parts, with removals between them, and checks that it has the same chains then.
+func transferTurns(t *rapid.T, turns []*historypb.Turn, random *rand.Rand) {
+	sender, receiver := newState(), newState()
+	for _, i := range random.Perm(len(turns)) {
+		sender.apply(turnRecord(0, turns[i]))
+		if random.IntN(2) == 0 {
+			receiver.apply(turnRecord(0, turns[i]))
+		}
+	}
+	now := time.UnixMilli(random.Int64N(1400) * 1000)
+	sender.expire(now)
+	receiver.expire(now.Add(-time.Duration(random.Int64N(int64(time.Minute)))))
+	records := sender.recordsMissingFrom(0, receiver.inventory(), now)
+	end := now.Add(retentionMargin)
+	for len(records) > 0 {
+		now = now.Add(time.Duration(random.Int64N(int64(end.Sub(now)))))
+		receiver.expire(now)
+		n := 1 + random.IntN(len(records))
+		for _, r := range records[:n] {
+			receiver.apply(r)
+		}
+		records = records[n:]
+	}
+	sender.expire(end)
+	receiver.expire(end)
+	for _, turn := range turns {
+		for _, c := range testCustomers[1:] { // for a caller without a customer, any with the id will do
+			chain, whole := sender.chain(c, turn.Id)
+			if !whole || chain[len(chain)-1] != turn || ownEnd(turn) < end.UnixMilli() {
+				continue
+			}
+			if _, missing := receiver.walkChain(c, turn.Id); missing != "" {
+				t.Fatalf("chain of %s is whole at the sender; the receiver lacks %s", turn.Id, missing)
+			}
+		}
+	}
+}
+
 // Guards against spent tokens that come back, because an account's older version arrives after a newer
 // one or is read back from another part of the log.
 func TestAccountsDoNotDependOnTheOrderOfVersions(t *testing.T) {
@@ -122,7 +177,7 @@
 				parts[random.IntN(2)].apply(records[i])
 			}
 		}
-		for _, r := range parts[0].recordsMissingFrom(0, parts[1].inventory()) {
+		for _, r := range parts[0].recordsMissingFrom(0, parts[1].inventory(), time.UnixMilli(0)) {
 			parts[1].apply(r)
 		}
 		for key, version := range newest {
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -229,7 +229,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return &historypb.FetchResponse{Records: s.state.recordsMissingFrom(s.id, r.Have)}, nil
+	return &historypb.FetchResponse{Records: s.state.recordsMissingFrom(s.id, r.Have, time.Now())}, nil
 }
 
 // Status implements historypb.Keeper.
