history: a refused turn names what its chain lacks, and why

The hypotheses (wrong order, an incomplete transfer, disks lost, a turn that never existed) could not be told apart. Change: the keepers' answers have the gap of each shard that holds a part of the chain, or removed the turn of late; the line of the call has them as its cause. A keeper reports turns that it holds without those that they continue, one line a shard, at the second removal that finds them so, since a transfer may bring them between two. The new fields are left unread by older versions.

--- a/internal/history/chain.go
+++ b/internal/history/chain.go
@@ -114,6 +114,7 @@
 	for key, k := range s.turns {
 		if k.expires < at {
 			delete(s.turns, key)
+			s.removed.add(key, at)
 			continue
 		}
 		if !k.linked && k.turn.Customer != nil && k.missed < reportAfterMissed && s.predecessor(k) == nil {
@@ -128,22 +129,24 @@
 // chain returns the customer's turns up to and including the named one, the oldest first; false if
 // any of them is missing.
 func (s *state) chain(customer *string, id string) ([]*historypb.Turn, bool) {
-	chain, missing := s.walkChain(customer, id)
-	return chain, missing == ""
+	chain, gap := s.walkChain(customer, id)
+	return chain, gap == nil
 }
 
-// walkChain does the same, and returns the id of the newest turn that is missing, or "".
-func (s *state) walkChain(customer *string, id string) (chain []*historypb.Turn, missing string) {
+// walkChain does the same, and returns the gap if a turn is missing.
+func (s *state) walkChain(customer *string, id string) (chain []*historypb.Turn, gap *historypb.Gap) {
+	var continuedBy *historypb.Turn
 	for id != "" {
 		k := s.turn(customer, id)
 		if k == nil || len(chain) > len(s.turns) {
-			return nil, id
+			return nil, s.newGap(customer, id, continuedBy)
 		}
-		chain = append(chain, k.turn)
-		id = k.turn.Previous
+		continuedBy = k.turn
+		chain = append(chain, continuedBy)
+		id = continuedBy.Previous
 	}
 	slices.Reverse(chain)
-	return chain, ""
+	return chain, nil
 }
 
 // turn returns the customer's retained turn, or nil.
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -332,7 +332,7 @@
 func (c *Client) findChain(ctx context.Context, customer, turn string) ([]*historypb.Turn, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	absent := map[uint32]bool{}
+	absent, gaps := map[uint32]bool{}, map[uint32]*historypb.Gap{}
 	for ctx.Err() == nil {
 		if c.keepers.Isolated() {
 			return nil, gateway.ErrIsolated
@@ -353,9 +353,12 @@
 			for _, s := range response.Absent {
 				absent[s] = true
 			}
+			for _, g := range response.Gaps {
+				gaps[g.Slice] = g
+			}
 		}
 		if len(absent) == ShardCount {
-			return nil, gateway.ErrNoSuchTurn
+			return nil, newTurnNotFoundError(turn, gaps)
 		}
 		sleep(ctx, retryInterval)
 	}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -225,7 +225,7 @@
 	now := time.Now()
 	all := []*historypb.Record{{Body: &historypb.Record_Disk{Disk: k.disk}, Starts: k.diskStarts}}
 	for _, s := range k.shards {
-		s.state.expire(now)
+		k.expireShard(s, now)
 		if s.epochState.promised > 0 {
 			all = append(all, epochStateRecord(s.id, s.epochState))
 		}
--- a/internal/history/retention_test.go
+++ b/internal/history/retention_test.go
@@ -147,8 +147,8 @@
 			if !whole || chain[len(chain)-1] != turn || ownEnd(turn) < end.UnixMilli() {
 				continue
 			}
-			if _, missing := receiver.walkChain(c, turn.Id); missing != "" {
-				t.Fatalf("chain of %s is whole at the sender; the receiver lacks %s", turn.Id, missing)
+			if _, gap := receiver.walkChain(c, turn.Id); gap != nil {
+				t.Fatalf("chain of %s is whole at the sender; the receiver lacks %s", turn.Id, gap.Missing)
 			}
 		}
 	}
@@ -212,13 +212,14 @@
 }
 
 // Guards against memory for turns that never come: nothing is remembered of a missing turn but in the
-// turn that continues it.
+// turn that continues it, and in the bounded log of removals.
 func TestNeedOfAMissingTurnExpires(t *testing.T) {
 	is := is.New(t)
 	s := newState()
 	s.apply(turnRecord(0, &historypb.Turn{Id: "b", Previous: "a", RetentionMs: 1000}))
 	is.Equal(len(s.turns), 1)
 	s.expire(time.UnixMilli(0).Add(retentionMargin + time.Minute))
+	s.removed = removalLog{}
 	is.Equal(*s, *newState())
 }
 
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -151,11 +151,26 @@
 func (k *Keeper) expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := time.Now()
 	for _, s := range k.shards {
-		s.state.expire(time.Now())
+		k.expireShard(s, now)
 	}
 }
 
+// expireShard removes the expired records of a shard; the lock is held or not needed.
+func (k *Keeper) expireShard(s *shard, now time.Time) {
+	incomplete := s.state.expire(now)
+	if len(incomplete) == 0 {
+		return
+	}
+	// One line for all: the loss of more disks than tolerated may leave thousands.
+	t := incomplete[0]
+	k.settings.Logger.WithField("slice", s.id).WithField("epoch", s.role.Epoch).WithField("base", s.epochState.base).
+		WithField("turns", len(incomplete)).WithField("request", t.Id).WithField("ended_ms_ago", now.UnixMilli()-t.EndedUnixMs).
+		WithField("missing", t.Previous).WithField("removed_unix_ms", s.state.removed.find(recordKey(t.Customer, t.Previous))).
+		Warn("turns retained without those that they continue")
+}
+
 // reconcile transfers records to incomplete backups, recovers shards of which this keeper is the
 // new primary, and proposes the reassignments that are needed.
 func (k *Keeper) reconcile(ctx context.Context) {
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -23,11 +23,12 @@
 	}
 	var chain []*historypb.Turn
 	if r.Previous != "" && !r.Foreign {
-		found, ok := s.state.chain(r.Customer, r.Previous)
-		if !ok {
+		found, gap := s.state.walkChain(r.Customer, r.Previous)
+		if gap != nil {
+			gap.Slice = s.id
 			e := k.replicate(s, nil)
 			k.mu.Unlock()
-			return &historypb.ReserveResponse{Verdict: verdictAfterCommit(ctx, e, historypb.Verdict_NO_TURN)}, nil
+			return &historypb.ReserveResponse{Verdict: verdictAfterCommit(ctx, e, historypb.Verdict_NO_TURN), Gap: gap}, nil
 		}
 		chain = found
 	}
@@ -109,17 +110,22 @@
 func (k *Keeper) Find(ctx context.Context, r *historypb.FindRequest) (*historypb.FindResponse, error) {
 	k.mu.Lock()
 	pending := map[uint32]*pendingCommit{}
+	response := &historypb.FindResponse{}
 	for _, s := range k.shards {
-		if chain, ok := s.state.chain(r.Customer, r.Turn); ok {
+		chain, gap := s.state.walkChain(r.Customer, r.Turn)
+		if gap == nil {
 			k.mu.Unlock()
 			return &historypb.FindResponse{Chain: chain}, nil
 		}
+		if isTelling(gap) {
+			gap.Slice = s.id
+			response.Gaps = append(response.Gaps, gap)
+		}
 		if k.isPrimary(s) {
 			pending[s.id] = k.replicate(s, nil)
 		}
 	}
 	k.mu.Unlock()
-	response := &historypb.FindResponse{}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	for id, e := range pending {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -22,6 +22,7 @@
 	// accounts and turns are keyed by customer and id, see recordKey.
 	accounts map[string]*historypb.Account
 	turns    map[string]*retainedTurn
+	removed  removalLog
 	// primaryEpoch is the latest epoch in which this keeper is or was the primary.
 	primaryEpoch uint64
 	// diskStarts counts the starts of the keeper on this disk.
