history: a chain outlives a turn that runs for longer than its retention

What callers saw: nothing yet reported; found by looking for what a later turn needs of the times that keepers keep (LOST: 404 for a turn that was answered whole 55 s ago). A turn that continues another one shortly before its retention ends, and runs for longer than the 20 s of margin, is retained after the keepers removed its chain. Cause: a turn extends its chain when it is settled, not when it begins, and the margin was the only allowance for the time in between. It holds where routes have time-outs of some seconds, as on the deployments so far. Ruled out: a longer margin, which costs memory for all turns and has an end too; a need kept with the open turn at the keepers, which each holder would have to count back when the entry is gone. Change: where the chain's own retention ends before the turn's deadline, the settlement carries the chain, as it does for another program's; the keepers add it again in one step with the turn. Test: TestChainOutlivesALongTurn failed before ("shard 15 lacks second, which it removed 2m25.2s ago, but has third, which continues it and ended 55s ago").

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -59,9 +59,9 @@
 		f.setBody(joinChain(reserved.Chain, f.call.Body))
 	}
 	rec := &streamRecord{retainData: f.route.RetainsTurns, hold: f.hold}
-	var foreignChain []Turn
-	if reserved.ForeignChain {
-		foreignChain = reserved.Chain
+	var carriedChain []Turn
+	if reserved.CarryChain {
+		carriedChain = reserved.Chain
 	}
 	retained := false
 	if rec.retainData {
@@ -69,7 +69,7 @@
 		// spent until it is settled, so that its caller need not wait.
 		rec.settle = func() bool {
 			began := time.Now()
-			retained = f.retainTurn(ctx, rec, foreignChain) == nil
+			retained = f.retainTurn(ctx, rec, carriedChain) == nil
 			f.stageTimes.retaining += time.Since(began)
 			return retained
 		}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -43,8 +43,9 @@
 type Reserved struct {
 	// Chain holds the turns before this one, the oldest first.
 	Chain []Turn
-	// ForeignChain is set if the chain belongs to another program.
-	ForeignChain bool
+	// CarryChain is set if the settlement must carry the chain: it belongs to another program, or its
+	// retention may end before the turn does.
+	CarryChain bool
 	// LastUpstream is the engine that most likely has the prompt cached; empty if unknown.
 	LastUpstream string
 }
@@ -58,7 +59,7 @@
 	OutputTokens int
 	// RetainedTurn is the turn to retain; nil if its response is incomplete or needs no retention.
 	RetainedTurn *Turn
-	// Chain holds the turns before it, for a program that continues another program's chain.
+	// Chain holds the turns before it where Reserved.CarryChain asks for them.
 	Chain []Turn
 	// Retention is how long the turn is retained.
 	Retention time.Duration
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -215,7 +215,9 @@
 		return gateway.Reserved{}, gateway.ErrNoSuchTurn
 	}
 	if response.Verdict != historypb.Verdict_NO_TURN {
-		return gateway.Reserved{Chain: decodeTurns(response.Chain), LastUpstream: response.Replica}, verdictError(response.Verdict)
+		return gateway.Reserved{
+			Chain: decodeTurns(response.Chain), CarryChain: mayExpireBefore(response.Chain, r.Deadline), LastUpstream: response.Replica,
+		}, verdictError(response.Verdict)
 	}
 	chain, err := c.findChain(ctx, r.Customer, r.Previous)
 	if err != nil {
@@ -226,7 +228,7 @@
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
-	reserved := gateway.Reserved{Chain: decodeTurns(chain), ForeignChain: true, LastUpstream: response.Replica}
+	reserved := gateway.Reserved{Chain: decodeTurns(chain), CarryChain: true, LastUpstream: response.Replica}
 	if last := chain[len(chain)-1]; last.Replica != "" {
 		reserved.LastUpstream = last.Replica
 	}
@@ -239,6 +241,16 @@
 	return !slices.ContainsFunc(chain, func(t *historypb.Turn) bool { return !ownedBy(t, customer) })
 }
 
+// mayExpireBefore reports whether the keepers may remove the chain before a turn that continues it ends,
+// at the latest at the deadline. The margin of their retention covers the settlement and their clocks.
+func mayExpireBefore(chain []*historypb.Turn, deadline time.Time) bool {
+	if len(chain) == 0 {
+		return false
+	}
+	last := chain[len(chain)-1]
+	return last.EndedUnixMs+last.RetentionMs < deadline.UnixMilli()
+}
+
 func verdictError(v historypb.Verdict) error {
 	switch v {
 	case historypb.Verdict_DONE:
