history: a program's budget outlives a turn that runs for longer than its retention

What callers saw: nothing yet reported; found beside the chain of long turns (BUDGET: 120 of 100 tokens granted). The account is kept from its last change on for the retention and the margin. While a turn runs for longer, the keepers forget what the program spent, and its settlement opens a new account. Cause: the account's retention was counted from the reservation, not from the end of the turn that it is for. An allowance was taken to be known at the keepers if it was when the turn began. Change: a reservation asks for the retention from its deadline on, and an allowance covers only turns that end while the keepers know it. Tests: TestBudgetOutlivesALongTurn ("120 of 100 tokens: got <nil>") and TestAllowanceCoversNoTurnThatOutlivesIt failed before.

--- a/internal/history/allowance.go
+++ b/internal/history/allowance.go
@@ -73,9 +73,9 @@
 // accountRetention is how long the keepers certainly know the allowance after a draw.
 func (a *allowance) accountRetention() time.Duration { return max(a.retention, defaultRetention) }
 
-// isKnown reports whether the keepers still know the allowance. They may give the tokens of one that
-// they have forgotten to others.
-func (a *allowance) isKnown(now time.Time) bool { return now.Sub(a.drawnAt) <= a.accountRetention() }
+// isKnown reports whether the keepers still know the allowance at a time. They may give the tokens of
+// one that they have forgotten to others.
+func (a *allowance) isKnown(at time.Time) bool { return at.Sub(a.drawnAt) <= a.accountRetention() }
 
 type allowanceTurn struct {
 	allowance       *allowance
@@ -96,7 +96,11 @@
 	defer s.mu.Unlock()
 	a := s.programs[recordKey(&r.Customer, r.Program)]
 	maxOutputTokens := int64(r.MaxOutputTokens)
-	if a == nil || r.Retain || r.Previous != "" || !a.isKnown(now) || a.outputTokens+a.inFlight+maxOutputTokens > a.limit {
+	end := now
+	if r.Deadline.After(now) {
+		end = r.Deadline
+	}
+	if a == nil || r.Retain || r.Previous != "" || !a.isKnown(end) || a.outputTokens+a.inFlight+maxOutputTokens > a.limit {
 		return false
 	}
 	a.inFlight += maxOutputTokens
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -204,7 +204,7 @@
 		Previous:    r.Previous,
 		Most:        int64(r.MaxOutputTokens),
 		Budget:      int64(r.Budget),
-		RetentionMs: r.Retention.Milliseconds(),
+		RetentionMs: accountRetention(r, time.Now()).Milliseconds(),
 	}
 	response, err := c.reserve(ctx, request)
 	if err != nil {
@@ -235,6 +235,12 @@
 	return reserved, verdictError(response.Verdict)
 }
 
+// accountRetention returns how long the keepers keep the program's account after the reservation: the
+// turn may run until its deadline, and the retention begins at its end.
+func accountRetention(r gateway.Reservation, now time.Time) time.Duration {
+	return r.Retention + max(0, r.Deadline.Sub(now))
+}
+
 // ownsChain reports whether the customer may continue all turns of the chain. Keepers of an older
 // version do not check this.
 func ownsChain(chain []*historypb.Turn, customer *string) bool {
--- a/internal/history/longturn_test.go
+++ b/internal/history/longturn_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
 	"foxhall/internal/gateway"
@@ -50,3 +51,32 @@
 		}
 	})
 }
+
+// Guards against a budget that is granted twice: the keepers forget what a program spent while a turn of
+// it runs for longer than their retention.
+func TestBudgetOutlivesALongTurn(t *testing.T) {
+	testOnFourKeepers(t, func(cl *cluster, fail func(error)) {
+		c := cl.client("entry")
+		fail(longTurn(c, "first", "", 60, time.Second))
+		fail(longTurn(c, "second", "first", 20, 2*time.Minute))
+		if err := longTurn(c, "third", "second", 40, time.Second); !errors.Is(err, gateway.ErrBudgetExhausted) {
+			fail(errors.Errorf("120 of 100 tokens: got %v, want ErrBudgetExhausted", err))
+		}
+	})
+}
+
+// Guards against a budget that is granted twice: a turn on an allowance that is no longer known at the
+// keepers when the turn ends must be reserved there.
+func TestAllowanceCoversNoTurnThatOutlivesIt(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := newAllowances()
+	reservation := gateway.Reservation{Program: "p", Turn: "t", MaxOutputTokens: 1, Budget: 100, Retention: time.Minute}
+	a := s.getOrCreate(reservation, now)
+	request, _ := s.nextDraw(a, now)
+	s.completeDraw(a, request, 10)
+	reservation.Deadline = now.Add(2 * time.Minute)
+	is.True(!s.beginTurn(reservation, now))
+	reservation.Deadline = now.Add(time.Minute)
+	is.True(s.beginTurn(reservation, now))
+}
