limit: a late report of an earlier start is not counted

Instances report the calls that they admitted since their start, with an incarnation drawn at the start. A datagram from before a restart that arrives after one from after it replaced what was known of the instance: its calls were counted again, and those of the present start again with the next report. Cause: of two incarnations, the one that came last was taken for the later one. Ruled out: ordered incarnations by the time of the start, which a clock that steps back turns round for good. Change: the incarnation before the last restart is remembered; its reports are dropped. Test: TestLateReportOfAnEarlierStartIsNotCounted failed before (28 calls counted of 14).

--- a/internal/limit/quota_test.go
+++ b/internal/limit/quota_test.go
@@ -417,3 +417,26 @@
 	is.True(prioritized >= capacity*9/10)
 	is.True(prioritized > equal)
 }
+
+// Guards against a customer that is refused below its quota: a report that an instance sent before its
+// restart arrives late, and the calls of both starts are counted again.
+func TestLateReportOfAnEarlierStartIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := NewQuotas("a", 1, tolerance)
+	q.Set(map[string]Quota{"c": {Rate: 20, Burst: 20}}, now)
+	m := q.meters["c"]
+	report := func(incarnation, admitted uint64) {
+		usage := []CallUsage{{Customer: m.hash, Admitted: admitted, Recent: uint32(admitted)}}
+		q.Merge(QuotaReport{From: "b", Incarnation: incarnation, ObservedFor: tolerance.Window, Usage: usage}, now)
+	}
+	report(7, 10)
+	report(3, 4) // after its restart
+	is.Equal(m.recent.sum, 14.0)
+	report(7, 10)
+	report(7, 9)
+	report(3, 4)
+	is.Equal(m.recent.sum, 14.0)
+	report(3, 5)
+	is.Equal(m.recent.sum, 15.0)
+}
--- a/internal/limit/telling.go
+++ b/internal/limit/telling.go
@@ -40,7 +40,9 @@
 // peer holds what another instance has reported.
 type peer struct {
 	incarnation uint64
-	admitted    map[uint64]reportedCalls
+	// earlier is the incarnation before the instance's last restart; 0 if none is known.
+	earlier  uint64
+	admitted map[uint64]reportedCalls
 }
 
 // reportedCalls is the number of a customer's calls in a peer's last report, and its time.
@@ -57,8 +59,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.peers[r.From]
+	if p != nil && p.earlier == r.Incarnation {
+		// Sent before the restart and late. It would reset the counts of the present start.
+		return
+	}
 	if p == nil || p.incarnation != r.Incarnation {
-		p = &peer{incarnation: r.Incarnation, admitted: map[uint64]reportedCalls{}}
+		restarted := &peer{incarnation: r.Incarnation, admitted: map[uint64]reportedCalls{}}
+		if p != nil {
+			restarted.earlier = p.incarnation
+		}
+		p = restarted
 		q.peers[r.From] = p
 		if r.ObservedFor < q.window() && q.observedFor(now) >= q.window() && q.shouldSendCounts(r.From) {
 			q.newInstances = append(q.newInstances, r.From)
