history: a backup that was cut off for long gets a state transfer

A backup that the primary does not reach, and that nobody can replace while the store is away, gets the pending turns once it is back. By then it may have removed the turn that they continue, while it still counts as complete; with the other holders lost later, the chain is (LOST). Cause: the time for which a change may wait for a backup was bounded by a count alone, not by the time for which the records before it are certainly there. Change: after half of the margin of retention (10 s) the pending changes are discarded and the backup gets a state transfer, as it does after 1,024 of them. Waiting callers have left after 1.5 s. Changes that need the backup's acknowledgement stay uncommitted, as before. Test: TestChainIsWholeAtABackupThatWasCutOff failed before ("shard 0 lacks first, which it removed 12.6s ago, but has second, which continues it and ended 42s ago").

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -149,6 +149,7 @@
 // closed.
 type pendingCommit struct {
 	records []*historypb.Record
+	began   time.Time
 	// primaryTerm is that of the shard at the time of the change.
 	primaryTerm int
 	// durableLocally means that the change is on this keeper's disk; ackedBy names the backups on
@@ -272,7 +273,7 @@
 // replicate starts to replicate a change to the disks of the shard; the lock is held. Without
 // records it only confirms with the backups that this keeper is still the primary.
 func (k *Keeper) replicate(s *shard, records []*historypb.Record) *pendingCommit {
-	e := &pendingCommit{records: records, primaryTerm: s.primaryTerm, done: make(chan struct{})}
+	e := &pendingCommit{records: records, began: time.Now(), primaryTerm: s.primaryTerm, done: make(chan struct{})}
 	for _, backup := range s.role.Backups {
 		s.streamTo(backup).enqueue(e)
 		k.wakeSender(backup)
--- a/internal/history/longturn_test.go
+++ b/internal/history/longturn_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/gateway"
+	"foxhall/internal/history/historypb"
 )
 
 // longTurn reserves a turn of a program with a budget of 100 tokens and a retention of a minute, lets it
@@ -80,3 +81,33 @@
 	reservation.Deadline = now.Add(time.Minute)
 	is.True(s.beginTurn(reservation, now))
 }
+
+// Guards against a holder without the beginning of a chain: it was cut off from the primary, and got a
+// turn after it removed the one before.
+func TestChainIsWholeAtABackupThatWasCutOff(t *testing.T) {
+	testOnFourKeepers(t, func(cl *cluster, fail func(error)) {
+		c := cl.client("entry")
+		fail(longTurn(c, "first", "", 1, time.Second))
+		time.Sleep(50 * time.Second)
+		role := cl.roleOf("p")
+		cut := role.Backups[len(role.Backups)-1]
+		cl.setStoreUnavailable(true) // nobody can replace the backup
+		cl.setLinkDown(role.Primary, cut, true)
+		cl.setLinkDown(cut, role.Primary, true)
+		fail(longTurn(c, "second", "first", 1, time.Second))
+		time.Sleep(40 * time.Second)
+		cl.setLinkDown(role.Primary, cut, false)
+		cl.setLinkDown(cut, role.Primary, false)
+		time.Sleep(2 * time.Second)
+		if cl.roleOf("p").Epoch != role.Epoch {
+			fail(errors.New("the shard was reassigned"))
+		}
+		k := cl.machine(cut).process.keeper
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		owner := "one"
+		if _, gap := k.shards[ShardOf("p")].state.walkChain(&owner, "second"); gap != nil {
+			fail(newTurnNotFoundError("second", map[uint32]*historypb.Gap{0: gap}))
+		}
+	})
+}
--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -12,6 +12,10 @@
 // backup gets a state transfer later.
 const maxPendingCommits = 1024
 
+// maxPendingAge bounds the time for which a commit waits for a backup. Beyond it, the backup gets a state
+// transfer, too: it may have removed the turn that a late one continues.
+const maxPendingAge = retentionMargin / 2
+
 // backupStream is the primary's replication stream to one backup of a shard.
 type backupStream struct {
 	// disk is the name of the backup's disk, if known.
@@ -40,11 +44,21 @@
 // enqueue adds a commit to those pending for the backup.
 func (l *backupStream) enqueue(e *pendingCommit) {
 	if len(l.pending) >= maxPendingCommits {
-		l.pending, l.transferred, l.declareComplete, l.overflowed = nil, false, false, true
+		l.discard()
 	}
 	l.pending = append(l.pending, e)
 }
 
+// discard discards the pending commits; the backup needs a state transfer.
+func (l *backupStream) discard() {
+	l.pending, l.transferred, l.declareComplete, l.overflowed = nil, false, false, true
+}
+
+// isOverdue reports whether the backup has not acknowledged a commit for maxPendingAge.
+func (l *backupStream) isOverdue(now time.Time) bool {
+	return len(l.pending) > 0 && now.Sub(l.pending[0].began) > maxPendingAge
+}
+
 // wakeSender wakes the backup's sender, starting it if needed; the lock is held.
 func (k *Keeper) wakeSender(backup string) {
 	if backup == "" || k.ctx == nil {
@@ -87,8 +101,12 @@
 	defer k.mu.Unlock()
 	request := &historypb.AppendRequest{From: k.settings.Name}
 	sent := map[uint32][]*pendingCommit{}
+	now := time.Now()
 	for _, s := range k.shards {
 		l := s.streams[backup]
+		if l != nil && l.isOverdue(now) {
+			l.discard()
+		}
 		if l == nil || len(l.pending) == 0 && !l.declareComplete || !k.isPrimary(s) {
 			continue
 		}
