--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -148,12 +148,13 @@
 	}
 }
 
+// expire removes the expired records of all shards. Calls get the lock between two shards.
 func (k *Keeper) expire() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	now := time.Now()
 	for _, s := range k.shards {
+		k.mu.Lock()
 		k.expireShard(s, now)
+		k.mu.Unlock()
 	}
 }
 
