--- a/internal/history/retention_test.go
+++ b/internal/history/retention_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -236,3 +238,77 @@
 	_, whole := s.chain(customer("a"), "t1")
 	is.True(whole)
 }
+
+// retained returns the ends of retention of a state's turns and the versions of its accounts, by key.
+func retained(s *state) (turns map[string]int64, accounts map[string]uint64) {
+	turns, accounts = map[string]int64{}, map[string]uint64{}
+	for key, k := range s.turns {
+		turns[key] = k.expires
+	}
+	for key, a := range s.accounts {
+		accounts[key] = a.Version
+	}
+	return turns, accounts
+}
+
+// Guards against a keeper that starts with less than it acknowledged: it was killed while it wrote its
+// log anew, so that the new segment ends at any byte beside the old one.
+func TestInterruptedCompactionChangesNothing(t *testing.T) {
+	dir := t.TempDir()
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		whole := newState()
+		var old []byte
+		for _, turn := range drawTurns(t, true) {
+			account := &historypb.Account{Program: turn.Id, Customer: turn.Customer, Version: 1 + random.Uint64N(9), TouchedUnixMs: turn.EndedUnixMs}
+			for _, r := range []*historypb.Record{turnRecord(0, turn), accountRecord(0, account)} {
+				whole.apply(r)
+				old = appendTestFrame(t, old, r)
+			}
+		}
+		var compacted []byte
+		for _, r := range whole.records(0) {
+			compacted = appendTestFrame(t, compacted, r)
+		}
+		writeTestLog(t, dir, old, compacted[:random.IntN(len(compacted)+1)])
+		read := newState()
+		l, err := openLog(dir, func(r *historypb.Record) { read.apply(r) })
+		if err != nil || l.close() != nil {
+			t.Fatalf("log can't be opened and closed: %v", err)
+		}
+		at := time.UnixMilli(random.Int64N(1400) * 1000)
+		whole.expire(at)
+		read.expire(at)
+		wantTurns, wantAccounts := retained(whole)
+		gotTurns, gotAccounts := retained(read)
+		if !maps.Equal(gotTurns, wantTurns) || !maps.Equal(gotAccounts, wantAccounts) {
+			t.Fatalf("read %v, %v; want %v, %v", gotTurns, gotAccounts, wantTurns, wantAccounts)
+		}
+	})
+}
+
+func appendTestFrame(t *rapid.T, b []byte, r *historypb.Record) []byte {
+	framed, err := appendFrame(b, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return framed
+}
+
+// writeTestLog replaces the log in a directory by the given segments.
+func writeTestLog(t *rapid.T, dir string, segments ...[]byte) {
+	older, err := listSegments(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range older {
+		if err := os.Remove(filepath.Join(dir, fmt.Sprintf(segmentNameFormat, n))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, data := range segments {
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf(segmentNameFormat, i+1)), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
