--- a/internal/history/allowance_test.go
+++ b/internal/history/allowance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,26 @@
 	// is away for longer than its retention begins anew.
 	handed   int64
 	lastTurn time.Time
+	// sent are the draws sent of late, which may arrive once more.
+	sent []sentDraw
+}
+
+type sentDraw struct {
+	request *historypb.DrawRequest
+	at      time.Time
+}
+
+// maxMessageDelay is the longest time for which a message is on its way.
+const maxMessageDelay = 20 * time.Second
+
+// repeatDraws has draws arrive late, or once more, the oldest one last.
+func (m *budgetModel) repeatDraws() {
+	for _, s := range slices.Backward(m.sent) {
+		if m.now.Sub(s.at) <= maxMessageDelay {
+			m.state.draw(s.request, m.now)
+		}
+	}
+	m.sent = nil
 }
 
 func (m *budgetModel) advance(d time.Duration) {
@@ -42,6 +63,7 @@
 	if !needed {
 		return
 	}
+	m.sent = append(m.sent, sentDraw{request: r, at: m.now})
 	if requestLost {
 		entry.failDraw(a)
 		return
@@ -80,9 +102,12 @@
 		}
 		m.draw(entry, entry.getOrCreate(reservation, m.now), requestLost, responseLost)
 		m.advance(took)
-		m.state.settle(&historypb.SettleRequest{
+		settlement := &historypb.SettleRequest{
 			Program: "p", Customer: &customer, Turn: reservation.Turn, Made: int64(output), RetentionMs: modelRetention.Milliseconds(),
-		}, m.now)
+		}
+		for range 1 + rapid.IntRange(0, 1).Draw(t, "repeated") {
+			m.state.settle(settlement, m.now)
+		}
 	}
 	m.handed, m.lastTurn = m.handed+int64(output), m.now
 	if m.handed > modelBudget+modelTurn {
@@ -92,7 +117,7 @@
 
 // Guards against a program that is granted tokens twice: by an entry that uses an allowance that the
 // keepers have forgotten, or that draws a new one under the name of an old one. Entries come and go,
-// turns are far apart, and messages are lost.
+// turns are far apart, and messages are lost, late or repeated.
 func TestBudgetOfAllowancesAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &budgetModel{now: time.Unix(1_000_000, 0), state: newState(), entries: [2]*allowances{newAllowances(), newAllowances()}}
@@ -102,6 +127,7 @@
 			"turn":           func(t *rapid.T) { m.turn(t, m.entries[entry(t)]) },
 			"turns":          func(t *rapid.T) { m.turnsApart(t, m.entries[entry(t)]) },
 			"long pause":     func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 58).Draw(t, "seconds")) * time.Second) },
+			"draws repeated": func(*rapid.T) { m.repeatDraws() },
 			"entry restarts": func(t *rapid.T) { m.entries[entry(t)] = newAllowances() },
 		})
 	})
