--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -345,3 +345,25 @@
 		}
 	})
 }
+
+// Guards against the loss of acknowledged turns with one disk, where one may be lost: the other keepers
+// are only frozen, and the last one acknowledges on its disk alone.
+func TestDiskLossOfSoleHolderLosesNoTurnWhileOthersAreFrozen(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		fail(retainTurn(cl.client(entryIn(north)), "p", "first", ""))
+		cl.machine("a").pause()
+		cl.machine("b").pause()
+		time.Sleep(soleHolderTime)
+		err := retainTurn(cl.client(entryIn(north)), "p", "second", "first")
+		acknowledged := err == nil // it need not be
+		cl.machine("c").wipe()
+		cl.machine("a").resume()
+		cl.machine("b").resume()
+		cl.machine("c").start()
+		time.Sleep(2 * convergenceTime)
+		fail(findTurn(cl, "first"))
+		if acknowledged {
+			fail(findTurn(cl, "second"))
+		}
+	})
+}
