--- a/internal/history/longturn_test.go
+++ b/internal/history/longturn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,13 +13,17 @@
 	"foxhall/internal/history/historypb"
 )
 
-// longTurn reserves a turn of a program with a budget of 100 tokens and a retention of a minute, lets it
-// run, and retains it, as the gateway does.
+// longTurn reserves a turn of the program p with a budget of 100 tokens and a retention of a minute, lets
+// it run, and retains it, as the gateway does.
 func longTurn(c *Client, turn, previous string, tokens int, runs time.Duration) error {
+	return longTurnOf(c, "p", turn, previous, tokens, runs)
+}
+
+func longTurnOf(c *Client, program, turn, previous string, tokens int, runs time.Duration) error {
 	const retention = time.Minute
 	ctx := context.Background()
 	reserved, err := c.Reserve(ctx, gateway.Reservation{
-		Customer: "one", Program: "p", Turn: turn, Previous: previous, MaxOutputTokens: tokens, Budget: 100,
+		Customer: "one", Program: program, Turn: turn, Previous: previous, MaxOutputTokens: tokens, Budget: 100,
 		Deadline: time.Now().Add(runs), Retain: true, Retention: retention,
 	})
 	if err != nil {
@@ -26,7 +31,7 @@
 	}
 	time.Sleep(runs)
 	settlement := gateway.Settlement{
-		Customer: "one", Program: "p", Turn: turn, OutputTokens: tokens, Retention: retention,
+		Customer: "one", Program: program, Turn: turn, OutputTokens: tokens, Retention: retention,
 		RetainedTurn: &gateway.Turn{ID: turn, Previous: previous, Input: []byte(turn), Ended: time.Now()},
 	}
 	if reserved.CarryChain {
@@ -35,6 +40,39 @@
 	return c.Settle(ctx, settlement)
 }
 
+// Guards against chains that are lost after two restarts of all keepers: the first writes their logs anew,
+// in any order, and the second reads them.
+func TestChainsOutliveTwoRestartsOfAllKeepers(t *testing.T) {
+	const programs = 40
+	testOnFourKeepers(t, func(cl *cluster, fail func(error)) {
+		c := cl.client("entry")
+		turns := func(turn, previous string) {
+			for i := range programs {
+				name := fmt.Sprint("program-", i, "-")
+				if previous == "" {
+					fail(longTurnOf(c, name, name+turn, "", 1, 0))
+					continue
+				}
+				fail(longTurnOf(c, name, name+turn, name+previous, 1, 0))
+			}
+		}
+		turns("first", "")
+		time.Sleep(50 * time.Second)
+		turns("second", "first")
+		for range 2 {
+			for _, m := range cl.machines {
+				m.stop()
+			}
+			for _, m := range cl.machines {
+				m.restart()
+			}
+			time.Sleep(convergenceTime)
+		}
+		time.Sleep(31 * time.Second)
+		turns("third", "second")
+	})
+}
+
 // Guards against a retained turn without its chain: the turn runs for longer than the one that it
 // continues is retained.
 func TestChainOutlivesALongTurn(t *testing.T) {
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -84,6 +84,7 @@
 type acknowledgedTurn struct {
 	id    string
 	chain []string
+	ended time.Time
 }
 
 func (o *oracle) fail(format string, args ...any) {
@@ -105,6 +106,9 @@
 	*cluster
 	oracle
 	eventCounts map[string]int
+	// retention is that of turns. Where they outlive it, programs have no budget: it ends with their
+	// accounts.
+	retention time.Duration
 	// diskLostUntil is when the records of the last lost disk have been replicated again, so that
 	// another disk may fail.
 	diskLostUntil time.Time
@@ -184,10 +188,46 @@
 	t.Log(eventCounts)
 }
 
+// longRetention outlasts every plan.
+const longRetention = time.Hour
+
+// shortRetention is outlived by chains whose turns are apart.
+const shortRetention = time.Minute
+
+// restingKinds are kinds of actions with rests between turns of nearly their retention.
+var restingKinds = []string{
+	"turn", "turn", "turn", "turn", "turn", "turn", "rest", "rest", "rest", "herd", "herd", "kill", "wipe", "freeze", "cut", "store",
+}
+
+// maxRestingActions bounds the plans of programs that rest, which take minutes of virtual time.
+const maxRestingActions = 20
+
+// TestRandomFaultsWithChainsThatOutliveTheirTurns is the same with programs that rest: the first turns
+// of a chain are needed long after their own retention has passed.
+func TestRandomFaultsWithChainsThatOutliveTheirTurns(t *testing.T) {
+	eventCounts := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt, restingKinds)
+		plan = plan[:min(len(plan), maxRestingActions)]
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			failures = runPlanWithRetention(t, newCluster(t, 4, 1), plan, eventCounts, shortRetention)
+		})
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures[:min(3, len(failures))])
+		}
+	})
+	t.Log(eventCounts)
+}
+
 // runPlan runs a plan on the cluster, ends all faults, and checks that all acknowledged turns are
 // served. It returns the failures found.
 func runPlan(t *testing.T, cl *cluster, plan []action, eventCounts map[string]int) []string {
-	r := &run{cluster: cl, eventCounts: eventCounts, oracle: oracle{entries: map[int]*Client{}}}
+	return runPlanWithRetention(t, cl, plan, eventCounts, longRetention)
+}
+
+func runPlanWithRetention(t *testing.T, cl *cluster, plan []action, eventCounts map[string]int, retention time.Duration) []string {
+	r := &run{cluster: cl, eventCounts: eventCounts, retention: retention, oracle: oracle{entries: map[int]*Client{}}}
 	r.startAll()
 	time.Sleep(convergenceTime)
 	for _, a := range plan {
@@ -265,6 +305,19 @@
 		})
 	case "wait":
 		time.Sleep(a.For)
+	case "rest":
+		time.Sleep(r.retention/2 + r.retention*time.Duration(a.B)/3000)
+	case "herd":
+		// The first restart writes the logs anew, the second reads them.
+		for range 2 {
+			for _, m := range r.machines {
+				m.stop()
+			}
+			for _, m := range r.machines {
+				m.restart()
+			}
+			time.Sleep(convergenceTime)
+		}
 	}
 }
 
@@ -399,8 +452,11 @@
 	r.turnCount++
 	id := fmt.Sprintf("turn-%d", r.turnCount)
 	var previous acknowledgedTurn
-	if n := len(r.retained[p]); n > 0 && a.B%3 > 0 {
-		previous = r.retained[p][a.B%n]
+	if kept := r.retainedTurns(p, 0); len(kept) > 0 && a.B%3 > 0 {
+		previous = kept[a.B%len(kept)]
+		if r.retention < longRetention {
+			previous = kept[len(kept)-1]
+		}
 	}
 	r.oracle.mu.Unlock()
 	client := r.client(fmt.Sprintf("entry-%d", a.B%3))
@@ -408,7 +464,7 @@
 	defer cancel()
 	reserved, err := client.Reserve(ctx, gateway.Reservation{
 		Customer: customerName(p), Program: programName(p), Turn: id, Previous: previous.id,
-		MaxOutputTokens: testMaxOutputTokens, Budget: testBudget, Retention: time.Hour, Retain: true,
+		MaxOutputTokens: testMaxOutputTokens, Budget: r.budget(), Retention: r.retention, Retain: true,
 	})
 	if err != nil {
 		r.checkError(err, previous)
@@ -417,21 +473,43 @@
 	r.checkChain(reserved.Chain, previous)
 	r.countOutputTokens(p, testMaxOutputTokens)
 	time.Sleep(a.For / 20)
-	settlement := gateway.Settlement{Customer: customerName(p), Program: programName(p), Turn: id, OutputTokens: testMaxOutputTokens, Retention: time.Hour}
+	settlement := gateway.Settlement{Customer: customerName(p), Program: programName(p), Turn: id, OutputTokens: testMaxOutputTokens, Retention: r.retention}
 	if a.Kind == "turn" {
 		settlement.OutputTokens = a.B % testMaxOutputTokens
 		r.countOutputTokens(p, settlement.OutputTokens-testMaxOutputTokens)
 		settlement.RetainedTurn = &gateway.Turn{ID: id, Previous: previous.id, Input: []byte(id), Ended: time.Now()}
 	}
+	if reserved.CarryChain {
+		settlement.Chain = reserved.Chain
+	}
 	err = client.Settle(ctx, settlement)
 	r.trace.printf("%s of %s in shard %d after %q settled: %v", id, programName(p), ShardOf(programName(p)), previous.id, err)
 	if err == nil && settlement.RetainedTurn != nil {
 		r.oracle.mu.Lock()
-		r.retained[p] = append(r.retained[p], acknowledgedTurn{id: id, chain: append(append([]string(nil), previous.chain...), id)})
+		r.retained[p] = append(r.retained[p], acknowledgedTurn{id: id, chain: append(append([]string(nil), previous.chain...), id), ended: settlement.RetainedTurn.Ended})
 		r.oracle.mu.Unlock()
 	}
 }
 
+// retainedTurns returns the program's acknowledged turns that are retained for the given time from now on.
+func (r *run) retainedTurns(p int, left time.Duration) []acknowledgedTurn {
+	var kept []acknowledgedTurn
+	for _, k := range r.retained[p] {
+		if time.Since(k.ended)+left < r.retention {
+			kept = append(kept, k)
+		}
+	}
+	return kept
+}
+
+// budget returns the budget, in tokens, of programs whose turns are retained; 0 for none.
+func (r *run) budget() int {
+	if r.retention < longRetention {
+		return 0
+	}
+	return testBudget
+}
+
 // entryClient returns the client of an entry, which keeps its allowances until the entry restarts.
 func (r *run) entryClient(n int) *Client {
 	r.oracle.mu.Lock()
@@ -487,7 +565,7 @@
 	r.outputTokens[p] += tokens
 	total := r.outputTokens[p]
 	r.oracle.mu.Unlock()
-	if total > testBudget {
+	if r.budget() > 0 && total > testBudget {
 		r.fail("program %d output %d tokens of a budget of %d", p, total, testBudget)
 	}
 }
@@ -530,7 +608,7 @@
 func (r *run) checkAll() {
 	client := r.client("entry-9")
 	for p := range programCount {
-		for i, k := range r.retained[p] {
+		for i, k := range r.retainedTurns(p, convergenceTime) {
 			reserved, err := client.Reserve(context.Background(), gateway.Reservation{
 				Customer: customerName(p), Program: fmt.Sprintf("heir-%d-%d", p, i), Turn: "heir", Previous: k.id, MaxOutputTokens: 1, Budget: 10,
 			})
