history: only the search of all shards tells what a chain lacks

The answer to a reservation had it too, and nobody read it: a reservation without its turn is followed by that search.

--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -23,12 +23,11 @@
 	}
 	var chain []*historypb.Turn
 	if r.Previous != "" && !r.Foreign {
-		found, gap := s.state.walkChain(r.Customer, r.Previous)
-		if gap != nil {
-			gap.Slice = s.id
+		found, ok := s.state.chain(r.Customer, r.Previous)
+		if !ok {
 			e := k.replicate(s, nil)
 			k.mu.Unlock()
-			return &historypb.ReserveResponse{Verdict: verdictAfterCommit(ctx, e, historypb.Verdict_NO_TURN), Gap: gap}, nil
+			return &historypb.ReserveResponse{Verdict: verdictAfterCommit(ctx, e, historypb.Verdict_NO_TURN)}, nil
 		}
 		chain = found
 	}
