history: a shard that is being recovered keeps what it listed

A new primary lists what it has, and removes an expired turn while it waits for the answers; a holder that has only the turn that continues it can't send it again. Test: TestShardThatIsRecoveredKeepsWhatItListed, red without the condition.

--- a/internal/history/longturn_test.go
+++ b/internal/history/longturn_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
@@ -149,3 +151,18 @@
 		}
 	})
 }
+
+// Guards against a new primary without the beginning of a chain: it listed a turn, removed it, and then
+// got the turn that continues it from a holder that has that one alone.
+func TestShardThatIsRecoveredKeepsWhatItListed(t *testing.T) {
+	is := is.New(t)
+	k := &Keeper{settings: Settings{Logger: &log.Logger{Handler: discard.Default}}}
+	for i := range k.shards {
+		k.shards[i] = &shard{id: uint32(i), state: newState(), recovering: i == 1}
+		k.shards[i].state.addTurn(&historypb.Turn{Id: "t", Customer: customer("a")})
+	}
+	k.expire()
+	for i, s := range k.shards {
+		is.Equal(len(s.state.turns) == 1, i == 1)
+	}
+}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -148,12 +148,16 @@
 	}
 }
 
-// expire removes the expired records of all shards. Calls get the lock between two shards.
+// expire removes the expired records of all shards. Calls get the lock between two shards. A shard that is
+// being recovered keeps them: its inventory lists them, and one holder may have the turn before a missing
+// one that another has.
 func (k *Keeper) expire() {
 	now := time.Now()
 	for _, s := range k.shards {
 		k.mu.Lock()
-		k.expireShard(s, now)
+		if !s.recovering {
+			k.expireShard(s, now)
+		}
 		k.mu.Unlock()
 	}
 }
