upstream: another version under the same name is another upstream

A replica without a time of its start keeps its name over a restart; its ends would be held against the version before. Test: TestUpstreamOfAnotherVersionIsReplaced, red without the comparison (0 replaced of 1).

--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -108,7 +108,7 @@
 func sameUpstream(a, b *usage.Upstream) bool {
 	return a.Kind == b.Kind && a.Address == b.Address && a.DataCentre == b.DataCentre &&
 		a.Service == b.Service && a.Slots == b.Slots && a.CacheTokens == b.CacheTokens &&
-		a.Fenced == b.Fenced && slices.Equal(a.Models, b.Models)
+		a.Fenced == b.Fenced && a.Version == b.Version && slices.Equal(a.Models, b.Models)
 }
 
 // edit builds the snapshot after one update. It copies each list at the first change of it.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -275,3 +275,16 @@
 	now = now.Add(2 * time.Second)
 	is.True(share() < highErrorRate)
 }
+
+// Guards against an upstream that is known by the version that it ran before: another version under the
+// same name is another start, with another state.
+func TestUpstreamOfAnotherVersionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	table, now := NewTable(), time.Unix(1000, 0)
+	entry := usage.Upstream{Name: "u", Kind: usage.KindService, Service: "s", Slots: 1, Version: "v1"}
+	table.Apply([]usage.Upstream{entry}, now)
+	is.Equal(len(table.Apply([]usage.Upstream{entry}, now)), 0)
+	entry.Version = "v2"
+	is.Equal(len(table.Apply([]usage.Upstream{entry}, now)), 1)
+	is.Equal(table.Snapshot().All[0].Version, "v2")
+}
