--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -115,7 +115,8 @@
 
 // contentMessages are the messages about contents under which upstreams ended.
 var contentMessages = []string{
-	"replica ended under a call", "call rejected: replicas ended under its content", "content cleared by a complete response",
+	"replica ended under a call", "call rejected: replicas ended under its content", "trial of a rejected content",
+	"content cleared by a complete response",
 	"upstream ended under a step", "step rejected: upstreams ended under its content",
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -67,12 +67,13 @@
 		`{"time":"2026-01-01T00:00:02Z","message":"replica ended under a call","fields":{"instance":"e2","request":"r5","content":"other","replica":"b@1"}}`,
 		`{"time":"2026-01-01T00:00:03Z","message":"attempt failed","fields":{"instance":"e1","request":"r3","content":"c"}}`,
 		`{"time":"2026-01-01T00:00:04Z","message":"call rejected: replicas ended under its content","fields":{"instance":"e3","request":"r4","content":"c","ends":"a@1, b@1"}}`,
+		`{"time":"2026-01-01T00:00:35Z","message":"trial of a rejected content","fields":{"instance":"e1","request":"r6","content":"c","ends":"a@1, b@1"}}`,
 	}, "\n")))
 	is.NoErr(err)
 	var requests []string
 	for _, line := range l.Trace("r4") {
 		requests = append(requests, line.Text("request"))
 	}
-	is.Equal(requests, []string{"r1", "r2", "r4"})
+	is.Equal(requests, []string{"r1", "r2", "r4", "r6"})
 	is.Equal(len(l.Trace("r3")), 1)
 }
