gateway: silence of a replica starts another attempt and ends none

Cause: timeouts that stand for a dead replica (the progress timeout of resumable streams, the time of an idempotent call's attempt, the loss of contact with a data centre) cancelled the attempt before anything showed that another one could be had. With the route's attempts spent, the retry at the same replica met the same silence; with attempts left, the other replicas might refuse.

Change: the timeouts start a hedge, at another replica if the route allows one more, else once at the same replica for a lost response. The silent attempt stays open until the hedge has received its response, and the first that goes on is used. What ends the last attempt is its deadline, the end of its connection, or a complete response.

Why it works: whatever a timeout suspects, the call gives nothing up for it that it still has.

Tests changed: the scripts of TestAttemptsMachine count executions under a lock, since a hedge is sent while another attempt is under way; what it checks is the same.

--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/httpconn"
+	"foxhall/internal/scheduler"
+)
+
+// attemptState is the state of one attempt at a replica.
+type attemptState struct {
+	place *place
+	grant *scheduler.Grant
+	// ctx is cancelled by end, and with a cause when a hedge takes over.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// release frees what the attempt's context derives from; nil for nothing.
+	release context.CancelFunc
+	// resumeAfter is the ID of the last event that the caller received; empty for none.
+	resumeAfter string
+	began       time.Time
+	// received is set once receive has returned, with its verdict.
+	received bool
+	verdict  verdict
+	// response is the replica's response; nil before its header has arrived.
+	response *Response
+	// body is the body of a complete response that is not a stream.
+	body []byte
+	// headerWait is the time until the header, or the error that took its place.
+	headerWait time.Duration
+	// headerAt and progressAt are when the header and the last part of the body arrived, in Unix
+	// nanoseconds; 0 for never.
+	headerAt, progressAt atomic.Int64
+	// eventCount is the number of events that the attempt delivered.
+	eventCount int
+	// err is the error for which there is no complete response; nil if none was returned.
+	err error
+	// liveness is what a new connection showed about the replica after its connection broke.
+	liveness httpconn.Liveness
+	// finished is set once the replica's response was received whole.
+	finished bool
+}
+
+// newAttempt returns an attempt that is about to be sent. A hedge at the replica of another attempt
+// shares its place.
+func (f *inFlightCall) newAttempt(ctx context.Context, at *place, resumeAfter string) *attemptState {
+	f.attempts++
+	a := &attemptState{place: at, grant: at.grant, resumeAfter: resumeAfter, began: time.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// end ends the attempt. If its response was not read to its end, the replica is told to stop.
+func (a *attemptState) end() {
+	if a.response != nil {
+		a.response.Close()
+	}
+	a.cancel(nil)
+	if a.release != nil {
+		a.release()
+	}
+}
+
+// lastReceived returns when the replica's last bytes that count as progress arrived, or when the attempt
+// began.
+func (a *attemptState) lastReceived() time.Time {
+	at := max(a.headerAt.Load(), a.progressAt.Load())
+	if at == 0 {
+		return a.began
+	}
+	return time.Unix(0, at)
+}
+
+// awaited names what the attempt waited for, as used in log lines.
+func (a *attemptState) awaited() string {
+	switch {
+	case a.headerAt.Load() == 0:
+		return "header"
+	case a.progressAt.Load() == 0:
+		return "body"
+	default:
+		return "rest of the body"
+	}
+}
+
+func (a *attemptState) recordProgress() {
+	a.progressAt.Store(time.Now().UnixNano())
+	a.grant.RecordProgress()
+}
+
+// cancelledBySilence reports whether the attempt was given up because the replica's data centre fell
+// silent.
+func (a *attemptState) cancelledBySilence() bool {
+	return errors.Is(context.Cause(a.ctx), errDataCentreSilent)
+}
+
+// send sends the attempt and returns the header of the response.
+func (f *inFlightCall) send(a *attemptState) (*Response, error) {
+	attempt := &Attempt{
+		Call:           f.call,
+		Target:         Target{ID: a.grant.Upstream, Address: a.grant.Address},
+		Body:           f.body,
+		Timeout:        time.Until(f.deadline),
+		Priority:       f.priority(),
+		Customer:       f.customerName(),
+		ResumeAfter:    a.resumeAfter,
+		MaxConnections: f.connectionLimit(),
+	}
+	began := time.Now()
+	response, err := f.gateway.replicas.Send(a.ctx, attempt)
+	a.headerWait = time.Since(began)
+	if err == nil {
+		a.headerAt.Store(time.Now().UnixNano())
+	}
+	return response, err
+}
+
+// exchange is how calls of one kind receive their response.
+type exchange struct {
+	// receive sends an attempt and receives its response: the header of a stream, all of any other
+	// response. It changes nothing but the attempt, since a hedge may run it beside another attempt.
+	receive func(a *attemptState) verdict
+	// forward forwards the stream of a received attempt; nil if the response is forwarded later. It
+	// returns the hedge that has taken over, if one has.
+	forward func(a *attemptState, h *hedger) (verdict, *attemptState)
+	// silence is how long an attempt at the replica may be silent before it is hedged; 0 for any time.
+	silence func(g *scheduler.Grant) time.Duration
+	// resumeAfter returns the ID of the last event that the caller received.
+	resumeAfter func() string
+	// mayRetry reports whether the replica may get a second attempt after the first one's verdict.
+	mayRetry func(g *scheduler.Grant, v verdict) bool
+}
+
+// try makes attempts at the place, and where hedges take over, at theirs. It returns the last attempt
+// with its verdict; its place is left.
+func (f *inFlightCall) try(ctx context.Context, at *place, x *exchange) (*attemptState, verdict) {
+	f.triedReplicas = append(f.triedReplicas, at.grant.Upstream)
+	at.grant.MarkSent()
+	a := f.newAttempt(ctx, at, x.resumeAfter())
+	for {
+		v, next := f.run(ctx, a, x)
+		v = a.place.combine(v)
+		if next == nil && v != complete && !a.place.retried && x.mayRetry(a.grant, v) {
+			a.place.retried = true
+			a.grant.MarkSent()
+			next = f.newAttempt(ctx, a.place, x.resumeAfter())
+		}
+		if next != nil && next.place == a.place {
+			a = next
+			continue
+		}
+		if v != complete {
+			f.reportFailure(ctx, a.grant, a.response, v)
+		}
+		a.place.leave()
+		if next == nil {
+			return a, v
+		}
+		a = next
+	}
+}
+
+// combine returns the verdict over all attempts at the place, of which v is the latest one's. An
+// attempt that did not run does not change it, since the call may have run in an earlier one.
+func (p *place) combine(v verdict) verdict {
+	if v.mayHaveRun() || p.verdict == complete {
+		p.verdict = v
+	}
+	return p.verdict
+}
+
+// run makes one attempt, or goes on with a hedge that has received its response. It returns the hedge
+// that has taken over, if one has.
+func (f *inFlightCall) run(ctx context.Context, a *attemptState, x *exchange) (verdict, *attemptState) {
+	defer a.end()
+	f.lastReplica = a.grant.Upstream
+	h := f.newHedger(ctx, a, x)
+	defer h.stop()
+	v := a.verdict
+	var next *attemptState
+	if !a.received {
+		h.arm()
+		v = x.receive(a)
+		next = h.disarm(v == complete)
+	}
+	if next == nil && v == complete && x.forward != nil {
+		v, next = x.forward(a, h)
+	}
+	if next != nil {
+		v = f.discard(a)
+	}
+	f.recordAttempt(a, v)
+	return v, next
+}
--- a/internal/gateway/attempts_machine_test.go
+++ b/internal/gateway/attempts_machine_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,15 +81,17 @@
 // scriptReplicas returns scripts that behave as drawn, one behaviour for each attempt. Silent
 // replicas run the calls that they receive and do not respond.
 func scriptReplicas(drawn []replicaBehaviour, silent map[string]bool, counts executions) []script {
+	var mu sync.Mutex // a hedge is sent while another attempt is under way
 	var steps []script
 	for _, b := range drawn {
 		steps = append(steps, func(ctx context.Context, s *Attempt) (*Response, error) {
-			if silent[s.Target.ID] {
+			if silent[s.Target.ID] || b.executes {
+				mu.Lock()
 				counts[s.Target.ID]++
-				return hangs(ctx, s)
+				mu.Unlock()
 			}
-			if b.executes {
-				counts[s.Target.ID]++
+			if silent[s.Target.ID] {
+				return hangs(ctx, s)
 			}
 			return b.script(ctx, s)
 		})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,23 +25,36 @@
 
 // serveNonStreaming serves a call whose response is not a stream.
 func (f *inFlightCall) serveNonStreaming(ctx context.Context) Result {
+	x := f.wholeExchange(ctx)
 	for {
 		at, result := f.nextPlace(ctx)
 		if result != nil {
 			return *result
 		}
-		response, body, v := f.tryReplica(ctx, at.grant)
-		at.leave()
+		a, v := f.try(ctx, at, x)
 		if v == complete {
-			return f.forwardResponse(response, body)
+			return f.forwardResponse(a.response, a.body)
 		}
-		f.triedReplicas = append(f.triedReplicas, at.grant.Upstream)
 		if !f.mayTryAnotherReplica(ctx) {
 			return f.endWithoutResponse(v, nil)
 		}
 	}
 }
 
+// wholeExchange returns how responses that are not streams are received. An idempotent call whose
+// response was lost is sent to the same replica once more if the route allows no other replica: that
+// does not count as a further replica, and a replica whose response was lost is usually still running.
+func (f *inFlightCall) wholeExchange(ctx context.Context) *exchange {
+	return &exchange{
+		receive:     f.receiveWhole,
+		silence:     f.attemptTimeout,
+		resumeAfter: func() string { return "" },
+		mayRetry: func(g *scheduler.Grant, v verdict) bool {
+			return f.route.Kind == routing.Idempotent && len(f.possibleRuns) >= f.route.Attempts && f.mayRespondToRetry(ctx, g, v)
+		},
+	}
+}
+
 // mayTryAnotherReplica reports whether the call may be sent to one more replica.
 func (f *inFlightCall) mayTryAnotherReplica(ctx context.Context) bool {
 	if len(f.possibleRuns) > 0 && (!f.route.Repeatable() || len(f.possibleRuns) >= f.route.Attempts) {
@@ -90,28 +103,6 @@
 	return f.result(Unknown, reason, 0)
 }
 
-// tryReplica sends the call to the granted replica and reads the complete response. An idempotent
-// call whose response was lost is sent to the same replica once more if the route allows no other
-// replica: that does not count as a further replica, and a replica whose response was lost is
-// usually still running.
-func (f *inFlightCall) tryReplica(ctx context.Context, g *scheduler.Grant) (*Response, []byte, verdict) {
-	response, body, v := f.attemptOnce(ctx, g, f.attemptTimeout(g))
-	if f.shouldRetrySameReplica(ctx, g, v) {
-		var retryVerdict verdict
-		response, body, retryVerdict = f.attemptOnce(ctx, g, 0)
-		v = v.combine(retryVerdict)
-	}
-	if v == complete {
-		return response, body, v
-	}
-	f.reportFailure(ctx, g, response, v)
-	return nil, nil, v
-}
-
-func (f *inFlightCall) shouldRetrySameReplica(ctx context.Context, g *scheduler.Grant, v verdict) bool {
-	return f.route.Kind == routing.Idempotent && len(f.possibleRuns) >= f.route.Attempts && f.mayRespondToRetry(ctx, g, v)
-}
-
 // maxContactAge is the longest time since the last contact with a data centre for which a replica
 // there is retried after its connection became unresponsive: within it, the connection alone may
 // have failed.
@@ -129,15 +120,14 @@
 }
 
 const (
-	// attemptTimeoutFactor times the mean duration of a call is how long the first attempt of an
-	// idempotent call may take before it is sent again. Nine in ten calls take less, and a lost
-	// response never arrives.
+	// attemptTimeoutFactor times the mean duration of a call is how long an attempt of an idempotent
+	// call may take before it is hedged. Nine in ten calls take less, and a lost response never arrives.
 	attemptTimeoutFactor = 4
 	minAttemptTimeout    = 200 * time.Millisecond
 )
 
-// attemptTimeout returns how long the first attempt of an idempotent call may take; 0 for no limit
-// but the call's deadline.
+// attemptTimeout returns how long an attempt of an idempotent call may take before it is hedged; 0 for
+// any time.
 func (f *inFlightCall) attemptTimeout(g *scheduler.Grant) time.Duration {
 	mean := g.MeanCall()
 	if f.route.Kind != routing.Idempotent || mean == 0 {
@@ -146,49 +136,28 @@
 	return max(minAttemptTimeout, attemptTimeoutFactor*mean)
 }
 
-func (f *inFlightCall) attemptOnce(ctx context.Context, g *scheduler.Grant, timeout time.Duration) (*Response, []byte, verdict) {
-	if timeout > 0 {
-		limited, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		ctx = limited
+// receiveWhole sends the attempt and receives its complete response.
+func (f *inFlightCall) receiveWhole(a *attemptState) verdict {
+	if v := f.receiveHeader(a); v != complete {
+		return v
 	}
-	if f.mayFailOver(g) {
-		untilSilence, stop := f.cancelOnSilence(ctx, g)
-		defer stop()
-		ctx = untilSilence
-	}
-	state := &attemptState{grant: g, began: time.Now()}
-	response, body, v := f.receiveResponse(ctx, state)
-	f.recordAttempt(ctx, state, v)
-	return response, body, v
-}
-
-// receiveResponse sends the call and reads the complete response.
-func (f *inFlightCall) receiveResponse(ctx context.Context, state *attemptState) (*Response, []byte, verdict) {
-	response, err := f.sendTo(ctx, state.grant, "")
-	if err != nil {
-		return nil, nil, state.classifyError(ctx, err)
-	}
-	defer response.Close()
-	if v := classifyResponse(response); v != complete {
-		return response, nil, v
-	}
-	state.grant.RecordFirstToken()
-	body, err := f.readBody(response)
+	a.grant.RecordFirstToken()
+	body, err := f.readBody(a.response)
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
-		return nil, nil, state.classifyBufferError(err)
-	case err != nil && cancelledBySilence(ctx):
-		state.err = err
-		return nil, nil, unresponsive
+		return a.classifyBufferError(err)
+	case err != nil && a.cancelledBySilence():
+		a.err = err
+		return unresponsive
 	case err != nil:
-		state.err = err
-		return nil, nil, invalidResponse
+		a.err = err
+		return invalidResponse
 	}
-	state.finished = true
-	took := time.Since(state.began)
-	state.grant.Done(scheduler.Feedback{Failure: failureOf(response.Status), Total: took, FirstToken: took})
-	return response, body, complete
+	a.finished = true
+	a.body = body
+	took := time.Since(a.began)
+	a.grant.Done(scheduler.Feedback{Failure: failureOf(a.response.Status), Total: took, FirstToken: took})
+	return complete
 }
 
 // readBody reads a response's body, of which there may be at most maxResponseBytes. After an error
@@ -223,23 +192,6 @@
 	}
 }
 
-var errDataCentreSilent = errors.New("gateway: attempt cancelled: no contact with the replica's data centre")
-
-// cancelOnSilence returns a context that is cancelled when the replica's data centre falls silent.
-// Otherwise the call would wait for the connection's timeout while another replica could serve it.
-func (f *inFlightCall) cancelOnSilence(ctx context.Context, g *scheduler.Grant) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := f.gateway.settings.OnSilence(g.DataCentre, func() { cancel(errDataCentreSilent) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-func cancelledBySilence(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errDataCentreSilent)
-}
-
 // reportFailure reports a failed attempt to the scheduler, or a cancelled one if ctx has ended.
 func (f *inFlightCall) reportFailure(ctx context.Context, g *scheduler.Grant, response *Response, v verdict) {
 	if ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -371,26 +371,6 @@
 	return result
 }
 
-// sendTo makes one attempt at the granted replica.
-func (f *inFlightCall) sendTo(ctx context.Context, g *scheduler.Grant, resumeAfter string) (*Response, error) {
-	f.lastReplica = g.Upstream
-	f.attempts++
-	g.MarkSent()
-	attempt := &Attempt{
-		Call:           f.call,
-		Target:         Target{ID: g.Upstream, Address: g.Address},
-		Body:           f.body,
-		Timeout:        time.Until(f.deadline),
-		Priority:       f.priority(),
-		Customer:       f.customerName(),
-		ResumeAfter:    resumeAfter,
-		MaxConnections: f.connectionLimit(),
-	}
-	began := time.Now()
-	defer func() { f.stageTimes.awaitingHeader += time.Since(began) }()
-	return f.gateway.replicas.Send(ctx, attempt)
-}
-
 // connectionLimit returns this instance's share of the connections that a replica accepts from
 // all instances.
 func (f *inFlightCall) connectionLimit() int {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,6 +23,10 @@
 	grant *scheduler.Grant
 	// leave ends the isolation of the attempts.
 	leave func()
+	// retried is set once a second attempt was made at the replica.
+	retried bool
+	// verdict is the verdict over the attempts at the replica that have ended.
+	verdict verdict
 }
 
 // nextPlace returns a place for the call's next attempt, or the call's result if it gets none. What is
@@ -159,7 +163,7 @@
 
 // judgeReplica records what an attempt showed about its replica: that it completed the content, or that
 // it ended or may have ended under it.
-func (f *inFlightCall) judgeReplica(ctx context.Context, state *attemptState, v verdict) {
+func (f *inFlightCall) judgeReplica(state *attemptState, v verdict) {
 	f.replicaRefuses = state.liveness == httpconn.Refused
 	table, now := f.gateway.settings.Quarantine, time.Now()
 	if state.finished {
@@ -169,7 +173,7 @@
 		}
 		return
 	}
-	evidence, ok := state.evidenceOfEnd(ctx, v)
+	evidence, ok := state.evidenceOfEnd(v)
 	if !ok {
 		return
 	}
@@ -184,13 +188,13 @@
 }
 
 // evidenceOfEnd returns what the attempt shows about the end of its replica; false for nothing.
-func (a *attemptState) evidenceOfEnd(ctx context.Context, v verdict) (quarantine.Evidence, bool) {
+func (a *attemptState) evidenceOfEnd(v verdict) (quarantine.Evidence, bool) {
 	switch {
-	case a.connectionBroke(ctx, v) && a.liveness == httpconn.Refused:
+	case a.connectionBroke(v) && a.liveness == httpconn.Refused:
 		return quarantine.Proven, true
-	case a.connectionBroke(ctx, v):
+	case a.connectionBroke(v):
 		return quarantine.Broken, true
-	case v == unresponsive && ctx.Err() == nil:
+	case v == unresponsive && a.ctx.Err() == nil:
 		return quarantine.Silent, true
 	default:
 		return 0, false
@@ -199,13 +203,13 @@
 
 // connectionBroke reports whether the replica's side closed or reset the connection while the call
 // may have been running.
-func (a *attemptState) connectionBroke(ctx context.Context, v verdict) bool {
-	return v.mayHaveRun() && ctx.Err() == nil && httpconn.IsBroken(a.err)
+func (a *attemptState) connectionBroke(v verdict) bool {
+	return v.mayHaveRun() && a.ctx.Err() == nil && httpconn.IsBroken(a.err)
 }
 
 // probe finds out whether the replica of a broken connection still accepts connections.
-func (f *inFlightCall) probe(ctx context.Context, state *attemptState) {
+func (f *inFlightCall) probe(state *attemptState) {
 	target := Target{ID: state.grant.Upstream, Address: state.grant.Address}
-	state.liveness = f.gateway.replicas.Probe(ctx, target, f.connectionLimit())
+	state.liveness = f.gateway.replicas.Probe(state.ctx, target, f.connectionLimit())
 	f.gateway.attempts.probes[state.liveness].Inc(1)
 }
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -66,22 +66,8 @@
 	return append(slices.Clip(r), replica)
 }
 
-// attemptState is the state of one attempt at a replica.
-type attemptState struct {
-	grant *scheduler.Grant
-	began time.Time
-	// eventCount is the number of events that the attempt delivered.
-	eventCount int
-	// err is the error for which there is no complete response; nil if none was returned.
-	err error
-	// liveness is what a new connection showed about the replica after its connection broke.
-	liveness httpconn.Liveness
-	// finished is set once the replica's response was received whole.
-	finished bool
-}
-
 // classifyError records the error that ended the attempt and returns its verdict.
-func (a *attemptState) classifyError(ctx context.Context, err error) verdict {
+func (a *attemptState) classifyError(err error) verdict {
 	a.err = err
 	switch {
 	case errors.Is(err, httpconn.ErrConnectionLimit):
@@ -90,7 +76,7 @@
 		return notSent
 	case errors.Is(err, httpconn.ErrHeaderTooLarge):
 		return oversizedResponse
-	case cancelledBySilence(ctx), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
+	case a.cancelledBySilence(), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
 		return unresponsive
 	default:
 		return responseLost
@@ -115,10 +101,15 @@
 	// probes counts the probes after broken connections by result.
 	probes   [httpconn.Refused + 1]metrics.Counter
 	exceeded metrics.Counter
+	// hedges counts the attempts that were started because another one was silent, and hedgesWon those
+	// of them that took over.
+	hedges, hedgesWon metrics.Counter
 }
 
 func newAttemptCounters(registry metrics.Registry) *attemptCounters {
 	s := &attemptCounters{exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry)}
+	s.hedges = metrics.GetOrRegisterCounter("gateway.hedges.started", registry)
+	s.hedgesWon = metrics.GetOrRegisterCounter("gateway.hedges.won", registry)
 	for v := range s.byVerdict {
 		s.byVerdict[v] = metrics.GetOrRegisterCounter("gateway.sendings."+verdict(v).String(), registry)
 	}
@@ -129,39 +120,43 @@
 }
 
 // recordAttempt counts the attempt by its verdict, and logs it unless it is complete.
-func (f *inFlightCall) recordAttempt(ctx context.Context, state *attemptState, v verdict) {
+func (f *inFlightCall) recordAttempt(a *attemptState, v verdict) {
 	f.gateway.attempts.byVerdict[v].Inc(1)
+	f.stageTimes.awaitingHeader += a.headerWait
 	if v.mayHaveRun() {
-		f.recordPossibleRun(state.grant.Upstream)
+		f.recordPossibleRun(a.grant.Upstream)
 	}
-	if state.connectionBroke(ctx, v) {
-		f.probe(ctx, state)
+	if a.connectionBroke(v) {
+		f.probe(a)
 	}
-	f.judgeReplica(ctx, state, v)
+	f.judgeReplica(a, v)
 	if v == complete {
 		return
 	}
 	fields := log.Fields{
 		"request":     f.call.ID,
-		"replica":     state.grant.Upstream,
-		"data_centre": state.grant.DataCentre,
+		"replica":     a.grant.Upstream,
+		"data_centre": a.grant.DataCentre,
 		"verdict":     v.String(),
-		"ms":          time.Since(state.began).Milliseconds(),
-		"events":      state.eventCount,
+		"ms":          time.Since(a.began).Milliseconds(),
+		"silent_ms":   time.Since(a.lastReceived()).Milliseconds(),
+		"left_ms":     time.Until(f.deadline).Milliseconds(),
+		"awaited":     a.awaited(),
+		"events":      a.eventCount,
 		"ran_at":      len(f.possibleRuns),
 		"attempts":    f.route.Attempts,
-		"unheard_ms":  f.gateway.settings.SilentFor(state.grant.DataCentre).Milliseconds(),
+		"unheard_ms":  f.gateway.settings.SilentFor(a.grant.DataCentre).Milliseconds(),
 		"content":     f.fingerprint.String(),
 	}
-	if state.connectionBroke(ctx, v) {
-		fields["replica_state"] = state.liveness.String()
+	if a.connectionBroke(v) {
+		fields["replica_state"] = a.liveness.String()
 	}
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(a.ctx); cause != nil {
 		fields["cause"] = cause.Error()
 	}
 	entry := f.gateway.logger.WithFields(fields)
-	if state.err != nil {
-		entry = entry.WithError(state.err)
+	if a.err != nil {
+		entry = entry.WithError(a.err)
 	}
 	entry.Info("attempt failed")
 }
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -124,11 +124,10 @@
 		for _, other := range []script{refuses, failsWith(httpconn.ErrNotSent), hangs} {
 			s := &silence{from: 0, length: 1500 * time.Millisecond}
 			replica := s.sends(50*time.Millisecond, 100*time.Millisecond, route.Kind != routing.Stream, events...)
-			first := ""
+			var once sync.Once
+			var first string
 			got := serve(t, route, Call{ID: "r"}, &fakeTurns{}, func(ctx context.Context, a *Attempt) (*Response, error) {
-				if first == "" {
-					first = a.Target.ID
-				}
+				once.Do(func() { first = a.Target.ID })
 				if a.Target.ID == first {
 					return replica(ctx, a)
 				}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,78 +49,64 @@
 
 // serveStream serves a call whose response is a stream of events.
 func (f *inFlightCall) serveStream(ctx context.Context, rec *streamRecord) Result {
+	var result Result
+	x := f.streamExchange(ctx, rec, &result)
 	for {
 		at, rejected := f.nextPlace(ctx)
 		if rejected != nil {
 			return *rejected
 		}
-		v, result := f.streamFrom(ctx, at.grant, rec)
-		at.leave()
+		_, v := f.try(ctx, at, x)
 		if v == complete {
 			return result
 		}
-		f.triedReplicas = append(f.triedReplicas, at.grant.Upstream)
 		if !f.mayTryAnotherReplica(ctx) {
 			return f.endWithoutResponse(v, nil)
 		}
 	}
 }
 
-// streamFrom streams from the granted replica. If a resumable stream breaks off, it is resumed once
-// at the same replica, which still has the prompt cached.
-func (f *inFlightCall) streamFrom(ctx context.Context, g *scheduler.Grant, rec *streamRecord) (verdict, Result) {
-	v, response, result := f.streamOnce(ctx, g, rec)
-	if f.route.Resumable && f.mayRespondToRetry(ctx, g, v) {
-		var retryVerdict verdict
-		retryVerdict, response, result = f.streamOnce(ctx, g, rec)
-		v = v.combine(retryVerdict)
+// streamExchange returns how streams are received and forwarded. result gets the result of a call whose
+// stream has ended. A resumable stream that breaks off is resumed once at the same replica, which still
+// has the prompt cached.
+func (f *inFlightCall) streamExchange(ctx context.Context, rec *streamRecord, result *Result) *exchange {
+	return &exchange{
+		receive: f.receiveHeader,
+		forward: func(a *attemptState, h *hedger) (verdict, *attemptState) {
+			countBefore := rec.eventCount
+			v, r, next := f.forwardStream(a, rec, h)
+			a.eventCount = rec.eventCount - countBefore
+			*result = r
+			return v, next
+		},
+		silence:     f.firstEventTimeout,
+		resumeAfter: func() string { return f.resumeAfter(rec) },
+		mayRetry: func(g *scheduler.Grant, v verdict) bool {
+			return f.route.Resumable && f.mayRespondToRetry(ctx, g, v)
+		},
 	}
-	if v != complete {
-		f.reportFailure(ctx, g, response, v)
-	}
-	return v, result
 }
 
-// streamOnce makes one attempt and forwards events until the stream ends.
-func (f *inFlightCall) streamOnce(ctx context.Context, g *scheduler.Grant, rec *streamRecord) (verdict, *Response, Result) {
-	if f.mayFailOver(g) {
-		untilSilence, stop := f.cancelOnSilence(ctx, g)
-		defer stop()
-		ctx = untilSilence
+// receiveHeader sends the attempt and receives the header of its response.
+func (f *inFlightCall) receiveHeader(a *attemptState) verdict {
+	response, err := f.send(a)
+	if err != nil {
+		return a.classifyError(err)
 	}
-	ctx, watchdog := f.startWatchdog(ctx, g)
-	defer watchdog.stop()
-	state := &attemptState{grant: g, began: time.Now()}
-	countBefore := rec.eventCount
-	v, response, result := f.streamResponse(ctx, state, rec, watchdog)
-	state.eventCount = rec.eventCount - countBefore
-	f.recordAttempt(ctx, state, v)
-	return v, response, result
+	a.response = response
+	return classifyResponse(response)
 }
 
-// streamResponse sends the call and forwards the response.
-func (f *inFlightCall) streamResponse(ctx context.Context, state *attemptState, rec *streamRecord, watchdog *watchdog) (verdict, *Response, Result) {
-	ctx, interrupt := context.WithCancel(ctx)
-	defer interrupt()
-	response, err := f.sendTo(ctx, state.grant, f.resumeAfter(rec))
-	if err != nil {
-		return state.classifyError(ctx, err), nil, Result{}
-	}
-	defer response.Close()
-	if v := classifyResponse(response); v != complete {
-		return v, response, Result{}
-	}
-	if response.Status >= 300 {
-		v, result := f.forwardFailure(state, response)
-		return v, response, result
+// forwardStream forwards the response whose header the attempt has received.
+func (f *inFlightCall) forwardStream(a *attemptState, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
+	if a.response.Status >= 300 {
+		v, result := f.forwardFailure(a, a.response)
+		return v, result, nil
 	}
-	source := newReadAhead(response.Body, f.hold, func() {
-		state.grant.RecordProgress()
-		watchdog.recordProgress()
-	})
-	defer source.close(interrupt)
-	v, result := f.relayEvents(ctx, state, response, source, rec, watchdog)
-	return v, response, result
+	h.recordProgress(f.timeToFirstEvent(a))
+	source := newReadAhead(a.response.Body, f.hold, a.recordProgress)
+	defer source.close(func() { a.cancel(nil) })
+	return f.relayEvents(a, source, rec, h)
 }
 
 func (f *inFlightCall) resumeAfter(rec *streamRecord) string {
@@ -155,94 +141,107 @@
 	return &upstream.Failure{Kind: upstream.Errored}
 }
 
-// relayEvents forwards complete events as they arrive.
-func (f *inFlightCall) relayEvents(ctx context.Context, state *attemptState, response *Response, source *readAhead, rec *streamRecord, watchdog *watchdog) (verdict, Result) {
+// relayEvents forwards complete events as they arrive. It returns the hedge that has taken over, if one
+// has.
+func (f *inFlightCall) relayEvents(a *attemptState, source *readAhead, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
 	splitter := eventSplitter{hold: f.hold}
 	defer splitter.release()
 	var firstEventTime time.Duration
 	countBefore := rec.eventCount
 	received := make([]byte, readBufferSize)
 	for {
-		n, err := source.Read(received)
-		if n > 0 {
-			events, splitErr := splitter.add(received[:n])
-			if len(events) > 0 {
-				if firstEventTime == 0 {
-					firstEventTime = time.Since(state.began)
-					state.grant.RecordFirstToken()
-				}
-				state.grant.RecordProgress()
-				watchdog.recordProgress()
-			}
-			forwardErr := f.forwardEvents(response, events, source, rec)
-			switch {
-			case errors.Is(forwardErr, errCallerDisconnected):
-				state.grant.Done(scheduler.Feedback{Cancelled: true})
-				return complete, f.result(CallerGone, CallerDisconnected, response.Status)
-			case forwardErr != nil:
-				return state.classifyBufferError(forwardErr), Result{}
-			case splitErr != nil:
-				return state.classifyBufferError(splitErr), Result{}
+		events, err := f.readEvents(a, source, &splitter, received, h)
+		if next := h.disarm(err == nil || err == io.EOF); next != nil {
+			return responseLost, Result{}, next
+		}
+		if len(events) > 0 {
+			if firstEventTime == 0 {
+				firstEventTime = time.Since(a.began)
+				a.grant.RecordFirstToken()
 			}
+			a.recordProgress()
+			h.recordProgress(f.gapTimeout())
 		}
-		if err == nil {
+		switch forwardErr := f.forwardEvents(a.response, events, source, rec); {
+		case errors.Is(forwardErr, errCallerDisconnected):
+			a.grant.Done(scheduler.Feedback{Cancelled: true})
+			return complete, f.result(CallerGone, CallerDisconnected, a.response.Status), nil
+		case forwardErr != nil:
+			return a.classifyBufferError(forwardErr), Result{}, nil
+		case err == nil:
 			continue
+		case errors.Is(err, errEventTooLarge), errors.Is(err, buffer.ErrFull):
+			return a.classifyBufferError(err), Result{}, nil
+		case err != io.EOF:
+			return a.classifyError(err), Result{}, nil
 		}
-		if err != io.EOF || splitter.hasPartialEvent() {
-			return state.classifyError(ctx, err), Result{}
-		}
-		state.finished = true
+		a.finished = true
 		outputTokens := (rec.eventCount - countBefore) * f.tokensPerEvent()
-		state.grant.Done(scheduler.Feedback{
-			Prompt: f.call.PromptTokens, CachedTokens: state.grant.Cached(), Output: outputTokens,
-			FirstToken: firstEventTime, Total: time.Since(state.began),
+		a.grant.Done(scheduler.Feedback{
+			Prompt: f.call.PromptTokens, CachedTokens: a.grant.Cached(), Output: outputTokens,
+			FirstToken: firstEventTime, Total: time.Since(a.began),
 		})
-		return complete, f.finishStream(response, rec)
+		return complete, f.finishStream(a.response, rec), nil
+	}
+}
+
+// readEvents reads until there are events, the end of the stream (io.EOF) or an error. Bytes that
+// complete no event are no progress. It arms the hedger.
+func (f *inFlightCall) readEvents(a *attemptState, source io.Reader, splitter *eventSplitter, received []byte, h *hedger) ([]Event, error) {
+	h.arm()
+	for {
+		n, err := source.Read(received)
+		var events []Event
+		if n > 0 {
+			var splitErr error
+			if events, splitErr = splitter.add(received[:n]); splitErr != nil {
+				return events, splitErr
+			}
+		}
+		if err == io.EOF && splitter.hasPartialEvent() {
+			err = io.ErrUnexpectedEOF
+		}
+		if len(events) > 0 || err != nil {
+			return events, err
+		}
 	}
 }
 
 const (
-	// A resumable stream is closed and resumed if no first event arrives within firstEventFactor
-	// times the expected time (at least minFirstEventTimeout), or no further event within gapFactor
-	// times the route's GapObjective. A lost response never arrives; a replica that is only slow
-	// loses the prefill of one prompt, which it still has cached.
+	// A resumable stream is hedged if no first event arrives within firstEventFactor times the expected
+	// time (at least minFirstEventTimeout), or no further event within gapFactor times the route's
+	// GapObjective. A lost response never arrives; for a replica that is only slow or silent, a hedge
+	// costs the prefill of one prompt.
 	firstEventFactor     = 4
 	minFirstEventTimeout = 800 * time.Millisecond
 	gapFactor            = 2
 )
 
-// watchdog cancels an attempt that makes no progress.
-type watchdog struct {
-	timer      *time.Timer
-	gapTimeout time.Duration
-	cancel     context.CancelCauseFunc
-}
-
-var errStalled = errors.New("gateway: attempt cancelled: no event from the replica within the progress timeout")
-
-// startWatchdog returns a context that is cancelled when a resumable stream makes no progress.
-func (f *inFlightCall) startWatchdog(ctx context.Context, g *scheduler.Grant) (context.Context, *watchdog) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{cancel: cancel, gapTimeout: gapFactor * f.route.GapObjective}
-	if f.route.Resumable && w.gapTimeout > 0 {
-		estimate := g.Decision.Estimate
-		expected := time.Duration((estimate.Wait + estimate.Prefill) * float64(time.Second))
-		w.timer = time.AfterFunc(max(minFirstEventTimeout, firstEventFactor*expected), func() { cancel(errStalled) })
+// firstEventTimeout returns how long a stream may have no first event before it is hedged; 0 for any
+// time.
+func (f *inFlightCall) firstEventTimeout(g *scheduler.Grant) time.Duration {
+	if f.gapTimeout() == 0 {
+		return 0
 	}
-	return ctx, w
+	estimate := g.Decision.Estimate
+	expected := time.Duration((estimate.Wait + estimate.Prefill) * float64(time.Second))
+	return max(minFirstEventTimeout, firstEventFactor*expected)
 }
 
-func (w *watchdog) recordProgress() {
-	if w.timer != nil {
-		w.timer.Reset(w.gapTimeout)
+// timeToFirstEvent returns how long an attempt whose header has arrived may go on without an event.
+func (f *inFlightCall) timeToFirstEvent(a *attemptState) time.Duration {
+	if f.gapTimeout() == 0 {
+		return 0
 	}
+	return max(f.gapTimeout(), f.firstEventTimeout(a.grant)-time.Since(a.began))
 }
 
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+// gapTimeout returns how long a stream may have no further event before it is hedged; 0 for any time.
+func (f *inFlightCall) gapTimeout() time.Duration {
+	if !f.route.Resumable {
+		return 0
 	}
-	w.cancel(nil)
+	return gapFactor * f.route.GapObjective
 }
 
 // finishStream ends a complete stream. A turn must be durable before the end of its response is
