--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -45,15 +45,6 @@
 // mayHaveRun reports whether the replica may have worked on the call.
 func (v verdict) mayHaveRun() bool { return v != notRun && v != noFreeConnection && v != notSent }
 
-// combine returns the verdict over two attempts at one replica. A second attempt that did not run
-// does not change the first one's verdict, since the call may have run at the first.
-func (v verdict) combine(second verdict) verdict {
-	if second.mayHaveRun() {
-		return second
-	}
-	return v
-}
-
 // replicaNames lists the replicas that may have run a call, each once. All of them count against
 // the route's attempts, since an instance has no means to learn that a replica has stopped.
 type replicaNames []string
