Replicas: silence of a replica ends no call in flight

Callers got 502 or a broken-off answer although their replica went on after a second: the connection had failed after 0.9 s without an acknowledgement (TCP_USER_TIMEOUT, which the kernel also takes as the bound of unanswered keep-alive probes). Ruled out: the number of probes, which the kernel ignores while TCP_USER_TIMEOUT is set, so that one option is enough. Returned to the pool, it gets the strict bound again: one system call each. The look at an idle connection comes after the tolerance, so that one that failed meanwhile is replaced. Why it works: probes go on, and a peer that restarted answers them with a reset. An idle connection costs one new connection at most.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -205,12 +205,12 @@
 		case c == nil && !dial:
 			return nil, ErrConnectionLimit
 		case dial:
-			c, err := p.dial(ctx)
+			c, err := p.dial(ctx, netdial.DialForCall)
 			if err != nil {
 				return nil, errors.Wrap(ErrNotSent, err.Error())
 			}
 			return c, nil
-		case c.isUsable():
+		case c.prepareForCall():
 			return c, nil
 		}
 		p.closeConn(c)
@@ -235,9 +235,11 @@
 	return nil, true
 }
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dial opens the connection that takeIdleOrReserve reserved.
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	n, err := netdial.Dial(ctx, "tcp", p.address)
+func (p *Pool) dial(ctx context.Context, connect dialFunc) (*conn, error) {
+	n, err := connect(ctx, "tcp", p.address)
 	if err != nil {
 		p.mu.Lock()
 		p.openCount--
@@ -288,10 +290,14 @@
 	p.openCount--
 }
 
-// isUsable reports whether the connection is open, within its idle timeout, and free of stray bytes
-// that the next call would take for its response.
-func (c *conn) isUsable() bool {
-	return time.Since(c.idleSince) < c.idleTimeout && c.reader.Buffered() == 0 && netdial.IsIdleAndOpen(c.netConn)
+// prepareForCall prepares an idle connection for the next call. It returns false unless the connection
+// is open, within its idle timeout, and free of stray bytes that the call would take for its response.
+func (c *conn) prepareForCall() bool {
+	if time.Since(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
+		return false
+	}
+	// The look comes last: it shows whether the connection failed before silence was tolerated.
+	return netdial.TolerateSilence(c.netConn) == nil && netdial.IsIdleAndOpen(c.netConn)
 }
 
 func (c *conn) exchange(call *Call) (*Response, error) {
@@ -452,15 +458,11 @@
 	if !c.finishCall(callNumber) {
 		return
 	}
-	c.mu.Lock()
-	unwritten := c.bodyUnwritten
-	c.mu.Unlock()
+	reusable := !closeAfter && c.prepareForIdle()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// Bytes after a complete response belong to no call. While the rest of the request body is
-	// unsent, the server would take the next call for a part of that body.
-	if closeAfter || unwritten || p.closed || c.reader.Buffered() > 0 {
+	if !reusable || p.closed {
 		p.openCount--
 		c.netConn.Close()
 		return
@@ -469,6 +471,16 @@
 	p.idle = append(p.idle, c)
 }
 
+// prepareForIdle prepares the connection for being idle. It returns false if it can't serve another call.
+// Bytes after a complete response belong to no call. While the rest of the request body is unsent, the
+// server would take the next call for a part of that body.
+func (c *conn) prepareForIdle() bool {
+	c.mu.Lock()
+	unwritten := c.bodyUnwritten
+	c.mu.Unlock()
+	return !unwritten && c.reader.Buffered() == 0 && netdial.BoundSilence(c.netConn) == nil
+}
+
 func (c *conn) discard(callNumber int) {
 	if !c.finishCall(callNumber) {
 		return
--- a/internal/httpconn/probe.go
+++ b/internal/httpconn/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"syscall"
 	"time"
 
@@ -58,7 +57,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	c, err := p.dial(ctx)
+	c, err := p.dial(ctx, netdial.Dial)
 	if err != nil {
 		return livenessOf(err)
 	}
@@ -75,7 +74,7 @@
 }
 
 // ProbeAddress opens a connection by dial and closes it.
-func ProbeAddress(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) Liveness {
+func ProbeAddress(ctx context.Context, dial dialFunc, address string) Liveness {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := dial(ctx, "tcp", address)
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -30,7 +29,7 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
 
-var dialer = net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+var dialer = net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence(userTimeout)}
 
 // Dial connects to the address. The connection fails if the peer becomes unresponsive.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -39,7 +38,7 @@
 
 // Listen listens at the TCP address. Accepted connections fail if the peer becomes unresponsive.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: limitSilence(userTimeout)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -65,17 +64,6 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EHOSTUNREACH)
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockoptErr error
-	err := c.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
-}
-
 // LimitReceiveBuffer bounds the bytes that the kernel holds of a connection's unread data to a few times
 // the given number. Otherwise it holds megabytes of a connection that was read fast before, which
 // count as the process's memory.
