Upstream: calls lost in one silence open the breaker once

What callers saw: a replica that fell silent for about a second got no calls for many seconds after it had gone on; calls waited or were refused, although it was sound.

Cause: all calls that are in flight at a replica are lost together when its connections time out. Each of them counted as a failed trial of the open breaker, so that eight calls opened it for 0.5 s x 1.5^7, up to 15 s. One of them that was lost a little later also ended the half-open trial.

Evidence: before the change, both tests were red with "broken != usable": go test ./internal/scheduler -run CallsLost. The same with one call in flight was green, which rules the first opening out.

Change: a failure carries the time at which its call was sent. While the breaker is open, failures of calls sent before it opened change nothing: what ended the first ended these too, and they say nothing about the replica since. Trials, and probes, are sent after it and count as before (TestFailedTrialOpensTheBreakerAgain, green before and after).

--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -216,7 +216,9 @@
 	switch {
 	case f.Cancelled: // no evidence about the upstream
 	case f.Failure != nil:
-		u.RecordFailure(now, *f.Failure)
+		failure := *f.Failure
+		failure.SentAt = g.sentAt
+		u.RecordFailure(now, failure)
 		g.markModelUnloaded(f.Failure)
 	default:
 		u.RecordSuccess(now)
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -38,7 +38,9 @@
 	// unreachable reports whether the last failure was a refused connection or an unresponsive
 	// upstream. A successful probe then allows a trial, which it does not after lost calls.
 	unreachable bool
-	delay       *backoff.ExponentialBackOff
+	// openedAt is when the breaker opened, or opened again after a failed trial.
+	openedAt time.Time
+	delay    *backoff.ExponentialBackOff
 }
 
 // breakerRejects reports whether the breaker rejects new calls at now, in Unix nanoseconds.
@@ -98,6 +100,10 @@
 		u.errorRate.record(now.UnixNano(), true)
 		u.active.add(u)
 	}
+	if u.breaker.open && f.SentAt.Before(u.breaker.openedAt) {
+		// Calls that were in flight together are lost together: what ended the first ended this one.
+		return
+	}
 	u.breaker.failures++
 	u.breaker.unreachable = f.Kind == NotSent || f.Kind == Unresponsive
 	if u.breaker.open || u.breaker.failures >= tripThreshold || u.breaker.unreachable {
@@ -122,7 +128,7 @@
 		b.delay.InitialInterval = openMin
 		b.delay.MaxInterval = openMax
 	}
-	b.open = true
+	b.open, b.openedAt = true, now
 	open := b.delay.NextBackOff()
 	if b.unreachable && u.probedAt.Load() != 0 {
 		open = openWhileProbed
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -31,6 +32,8 @@
 // Failure describes a failed call to the table.
 type Failure struct {
 	Kind FailureKind
+	// SentAt is when the call or probe was sent.
+	SentAt time.Time
 	// Draining indicates that the upstream drains.
 	Draining bool
 	// NotLoaded indicates that the engine has not loaded the model.
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -79,9 +79,12 @@
 func (u *Upstream) probe(ctx context.Context, r Reporter) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	load, err := r.Load(ctx, u.Address)
 	if err != nil {
-		u.RecordFailure(time.Now(), FailureOf(err))
+		failure := FailureOf(err)
+		failure.SentAt = began
+		u.RecordFailure(time.Now(), failure)
 		return
 	}
 	u.ApplyReport(time.Now(), load)
