Peerload: an instance's own pause is no silence of the others

What callers saw: 503 with a Retry-After of 1.6 s for turns that the keepers could serve at once, with four seconds left; calls to keepers and attempts at replicas of other data centres cancelled. Both at the moment at which an entry went on after it had stood still for a second.

Cause: after a pause the timers fire before the sockets are read. The times since the last datagrams of all others then include the pause, so that the entry counts itself as isolated and all others as silent. The check for pauses runs each 500 ms and reports those over 500 ms more, after the decisions. As a witness, such an entry also confirmed the loss of keepers that it had not listened to.

Change: wake.Detector notices a pause when a decision asks for it, by the time since its last reading of the clock. Silence counts from the end of the pause at the earliest, and a witness does not know until it has listened again. Quotas still count the others as unheard, since that errs on the side of the quota.

--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -23,6 +23,7 @@
 
 	"foxhall/internal/peerload/peerloadpb"
 	"foxhall/internal/upstream"
+	"foxhall/internal/wake"
 )
 
 const (
@@ -40,6 +41,10 @@
 	// since there are few of them, and callers wait for a failed one until its silence is detected.
 	EntryFanout  = 24
 	KeeperFanout = 48
+	// maxPause is the longest pause of this process that is counted as silence of the others. Together
+	// with idleSendInterval it is shorter than any silence by which instances are judged, and it is
+	// several times sendInterval, at which the clock is read.
+	maxPause = 200 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer, enough for some hundred upstreams.
 	maxDatagramBytes = 8 << 10
 )
@@ -78,8 +83,10 @@
 	contents *contents
 	// startedAt is the time when this instance started.
 	startedAt time.Time
-	// listeningSince is the time since which datagrams have been received without a pause.
+	// listeningSince is the time since which datagrams have been received without a pause, but for
+	// the pauses that pauses detects.
 	listeningSince time.Time
+	pauses         *wake.Detector
 	// peerCount is the number of peers at the start of the last round. It is stored here, instead
 	// of calling peers under mu, so that callers of the exchange's methods may hold the lock that
 	// peers takes.
@@ -108,10 +115,19 @@
 	return &Exchange{
 		name: name, dataCentre: dataCentre, fanout: fanout, table: table, peers: peers, logger: logger,
 		loads: newLoadSums(table), dataCentreContacts: map[string]time.Time{}, contacts: map[string]contact{},
-		addresses: map[string]netip.AddrPort{}, startedAt: now, listeningSince: now,
+		addresses: map[string]netip.AddrPort{}, startedAt: now, listeningSince: now, pauses: wake.NewDetector(maxPause),
 	}
 }
 
+// silentSince returns the time since which a sender is silent whose last datagram was received at
+// lastContact. What it sent while this process was paused is still to be read.
+func (x *Exchange) silentSince(lastContact, now time.Time) time.Time {
+	if resumed := x.pauses.ResumedAt(now); resumed.After(lastContact) {
+		return resumed
+	}
+	return lastContact
+}
+
 // DataCentreSilentFor returns the time since the last contact with another data centre. It returns
 // 0 if there was none, since nothing is then known, and for the own data centre.
 func (x *Exchange) DataCentreSilentFor(dataCentre string) time.Duration {
@@ -121,7 +137,8 @@
 	if !ok || dataCentre == x.dataCentre {
 		return 0
 	}
-	return time.Since(at)
+	now := time.Now()
+	return now.Sub(x.silentSince(at, now))
 }
 
 // SilentFor returns the time since the last contact with an instance, and false if there was none.
@@ -156,7 +173,7 @@
 	if len(x.contacts) >= minSilentOthers {
 		silence = max(silence, now.Sub(x.lastContactAt))
 	}
-	return silence
+	return now.Sub(x.silentSince(now.Add(-silence), now))
 }
 
 // commonSilence returns the time since the latest of the contacts, or 0 if there are fewer than
@@ -200,6 +217,7 @@
 		case <-ctx.Done():
 			return
 		}
+		x.pauses.Read(time.Now())
 		x.maintainContents(conn, time.Now())
 		x.expireLoads(time.Now())
 		x.reportToNewInstances(conn)
@@ -233,8 +251,10 @@
 func (x *Exchange) ReachableOrUnknown(instance string, within time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	now := time.Now()
 	last, ok := x.contacts[instance]
-	return !ok || !last.isSilentFor(within, time.Now())
+	last.receivedAt = x.silentSince(last.receivedAt, now)
+	return !ok || !last.isSilentFor(within, now)
 }
 
 // Silent reports whether there was no recent contact with an instance. known is false if this
@@ -247,8 +267,9 @@
 		// Without any contact the instance's round length is unknown; that of an entry is assumed.
 		last.sendsPerRound = sendsPerRound(x.peerCount, EntryFanout)
 	}
-	listening := contact{receivedAt: x.listeningSince, sendsPerRound: last.sendsPerRound}
-	return last.isSilentFor(within, time.Now()), listening.isSilentFor(within, time.Now())
+	now := time.Now()
+	listening := contact{receivedAt: x.silentSince(x.listeningSince, now), sendsPerRound: last.sendsPerRound}
+	return last.isSilentFor(within, now), listening.isSilentFor(within, now)
 }
 
 // SilentDataCentre reports whether nothing was received from another data centre for a time, and
@@ -258,7 +279,8 @@
 	silentFor := x.DataCentreSilentFor(dataCentre)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return silentFor >= within, time.Since(x.listeningSince) >= within
+	now := time.Now()
+	return silentFor >= within, now.Sub(x.silentSince(x.listeningSince, now)) >= within
 }
 
 // sendsPerRound returns the number of sends in which an instance sends one datagram to each of its
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -44,3 +45,44 @@
 		last = now
 	}
 }
+
+// Detector detects a pause of this process before the first decision after it. After a pause, timers
+// fire before the sockets are read, so that all others seem to have been silent as long as the pause
+// took; Watch may report it too late. It is safe for concurrent use.
+type Detector struct {
+	maxPause time.Duration
+
+	mu sync.Mutex
+	// lastReading is zero before the first reading.
+	lastReading, resumedAt time.Time
+}
+
+// NewDetector returns a detector of pauses longer than maxPause.
+func NewDetector(maxPause time.Duration) *Detector { return &Detector{maxPause: maxPause} }
+
+// Read reads the clock. It is to be called at intervals well below maxPause; the first call begins
+// the detection.
+func (d *Detector) Read(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read(now)
+}
+
+func (d *Detector) read(now time.Time) {
+	if !d.lastReading.IsZero() && now.Sub(d.lastReading) > d.maxPause {
+		d.resumedAt = now
+	}
+	if now.After(d.lastReading) {
+		d.lastReading = now
+	}
+}
+
+// ResumedAt returns the end of the last pause up to now, or the zero time if there was none.
+func (d *Detector) ResumedAt(now time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.lastReading.IsZero() {
+		d.read(now)
+	}
+	return d.resumedAt
+}
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -43,3 +43,21 @@
 	is.True(first > 0)
 	is.True(BootTime() >= first)
 }
+
+// Guards against a decision that is made just after a pause and before it is detected.
+func TestPauseIsDetectedByTheFirstDecisionAfterIt(t *testing.T) {
+	is := is.New(t)
+	d, now := NewDetector(200*time.Millisecond), time.Unix(1000, 0)
+	is.True(d.ResumedAt(now).IsZero())
+	now = now.Add(time.Hour)
+	is.True(d.ResumedAt(now).IsZero()) // nothing read the clock before
+	for range 10 {
+		d.Read(now)
+		now = now.Add(200 * time.Millisecond)
+		is.True(d.ResumedAt(now).IsZero())
+	}
+	now = now.Add(time.Second)
+	is.Equal(d.ResumedAt(now), now)
+	is.Equal(d.ResumedAt(now.Add(100*time.Millisecond)), now)
+	is.Equal(d.ResumedAt(now.Add(-time.Second)), now) // a time taken before the pause ended
+}
