Node: count and log how a caller's call ended without a whole answer

What callers saw: a connection that closes in answer to a whole request. The log said nothing about who closed it and why: 'caller_left' stood for a caller that closed, one that went silent, a read deadline of the entry's own and a stop, and a connection that was closed with the call unread left no line at all.

Each such end is now counted by its kind (callers.calls.unread, .header_timeout, .unserved, .response, .caller_closed, .caller_silent, .deadline, .stopped, .other). Ends for which no other line stands are logged with the caller's address, the age and the error of the last read. Callers can cause any number, so that at most one line a second is written, with the number of those omitted. An idle connection that reaches its limit is neither counted nor logged.

The line replaces 'call was read and not served', which had no bound on its rate.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -7,11 +7,13 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
@@ -73,10 +75,8 @@
 // its memory without serving a call.
 type callerConns struct {
 	limit    int
-	logger   log.Interface
 	rejected metrics.Counter
-	// unserved counts the calls whose header was read and that were not served.
-	unserved metrics.Counter
+	ends     *callEnds
 
 	mu   sync.Mutex
 	all  map[*callerConn]struct{}
@@ -89,9 +89,9 @@
 		limit = math.MaxInt
 	}
 	return &callerConns{
-		limit: limit, logger: logger,
+		limit:    limit,
 		rejected: metrics.GetOrRegisterCounter("callers.connections.rejected", registry),
-		unserved: metrics.GetOrRegisterCounter("callers.calls.unserved", registry),
+		ends:     newCallEnds(logger, registry),
 		all:      map[*callerConn]struct{}{}, idle: list.New(),
 	}
 }
@@ -164,6 +164,12 @@
 	// waitingSince is when the connection began to wait for a call, in Unix nanoseconds; 0 once a part
 	// of the call has arrived.
 	waitingSince atomic.Int64
+	// headerBegan is when the first bytes of the call's header were read.
+	headerBegan time.Time
+
+	mu sync.Mutex
+	// readErr is the error of the last read; nil for none.
+	readErr error
 }
 
 func newCallerConn(c net.Conn, l *callerListener) *callerConn {
@@ -198,6 +204,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			c.served = true
+			defer c.recordAborted(time.Now())
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -217,10 +224,14 @@
 // connections, and the instance exceeds its memory before any call is read.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.setReadError(err)
 	if n == 0 || c.serving.Load() {
 		return n, err
 	}
 	c.waitingSince.Store(0)
+	if c.header.bytes == 0 {
+		c.headerBegan = time.Now()
+	}
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
@@ -233,11 +244,34 @@
 	return n, err
 }
 
+func (c *callerConn) setReadError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readErr = err
+}
+
+func (c *callerConn) readError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if since := c.waitingSince.Load(); since != 0 && hasUnreadBytes(c.Conn) {
+		c.conns.ends.record(endUnread, c.RemoteAddr(), time.Since(time.Unix(0, since)), c.readError())
+	}
+	return c.Conn.Close()
+}
+
 // endCall gives back what the header of the connection's last call held.
 func (c *callerConn) endCall() {
-	if c.header.ended && !c.served {
-		c.conns.unserved.Inc(1)
-		c.conns.logger.WithField("caller", c.RemoteAddr()).Info("call was read and not served")
+	err := c.readError()
+	switch {
+	case c.header.ended && !c.served:
+		c.conns.ends.record(endUnserved, c.RemoteAddr(), time.Since(c.headerBegan), err)
+	case c.header.bytes > 0 && !c.header.ended && errors.Is(err, os.ErrDeadlineExceeded):
+		c.conns.ends.record(endHeaderTimeout, c.RemoteAddr(), time.Since(c.headerBegan), err)
 	}
 	c.hold.Release()
 	c.header, c.held, c.served = headerMeter{}, 0, false
