gateway: the next hedge comes as soon after a failed one as the first

What callers could see: after a hedge that found only a replica without a connection, the next one came twice as late, at 3.1 s of 5, although a third replica was sound. Sends are bounded by maxAttempts, so that no growing delay is needed.

--- a/internal/gateway/attempts_machine_test.go
+++ b/internal/gateway/attempts_machine_test.go
@@ -31,8 +31,9 @@
 }
 
 func behaviours(stream bool) []replicaBehaviour {
-	completes, breaksOff := succeedsWith("whole"), streams(io.ErrUnexpectedEOF, event(1))
+	completes, breaksOff, endsLater := succeedsWith("whole"), streams(io.ErrUnexpectedEOF, event(1)), endsAfter(event(1))
 	if stream {
+		endsLater = dependingOnResume(endsLater, endsAfter())
 		completes = dependingOnResume(streams(nil, event(1), event(2)), streams(nil, event(2)))
 		breaksOff = dependingOnResume(breaksOff, streams(io.ErrUnexpectedEOF))
 	}
@@ -42,7 +43,7 @@
 		{"breaks off", true, breaksOff},
 		{"has an unresponsive connection", true, delayed(100*time.Millisecond, failsWith(httpconn.ErrUnresponsive))},
 		{"ends", true, ends},
-		{"ends in the middle of its response", true, endsAfter(event(1))},
+		{"ends in the middle of its response", true, endsLater},
 		{"responds late", true, delayed(700*time.Millisecond, completes)},
 		{"accepts no connection", false, failsWith(httpconn.ErrNotSent)},
 		{"has no free connection", false, failsWith(httpconn.ErrConnectionLimit)},
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -34,7 +34,7 @@
 	timer *time.Timer
 	// hedgeAt is when the attempt will have been silent for too long; zero for never.
 	hedgeAt time.Time
-	// silence is the time that the attempt may be silent. It doubles with each hedge that fails.
+	// silence is the time that the attempt may be silent, also after a hedge that failed.
 	silence time.Duration
 	// dataCentreSilent is set if the replica's data centre has fallen silent and no hedge was started
 	// for it.
@@ -152,11 +152,10 @@
 		return true
 	case h.armed:
 		h.hedge = nil
-		h.silence *= 2
-		h.hedgeAt = time.Now().Add(h.silence)
 		if h.silence > 0 {
-			h.scheduleLocked()
+			h.hedgeAt = time.Now().Add(h.silence)
 		}
+		h.scheduleLocked()
 	}
 	return false
 }
