netdial: unanswered keep-alive probes end no call

Cause: the connection had one keep-alive probe, sent after 1 s and unanswered for 1 s more. Linux ignores the number of probes while TCP_USER_TIMEOUT is set; other stacks count them too.

Probes go on, so that a peer that restarted answers them with a reset.

--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -29,7 +29,7 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
 
-var dialer = net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence(userTimeout)}
+var dialer = net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence(idleSilence)}
 
 // Dial connects to the address. The connection fails if the peer becomes unresponsive.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -38,7 +38,7 @@
 
 // Listen listens at the TCP address. Accepted connections fail if the peer becomes unresponsive.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: limitSilence(userTimeout)}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: limitSilence(idleSilence)}
 	return config.Listen(ctx, "tcp", address)
 }
 
