Node: judge whether a caller's connection is idle under a lock

What callers saw: a connection closed in the middle of a call. Two ways are shown by tests that failed before this change: - A planned stop took a connection for idle for the whole duration of a call that its caller had sent together with the one before (pipelining): the call was read from the buffer, so that no read marked the end of the wait, and 0.5 s later the stop cut it (TestStopWaitsForPipelinedCall: closed without a byte). - At the bound on connections, a connection counted as idle until the header of its next call had been read whole. A call that arrives in parts was cut in between (TestCallInPartsIsNotReplaced: closed without a byte).

Cause: 'idle' was recorded in three places (the serving flag, the time since which a connection waits, the list of idle ones) that changed one after the other, and the bound looked only at the list, not at what had arrived.

The connection now has one phase (waiting, header, serving) under a lock, and both closers go through one function, which looks at the phase and at the socket and sets the passed deadline under the same lock. A read that had returned before it puts the server's deadline back as it begins the header. At the bound, up to 16 idle connections are looked at for one without a call.

Two more tests passed before and guard the neighbouring cases: net/http resets the deadline as a handler starts, which had made up for a deadline set too late (TestCallThatCrossesTheReplacementOfItsConnectionIsAnswered, TestCallThatBeginsAsAStopClosesItsConnectionIsAnswered).

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -100,20 +100,29 @@
 func (s *callerConns) open(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.all) >= s.limit {
-		oldest := s.idle.Front()
-		if oldest == nil {
-			s.rejected.Inc(1)
-			return false
-		}
-		replaced := oldest.Value.(*callerConn)
-		s.remove(replaced)
-		replaced.expire()
+	if len(s.all) >= s.limit && !s.replaceIdle() {
+		s.rejected.Inc(1)
+		return false
 	}
 	s.all[c] = struct{}{}
 	return true
 }
 
+// maxReplaceTries bounds the idle connections that are looked at to make room for a new one.
+const maxReplaceTries = 16
+
+// replaceIdle closes the connection that has been idle for longest, unless a call has arrived on it;
+// the lock is held. It returns false if it finds none.
+func (s *callerConns) replaceIdle() bool {
+	for e, tries := s.idle.Front(), 0; e != nil && tries < maxReplaceTries; e, tries = e.Next(), tries+1 {
+		if c := e.Value.(*callerConn); c.expireIfWaiting(0) {
+			s.remove(c)
+			return true
+		}
+	}
+	return false
+}
+
 // setIdle records whether a connection waits for its next call.
 func (s *callerConns) setIdle(c *callerConn, idle bool) {
 	s.mu.Lock()
@@ -144,6 +153,18 @@
 	}
 }
 
+// connPhase is what a caller's connection is in.
+type connPhase uint8
+
+const (
+	// phaseWaiting: nothing of the next call was read.
+	phaseWaiting connPhase = iota
+	// phaseHeader: a part of the call's header was read.
+	phaseHeader
+	// phaseServing: the header was read, and the response is not complete.
+	phaseServing
+)
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
@@ -152,44 +173,90 @@
 	// idleElement is the connection's place among the idle ones; nil while it is not idle. The lock
 	// of conns guards it.
 	idleElement *list.Element
-	// serving is true from the end of a call's header until its response is written. In that time,
-	// deadlines are set by the handler and stay as they are.
-	serving atomic.Bool
 	// header measures the call's header, and hold counts it in the memory budget until the call ends.
 	header headerMeter
 	hold   *buffer.Hold
 	held   int
 	// served is set once the call was handed to the handler.
 	served bool
-	// waitingSince is when the connection began to wait for a call, in Unix nanoseconds; 0 once a part
-	// of the call has arrived.
-	waitingSince atomic.Int64
 	// headerBegan is when the first bytes of the call's header were read.
 	headerBegan time.Time
 
-	mu sync.Mutex
+	mu           sync.Mutex
+	phase        connPhase
+	waitingSince time.Time
+	// deadline is the read deadline that the server has set. While expired is set, a passed one is in
+	// force in its place.
+	deadline time.Time
+	expired  bool
 	// readErr is the error of the last read; nil for none.
 	readErr error
 }
 
 func newCallerConn(c net.Conn, l *callerListener) *callerConn {
-	caller := &callerConn{Conn: c, limits: l.limits, conns: l.conns, hold: l.buffers.NewHold()}
-	caller.waitingSince.Store(time.Now().UnixNano())
-	return caller
+	return &callerConn{Conn: c, limits: l.limits, conns: l.conns, hold: l.buffers.NewHold(), waitingSince: time.Now()}
+}
+
+// expireIfWaiting ends the wait for a call, upon which the server closes the connection. It returns
+// false if the wait has not lasted for the given time, or a call has arrived, whether read or not.
+func (c *callerConn) expireIfWaiting(atLeast time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseWaiting || time.Since(c.waitingSince) < atLeast || !netdial.IsIdleAndOpen(c.Conn) {
+		return false
+	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
+	return true
 }
 
-// closeIfWaiting closes the connection if it has waited for a call for some time. A call that has
-// arrived keeps it open, whether it has been read or not.
-func (c *callerConn) closeIfWaiting(atLeast time.Duration) {
-	since := c.waitingSince.Load()
-	if since != 0 && time.Since(time.Unix(0, since)) >= atLeast && netdial.IsIdleAndOpen(c.Conn) {
-		c.expire()
+// setPhase begins a phase.
+func (c *callerConn) setPhase(p connPhase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin(p)
+}
+
+// begin begins a phase; the lock is held. A call that has been read is not to be ended by the wait for it.
+func (c *callerConn) begin(p connPhase) {
+	c.phase = p
+	if p == phaseWaiting {
+		c.waitingSince = time.Now()
+		return
+	}
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // a closed connection needs no deadline
+	}
+}
+
+// waiting returns since when the connection has waited for a call; false if it does not wait.
+func (c *callerConn) waiting() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingSince, c.phase == phaseWaiting
+}
+
+// recordRead records the result of a read. It returns true if the bytes belong to a call's header.
+func (c *callerConn) recordRead(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readErr = err
+	if n == 0 || c.phase == phaseServing {
+		return false
+	}
+	if c.phase == phaseWaiting {
+		c.headerBegan = time.Now()
+		c.begin(phaseHeader)
 	}
+	return true
 }
 
-// expire ends the wait for a call. The server then closes the connection, unless it has read a part
-// of a call by then: it sets the deadline anew for the rest.
-func (c *callerConn) expire() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *callerConn) readError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr
+}
 
 // connKey is the key of a caller's connection in the context of its calls.
 type connKey struct{}
@@ -224,14 +291,9 @@
 // connections, and the instance exceeds its memory before any call is read.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.setReadError(err)
-	if n == 0 || c.serving.Load() {
+	if !c.recordRead(n, err) {
 		return n, err
 	}
-	c.waitingSince.Store(0)
-	if c.header.bytes == 0 {
-		c.headerBegan = time.Now()
-	}
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
@@ -244,22 +306,10 @@
 	return n, err
 }
 
-func (c *callerConn) setReadError(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readErr = err
-}
-
-func (c *callerConn) readError() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readErr
-}
-
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	if since := c.waitingSince.Load(); since != 0 && hasUnreadBytes(c.Conn) {
-		c.conns.ends.record(endUnread, c.RemoteAddr(), time.Since(time.Unix(0, since)), c.readError())
+	if since, waiting := c.waiting(); waiting && hasUnreadBytes(c.Conn) {
+		c.conns.ends.record(endUnread, c.RemoteAddr(), time.Since(since), c.readError())
 	}
 	return c.Conn.Close()
 }
@@ -283,8 +333,9 @@
 	if !ok {
 		return
 	}
-	caller.serving.Store(s == http.StateActive)
-	if s != http.StateActive {
+	if s == http.StateActive {
+		caller.setPhase(phaseServing)
+	} else {
 		caller.endCall()
 	}
 	if s == http.StateClosed || s == http.StateHijacked {
@@ -292,26 +343,38 @@
 		return
 	}
 	if s == http.StateIdle {
-		caller.waitingSince.Store(time.Now().UnixNano())
+		caller.setPhase(phaseWaiting)
 	}
 	caller.conns.setIdle(caller, s == http.StateIdle)
 }
 
 // SetReadDeadline implements net.Conn. Between calls the server sets two deadlines: one for the
 // start of the next call, and a much shorter one for the call's header. A deadline later than
-// headerTimeout is the first kind.
+// headerTimeout is the first kind. The handler's deadlines stay as they are.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() || c.serving.Load() {
-		return c.Conn.SetReadDeadline(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isIdle := time.Until(t) > headerTimeout
+	if c.phase != phaseServing && !t.IsZero() {
+		t = c.limitDeadline(t, isIdle)
+	}
+	c.deadline = t
+	if c.expired && isIdle {
+		return nil
 	}
-	limits, timeout := c.limits(), time.Duration(0)
-	if time.Until(t) > headerTimeout {
+	c.expired = false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// limitDeadline applies the operators' current limits to a deadline between calls.
+func (c *callerConn) limitDeadline(t time.Time, isIdle bool) time.Time {
+	limits := c.limits()
+	timeout := limits.HeaderTimeout
+	if isIdle {
 		timeout = limits.IdleTimeout
-	} else {
-		timeout = limits.HeaderTimeout
 	}
 	if earliest := time.Now().Add(timeout); timeout > 0 && earliest.Before(t) {
-		t = earliest
+		return earliest
 	}
-	return c.Conn.SetReadDeadline(t)
+	return t
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -87,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.all {
-		c.closeIfWaiting(drainIdleTime)
+		c.expireIfWaiting(drainIdleTime)
 	}
 	return len(s.all)
 }
