Node: let a stop wait for calls on connections that were to be replaced

What callers saw: a call cut without a byte by a planned stop.

Cause: at the bound on connections, the one that has been idle for longest is ended for a newer one and leaves the set of connections at once. A call that had been read by then keeps it open, as it should. The stop counts the connections of the set to know when it is done: it took that one for closed, returned, and closed the server under the call (TestStopWaitsForCallOnConnectionThatWasToBeReplaced: closed without a byte before, answered with the change).

A connection to be replaced now stays in the set until it is closed. Its place is free meanwhile, and taken again if it has begun a call.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -81,6 +81,8 @@
 	mu   sync.Mutex
 	all  map[*callerConn]struct{}
 	idle *list.List
+	// replaced is the number of connections in all that are to be closed for newer ones.
+	replaced int
 }
 
 func newCallerConns(memory int64, logger log.Interface, registry metrics.Registry) *callerConns {
@@ -100,7 +102,7 @@
 func (s *callerConns) open(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.all) >= s.limit && !s.replaceIdle() {
+	if len(s.all)-s.replaced >= s.limit && !s.replaceIdle() {
 		s.rejected.Inc(1)
 		return false
 	}
@@ -116,7 +118,9 @@
 func (s *callerConns) replaceIdle() bool {
 	for e, tries := s.idle.Front(), 0; e != nil && tries < maxReplaceTries; e, tries = e.Next(), tries+1 {
 		if c := e.Value.(*callerConn); c.expireIfWaiting(0) {
-			s.remove(c)
+			s.idle.Remove(e)
+			c.idleElement, c.replaced = nil, true
+			s.replaced++
 			return true
 		}
 	}
@@ -127,6 +131,7 @@
 func (s *callerConns) setIdle(c *callerConn, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endReplacement(c)
 	if _, open := s.all[c]; !open || idle == (c.idleElement != nil) {
 		return
 	}
@@ -144,8 +149,18 @@
 	s.remove(c)
 }
 
+// endReplacement counts a connection again that was to be closed, and has begun a call or is closed
+// by now; the lock is held.
+func (s *callerConns) endReplacement(c *callerConn) {
+	if c.replaced {
+		c.replaced = false
+		s.replaced--
+	}
+}
+
 // remove removes a connection; the lock is held.
 func (s *callerConns) remove(c *callerConn) {
+	s.endReplacement(c)
 	delete(s.all, c)
 	if c.idleElement != nil {
 		s.idle.Remove(c.idleElement)
@@ -170,9 +185,10 @@
 	net.Conn
 	limits func() routing.Limits
 	conns  *callerConns
-	// idleElement is the connection's place among the idle ones; nil while it is not idle. The lock
-	// of conns guards it.
+	// idleElement is the connection's place among the idle ones; nil while it is not idle. replaced is
+	// set while the connection is to be closed for a newer one. The lock of conns guards both.
 	idleElement *list.Element
+	replaced    bool
 	// header measures the call's header, and hold counts it in the memory budget until the call ends.
 	header headerMeter
 	hold   *buffer.Hold
--- a/internal/node/callerconn_crossing_test.go
+++ b/internal/node/callerconn_crossing_test.go
@@ -183,6 +183,34 @@
 	is.Equal(answer(c), http.StatusOK)
 }
 
+// Guards against a planned stop that cuts a call on a connection that was to be replaced by a newer
+// one: the call had arrived by then, and the stop no longer counted the connection.
+func TestStopWaitsForCallOnConnectionThatWasToBeReplaced(t *testing.T) {
+	is := is.New(t)
+	g := newGate()
+	s := newCrossingServer(t, 1, func(l net.Listener) net.Listener { return &gatedListener{Listener: l, gate: g} })
+	s.start()
+	c := s.openIdle()
+	s.waitUntil("idle", func() bool { return s.idleCount() == 1 })
+	g.shut()
+	is.NoErr(call(c))
+	<-g.held // the call has been read, and the reading goroutine has yet to learn it
+	replacing := s.dial()
+	s.waitUntil("replaced", func() bool { return s.idleCount() == 0 })
+	replacing.Close()
+	close(g.open)
+	<-s.running
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	go func() { stopped <- drain(ctx, s.server, s.callers) }()
+	s.waitUntil("closed to new connections", s.callers.isClosed)
+	time.Sleep(2 * drainInterval)
+	s.release <- struct{}{}
+	is.Equal(answer(c), http.StatusOK)
+	is.NoErr(<-stopped)
+}
+
 // Guards against a planned stop that takes a connection for idle in the middle of a call that its
 // caller had sent together with the one before.
 func TestStopWaitsForPipelinedCall(t *testing.T) {
