Node: answer a call that arrived before its connection's wait ended

What callers saw: a connection closed, or reset, in answer to a call that was sent in time: within the limit for idle connections, or within the header's time on a new connection.

Cause: a read whose deadline has passed fails even if bytes have arrived. A process that runs late (a busy machine, a pause of a second) finds the deadlines of all its idle connections passed and closes them, those with a call in the kernel included. Operators who lower the idle limit shorten the time in which that happens. TestCallThatArrivesBeforeTheIdleLimitIsAnswered: closed without a byte before, answered with the change.

A read that ends by its deadline while nothing of the call was read looks at the socket, and reads on with the header's deadline if bytes have arrived. A caller can't prolong its wait by it, since bytes that arrive in time are read as they come; the header's own limit is unchanged.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -253,6 +253,22 @@
 	return c.waitingSince, c.phase == phaseWaiting
 }
 
+// extendForArrivedCall gives a call the time to be read whose first bytes had arrived when the wait for
+// it ended: a passed deadline fails a read even then. It returns false if nothing has arrived.
+//
+// It prevents the following failure: the process runs late, finds the limit for idle connections passed,
+// and closes connections on which calls have arrived in time.
+func (c *callerConn) extendForArrivedCall() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseWaiting || !hasUnreadBytes(c.Conn) {
+		return false
+	}
+	c.expired = false
+	c.deadline = c.limitDeadline(time.Now().Add(headerTimeout), false)
+	return c.Conn.SetReadDeadline(c.deadline) == nil
+}
+
 // recordRead records the result of a read. It returns true if the bytes belong to a call's header.
 func (c *callerConn) recordRead(n int, err error) bool {
 	c.mu.Lock()
@@ -307,6 +323,9 @@
 // connections, and the instance exceeds its memory before any call is read.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForArrivedCall() {
+		n, err = c.Conn.Read(p)
+	}
 	if !c.recordRead(n, err) {
 		return n, err
 	}
--- a/internal/node/callerconn_crossing_test.go
+++ b/internal/node/callerconn_crossing_test.go
@@ -70,6 +70,12 @@
 	return s.limits
 }
 
+func (s *crossingServer) setLimits(l routing.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
 // settleTime is how long a call runs at least, so that the server notices a failed connection.
 const settleTime = 50 * time.Millisecond
 
@@ -211,6 +217,31 @@
 	is.NoErr(<-stopped)
 }
 
+// Guards against a connection that is closed although a call has arrived: its idle limit, lowered
+// by the operators, passes before the process gets to read.
+func TestCallThatArrivesBeforeTheIdleLimitIsAnswered(t *testing.T) {
+	is := is.New(t)
+	const limit = 50 * time.Millisecond
+	g := newGate()
+	s := newCrossingServer(t, 10, func(l net.Listener) net.Listener { return &lateListener{Listener: l, gate: g} })
+	first := true
+	s.beforeState = func(state http.ConnState) {
+		if state == http.StateIdle && first {
+			first = false
+			s.setLimits(routing.Limits{IdleTimeout: limit})
+			g.shut()
+		}
+	}
+	s.start()
+	c := s.openIdle()
+	<-g.held
+	s.release <- struct{}{}
+	is.NoErr(call(c))
+	time.Sleep(2 * limit)
+	close(g.open)
+	is.Equal(answer(c), http.StatusOK)
+}
+
 // Guards against a planned stop that takes a connection for idle in the middle of a call that its
 // caller had sent together with the one before.
 func TestStopWaitsForPipelinedCall(t *testing.T) {
