Replicas: headers that trickle in without end end early, and stray bytes are told from silence

A replica that sends a few bytes of a header now and then held its call until the deadline, although another replica could have answered, and nothing told the call from one whose replica was silent: both ended as "response lost" once the context had closed the connection. Change: a header may arrive in 64 parts (ErrHeaderTooLarge); servers send it in one or a few, and silence adds none. The error of the connection's last read counts before what was parsed from the bytes before it. ErrStrayBytes, an ErrResponseLost, tells calls whose context ended within a header or within a response to another call from those whose replica was silent. An informational response that is complete is no fault. A connection that closes within a response to another call counts as broken, as elsewhere.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -36,8 +36,11 @@
 	// ErrBroken is an ErrResponseLost: the server closed or reset the connection, as one that ends does.
 	ErrBroken = errors.Wrap(ErrResponseLost, "connection closed by the server")
 	// ErrHeaderTooLarge is an ErrResponseLost: the server sent more than a status line and header may
-	// take. Bytes that are no response at all, without a line feed, count as such.
+	// take, or in more parts. Bytes that are no response at all, without a line feed, count as such.
 	ErrHeaderTooLarge = errors.Wrap(ErrResponseLost, "response header too large")
+	// ErrStrayBytes is an ErrResponseLost: the call's context ended after the server had sent a part of a
+	// header, or of a response to another call. Unlike silence this is a fault of the server.
+	ErrStrayBytes = errors.Wrap(ErrResponseLost, "only stray bytes until the end of the call")
 )
 
 const (
@@ -61,6 +64,10 @@
 	// maxHeaderBytes bounds the status line and header of a response, in bytes. Proxies commonly allow
 	// 4 to 16 KB. Once parsed, a header of many short lines takes sixteen times its size.
 	maxHeaderBytes = 16 << 10
+	// maxHeaderParts bounds the parts in which the status line and header of a response arrive. Servers
+	// send them at once, so that they take few segments; one that sends some bytes now and then never
+	// reaches maxHeaderBytes before the call's deadline. Silence adds no parts.
+	maxHeaderParts = 64
 )
 
 // Call is one HTTP call.
@@ -255,31 +262,42 @@
 	return &conn{pool: p, netConn: n, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}
 }
 
-// limitedReader fails with ErrHeaderTooLarge once more than the allowed bytes were read.
+// limitedReader fails with ErrHeaderTooLarge once more than the allowed bytes or parts were read.
 //
 // It prevents the following failure: a faulty server sends bytes without a line feed, all of them are
 // held in search of the end of the status line, and the instance exceeds its memory.
 type limitedReader struct {
 	reader io.Reader
-	// limited is false while a body is read. remaining is the number of bytes still allowed.
-	limited   bool
-	remaining int
+	// limited is false while a body is read. remaining and remainingParts are the numbers of bytes and of
+	// reads still allowed.
+	limited                   bool
+	remaining, remainingParts int
+	// err is the error of the last read. What is parsed from the bytes before it may hide it.
+	err error
 }
 
-func (r *limitedReader) limit(n int) { r.limited, r.remaining = true, n }
+func (r *limitedReader) limit(bytes, parts int) {
+	r.limited, r.remaining, r.remainingParts = true, bytes, parts
+}
 
 func (r *limitedReader) unlimit() { r.limited = false }
 
 // Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
+func (r *limitedReader) Read(p []byte) (n int, err error) {
+	n, r.err = r.read(p)
+	return n, r.err
+}
+
+func (r *limitedReader) read(p []byte) (int, error) {
 	if !r.limited {
 		return r.reader.Read(p)
 	}
-	if r.remaining == 0 {
+	if r.remaining == 0 || r.remainingParts == 0 {
 		return 0, ErrHeaderTooLarge
 	}
 	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.remainingParts--
 	return n, err
 }
 
@@ -311,7 +329,7 @@
 	for range maxResponsesPerCall {
 		response, err := c.readHeader(request)
 		if err != nil {
-			return nil, responseLost(err)
+			return nil, err
 		}
 		if response.StatusCode < 200 {
 			continue
@@ -320,7 +338,7 @@
 			return c.newResponse(response), nil
 		}
 		if err := skipBody(response); err != nil {
-			return nil, errors.Wrap(ErrResponseLost, err.Error())
+			return nil, c.strayLost(err)
 		}
 	}
 	return nil, errors.Wrap(ErrResponseLost, "too many responses before the call's own")
@@ -345,9 +363,29 @@
 // readHeader reads a response up to its body. The bytes that are buffered already come on top of the
 // limit.
 func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
-	c.limited.limit(maxHeaderBytes)
+	begun := c.reader.Buffered() > 0
+	c.limited.limit(maxHeaderBytes, maxHeaderParts)
 	defer c.limited.unlimit()
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	switch {
+	case err == nil:
+		return response, nil
+	case errors.Is(c.limited.err, ErrHeaderTooLarge):
+		return nil, ErrHeaderTooLarge
+	case begun || c.limited.remaining < maxHeaderBytes:
+		return nil, c.strayLost(err)
+	default:
+		return nil, responseLost(err)
+	}
+}
+
+// strayLost returns the error of a call of whose response a part of the header was read, or only a part of
+// a response to another call. The connection is closed on this side only when the call's context ends.
+func (c *conn) strayLost(err error) error {
+	if errors.Is(c.limited.err, net.ErrClosed) {
+		return errors.Wrap(ErrStrayBytes, err.Error())
+	}
+	return responseLost(err)
 }
 
 func newRequest(call *Call) (*http.Request, error) {
--- a/internal/httpconn/probe.go
+++ b/internal/httpconn/probe.go
@@ -20,9 +20,6 @@
 
 // responseLost returns the error of a call that was sent and whose response can't be read.
 func responseLost(err error) error {
-	if errors.Is(err, ErrHeaderTooLarge) {
-		return ErrHeaderTooLarge
-	}
 	if netdial.IsUnresponsive(err) {
 		return errors.Wrap(ErrUnresponsive, err.Error())
 	}
