Replicas: framing without end is told from silence, too

A replica whose chunk size, chunk extension or trailers come slowly and without end held the call until its deadline, and was not told from one that is silent within its body: both fail as a closed connection. Evidence: the added cases of TestStrayBytesAreToldFromSilence fail on (chunk size, chunk extension, trailer). TestCutBodyIsNoStrayBytes holds before and after. Change: reading a body fails with ErrStrayBytes if the context ended after bytes had arrived that gave no part of the body. After its end a body isn't asked again, since its connection may serve another call by then.

--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -127,7 +127,7 @@
 }
 
 // Guards against a faulty replica that is taken for a silent one: it has sent something at the call's
-// deadline, but no header.
+// deadline, but no header, or no part of a body.
 func TestStrayBytesAreToldFromSilence(t *testing.T) {
 	for name, c := range map[string]struct {
 		prefix, unit string
@@ -142,6 +142,9 @@
 		"stray body":               {strayHead + "\r\n", "x", true},
 		"stray chunks":             {strayHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", true},
 		"stray chunk extension":    {strayHead + "Transfer-Encoding: chunked\r\n\r\n1;", "x", true},
+		"chunk size":               {chunkedHead, "0", true},
+		"chunk extension":          {chunkedHead + "1;", "x", true},
+		"trailer":                  {chunkedHead + "0\r\n", "A: b\r\n", true},
 		"stray trailer":            {strayHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -161,6 +164,29 @@
 	}
 }
 
+// Guards against a sound replica that is blamed for a body that the call's deadline cuts off.
+func TestCutBodyIsNoStrayBytes(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, unit string }{
+		"body":            {okHead + "\r\n", "x"},
+		"chunks":          {chunkedHead, "1\r\nx\r\n"},
+		"part of a body":  {okHead + "Content-Length: 9\r\n\r\nx", ""},
+		"part of a chunk": {chunkedHead + "9\r\nx", ""},
+		"no body":         {okHead + "Content-Length: 9\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address, _ := endlessServer(t, c.prefix, c.unit, brief/20)
+			ctx, cancel := context.WithTimeout(context.Background(), brief)
+			defer cancel()
+			_, err := doCounting(ctx, t, address)
+			is.True(err != nil)
+			is.True(ctx.Err() != nil)
+			is.True(!errors.Is(err, ErrStrayBytes))
+		})
+	}
+}
+
 // Guards against bytes without end in the place of a chunk's size or of a trailer: fast ones end the
 // response at a bound, slow ones at the call's deadline.
 func TestEndlessFramingEndsTheResponse(t *testing.T) {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -39,7 +39,8 @@
 	// take, or in more parts. Bytes that are no response at all, without a line feed, count as such.
 	ErrHeaderTooLarge = errors.Wrap(ErrResponseLost, "response header too large")
 	// ErrStrayBytes is an ErrResponseLost: the call's context ended after the server had sent a part of a
-	// header, or of a response to another call. Unlike silence this is a fault of the server.
+	// header, of the framing of a body, or of a response to another call. Unlike silence this is a fault of
+	// the server.
 	ErrStrayBytes = errors.Wrap(ErrResponseLost, "only stray bytes until the end of the call")
 )
 
@@ -272,6 +273,8 @@
 	// reads still allowed.
 	limited                   bool
 	remaining, remainingParts int
+	// total is the number of bytes read so far.
+	total int64
 	// err is the error of the last read. What is parsed from the bytes before it may hide it.
 	err error
 }
@@ -285,6 +288,7 @@
 // Read implements io.Reader.
 func (r *limitedReader) Read(p []byte) (n int, err error) {
 	n, r.err = r.read(p)
+	r.total += int64(n)
 	return n, r.err
 }
 
@@ -476,12 +480,23 @@
 	response   *Response
 	reader     io.Reader
 	closeAfter bool
+	// ended is set once the body was read to its end.
+	ended bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF // the connection may serve another call by now
+	}
+	c := b.response.conn
+	before := c.limited.total
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
-		b.response.conn.release(b.response.callNumber, b.closeAfter)
+	switch {
+	case err == io.EOF:
+		b.ended = true
+		c.release(b.response.callNumber, b.closeAfter)
+	case err != nil && n == 0 && c.limited.total > before && errors.Is(c.limited.err, net.ErrClosed):
+		err = errors.Wrap(ErrStrayBytes, err.Error())
 	}
 	return n, err
 }
