Upstream: no slow start after mere silence

What callers saw: a replica that was silent for about a second got a fifth of its calls when it went on, and all of them only ten seconds later. Where many fall silent now and then, most of their places stay empty.

Cause: slow start follows each opening of the breaker. It is for upstreams that come back cold. One whose connections only fell silent has not started again: a process that starts, or a machine that boots, refuses connections or can't be reached for a while, and that counts as another kind of failure.

Evidence: go test ./internal/scheduler -run OnlySilent was red before: the limit was below the full one after silence alone. Refused connections and lost calls still begin a slow start, in the same test.

Change: the breaker remembers whether any failure since the last success was more than silence, and slow start begins only then.

--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -68,3 +68,23 @@
 		is.Equal(u.Load(time.Now().UnixNano()).Condition, upstream.CircuitOpen)
 	})
 }
+
+// Guards against a replica that gets a fifth of its calls for seconds after a silence, as if it had started again.
+func TestReplicaThatWasOnlySilentHasNoSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for kind, slowStart := range map[upstream.FailureKind]bool{upstream.Unresponsive: false, upstream.NotSent: true, upstream.Lost: true} {
+			s, table := newTestScheduler(Settings{}, engineAt("e", "a", 8))
+			u := table.Snapshot().Upstream("e")
+			full := u.Load(time.Now().UnixNano()).Limit
+			for _, g := range fillSlots(t, s, 3) {
+				g.Done(Feedback{Failure: &upstream.Failure{Kind: kind}})
+			}
+			time.Sleep(3 * longestFirstOpening)
+			trial, refusal := s.Acquire(t.Context(), testRequest("trial"))
+			is.True(refusal == nil)
+			trial.Done(Feedback{})
+			is.Equal(u.Load(time.Now().UnixNano()).Limit < full, slowStart)
+		}
+	})
+}
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -38,6 +38,8 @@
 	// unreachable reports whether the last failure was a refused connection or an unresponsive
 	// upstream. A successful probe then allows a trial, which it does not after lost calls.
 	unreachable bool
+	// mayBeCold reports whether the upstream may have restarted: some failure was more than silence.
+	mayBeCold bool
 	// openedAt is when the breaker opened, or opened again after a failed trial.
 	openedAt time.Time
 	delay    *backoff.ExponentialBackOff
@@ -60,7 +62,8 @@
 	return trial, u.trial.CompareAndSwap(0, trial)
 }
 
-// RecordSuccess records a successful call. It closes the breaker; if it was open, slow start begins.
+// RecordSuccess records a successful call. It closes the breaker; if it was open for more than silence,
+// slow start begins.
 func (u *Upstream) RecordSuccess(now time.Time) {
 	u.RecordProgress(now.UnixNano())
 	if u.openUntil.Load() == 0 && !u.hasFailures() && u.errorRate.share.Load() == 0 {
@@ -69,7 +72,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.errorRate.record(now.UnixNano(), false)
-	if u.breaker.open {
+	if u.breaker.open && u.breaker.mayBeCold {
 		u.rampFrom.Store(now.UnixNano())
 	}
 	u.breaker = breaker{}
@@ -105,6 +108,7 @@
 		return
 	}
 	u.breaker.failures++
+	u.breaker.mayBeCold = u.breaker.mayBeCold || f.Kind != Unresponsive
 	u.breaker.unreachable = f.Kind == NotSent || f.Kind == Unresponsive
 	if u.breaker.open || u.breaker.failures >= tripThreshold || u.breaker.unreachable {
 		u.trip(now)
