gateway: a turn may be retained until its call's deadline

Callers: a whole answer was broken off before its end (turn_not_retained) after its keepers had been silent for 2 s, with up to 3 s of the call's time left.

Cause: retaining had 2 s, whatever the call had left. Change: the time until the call's deadline, at least the 2 s. TestTurnIsRetainedWithinTheDeadline failed before ("broken-off != answered"). The fake keepers now heed their context, which they ignored.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -149,8 +149,10 @@
 	return Reserved{Chain: f.chain}, f.reserveErr
 }
 
-func (f *fakeTurns) Settle(_ context.Context, e Settlement) error {
-	time.Sleep(f.settleDelay)
+func (f *fakeTurns) Settle(ctx context.Context, e Settlement) error {
+	if !sleep(ctx, f.settleDelay) {
+		return ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settlements = append(f.settlements, e)
@@ -425,6 +427,21 @@
 	is.Equal(got.result.Reason, TurnNotRetained)
 }
 
+// Guards against whole responses that are broken off because their keepers are silent for a while and go
+// on within the time that the call has left.
+func TestTurnIsRetainedWithinTheDeadline(t *testing.T) {
+	is := is.New(t)
+	turns := &fakeTurns{settleDelay: retainTimeout + time.Second}
+	got := serve(t, turnRoute, turnCall(), turns, streams(nil, event(1)))
+	is.Equal(got.result.Outcome, Completed)
+	is.Equal(len(turns.settlements), 1)
+	route := turnRoute
+	route.Timeout = time.Second
+	got = serve(t, route, turnCall(), turns, streams(nil, event(1)))
+	is.Equal(got.result.Reason, TurnNotRetained)
+	is.Equal(got.duration, retainTimeout)
+}
+
 // Guards against callers that wait for changing keepers although their turn need not be retained:
 // the response must end with its last event, and the turn be settled afterwards.
 func TestTurnWithoutRetentionDoesNotWaitForSettlement(t *testing.T) {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -20,7 +20,7 @@
 	balancerFailoverTime = 2600 * time.Millisecond
 	// minIsolatedRetryAfter is the shortest retry delay given to callers of an isolated data centre.
 	minIsolatedRetryAfter = 100 * time.Millisecond
-	// retainTimeout bounds the retaining of a turn, also past the caller's deadline.
+	// retainTimeout is the least time for the retaining of a turn, also past the call's deadline.
 	retainTimeout = 2 * time.Second
 	// settleTimeout bounds the settlement of a turn in the background. It is longer than most
 	// outages; a turn that is not settled by then counts as spent.
@@ -143,7 +143,7 @@
 	settlement := f.newSettlement(rec)
 	settlement.RetainedTurn = &Turn{ID: f.call.ID, Previous: f.call.Previous, Input: f.call.Body, Events: rec.eventData, Ended: time.Now(), Replica: f.lastReplica}
 	settlement.Chain = chain
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), retainTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(retainTimeout, time.Until(f.deadline)))
 	defer cancel()
 	return f.gateway.turns.Settle(ctx, settlement)
 }
