upstream: a silent replica is avoided while its calls wait

Cause: the breaker learned of silence only by the calls that it ended. What is left, "stalled", takes 3 s for engines and 10 s for services, since it rejects, and each call that is sent begins it anew.

Change: an attempt that has waited for its silence bound without a byte reports it. If no other call of this instance to the replica got a byte meanwhile, the replica counts as erring in placement's cost: it is avoided, not rejected, and used again with its first byte. Without a call in flight nothing is assumed. Calls that may not be repeated report silence too; they aren't hedged.

TestSilentReplicaGetsNoFurtherCalls fails without the report (calls wait for the silent replica).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,6 +115,7 @@
 	a.headerWait = time.Since(began)
 	if err == nil {
 		a.headerAt.Store(time.Now().UnixNano())
+		a.grant.RecordHeader()
 	}
 	return response, err
 }
@@ -127,7 +128,8 @@
 	// forward forwards the stream of a received attempt; nil if the response is forwarded later. It
 	// returns the hedge that has taken over, if one has.
 	forward func(a *attemptState, h *hedger) (verdict, *attemptState)
-	// silence is how long an attempt at the replica may be silent before it is hedged; 0 for any time.
+	// silence is how long an attempt at the replica may be silent before the replica counts as silent and
+	// the attempt is hedged if the route allows it; 0 for any time.
 	silence func(g *scheduler.Grant) time.Duration
 	// resumeAfter returns the ID of the last event that the caller received.
 	resumeAfter func() string
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -120,17 +120,17 @@
 }
 
 const (
-	// attemptTimeoutFactor times the mean duration of a call is how long an attempt of an idempotent
-	// call may take before it is hedged. Nine in ten calls take less, and a lost response never arrives.
+	// attemptTimeoutFactor times the mean duration of a call is how long an attempt may take before its
+	// replica counts as silent, unless others get responses, and an idempotent call is hedged. Nine in ten
+	// calls take less, and a lost response never arrives.
 	attemptTimeoutFactor = 4
 	minAttemptTimeout    = 200 * time.Millisecond
 )
 
-// attemptTimeout returns how long an attempt of an idempotent call may take before it is hedged; 0 for
-// any time.
+// attemptTimeout returns how long an attempt may be silent; 0 for any time.
 func (f *inFlightCall) attemptTimeout(g *scheduler.Grant) time.Duration {
 	mean := g.MeanCall()
-	if f.route.Kind != routing.Idempotent || mean == 0 {
+	if mean == 0 {
 		return 0
 	}
 	return max(minAttemptTimeout, attemptTimeoutFactor*mean)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -101,7 +101,16 @@
 func (h *hedger) onSilence() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.startLocked(errSilent)
+	if !h.armed || h.hedge != nil {
+		return
+	}
+	h.attempt.grant.RecordSilence(h.silence)
+	if h.call.route.Repeatable() {
+		h.startLocked(errSilent)
+		return
+	}
+	h.hedgeAt = time.Now().Add(h.silence)
+	h.scheduleLocked()
 }
 
 func (h *hedger) onDataCentreSilence() {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -164,3 +165,60 @@
 		return NewResponse(Response{Status: 200, Length: -1, Verified: true, Executed: true, Body: body}, func() {}), nil
 	}
 }
+
+// Guards against calls that wait for a silent replica although others are free: it gets no further calls,
+// without a call of its own being ended, until it goes on.
+func TestSilentReplicaGetsNoFurtherCalls(t *testing.T) {
+	for _, route := range silentRoutes() {
+		route.Attempts = 1
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			silent, quick := "", succeedsWith("body")
+			if route.Kind == routing.Stream {
+				quick = streams(nil, event(1))
+			}
+			const silenceLength = 4 * time.Second
+			service := routing.Service{Name: "s"}
+			if route.Kind == routing.Stream {
+				service.Engine = &routing.Engine{TokensPerEvent: 2}
+			}
+			w := newTestGateway(service, nil, Settings{}, route, &fakeTurns{}, func(ctx context.Context, a *Attempt) (*Response, error) {
+				mu.Lock()
+				if silent == "" && a.Call.ID == "long" {
+					silent = a.Target.ID
+				}
+				isSilent := silent == a.Target.ID
+				mu.Unlock()
+				pause := 20 * time.Millisecond
+				if isSilent {
+					pause = silenceLength
+				}
+				if !sleep(ctx, pause) {
+					return hangs(ctx, a)
+				}
+				return quick(ctx, a)
+			})
+			call := func(id string) (Result, time.Duration) {
+				began := time.Now()
+				c := Call{ID: id, Host: "h", Path: "/x", Arrived: began}
+				result := w.gateway.Serve(t.Context(), &c, &fakeCaller{})
+				return result, time.Since(began)
+			}
+			for range 20 { // so that each replica's mean duration is known
+				call("short")
+			}
+			done := make(chan Result, 1)
+			go func() { result, _ := call("long"); done <- result }()
+			time.Sleep(time.Second)
+			for range 10 {
+				result, took := call("short")
+				is.Equal(result.Outcome, Completed)
+				is.True(took < time.Second)
+			}
+			is.Equal((<-done).Outcome, Completed)
+			is.Equal(len(erringUpstreams(w.upstreams)), 0)
+			time.Sleep(settleTimeout)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -208,17 +208,16 @@
 }
 
 const (
-	// A resumable stream is hedged if no first event arrives within firstEventFactor times the expected
-	// time (at least minFirstEventTimeout), or no further event within gapFactor times the route's
-	// GapObjective. A lost response never arrives; for a replica that is only slow or silent, a hedge
-	// costs the prefill of one prompt.
+	// A replica counts as silent, and a resumable stream is hedged, if no first event arrives within
+	// firstEventFactor times the expected time (at least minFirstEventTimeout), or no further event within
+	// gapFactor times the route's GapObjective. A lost response never arrives; for a replica that is only
+	// slow or silent, a hedge costs the prefill of one prompt.
 	firstEventFactor     = 4
 	minFirstEventTimeout = 800 * time.Millisecond
 	gapFactor            = 2
 )
 
-// firstEventTimeout returns how long a stream may have no first event before it is hedged; 0 for any
-// time.
+// firstEventTimeout returns how long a stream may have no first event; 0 for any time.
 func (f *inFlightCall) firstEventTimeout(g *scheduler.Grant) time.Duration {
 	if f.gapTimeout() == 0 {
 		return 0
@@ -236,13 +235,8 @@
 	return max(f.gapTimeout(), f.firstEventTimeout(a.grant)-time.Since(a.began))
 }
 
-// gapTimeout returns how long a stream may have no further event before it is hedged; 0 for any time.
-func (f *inFlightCall) gapTimeout() time.Duration {
-	if !f.route.Resumable {
-		return 0
-	}
-	return gapFactor * f.route.GapObjective
-}
+// gapTimeout returns how long a stream may have no further event; 0 for any time.
+func (f *inFlightCall) gapTimeout() time.Duration { return gapFactor * f.route.GapObjective }
 
 // finishStream ends a complete stream. A turn must be durable before the end of its response is
 // forwarded, since the caller may continue from it from then on.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -187,7 +187,15 @@
 // not count against the upstream.
 func (g *Grant) MarkSent() {
 	g.sentAt = time.Now()
-	g.endpoint.Upstream.RecordProgress(g.sentAt.UnixNano())
+	g.endpoint.Upstream.RecordSent(g.sentAt.UnixNano())
+}
+
+// RecordHeader records that the header of the response has arrived.
+func (g *Grant) RecordHeader() { g.endpoint.Upstream.RecordHeard(time.Now().UnixNano()) }
+
+// RecordSilence records that the call has waited for so long without a byte of the response.
+func (g *Grant) RecordSilence(length time.Duration) {
+	g.endpoint.Upstream.RecordSilence(time.Now().UnixNano(), length)
 }
 
 // RecordFirstToken records that the response has begun.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -44,6 +44,7 @@
 	slownessAt atomic.Int64
 
 	errorRate errorRate
+	silence   silence
 
 	draining atomic.Bool
 	// probedAt, openUntil and rampFrom are in Unix nanoseconds; 0 stands for never probed, for a
@@ -169,6 +170,9 @@
 		backlog += int(u.remoteBacklog.Load())
 	}
 	l.Total, l.Backlog = total, backlog
+	if u.isSilent(own) {
+		l.ErrorRate = silentErrorRate
+	}
 	l.Condition = u.condition(now, l)
 	return l
 }
@@ -199,6 +203,7 @@
 // tokens; the call is expected to make progress within progressTimeout.
 func (u *Upstream) Begin(now int64, tokens int, progressTimeout time.Duration) {
 	if u.inFlight.Add(1) == 1 {
+		u.silence.silent.Store(false)
 		u.active.add(u)
 		u.lastProgress.Store(now)
 		u.progressTimeout.Store(int64(progressTimeout))
@@ -211,7 +216,13 @@
 
 // RecordProgress records that a call to the upstream made progress: a first token, a chunk or its
 // end.
-func (u *Upstream) RecordProgress(now int64) { u.lastProgress.Store(now) }
+func (u *Upstream) RecordProgress(now int64) {
+	u.lastProgress.Store(now)
+	u.RecordHeard(now)
+}
+
+// RecordSent records that a call was sent, from when on it is expected to make progress.
+func (u *Upstream) RecordSent(now int64) { u.lastProgress.Store(now) }
 
 // RecordPrefilled removes prompt tokens from the backlog.
 func (u *Upstream) RecordPrefilled(tokens int) { u.backlog.Add(-int64(tokens)) }
