Node: tell callers for how long they may reuse a connection

Cause: callers reuse a connection until they see it closed. Entries close it at the operators' idle limit, and a call that is on its way at that time crosses the close.

Responses now announce the idle limit less a second in Keep-Alive. The limit that was announced also holds for the wait that follows if operators lower it meanwhile, since the caller counts on it. TestIdleLimitIsAnnouncedAndKept failed before (no header).

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,6 +196,8 @@
 	held   int
 	// served is set once the call was handed to the handler.
 	served bool
+	// announced is the idle limit of which the caller was told with the latest response.
+	announced time.Duration
 	// headerBegan is when the first bytes of the call's header were read.
 	headerBegan time.Time
 
@@ -298,11 +301,28 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// markServed records for each call that h serves it.
+// idleAnnounceMargin is the time between the end of the idle time that callers are told and the closing
+// of their connections. It allows for a call that is on its way.
+const idleAnnounceMargin = time.Second
+
+// announceIdleLimit tells a caller for how long it may reuse its connection. The limit holds for the
+// wait that follows even if operators lower it meanwhile. The header counts in whole seconds.
+//
+// It prevents the following failure: a caller reuses its connection at the very time that it is closed,
+// and gets neither an answer nor a refusal.
+func (c *callerConn) announceIdleLimit(header http.Header) {
+	c.announced = c.limits().IdleTimeout
+	if seconds := int((c.announced - idleAnnounceMargin) / time.Second); seconds > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
+// markServed records for each call that h serves it, and announces the idle limit.
 func markServed(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			c.served = true
+			c.announceIdleLimit(w.Header())
 			defer c.recordAborted(time.Now())
 		}
 		h.ServeHTTP(w, r)
@@ -406,7 +426,7 @@
 	limits := c.limits()
 	timeout := limits.HeaderTimeout
 	if isIdle {
-		timeout = limits.IdleTimeout
+		timeout = max(limits.IdleTimeout, c.announced)
 	}
 	if earliest := time.Now().Add(timeout); timeout > 0 && earliest.Before(t) {
 		return earliest
--- a/internal/node/callerconn_crossing_test.go
+++ b/internal/node/callerconn_crossing_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -327,3 +329,40 @@
 	is.Equal(answer(c), http.StatusOK)
 	is.NoErr(<-stopped)
 }
+
+// readResponse reads a response with its body, and returns the idle time that it announces.
+func readResponse(t *testing.T, caller *bufio.Reader) string {
+	t.Helper()
+	response, err := http.ReadResponse(caller, nil)
+	is.New(t).NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	is.New(t).NoErr(err)
+	return response.Header.Get("Keep-Alive")
+}
+
+// Guards against a call that crosses the closing of its idle connection: callers must be told how long
+// they may reuse it, and it must stay open for longer, also if operators lower the limit meanwhile.
+func TestIdleLimitIsAnnouncedAndKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limits := routing.Limits{IdleTimeout: 15 * time.Second}
+		caller, side := net.Pipe()
+		l := &singleConnListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+		l.conn <- side
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			limits.IdleTimeout = 5 * time.Second
+		})
+		server := &http.Server{Handler: markServed(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState, ConnContext: withConn}
+		go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers()})
+		defer server.Close()
+
+		reader := bufio.NewReader(caller)
+		is.NoErr(call(caller))
+		is.Equal(readResponse(t, reader), "timeout=14")
+		time.Sleep(14 * time.Second)
+		is.NoErr(call(caller))
+		is.Equal(readResponse(t, reader), "timeout=4")
+		is.Equal(timeUntilClosed(caller), 5*time.Second)
+	})
+}
