Node: let a caller that still sends its header see the refusal

What callers saw: a reset connection, and no refusal, for a call whose header found no room in the memory budget while the caller was still sending it.

Cause: the 503 was written and the connection closed at once, with bytes of the header unread or on their way. Closing resets the connection then. Oversized bodies are read for a bounded time before the close; headers were not.

The rest is now read and dropped, up to the largest header and for a second, into the buffer of the read itself, after the sending side was closed. TestCallerThatStillSendsItsHeaderReceivesTheRefusal failed before (broken pipe in the caller's next write) and passes with the change.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -335,8 +335,31 @@
 	headerRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
 	// headerRefusalTimeout bounds the sending of the refusal; it fits into the socket's buffer.
 	headerRefusalTimeout = 100 * time.Millisecond
+	// headerDiscardTimeout bounds the reading of the rest of a refused header. A header of the largest
+	// size takes less over a slow connection.
+	headerDiscardTimeout = time.Second
 )
 
+// refuseHeader sends the refusal, and reads what the caller still sends into a buffer whose contents are
+// lost. Closing the connection at once would reset it, and the caller would not see the refusal.
+func (c *callerConn) refuseHeader(discarded []byte) {
+	_ = c.SetWriteDeadline(time.Now().Add(headerRefusalTimeout))
+	if _, err := io.WriteString(c.Conn, headerRefusal); err != nil {
+		return // the caller is gone
+	}
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // a connection that has failed ends the loop below
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(headerDiscardTimeout))
+	for left := maxHeaderBytes; left > 0; {
+		n, err := c.Conn.Read(discarded)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
 // Read implements net.Conn. Beyond the usual size, a header counts in the memory budget of calls.
 //
 // It prevents the following failure: callers send large headers, or many short lines, on hundreds of
@@ -352,8 +375,7 @@
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
-			_ = c.SetWriteDeadline(time.Now().Add(headerRefusalTimeout))
-			_, _ = io.WriteString(c.Conn, headerRefusal) // a caller that is gone gets none
+			c.refuseHeader(p)
 			return 0, io.EOF
 		}
 		c.held += more
