--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,6 +196,8 @@
 	held   int
 	// served is set once the call was handed to the handler.
 	served bool
+	// announced is the idle limit of which the caller was told with the latest response.
+	announced time.Duration
 	// headerBegan is when the first bytes of the call's header were read.
 	headerBegan time.Time
 
@@ -298,11 +301,28 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// markServed records for each call that h serves it.
+// idleAnnounceMargin is the time between the end of the idle time that callers are told and the closing
+// of their connections. It allows for a call that is on its way.
+const idleAnnounceMargin = time.Second
+
+// announceIdleLimit tells a caller for how long it may reuse its connection. The limit holds for the
+// wait that follows even if operators lower it meanwhile. The header counts in whole seconds.
+//
+// It prevents the following failure: a caller reuses its connection at the very time that it is closed,
+// and gets neither an answer nor a refusal.
+func (c *callerConn) announceIdleLimit(header http.Header) {
+	c.announced = c.limits().IdleTimeout
+	if seconds := int((c.announced - idleAnnounceMargin) / time.Second); seconds > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
+// markServed records for each call that h serves it, and announces the idle limit.
 func markServed(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			c.served = true
+			c.announceIdleLimit(w.Header())
 			defer c.recordAborted(time.Now())
 		}
 		h.ServeHTTP(w, r)
@@ -315,8 +335,31 @@
 	headerRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
 	// headerRefusalTimeout bounds the sending of the refusal; it fits into the socket's buffer.
 	headerRefusalTimeout = 100 * time.Millisecond
+	// headerDiscardTimeout bounds the reading of the rest of a refused header. A header of the largest
+	// size takes less over a slow connection.
+	headerDiscardTimeout = time.Second
 )
 
+// refuseHeader sends the refusal, and reads what the caller still sends into a buffer whose contents are
+// lost. Closing the connection at once would reset it, and the caller would not see the refusal.
+func (c *callerConn) refuseHeader(discarded []byte) {
+	_ = c.SetWriteDeadline(time.Now().Add(headerRefusalTimeout))
+	if _, err := io.WriteString(c.Conn, headerRefusal); err != nil {
+		return // the caller is gone
+	}
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // a connection that has failed ends the loop below
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(headerDiscardTimeout))
+	for left := maxHeaderBytes; left > 0; {
+		n, err := c.Conn.Read(discarded)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
 // Read implements net.Conn. Beyond the usual size, a header counts in the memory budget of calls.
 //
 // It prevents the following failure: callers send large headers, or many short lines, on hundreds of
@@ -332,8 +375,7 @@
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
-			_ = c.SetWriteDeadline(time.Now().Add(headerRefusalTimeout))
-			_, _ = io.WriteString(c.Conn, headerRefusal) // a caller that is gone gets none
+			c.refuseHeader(p)
 			return 0, io.EOF
 		}
 		c.held += more
@@ -406,7 +448,7 @@
 	limits := c.limits()
 	timeout := limits.HeaderTimeout
 	if isIdle {
-		timeout = limits.IdleTimeout
+		timeout = max(limits.IdleTimeout, c.announced)
 	}
 	if earliest := time.Now().Add(timeout); timeout > 0 && earliest.Before(t) {
 		return earliest
