History: a silent keeper does not hold up the search for a turn

What callers saw: a turn that continues another program's turn was refused with 503 after 1.8 s while one keeper was silent, although other keepers had the turn and answered.

Cause: the search asks one keeper after the other, each without a bound of its own and without notice of its silence, until the time of the whole search is over. Reservations and settlements have both bounds. A keeper whose process stands still keeps its connections, so that nothing else ends the call.

Evidence: TestTurnOfAnotherProgramIsFoundBesideASilentKeeper was red before with "no keeper of the shard gave a result in time" (go test ./internal/history -run BesideASilent).

Change: a look-up at one keeper ends with callTimeout or the keeper's silence, as other calls do, and the next keeper is asked. A keeper waits at most 600 ms for the confirmations of its shards, so that what it can confirm arrives within callTimeout; the caller asks again for the rest.

The other tests of silence_test.go are green before and after: silences of any holders up to 1.5 s end no reservation and no settlement, and a settlement goes on until the time that the gateway gives it.

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -136,12 +136,22 @@
 	return errors.Wrapf(ErrNoKeeperResult, "shard %d in epoch %d: primary %s, backups %v", shardID, role.Epoch, role.Primary, role.Backups)
 }
 
+// untilSilent returns the context of one call to a keeper. It is cancelled after callTimeout, and if the
+// keeper becomes unresponsive.
+func (c *Client) untilSilent(ctx context.Context, keeper string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	stop := c.keepers.OnSilence(keeper, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive or is
 // replaced: the next holder shows sooner which keeper replaced it.
 func (c *Client) callKeeper(ctx context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := c.untilSilent(ctx, p.keeper)
 	defer cancel()
-	defer c.keepers.OnSilence(p.keeper, cancel)()
 	p.cancel = cancel
 	c.mu.Lock()
 	c.pending[p] = struct{}{}
@@ -360,7 +370,7 @@
 			if !ok {
 				continue
 			}
-			response, err := keeper.Find(ctx, &historypb.FindRequest{Turn: turn, Customer: &customer})
+			response, err := c.find(ctx, name, keeper, &historypb.FindRequest{Turn: turn, Customer: &customer})
 			if err != nil {
 				c.logger.WithError(err).WithField("keeper", name).WithField("request", turn).Debug("keeper failed to look up a turn")
 				continue
@@ -383,6 +393,13 @@
 	return nil, ErrNoKeeperResult
 }
 
+// find asks one keeper for a turn. Another keeper may have it if this one is silent.
+func (c *Client) find(ctx context.Context, name string, k historypb.Keeper, r *historypb.FindRequest) (*historypb.FindResponse, error) {
+	ctx, cancel := c.untilSilent(ctx, name)
+	defer cancel()
+	return k.Find(ctx, r)
+}
+
 // holdersToAsk returns the keepers of the shards that are not in absent.
 func (c *Client) holdersToAsk(absent map[uint32]bool) []string {
 	var names []string
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -20,6 +20,10 @@
 	// commitTimeout bounds the wait for one change to be committed. It is longer than a
 	// reassignment takes, so that most callers do not notice one.
 	commitTimeout = 1500 * time.Millisecond
+	// findTimeout bounds the time for which a look-up waits until other keepers have confirmed that this
+	// one is the primary of its shards. It is shorter than callTimeout, so that the caller gets what is
+	// confirmed by then.
+	findTimeout = 600 * time.Millisecond
 	// appendTimeout bounds one call to a backup. A disk write takes 5 ms, and a backup that needs
 	// this long is replaced.
 	appendTimeout = 600 * time.Millisecond
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -125,7 +125,7 @@
 		}
 	}
 	k.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for id, e := range pending {
 		if awaitCommit(ctx, e) {
