--- a/internal/gateway/attempts_machine_test.go
+++ b/internal/gateway/attempts_machine_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,8 +31,9 @@
 }
 
 func behaviours(stream bool) []replicaBehaviour {
-	completes, breaksOff := succeedsWith("whole"), streams(io.ErrUnexpectedEOF, event(1))
+	completes, breaksOff, endsLater := succeedsWith("whole"), streams(io.ErrUnexpectedEOF, event(1)), endsAfter(event(1))
 	if stream {
+		endsLater = dependingOnResume(endsLater, endsAfter())
 		completes = dependingOnResume(streams(nil, event(1), event(2)), streams(nil, event(2)))
 		breaksOff = dependingOnResume(breaksOff, streams(io.ErrUnexpectedEOF))
 	}
@@ -41,7 +43,7 @@
 		{"breaks off", true, breaksOff},
 		{"has an unresponsive connection", true, delayed(100*time.Millisecond, failsWith(httpconn.ErrUnresponsive))},
 		{"ends", true, ends},
-		{"ends in the middle of its response", true, endsAfter(event(1))},
+		{"ends in the middle of its response", true, endsLater},
 		{"responds late", true, delayed(700*time.Millisecond, completes)},
 		{"accepts no connection", false, failsWith(httpconn.ErrNotSent)},
 		{"has no free connection", false, failsWith(httpconn.ErrConnectionLimit)},
@@ -80,15 +82,17 @@
 // scriptReplicas returns scripts that behave as drawn, one behaviour for each attempt. Silent
 // replicas run the calls that they receive and do not respond.
 func scriptReplicas(drawn []replicaBehaviour, silent map[string]bool, counts executions) []script {
+	var mu sync.Mutex // a hedge is sent while another attempt is under way
 	var steps []script
 	for _, b := range drawn {
 		steps = append(steps, func(ctx context.Context, s *Attempt) (*Response, error) {
-			if silent[s.Target.ID] {
+			if silent[s.Target.ID] || b.executes {
+				mu.Lock()
 				counts[s.Target.ID]++
-				return hangs(ctx, s)
+				mu.Unlock()
 			}
-			if b.executes {
-				counts[s.Target.ID]++
+			if silent[s.Target.ID] {
+				return hangs(ctx, s)
 			}
 			return b.script(ctx, s)
 		})
