--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,9 @@
 	liveness httpconn.Liveness
 	// finished is set once the replica's response was received whole.
 	finished bool
+	// unfinished is set if the response had begun and its next part had not arrived whole when the
+	// attempt ended.
+	unfinished bool
 }
 
 // newAttempt returns an attempt that is about to be sent. A hedge at the replica of another attempt
@@ -156,7 +159,7 @@
 			continue
 		}
 		if v != complete {
-			f.reportFailure(ctx, a.grant, a.response, v)
+			f.reportFailure(ctx, a, v)
 		}
 		a.place.leave()
 		if next == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -146,11 +146,11 @@
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
 		return a.classifyBufferError(err)
-	case err != nil && a.cancelledBySilence():
-		a.err = err
-		return unresponsive
 	case err != nil:
-		a.err = err
+		a.err, a.unfinished = err, true
+		if a.cancelledBySilence() {
+			return unresponsive
+		}
 		return invalidResponse
 	}
 	a.finished = true
@@ -192,26 +192,40 @@
 	}
 }
 
-// reportFailure reports a failed attempt to the scheduler, or a cancelled one if ctx has ended.
-func (f *inFlightCall) reportFailure(ctx context.Context, g *scheduler.Grant, response *Response, v verdict) {
-	if ctx.Err() != nil {
-		g.Done(scheduler.Feedback{Cancelled: true})
+// reportFailure reports a failed attempt to the scheduler, or a cancelled one if ctx has ended. A
+// response that had begun and did not come to its end within the call's time is a failure.
+//
+// It prevents the following failure: a replica sends bytes that are no response, slowly and without end,
+// and gets ever more calls since nothing is held against it.
+func (f *inFlightCall) reportFailure(ctx context.Context, a *attemptState, v verdict) {
+	failure := failureOfVerdict(v)
+	switch {
+	case ctx.Err() == nil:
+	case a.unfinished && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		failure.Kind = upstream.Errored
+	default:
+		a.grant.Done(scheduler.Feedback{Cancelled: true})
 		return
 	}
-	failure := upstream.Failure{Kind: upstream.Lost}
+	failure.Draining = a.response != nil && (a.response.Draining || a.response.Misdirected)
+	a.grant.Done(scheduler.Feedback{Failure: &failure})
+}
+
+// failureOfVerdict returns the failure that an attempt's verdict counts as against its replica.
+func failureOfVerdict(v verdict) upstream.Failure {
 	switch v {
 	case notRun, noFreeConnection:
-		failure.Kind = upstream.Refused
+		return upstream.Failure{Kind: upstream.Refused}
 	case notSent:
-		failure.Kind = upstream.NotSent
+		return upstream.Failure{Kind: upstream.NotSent}
 	case unresponsive:
-		failure.Kind = upstream.Unresponsive
+		return upstream.Failure{Kind: upstream.Unresponsive}
 	case oversizedResponse:
 		// The error rate counts: calls shun the replica even while others of its responses are sound.
-		failure.Kind = upstream.Errored
+		return upstream.Failure{Kind: upstream.Errored}
+	default:
+		return upstream.Failure{Kind: upstream.Lost}
 	}
-	failure.Draining = response != nil && (response.Draining || response.Misdirected)
-	g.Done(scheduler.Feedback{Failure: &failure})
 }
 
 // forwardResponse sends a complete response to the caller.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -224,7 +224,7 @@
 	f.recordAttempt(second, v)
 	second.end()
 	if at != a.place {
-		f.reportFailure(ctx, at.grant, second.response, v)
+		f.reportFailure(ctx, second, v)
 		at.leave()
 	}
 	return nil
@@ -262,7 +262,7 @@
 // abandon leaves the place of a hedge that did not take over, unless it is that of the first attempt.
 func (f *inFlightCall) abandon(ctx context.Context, a *attemptState, first *place) {
 	if a.place != first {
-		f.reportFailure(a.ctx, a.grant, a.response, responseLost)
+		f.reportFailure(a.ctx, a, responseLost)
 		a.place.leave()
 	}
 }
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -60,6 +60,7 @@
 // classifyError records the error that ended the attempt and returns its verdict.
 func (a *attemptState) classifyError(err error) verdict {
 	a.err = err
+	a.unfinished = a.unfinished || errors.Is(err, httpconn.ErrStrayBytes)
 	switch {
 	case errors.Is(err, httpconn.ErrConnectionLimit):
 		return noFreeConnection
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -222,3 +222,40 @@
 		})
 	}
 }
+
+// tricklingReader returns a byte at an interval until ctx ends.
+type tricklingReader struct{ ctx context.Context }
+
+func (r tricklingReader) Read(p []byte) (int, error) {
+	if !sleep(r.ctx, 50*time.Millisecond) {
+		return 0, r.ctx.Err()
+	}
+	p[0] = 'x'
+	return 1, nil
+}
+
+// Guards against a replica that sends bytes without end that are no response, slowly, and gets ever more
+// calls because each ends by its own deadline. Silence alone is not held against it.
+func TestTricklingResponseCountsAgainstItsReplica(t *testing.T) {
+	trickles := func(ctx context.Context, _ *Attempt) (*Response, error) {
+		return NewResponse(Response{Status: 200, Verified: true, Executed: true, Length: -1, Body: tricklingReader{ctx}}, func() {}), nil
+	}
+	sendsStrayBytes := func(ctx context.Context, _ *Attempt) (*Response, error) {
+		<-ctx.Done()
+		return nil, httpconn.ErrStrayBytes
+	}
+	for _, route := range silentRoutes() {
+		if route.Attempts > 1 {
+			continue
+		}
+		for _, s := range []script{trickles, sendsStrayBytes} {
+			is := is.New(t)
+			got := serve(t, route, Call{ID: "r"}, &fakeTurns{}, s)
+			is.True(got.result.Outcome == Unknown || got.result.Outcome == Truncated)
+			is.Equal(got.result.Reason, TimedOut)
+			is.Equal(got.erring, got.targets[:1])
+		}
+		is := is.New(t)
+		is.Equal(len(serve(t, route, Call{ID: "r"}, &fakeTurns{}, hangs).erring), 0)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -173,6 +173,7 @@
 		case errors.Is(err, errEventTooLarge), errors.Is(err, buffer.ErrFull):
 			return a.classifyBufferError(err), Result{}, nil
 		case err != io.EOF:
+			a.unfinished = splitter.hasPartialEvent()
 			return a.classifyError(err), Result{}, nil
 		}
 		a.finished = true
