gateway: hedges are hedged, search on, and take over with an event

Cause: a call had one first attempt and at most one other, whose start, wait and success were one step. Change: each attempt has a hedger of its own, the hedge's too. A hedge that did not run looks for the next place at once, is abandoned if its attempt fails before it is sent, and takes over with its first events. Isolation belongs to the call; hedges have a retry budget and memory of their own. Abandoned hedges are counted (gateway.hedges.abandoned), not logged as failed attempts.

TestHedgesLeaveNothingBehind checks places, slots and connections, which no test did.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/httpconn"
 	"foxhall/internal/scheduler"
 )
@@ -14,12 +15,17 @@
 // attemptState is the state of one attempt at a replica.
 type attemptState struct {
 	place *place
-	grant *scheduler.Grant
+	// sharesPlace is set for a hedge at the place of the attempt that it is for.
+	sharesPlace bool
+	grant       *scheduler.Grant
+	// hold is the memory held for the response.
+	hold *buffer.Hold
 	// ctx is cancelled by end, and with a cause when a hedge takes over.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// release frees what the attempt's context derives from; nil for nothing.
-	release context.CancelFunc
+	// releases free what the context derives from.
+	releases []func()
+	ended    bool
 	// resumeAfter is the ID of the last event that the caller received; empty for none.
 	resumeAfter string
 	began       time.Time
@@ -28,8 +34,16 @@
 	verdict  verdict
 	// response is the replica's response; nil before its header has arrived.
 	response *Response
-	// body is the body of a complete response that is not a stream.
+	// body is the body of a complete response that is not a stream, took the time that it took.
 	body []byte
+	took time.Duration
+	// source, splitter and received read a stream.
+	source     *readAhead
+	splitter   eventSplitter
+	readBuffer []byte
+	// events and eventsErr are what a hedge has read of its stream and not forwarded.
+	events    []Event
+	eventsErr error
 	// headerWait is the time until the header, or the error that took its place.
 	headerWait time.Duration
 	// headerAt and progressAt are when the header and the last part of the body arrived, in Unix
@@ -48,26 +62,38 @@
 	unfinished bool
 }
 
-// newAttempt returns an attempt that is about to be sent. A hedge at the replica of another attempt
-// shares its place.
+// newAttempt returns an attempt that is about to be sent.
 func (f *inFlightCall) newAttempt(ctx context.Context, at *place, resumeAfter string) *attemptState {
 	f.attempts++
-	a := &attemptState{place: at, grant: at.grant, resumeAfter: resumeAfter, began: time.Now()}
+	a := &attemptState{place: at, grant: at.grant, hold: f.hold, resumeAfter: resumeAfter, began: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	f.open = append(f.open, a)
 	return a
 }
 
 // end ends the attempt. If its response was not read to its end, the replica is told to stop.
 func (a *attemptState) end() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.source != nil {
+		a.source.close(func() { a.cancel(nil) })
+		a.splitter.release()
+	}
 	if a.response != nil {
 		a.response.Close()
 	}
 	a.cancel(nil)
-	if a.release != nil {
-		a.release()
+	for _, release := range a.releases {
+		release()
 	}
 }
 
+// wasAbandoned reports whether the attempt was a hedge that ended because the attempt that it was for
+// went on.
+func (a *attemptState) wasAbandoned() bool { return errors.Is(context.Cause(a.ctx), errAbandoned) }
+
 // lastReceived returns when the replica's last bytes that count as progress arrived, or when the attempt
 // began.
 func (a *attemptState) lastReceived() time.Time {
@@ -126,10 +152,11 @@
 // exchange is how calls of one kind receive their response.
 type exchange struct {
 	// receive sends an attempt and receives its response: the header of a stream, all of any other
-	// response. It changes nothing but the attempt, since a hedge may run it beside another attempt.
-	receive func(a *attemptState) verdict
-	// forward forwards the stream of a received attempt; nil if the response is forwarded later. It
-	// returns the hedge that has taken over, if one has.
+	// response. receiveHedge receives what a hedge must have to take over: the first events of a stream.
+	// They change nothing but the attempt, since hedges run beside another attempt.
+	receive, receiveHedge func(a *attemptState) verdict
+	// forward forwards the stream of a received attempt, or concludes an attempt whose response is
+	// forwarded later. It returns the hedge that has taken over, if one has.
 	forward func(a *attemptState, h *hedger) (verdict, *attemptState)
 	// silence is how long an attempt at the replica may be silent before the replica counts as silent and
 	// the attempt is hedged if the route allows it; 0 for any time.
@@ -155,6 +182,7 @@
 			next = f.newAttempt(ctx, a.place, x.resumeAfter())
 		}
 		if next != nil && next.place == a.place {
+			next.sharesPlace = false
 			a = next
 			continue
 		}
@@ -192,12 +220,12 @@
 		v = x.receive(a)
 		next = h.disarm(v == complete)
 	}
-	if next == nil && v == complete && x.forward != nil {
-		v, next = x.forward(a, h)
-	}
-	if next != nil {
+	if next != nil && v == complete {
 		v = f.discard(a)
 	}
+	if next == nil && v == complete {
+		v, next = x.forward(a, h)
+	}
 	f.recordAttempt(a, v)
 	return v, next
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,7 +27,7 @@
 func (f *inFlightCall) serveNonStreaming(ctx context.Context) Result {
 	x := f.wholeExchange(ctx)
 	for {
-		at, result := f.nextPlace(ctx)
+		at, result := f.nextPlace(ctx, false)
 		if result != nil {
 			return *result
 		}
@@ -46,7 +46,13 @@
 // does not count as a further replica, and a replica whose response was lost is usually still running.
 func (f *inFlightCall) wholeExchange(ctx context.Context) *exchange {
 	return &exchange{
-		receive:     f.receiveWhole,
+		receive:      f.receiveWhole,
+		receiveHedge: f.receiveWhole,
+		forward: func(a *attemptState, _ *hedger) (verdict, *attemptState) {
+			a.finished = true
+			a.grant.Done(scheduler.Feedback{Failure: failureOf(a.response.Status), Total: a.took, FirstToken: a.took})
+			return complete, nil
+		},
 		silence:     f.attemptTimeout,
 		resumeAfter: func() string { return "" },
 		mayRetry: func(g *scheduler.Grant, v verdict) bool {
@@ -66,7 +72,11 @@
 // mayFailOver reports whether the call may be sent to another replica although the granted one may
 // have run it.
 func (f *inFlightCall) mayFailOver(g *scheduler.Grant) bool {
-	return f.route.Repeatable() && len(f.possibleRuns.with(g.Upstream)) < f.route.Attempts
+	runs := f.possibleRuns.with(g.Upstream)
+	for _, a := range f.open {
+		runs = runs.with(a.grant.Upstream)
+	}
+	return f.route.Repeatable() && len(runs) < f.route.Attempts
 }
 
 // endWithoutResponse returns the result of a call for which no replica is left. The outcome is
@@ -142,7 +152,7 @@
 		return v
 	}
 	a.grant.RecordFirstToken()
-	body, err := f.readBody(a.response)
+	body, err := f.readBody(a.response, a.hold)
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
 		return a.classifyBufferError(err)
@@ -153,17 +163,14 @@
 		}
 		return invalidResponse
 	}
-	a.finished = true
-	a.body = body
-	took := time.Since(a.began)
-	a.grant.Done(scheduler.Feedback{Failure: failureOf(a.response.Status), Total: took, FirstToken: took})
+	a.body, a.took = body, time.Since(a.began)
 	return complete
 }
 
 // readBody reads a response's body, of which there may be at most maxResponseBytes. After an error
 // nothing is held of it.
-func (f *inFlightCall) readBody(response *Response) ([]byte, error) {
-	body, err := f.hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes+1))
+func (f *inFlightCall) readBody(response *Response, hold *buffer.Hold) ([]byte, error) {
+	body, err := hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
 		return nil, err
@@ -174,7 +181,7 @@
 	default:
 		return body, nil
 	}
-	f.hold.Shrink(buffer.Response, len(body))
+	hold.Shrink(buffer.Response, len(body))
 	return nil, err
 }
 
@@ -199,6 +206,9 @@
 // and gets ever more calls since nothing is held against it.
 func (f *inFlightCall) reportFailure(ctx context.Context, a *attemptState, v verdict) {
 	failure := failureOfVerdict(v)
+	if v == invalidResponse && a.response != nil && failureOf(a.response.Status) != nil {
+		failure.Kind = upstream.Errored
+	}
 	switch {
 	case ctx.Err() == nil:
 	case a.unfinished && errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,8 +149,13 @@
 	lastUpstream string
 	// attempts counts the attempts so far.
 	attempts int
-	// possibleRuns are the replicas that may have run the call.
+	// possibleRuns are the replicas that may have run the call, open the attempts that have not ended.
 	possibleRuns replicaNames
+	open         []*attemptState
+	// leaveIsolation ends the time in which the call runs alone; nil if it does not.
+	leaveIsolation func()
+	// hedgeHolds are the memory held for hedges' responses.
+	hedgeHolds []*buffer.Hold
 	// lastReplica is the replica of the latest attempt.
 	lastReplica string
 	// replicaRefuses is set if the replica of the latest attempt refused a connection after it.
@@ -262,6 +267,7 @@
 func (f *inFlightCall) serveAdmitted(ctx context.Context) Result {
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	defer f.release()
 	f.setBody(f.call.Body)
 	if f.service.Engine != nil {
 		f.blocks = hashBlocks(f.service.Name, f.call.Prompt)
@@ -275,6 +281,16 @@
 	return f.serveStream(ctx, &streamRecord{})
 }
 
+// release frees what the call held beside its own memory.
+func (f *inFlightCall) release() {
+	if f.leaveIsolation != nil {
+		f.leaveIsolation()
+	}
+	for _, hold := range f.hedgeHolds {
+		hold.Release()
+	}
+}
+
 // authenticate sets the call's customer from its key. It returns false if the route requires a
 // key and the call has no valid one. On a public route a valid key still sets the customer.
 func (f *inFlightCall) authenticate() bool {
@@ -314,13 +330,14 @@
 
 // acquire asks the scheduler for a replica. One for a suspected content has few other calls and, if
 // possible, none with another suspected content.
-func (f *inFlightCall) acquire(ctx context.Context, suspected bool) (*scheduler.Grant, *scheduler.Refusal) {
+func (f *inFlightCall) acquire(ctx context.Context, suspected, hedges bool) (*scheduler.Grant, *scheduler.Refusal) {
 	r := scheduler.Request{
 		Customer:           f.customerName(),
 		Program:            f.call.Program.ID,
 		Priority:           maxPriority - min(maxPriority, f.priority()),
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
+		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
 		OutputHint:         min(f.call.OutputHint, f.call.MaxOutputTokens),
 		BlockHashes:        f.blocks,
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -8,19 +8,22 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/buffer"
+	"foxhall/internal/scheduler"
 )
 
 var (
 	errSilent           = errors.New("gateway: attempt superseded: silent while another attempt responded")
 	errDataCentreSilent = errors.New("gateway: attempt superseded: no contact with the replica's data centre while another attempt responded")
+	errAbandoned        = errors.New("gateway: hedge abandoned: the silent attempt went on, or failed before the hedge was sent")
 )
 
-// hedger starts a second attempt, a hedge, while its attempt is silent. The silent attempt stays open
+// hedger starts another attempt, a hedge, while its attempt is silent. The silent attempt stays open
 // until the hedge has received its response: a replica that is silent for a while may go on, and the
-// hedge may find no replica, or one that refuses it. Silence alone ends no attempt.
+// hedge may find no replica, or one that refuses it or is silent too. Silence alone ends no attempt.
+// A hedge has a hedger of its own.
 //
-// Between arm and disarm only hedges change the state of the call. The goroutine that serves the call
-// waits for the replica meanwhile.
+// Between arm and disarm only the hedge's goroutine changes the state of the call. The goroutine of the
+// attempt waits for the replica meanwhile.
 type hedger struct {
 	call     *inFlightCall
 	ctx      context.Context
@@ -39,18 +42,21 @@
 	// dataCentreSilent is set if the replica's data centre has fallen silent and no hedge was started
 	// for it.
 	dataCentreSilent bool
-	hedge            *hedge
+	// failed is set once the attempt has failed by itself.
+	failed bool
+	hedge  *hedge
 }
 
-// hedge is a hedge under way.
+// hedge is a hedge under way, which may make several attempts.
 type hedge struct {
-	cancel context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// done is closed once the hedge changes nothing more.
 	done chan struct{}
-	// abandoned is set if the first attempt went on. winner is the hedge's attempt if it took over. Both
-	// are guarded by the hedger's lock.
-	abandoned bool
-	winner    *attemptState
+	// abandoned is set once the hedge may not take over. sent is set while an attempt of the hedge is
+	// open. winner is the attempt with which the hedge took over. All are guarded by the hedger's lock.
+	abandoned, sent bool
+	winner          *attemptState
 }
 
 func (f *inFlightCall) newHedger(ctx context.Context, a *attemptState, x *exchange) *hedger {
@@ -101,7 +107,11 @@
 func (h *hedger) onSilence() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.armed || h.hedge != nil {
+	switch {
+	case !h.armed || h.hedge != nil:
+		return
+	case h.silence == 0:
+		h.startLocked(errDataCentreSilent)
 		return
 	}
 	h.attempt.grant.RecordSilence(h.silence)
@@ -125,55 +135,101 @@
 	if !h.armed || h.hedge != nil || h.ctx.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(h.ctx)
-	h.hedge = &hedge{cancel: cancel, done: make(chan struct{})}
+	ctx, cancel := context.WithCancelCause(h.ctx)
+	h.hedge = &hedge{ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	h.dataCentreSilent = false
-	go h.run(ctx, h.hedge, cause)
+	go h.run(h.hedge, cause)
 }
 
-func (h *hedger) run(ctx context.Context, running *hedge, cause error) {
+// run makes attempts until one has received its response and takes over, or none is left.
+func (h *hedger) run(running *hedge, cause error) {
 	defer close(running.done)
-	a := h.call.makeHedge(ctx, h.attempt, h.exchange, cause)
-	if a != nil {
-		a.release = running.cancel
+	a := h.search(running, cause)
+	if a == nil {
+		running.cancel(nil)
+		h.allowNext(running)
+		return
 	}
-	if !h.conclude(running, a, cause) && a != nil {
-		h.call.recordAttempt(a, h.call.discard(a))
-		h.call.abandon(h.ctx, a, h.attempt.place)
+	a.releases = append(a.releases, func() { running.cancel(nil) })
+	if !h.takeOver(running, a, cause) {
+		h.call.abandon(a)
 	}
-	if a == nil {
-		running.cancel()
+}
+
+// search makes attempts until one has received its response, or may have run without one.
+func (h *hedger) search(running *hedge, cause error) *attemptState {
+	for {
+		at, shared := h.call.placeHedge(running.ctx, h.attempt, cause)
+		if at == nil {
+			return nil
+		}
+		if !h.beginAttempt(running) {
+			if !shared {
+				at.grant.Done(scheduler.Feedback{Cancelled: true})
+				at.leave()
+			}
+			return nil
+		}
+		a, v := h.call.tryHedge(running.ctx, at, shared, h.exchange)
+		if v == complete {
+			return a
+		}
+		h.endAttempt(running)
+		if v.mayHaveRun() {
+			return nil
+		}
 	}
 }
 
-// conclude lets a hedge that has received its response take over, and allows the next hedge after one
-// that has not. It returns whether the hedge has taken over.
-func (h *hedger) conclude(running *hedge, a *attemptState, cause error) bool {
+// beginAttempt reports whether the hedge may be sent.
+func (h *hedger) beginAttempt(running *hedge) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case running.abandoned:
+	running.sent = !running.abandoned
+	return running.sent
+}
+
+// endAttempt records that the hedge's attempt has failed.
+func (h *hedger) endAttempt(running *hedge) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running.sent = false
+	running.abandoned = running.abandoned || h.failed
+}
+
+// takeOver lets a hedge that has received its response take over. It returns false if the hedge was
+// abandoned.
+func (h *hedger) takeOver(running *hedge, a *attemptState, cause error) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if running.abandoned {
 		return false
-	case a != nil:
-		running.winner = a
+	}
+	running.winner = a
+	if !h.failed {
 		h.attempt.cancel(cause)
-		h.call.gateway.attempts.hedgesWon.Inc(1)
-		return true
-	case h.armed:
-		h.hedge = nil
-		if h.silence > 0 {
-			h.hedgeAt = time.Now().Add(h.silence)
-		}
-		h.scheduleLocked()
 	}
-	return false
+	h.call.gateway.attempts.hedgesWon.Inc(1)
+	return true
+}
+
+// allowNext allows the next hedge after one that has failed.
+func (h *hedger) allowNext(running *hedge) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if running.abandoned || !h.armed {
+		return
+	}
+	h.hedge = nil
+	h.hedgeAt = time.Now().Add(max(h.silence, minAttemptTimeout))
+	h.scheduleLocked()
 }
 
 // disarm ends the time in which hedges are allowed. If the attempt goes on or is complete, the hedge that
-// is under way is abandoned; if the attempt has failed, disarm waits for it. It returns the hedge's
-// attempt if that has taken over.
+// is under way is abandoned; if the attempt has failed, disarm waits for the hedge if that was sent. It
+// returns the hedge's attempt if that has taken over.
 func (h *hedger) disarm(goesOn bool) *attemptState {
-	running := h.close(goesOn)
+	running := h.disarmLocked(goesOn)
 	if running == nil {
 		return nil
 	}
@@ -184,18 +240,18 @@
 	return running.winner
 }
 
-// close stops the timer and returns the hedge that is under way.
-func (h *hedger) close(goesOn bool) *hedge {
+// disarmLocked takes the lock, stops the timer and returns the hedge that is under way.
+func (h *hedger) disarmLocked(goesOn bool) *hedge {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.armed = false
+	h.armed, h.failed = false, !goesOn
 	if h.timer != nil {
 		h.timer.Stop()
 	}
 	running := h.hedge
-	if running != nil && goesOn && running.winner == nil {
+	if running != nil && running.winner == nil && (goesOn || !running.sent) {
 		running.abandoned = true
-		running.cancel()
+		running.cancel(errAbandoned)
 	}
 	return running
 }
@@ -203,54 +259,85 @@
 // stop ends the notice of the data centre's silence. The hedger must be disarmed.
 func (h *hedger) stop() { h.stopNotice() }
 
-// makeHedge makes a second attempt while a is silent. It returns it once it has received its response,
-// or nil if it got no place or failed.
-func (f *inFlightCall) makeHedge(ctx context.Context, a *attemptState, x *exchange, cause error) *attemptState {
-	at := f.placeHedge(ctx, a, cause)
-	if at == nil {
-		return nil
+// placeHedge returns the place of a hedge: another replica if the route allows one more, else that of
+// the silent attempt, which is shared then, since a response or a connection alone may be lost. nil means
+// that there is none.
+func (f *inFlightCall) placeHedge(ctx context.Context, silent *attemptState, cause error) (at *place, shared bool) {
+	if f.attempts >= maxAttempts || f.isOutOfTime() {
+		return nil, false
 	}
+	if f.mayFailOver(silent.grant) {
+		if at, rejected := f.nextPlace(ctx, true); rejected == nil {
+			return at, false
+		}
+	}
+	if cause == errDataCentreSilent || !f.route.Repeatable() || silent.place.retried || f.standing().Rejected() || ctx.Err() != nil {
+		return nil, false
+	}
+	silent.place.retried = true
+	return silent.place, true
+}
+
+// tryHedge makes an attempt of a hedge. It returns the attempt that has received its response, which may
+// be a hedge of it, or the verdict of one that has failed.
+func (f *inFlightCall) tryHedge(ctx context.Context, at *place, shared bool, x *exchange) (*attemptState, verdict) {
 	f.gateway.attempts.hedges.Inc(1)
-	if at != a.place {
+	if !shared {
 		f.triedReplicas = append(f.triedReplicas, at.grant.Upstream)
 		at.grant.MarkSent()
 	}
-	second := f.newAttempt(ctx, at, x.resumeAfter())
-	v := x.receive(second)
-	if v == complete {
-		second.received = true
-		return second
+	a := f.newAttempt(ctx, at, x.resumeAfter())
+	a.sharesPlace = shared
+	a.hold = f.gateway.NewHold()
+	f.hedgeHolds = append(f.hedgeHolds, a.hold)
+	h := f.newHedger(ctx, a, x)
+	defer h.stop()
+	h.arm()
+	v := x.receiveHedge(a)
+	if v == complete && !f.mayTakeOver(a) {
+		v = invalidResponse
 	}
-	f.recordAttempt(second, v)
-	second.end()
-	if at != a.place {
-		f.reportFailure(ctx, second, v)
-		at.leave()
+	next := h.disarm(v == complete)
+	if v == complete && next == nil {
+		a.received = true
+		return a, complete
 	}
-	return nil
+	f.endHedge(ctx, a, v, next)
+	if next != nil {
+		return next, complete
+	}
+	return nil, v
 }
 
-// placeHedge returns the place of a hedge: another replica if the route allows one more, else the
-// same one, since a response or a connection alone may be lost. nil means that there is none.
-func (f *inFlightCall) placeHedge(ctx context.Context, a *attemptState, cause error) *place {
-	if f.attempts >= maxAttempts || f.isOutOfTime() {
-		return nil
+// mayTakeOver reports whether the response of a hedge is of use while another attempt is open: one that
+// goes on is better than a failure.
+func (f *inFlightCall) mayTakeOver(a *attemptState) bool {
+	status := a.response.Status
+	return status < 300 || status < 500 && !f.headerSent
+}
+
+// endHedge ends an attempt of a hedge that failed, or that another one, next, has superseded.
+func (f *inFlightCall) endHedge(ctx context.Context, a *attemptState, v verdict, next *attemptState) {
+	if v == complete {
+		v = f.discard(a)
 	}
-	if f.mayFailOver(a.grant) {
-		if at, rejected := f.nextPlace(ctx); rejected == nil {
-			return at
-		}
+	f.recordAttempt(a, v)
+	a.end()
+	a.hold.Release()
+	if next != nil && next.place == a.place {
+		next.sharesPlace = a.sharesPlace
+		return
 	}
-	if cause == errDataCentreSilent || !f.route.Repeatable() || a.place.retried || f.standing().Rejected() || ctx.Err() != nil {
-		return nil
+	if a.sharesPlace {
+		return
 	}
-	a.place.retried = true
-	return a.place
+	f.reportFailure(ctx, a, v)
+	a.place.leave()
 }
 
 // discard ends an attempt whose response is not used, and returns its verdict.
 func (f *inFlightCall) discard(a *attemptState) verdict {
-	f.hold.Shrink(buffer.Response, len(a.body))
+	a.hold.Shrink(buffer.Response, len(a.body))
 	a.body = nil
 	a.end()
 	if a.cancelledBySilence() {
@@ -259,10 +346,12 @@
 	return responseLost
 }
 
-// abandon leaves the place of a hedge that did not take over, unless it is that of the first attempt.
-func (f *inFlightCall) abandon(ctx context.Context, a *attemptState, first *place) {
-	if a.place != first {
-		f.reportFailure(a.ctx, a, responseLost)
+// abandon ends the attempt of a hedge that may not take over.
+func (f *inFlightCall) abandon(a *attemptState) {
+	f.recordAttempt(a, f.discard(a))
+	a.hold.Release()
+	if !a.sharesPlace {
+		a.grant.Done(scheduler.Feedback{Cancelled: true})
 		a.place.leave()
 	}
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -21,7 +21,7 @@
 // place is a replica that the scheduler granted for one attempt, or several if they all go there.
 type place struct {
 	grant *scheduler.Grant
-	// leave ends the isolation of the attempts.
+	// leave ends the attempts' mark of a suspected content.
 	leave func()
 	// retried is set once a second attempt was made at the replica.
 	retried bool
@@ -31,9 +31,7 @@
 
 // nextPlace returns a place for the call's next attempt, or the call's result if it gets none. What is
 // held against the content is looked up again after each wait.
-func (f *inFlightCall) nextPlace(ctx context.Context) (*place, *Result) {
-	leave := func() {}
-	isolated := false
+func (f *inFlightCall) nextPlace(ctx context.Context, hedges bool) (*place, *Result) {
 	// triedEnds is the number of ends with which the attempt is the trial of a rejected content; 0 if it
 	// is none.
 	triedEnds := 0
@@ -41,45 +39,32 @@
 		standing := f.standing()
 		if standing.Rejected() && standing.Ends != triedEnds {
 			if triedEnds > 0 || !f.beginTrial() {
-				leave()
 				return nil, f.rejectQuarantined()
 			}
 			triedEnds = standing.Ends
 		}
-		if standing.Isolated() && !isolated {
-			var result *Result
-			if leave, result = f.isolate(ctx); result != nil {
+		if standing.Isolated() && f.leaveIsolation == nil {
+			if result := f.isolate(ctx); result != nil {
 				return nil, result
 			}
-			isolated = true
 			f.awaitProof(ctx)
 			continue
 		}
-		grant, refusal := f.acquire(ctx, standing.Suspected())
+		grant, refusal := f.acquire(ctx, standing.Suspected(), hedges)
 		if refusal != nil {
-			leave()
 			result := f.endWithoutResponse(responseLost, refusal)
 			return nil, &result
 		}
 		now := f.standing()
-		if now.Rejected() && now.Ends != triedEnds || now.Isolated() && !isolated {
+		if now.Rejected() && now.Ends != triedEnds || now.Isolated() && f.leaveIsolation == nil {
 			grant.Done(scheduler.Feedback{Cancelled: true})
 			continue
 		}
+		at := &place{grant: grant, leave: func() {}}
 		if now.Suspected() {
-			leave = f.gateway.markSuspected(grant.Upstream, leave)
+			at.leave = f.gateway.isolation.Place(grant.Upstream)
 		}
-		return &place{grant: grant, leave: leave}, nil
-	}
-}
-
-// markSuspected records that a suspected content runs at a replica until the returned function is
-// called, which then calls leave.
-func (g *Gateway) markSuspected(replica string, leave func()) func() {
-	done := g.isolation.Place(replica)
-	return func() {
-		done()
-		leave()
+		return at, nil
 	}
 }
 
@@ -104,23 +89,25 @@
 	return f.gateway.settings.Quarantine.Standing(f.fingerprint, time.Now())
 }
 
-// isolate waits until the call may run alone. If that takes too long, it returns the call's result.
-func (f *inFlightCall) isolate(ctx context.Context) (leave func(), result *Result) {
+// isolate waits until the call may run alone, hedges included, which lasts until the call ends. If that
+// takes too long, it returns the call's result.
+func (f *inFlightCall) isolate(ctx context.Context) *Result {
 	waitCtx, cancel := context.WithTimeout(ctx, quarantine.IsolationWait)
 	defer cancel()
 	began := time.Now()
 	leave, ok := f.gateway.isolation.Enter(waitCtx, f.fingerprint)
 	f.stageTimes.placing += time.Since(began)
 	if ok {
-		return leave, nil
+		f.leaveIsolation = leave
+		return nil
 	}
 	if len(f.possibleRuns) > 0 {
 		r := f.failureResult(responseLost)
-		return nil, &r
+		return &r
 	}
 	r := refused(Isolated, quarantine.IsolationWait)
 	r.Attempts, r.Replica = f.attempts, f.lastReplica
-	return nil, &r
+	return &r
 }
 
 const (
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -82,7 +82,9 @@
 	if errors.Is(err, errEventTooLarge) || errors.Is(err, errBodyTooLarge) || errors.Is(err, buffer.ErrOversized) {
 		return oversizedResponse
 	}
-	a.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
+	if !a.sharesPlace {
+		a.grant.Done(scheduler.Feedback{Cancelled: true}) // no evidence about the replica
+	}
 	return invalidResponse
 }
 
@@ -93,15 +95,16 @@
 	// probes counts the probes after broken connections by result.
 	probes   [httpconn.Refused + 1]metrics.Counter
 	exceeded metrics.Counter
-	// hedges counts the attempts that were started because another one was silent, and hedgesWon those
-	// of them that took over.
-	hedges, hedgesWon metrics.Counter
+	// hedges counts the attempts that were started because another one was silent, hedgesWon those of
+	// them that took over, and hedgesAbandoned those that ended because the other one went on.
+	hedges, hedgesWon, hedgesAbandoned metrics.Counter
 }
 
 func newAttemptCounters(registry metrics.Registry) *attemptCounters {
 	s := &attemptCounters{exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry)}
 	s.hedges = metrics.GetOrRegisterCounter("gateway.hedges.started", registry)
 	s.hedgesWon = metrics.GetOrRegisterCounter("gateway.hedges.won", registry)
+	s.hedgesAbandoned = metrics.GetOrRegisterCounter("gateway.hedges.abandoned", registry)
 	for v := range s.byVerdict {
 		s.byVerdict[v] = metrics.GetOrRegisterCounter("gateway.sendings."+verdict(v).String(), registry)
 	}
@@ -113,11 +116,16 @@
 
 // recordAttempt counts the attempt by its verdict, and logs it unless it is complete.
 func (f *inFlightCall) recordAttempt(a *attemptState, v verdict) {
-	f.gateway.attempts.byVerdict[v].Inc(1)
+	f.open = slices.DeleteFunc(f.open, func(open *attemptState) bool { return open == a })
 	f.stageTimes.awaitingHeader += a.headerWait
 	if v.mayHaveRun() {
 		f.recordPossibleRun(a.grant.Upstream)
 	}
+	if a.wasAbandoned() {
+		f.gateway.attempts.hedgesAbandoned.Inc(1)
+		return
+	}
+	f.gateway.attempts.byVerdict[v].Inc(1)
 	if a.connectionBroke(v) {
 		f.probe(a)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,7 +52,7 @@
 	var result Result
 	x := f.streamExchange(ctx, rec, &result)
 	for {
-		at, rejected := f.nextPlace(ctx)
+		at, rejected := f.nextPlace(ctx, false)
 		if rejected != nil {
 			return *rejected
 		}
@@ -71,7 +71,8 @@
 // has the prompt cached.
 func (f *inFlightCall) streamExchange(ctx context.Context, rec *streamRecord, result *Result) *exchange {
 	return &exchange{
-		receive: f.receiveHeader,
+		receive:      f.receiveHeader,
+		receiveHedge: f.receiveFirstEvents,
 		forward: func(a *attemptState, h *hedger) (verdict, *attemptState) {
 			countBefore := rec.eventCount
 			v, r, next := f.forwardStream(a, rec, h)
@@ -97,16 +98,30 @@
 	return classifyResponse(response)
 }
 
+// receiveFirstEvents sends the attempt and receives its response up to its first events or its end.
+func (f *inFlightCall) receiveFirstEvents(a *attemptState) verdict {
+	if v := f.receiveHeader(a); v != complete || a.response.Status >= 300 {
+		return v
+	}
+	a.startReading()
+	a.events, a.eventsErr = a.readEvents()
+	if len(a.events) == 0 && a.eventsErr != io.EOF {
+		return a.classifyReadError(a.eventsErr)
+	}
+	return complete
+}
+
 // forwardStream forwards the response whose header the attempt has received.
 func (f *inFlightCall) forwardStream(a *attemptState, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
 	if a.response.Status >= 300 {
 		v, result := f.forwardFailure(a, a.response)
 		return v, result, nil
 	}
-	h.recordProgress(f.timeToFirstEvent(a))
-	source := newReadAhead(a.response.Body, f.hold, a.recordProgress)
-	defer source.close(func() { a.cancel(nil) })
-	return f.relayEvents(a, source, rec, h)
+	if a.source == nil {
+		h.recordProgress(f.timeToFirstEvent(a))
+		a.startReading()
+	}
+	return f.relayEvents(a, rec, h)
 }
 
 func (f *inFlightCall) resumeAfter(rec *streamRecord) string {
@@ -119,7 +134,7 @@
 // forwardFailure forwards a response with a status of 300 or more. If a header was already
 // forwarded, the attempt counts as lost instead.
 func (f *inFlightCall) forwardFailure(state *attemptState, response *Response) (verdict, Result) {
-	body, err := f.readBody(response)
+	body, err := f.readBody(response, state.hold)
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
 		return state.classifyBufferError(err), Result{}
@@ -143,16 +158,13 @@
 
 // relayEvents forwards complete events as they arrive. It returns the hedge that has taken over, if one
 // has.
-func (f *inFlightCall) relayEvents(a *attemptState, source *readAhead, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
-	splitter := eventSplitter{hold: f.hold}
-	defer splitter.release()
+func (f *inFlightCall) relayEvents(a *attemptState, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
 	var firstEventTime time.Duration
 	countBefore := rec.eventCount
-	received := make([]byte, readBufferSize)
 	for {
-		events, err := f.readEvents(a, source, &splitter, received, h)
-		if next := h.disarm(err == nil || err == io.EOF); next != nil {
-			return responseLost, Result{}, next
+		events, err, next := f.nextEvents(a, h)
+		if next != nil {
+			return f.supersededVerdict(a, err), Result{}, next
 		}
 		if len(events) > 0 {
 			if firstEventTime == 0 {
@@ -162,7 +174,7 @@
 			a.recordProgress()
 			h.recordProgress(f.gapTimeout())
 		}
-		switch forwardErr := f.forwardEvents(a.response, events, source, rec); {
+		switch forwardErr := f.forwardEvents(a.response, events, a.source, rec); {
 		case errors.Is(forwardErr, errCallerDisconnected):
 			a.grant.Done(scheduler.Feedback{Cancelled: true})
 			return complete, f.result(CallerGone, CallerDisconnected, a.response.Status), nil
@@ -170,11 +182,8 @@
 			return a.classifyBufferError(forwardErr), Result{}, nil
 		case err == nil:
 			continue
-		case errors.Is(err, errEventTooLarge), errors.Is(err, buffer.ErrFull):
-			return a.classifyBufferError(err), Result{}, nil
 		case err != io.EOF:
-			a.unfinished = splitter.hasPartialEvent()
-			return a.classifyError(err), Result{}, nil
+			return a.classifyReadError(err), Result{}, nil
 		}
 		a.finished = true
 		outputTokens := (rec.eventCount - countBefore) * f.tokensPerEvent()
@@ -186,20 +195,48 @@
 	}
 }
 
-// readEvents reads until there are events, the end of the stream (io.EOF) or an error. Bytes that
-// complete no event are no progress. It arms the hedger.
-func (f *inFlightCall) readEvents(a *attemptState, source io.Reader, splitter *eventSplitter, received []byte, h *hedger) ([]Event, error) {
+// nextEvents returns the events that arrive next, or the hedge that has taken over meanwhile. Those that
+// a hedge received before it took over come first.
+func (f *inFlightCall) nextEvents(a *attemptState, h *hedger) (events []Event, err error, next *attemptState) {
+	if a.events != nil || a.eventsErr != nil {
+		events, err = a.events, a.eventsErr
+		a.events, a.eventsErr = nil, nil
+		return events, err, nil
+	}
 	h.arm()
+	events, err = a.readEvents()
+	return events, err, h.disarm(err == nil || err == io.EOF)
+}
+
+// supersededVerdict returns the verdict of an attempt whose response is not used, by the error with which
+// it ended.
+func (f *inFlightCall) supersededVerdict(a *attemptState, err error) verdict {
+	if err == nil || err == io.EOF {
+		return f.discard(a)
+	}
+	return a.classifyReadError(err)
+}
+
+// startReading prepares to read the attempt's stream.
+func (a *attemptState) startReading() {
+	a.splitter.hold = a.hold
+	a.source = newReadAhead(a.response.Body, a.hold, a.recordProgress)
+	a.readBuffer = make([]byte, readBufferSize)
+}
+
+// readEvents reads until there are events, the end of the stream (io.EOF) or an error. Bytes that
+// complete no event are no progress.
+func (a *attemptState) readEvents() ([]Event, error) {
 	for {
-		n, err := source.Read(received)
+		n, err := a.source.Read(a.readBuffer)
 		var events []Event
 		if n > 0 {
 			var splitErr error
-			if events, splitErr = splitter.add(received[:n]); splitErr != nil {
+			if events, splitErr = a.splitter.add(a.readBuffer[:n]); splitErr != nil {
 				return events, splitErr
 			}
 		}
-		if err == io.EOF && splitter.hasPartialEvent() {
+		if err == io.EOF && a.splitter.hasPartialEvent() {
 			err = io.ErrUnexpectedEOF
 		}
 		if len(events) > 0 || err != nil {
@@ -208,6 +245,15 @@
 	}
 }
 
+// classifyReadError records the error that ended the reading of a stream and returns its verdict.
+func (a *attemptState) classifyReadError(err error) verdict {
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, buffer.ErrFull) {
+		return a.classifyBufferError(err)
+	}
+	a.unfinished = a.splitter.hasPartialEvent()
+	return a.classifyError(err)
+}
+
 const (
 	// A replica counts as silent, and a resumable stream is hedged, if no first event arrives within
 	// firstEventFactor times the expected time (at least minFirstEventTimeout), or no further event within
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,8 +94,11 @@
 	NonStreaming bool
 	// Deadline is when the caller gives up; zero for none.
 	Deadline time.Time
-	// Tried is the names of the upstreams that failed the step before.
+	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
+	// Hedge is set if an attempt of the step is under way. Hedges have a retry budget of their own, so that
+	// many silent upstreams leave the budget of failed attempts untouched.
+	Hedge bool
 	// Repeatable reports whether a service call may be sent more than once.
 	Repeatable bool
 	// Isolated is set for a step that may end its upstream: it goes to the one with the fewest calls,
@@ -121,6 +124,7 @@
 	table            *upstream.Table
 	view             *cache.View
 	retries          *upstream.RetryBudget
+	hedges           *upstream.RetryBudget
 	programs         *programs
 	toolWaits        toolWaits
 	outputLengths    outputLengths
@@ -152,6 +156,7 @@
 		table:            table,
 		view:             view,
 		retries:          upstream.NewRetryBudget(),
+		hedges:           upstream.NewRetryBudget(),
 		programs:         newPrograms(),
 		prefixPopularity: newPopularity(),
 		pools:            map[poolKey]*pool{},
@@ -166,12 +171,9 @@
 	if refusal := s.check(&r); refusal != nil {
 		return nil, refusal
 	}
-	if len(r.Tried) > 0 && !s.retries.TryTake(time.Now()) {
+	if !s.mayTry(&r, time.Now()) {
 		return nil, refuse(step.CodeOverloaded, 503, "the retry budget is used up", time.Second)
 	}
-	if len(r.Tried) == 0 {
-		s.retries.RecordAttempt()
-	}
 	w := s.newWaiter(&r)
 	p := s.pool(&r)
 	grant, refusal := p.place(ctx, w)
@@ -185,6 +187,19 @@
 	return grant, nil
 }
 
+// mayTry takes a retry or a hedge from its budget, or records a first attempt.
+func (s *Scheduler) mayTry(r *Request, now time.Time) bool {
+	switch {
+	case r.Hedge:
+		return s.hedges.TryTake(now)
+	case len(r.Tried) > 0:
+		return s.retries.TryTake(now)
+	}
+	s.retries.RecordAttempt()
+	s.hedges.RecordAttempt()
+	return true
+}
+
 // check refuses a step that would not succeed after any wait.
 func (s *Scheduler) check(r *Request) *Refusal {
 	members := s.table.Snapshot()
