Upstream: failures of unknown time count as new ones

Callers of a breaker that do not tell when the failed call was sent (the experiments) had their failures ignored while it was open, since the zero time is before any opening: it would try at each call. Calls of both modes tell the time, so that no caller saw it.

TestFailuresOfUnknownTimeKeepTheBreakerOpen was red before.

--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -103,7 +103,7 @@
 		u.errorRate.record(now.UnixNano(), true)
 		u.active.add(u)
 	}
-	if u.breaker.open && f.SentAt.Before(u.breaker.openedAt) {
+	if u.breaker.open && !f.SentAt.IsZero() && f.SentAt.Before(u.breaker.openedAt) {
 		// Calls that were in flight together are lost together: what ended the first ended this one.
 		return
 	}
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -32,7 +32,7 @@
 // Failure describes a failed call to the table.
 type Failure struct {
 	Kind FailureKind
-	// SentAt is when the call or probe was sent.
+	// SentAt is when the call or probe was sent; zero if it is not known.
 	SentAt time.Time
 	// Draining indicates that the upstream drains.
 	Draining bool
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -288,3 +288,15 @@
 	is.Equal(len(table.Apply([]usage.Upstream{entry}, now)), 1)
 	is.Equal(table.Snapshot().All[0].Version, "v2")
 }
+
+// Guards against trials that never grow rarer where it is not known when the failed calls were sent.
+func TestFailuresOfUnknownTimeKeepTheBreakerOpen(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	_, u := oneEngine(now)
+	u.RecordFailure(now, Failure{Kind: NotSent})
+	now = now.Add(2 * openMax)
+	is.Equal(u.Load(now.UnixNano()).Condition, Usable)
+	u.RecordFailure(now, Failure{Kind: NotSent})
+	is.Equal(u.Load(now.UnixNano()).Condition, CircuitOpen)
+}
