--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,9 +46,9 @@
 	eventsErr error
 	// headerWait is the time until the header, or the error that took its place.
 	headerWait time.Duration
-	// headerAt and progressAt are when the header and the last part of the body arrived, in Unix
-	// nanoseconds; 0 for never.
-	headerAt, progressAt atomic.Int64
+	// headerAt is when the header arrived, receivedAt when the last bytes of the body did, and progressAt
+	// when the last ones that count as progress did. All are in Unix nanoseconds; 0 for never.
+	headerAt, receivedAt, progressAt atomic.Int64
 	// eventCount is the number of events that the attempt delivered.
 	eventCount int
 	// err is the error for which there is no complete response; nil if none was returned.
@@ -57,8 +57,8 @@
 	liveness httpconn.Liveness
 	// finished is set once the replica's response was received whole.
 	finished bool
-	// unfinished is set if the response had begun and its next part had not arrived whole when the
-	// attempt ended.
+	// unfinished is set if bytes arrived until the attempt ended and did not make the next part of the
+	// response whole.
 	unfinished bool
 }
 
@@ -121,6 +121,16 @@
 	a.grant.RecordProgress()
 }
 
+// tricklePause is the longest pause between bytes for which a response counts as one that still arrives.
+const tricklePause = 200 * time.Millisecond
+
+// trickles reports whether bytes of the body arrived until err ended its reading, as opposed to a replica
+// that is silent.
+func (a *attemptState) trickles(err error) bool {
+	at := a.receivedAt.Load()
+	return errors.Is(err, httpconn.ErrStrayBytes) || at != 0 && time.Since(time.Unix(0, at)) <= tricklePause
+}
+
 // cancelledBySilence reports whether the attempt was given up because the replica's data centre fell
 // silent.
 func (a *attemptState) cancelledBySilence() bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -152,12 +152,12 @@
 		return v
 	}
 	a.grant.RecordFirstToken()
-	body, err := f.readBody(a.response, a.hold)
+	body, err := f.readBody(a)
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
 		return a.classifyBufferError(err)
 	case err != nil:
-		a.err, a.unfinished = err, true
+		a.err, a.unfinished = err, a.trickles(err)
 		if a.cancelledBySilence() {
 			return unresponsive
 		}
@@ -167,21 +167,34 @@
 	return complete
 }
 
+// bodyReader reads the body of an attempt's response and records when bytes arrive.
+type bodyReader struct{ attempt *attemptState }
+
+// Read implements io.Reader.
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.attempt.response.Body.Read(p)
+	if n > 0 {
+		r.attempt.receivedAt.Store(time.Now().UnixNano())
+		r.attempt.recordProgress()
+	}
+	return n, err
+}
+
 // readBody reads a response's body, of which there may be at most maxResponseBytes. After an error
 // nothing is held of it.
-func (f *inFlightCall) readBody(response *Response, hold *buffer.Hold) ([]byte, error) {
-	body, err := hold.ReadAll(buffer.Response, io.LimitReader(response.Body, maxResponseBytes+1))
+func (f *inFlightCall) readBody(a *attemptState) ([]byte, error) {
+	body, err := a.hold.ReadAll(buffer.Response, io.LimitReader(bodyReader{a}, maxResponseBytes+1))
 	switch {
 	case err != nil:
 		return nil, err
 	case len(body) > maxResponseBytes:
 		err = errBodyTooLarge
-	case response.Length >= 0 && int64(len(body)) != response.Length:
+	case a.response.Length >= 0 && int64(len(body)) != a.response.Length:
 		err = errBodyLength
 	default:
 		return body, nil
 	}
-	hold.Shrink(buffer.Response, len(body))
+	a.hold.Shrink(buffer.Response, len(body))
 	return nil, err
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -257,5 +257,6 @@
 		}
 		is := is.New(t)
 		is.Equal(len(serve(t, route, Call{ID: "r"}, &fakeTurns{}, hangs).erring), 0)
+		is.Equal(len(serve(t, route, Call{ID: "r"}, &fakeTurns{}, hangsAfter("half")).erring), 0)
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,8 +114,7 @@
 // forwardStream forwards the response whose header the attempt has received.
 func (f *inFlightCall) forwardStream(a *attemptState, rec *streamRecord, h *hedger) (verdict, Result, *attemptState) {
 	if a.response.Status >= 300 {
-		v, result := f.forwardFailure(a, a.response)
-		return v, result, nil
+		return f.forwardFailure(a, h)
 	}
 	if a.source == nil {
 		h.recordProgress(f.timeToFirstEvent(a))
@@ -132,19 +131,25 @@
 }
 
 // forwardFailure forwards a response with a status of 300 or more. If a header was already
-// forwarded, the attempt counts as lost instead.
-func (f *inFlightCall) forwardFailure(state *attemptState, response *Response) (verdict, Result) {
-	body, err := f.readBody(response, state.hold)
+// forwarded, the attempt counts as lost instead. It returns the hedge that has taken over, if one has.
+func (f *inFlightCall) forwardFailure(a *attemptState, h *hedger) (verdict, Result, *attemptState) {
+	h.arm()
+	body, err := f.readBody(a)
+	a.body = body
+	if next := h.disarm(err == nil); next != nil {
+		return f.supersededVerdict(a, err), Result{}, next
+	}
 	switch {
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, errBodyTooLarge):
-		return state.classifyBufferError(err), Result{}
+		return a.classifyBufferError(err), Result{}, nil
 	case err != nil || f.headerSent:
-		state.err = err
-		return responseLost, Result{}
+		a.err, a.unfinished = err, a.trickles(err)
+		return responseLost, Result{}, nil
 	}
-	state.finished = true
-	state.grant.Done(scheduler.Feedback{Failure: failureOf(response.Status), Cancelled: failureOf(response.Status) == nil})
-	return complete, f.forwardResponse(response, body)
+	a.finished = true
+	failure := failureOf(a.response.Status)
+	a.grant.Done(scheduler.Feedback{Failure: failure, Cancelled: failure == nil})
+	return complete, f.forwardResponse(a.response, body), nil
 }
 
 // failureOf returns the failure that a status counts as against its replica; nil if the call was
@@ -162,7 +167,7 @@
 	var firstEventTime time.Duration
 	countBefore := rec.eventCount
 	for {
-		events, err, next := f.nextEvents(a, h)
+		events, next, err := f.nextEvents(a, h)
 		if next != nil {
 			return f.supersededVerdict(a, err), Result{}, next
 		}
@@ -174,6 +179,10 @@
 			a.recordProgress()
 			h.recordProgress(f.gapTimeout())
 		}
+		if f.exceedsOutput(rec.eventCount - countBefore + len(events)) {
+			a.err = errOutputTooLong
+			return oversizedResponse, Result{}, nil
+		}
 		switch forwardErr := f.forwardEvents(a.response, events, a.source, rec); {
 		case errors.Is(forwardErr, errCallerDisconnected):
 			a.grant.Done(scheduler.Feedback{Cancelled: true})
@@ -197,15 +206,15 @@
 
 // nextEvents returns the events that arrive next, or the hedge that has taken over meanwhile. Those that
 // a hedge received before it took over come first.
-func (f *inFlightCall) nextEvents(a *attemptState, h *hedger) (events []Event, err error, next *attemptState) {
+func (f *inFlightCall) nextEvents(a *attemptState, h *hedger) (events []Event, next *attemptState, err error) {
 	if a.events != nil || a.eventsErr != nil {
 		events, err = a.events, a.eventsErr
 		a.events, a.eventsErr = nil, nil
-		return events, err, nil
+		return events, nil, err
 	}
 	h.arm()
 	events, err = a.readEvents()
-	return events, err, h.disarm(err == nil || err == io.EOF)
+	return events, h.disarm(err == nil || err == io.EOF), err
 }
 
 // supersededVerdict returns the verdict of an attempt whose response is not used, by the error with which
@@ -231,6 +240,7 @@
 		n, err := a.source.Read(a.readBuffer)
 		var events []Event
 		if n > 0 {
+			a.receivedAt.Store(time.Now().UnixNano())
 			var splitErr error
 			if events, splitErr = a.splitter.add(a.readBuffer[:n]); splitErr != nil {
 				return events, splitErr
@@ -250,7 +260,7 @@
 	if errors.Is(err, errEventTooLarge) || errors.Is(err, buffer.ErrFull) {
 		return a.classifyBufferError(err)
 	}
-	a.unfinished = a.splitter.hasPartialEvent()
+	a.unfinished = len(a.splitter.buffer) > 0 && a.trickles(err)
 	return a.classifyError(err)
 }
 
@@ -297,6 +307,18 @@
 	return f.result(Completed, "", response.Status)
 }
 
+// outputTolerance is the factor on a call's maximum output beyond which a stream counts as one without end.
+const outputTolerance = 2
+
+// errOutputTooLong indicates a stream of more events than the call's maximum output allows.
+var errOutputTooLong = errors.New("gateway: stream has more events than the call allows")
+
+// exceedsOutput reports whether a stream of that many events is longer than the call allows.
+func (f *inFlightCall) exceedsOutput(events int) bool {
+	limit := f.call.MaxOutputTokens
+	return limit > 0 && events*f.tokensPerEvent() > outputTolerance*limit
+}
+
 func (f *inFlightCall) tokensPerEvent() int {
 	if f.service.Engine == nil {
 		return 1
