Node: replace idle connections also behind ones with a partial header

What callers saw: with the number of callers' connections at its bound, new connections were closed although others were idle, while at least 16 connections that had been idle for longer had sent the first byte of a call and no more.

Cause: a connection left the list of idle ones only at StateActive, which the server reports once the whole header was read. A connection with a part of a header is not replaced, stayed at the front of the list, and used up the tries of replaceIdle.

A connection now leaves the list with the first bytes of a call. Those left in the list that can't be replaced are ones whose bytes wait to be read, which lasts until their goroutines run. The lock of the connections is taken once more for each call.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -372,6 +372,10 @@
 	if !c.recordRead(n, err) {
 		return n, err
 	}
+	if c.header.bytes == 0 {
+		// The server reports the new state only once the whole header was read.
+		c.conns.setIdle(c, false)
+	}
 	c.header.add(p[:n])
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -130,12 +130,49 @@
 	is.Equal(conns.rejected.Count(), int64(2))
 }
 
-// fakeConn counts how often the wait for its next call was ended.
+// Guards against callers that are rejected while connections are idle: others that have sent the first
+// byte of a call, and no more, had been idle for longer and kept the idle ones from being replaced.
+func TestPartialHeadersDoNotKeepIdleConnectionsFromBeingReplaced(t *testing.T) {
+	is := is.New(t)
+	conns := newCallerConns(0, discardLogger, metrics.NewRegistry())
+	conns.limit = 2 * maxReplaceTries
+	var opened []*callerConn
+	for range conns.limit {
+		c := &callerConn{Conn: &fakeConn{}, conns: conns, hold: unboundedBuffers().NewHold()}
+		is.True(conns.open(c))
+		trackConnState(c, http.StateIdle)
+		opened = append(opened, c)
+	}
+	first, idle := opened[:maxReplaceTries], opened[maxReplaceTries:]
+	for _, c := range first {
+		_, err := c.Read(make([]byte, 1))
+		is.NoErr(err)
+	}
+	for i := range idle {
+		is.True(conns.open(&callerConn{Conn: &fakeConn{}, conns: conns}))
+		is.Equal(idle[i].Conn.(*fakeConn).expired, 1)
+	}
+	is.True(!conns.open(&callerConn{Conn: &fakeConn{}, conns: conns}))
+	for _, c := range first {
+		is.Equal(c.Conn.(*fakeConn).expired, 0)
+	}
+	trackConnState(first[0], http.StateActive)
+	trackConnState(first[0], http.StateIdle)
+	is.True(conns.open(&callerConn{Conn: &fakeConn{}, conns: conns}))
+	is.Equal(first[0].Conn.(*fakeConn).expired, 1)
+}
+
+// fakeConn counts how often the wait for its next call was ended. Each read returns one byte.
 type fakeConn struct {
 	net.Conn
 	expired int
 }
 
+func (c *fakeConn) Read(p []byte) (int, error) {
+	p[0] = 'G'
+	return 1, nil
+}
+
 func (c *fakeConn) SetReadDeadline(t time.Time) error {
 	if t.Before(time.Now()) {
 		c.expired++
