Node: count a call's header timeout from its first byte

What callers saw: nothing from an instance with room. One to three bytes of a call kept an idle connection open until the idle limit, up to 5 minutes without operators' limits, and it can't be replaced by a new one in that time; such connections reach the bound without a call. Three more bytes just before the header timeout gave the header that time again. A call in parts whose first byte arrived just before the idle limit was closed at that limit.

Cause: the server sets the header's deadline only after four bytes, counted from then. TestHeaderTimeoutCountsFromTheFirstByteOnAnIdleConnection failed before in all four cases (closed after 5 s in place of 2 s; 1.5 s and 1.8 s late; a call in parts closed).

With the first byte, the header's deadline takes the place of that of the wait, and a later one that the server sets for the header is not applied. New connections keep the deadline that the server sets at their start.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -205,9 +205,10 @@
 	phase        connPhase
 	waitingSince time.Time
 	// deadline is the read deadline that the server has set. While expired is set, a passed one is in
-	// force in its place.
-	deadline time.Time
-	expired  bool
+	// force in its place. isIdleDeadline is set while it bounds the wait for a call's first byte.
+	deadline       time.Time
+	isIdleDeadline bool
+	expired        bool
 	// readErr is the error of the last read; nil for none.
 	readErr error
 }
@@ -268,8 +269,15 @@
 		return false
 	}
 	c.expired = false
+	return c.startHeaderTimeout() == nil
+}
+
+// startHeaderTimeout sets the deadline of the call's header in place of that of the wait for the call;
+// the lock is held.
+func (c *callerConn) startHeaderTimeout() error {
+	c.isIdleDeadline = false
 	c.deadline = c.limitDeadline(time.Now().Add(headerTimeout), false)
-	return c.Conn.SetReadDeadline(c.deadline) == nil
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
 // recordRead records the result of a read. It returns true if the bytes belong to a call's header.
@@ -283,6 +291,9 @@
 	if c.phase == phaseWaiting {
 		c.headerBegan = time.Now()
 		c.begin(phaseHeader)
+		if c.isIdleDeadline {
+			_ = c.startHeaderTimeout() // a closed connection needs no deadline
+		}
 	}
 	return true
 }
@@ -432,14 +443,20 @@
 // SetReadDeadline implements net.Conn. Between calls the server sets two deadlines: one for the
 // start of the next call, and a much shorter one for the call's header. A deadline later than
 // headerTimeout is the first kind. The handler's deadlines stay as they are.
+//
+// The server sets the second only after the fourth byte of a call. Here it counts from the first, and is
+// not prolonged: a part of a header could keep its connection for the idle time, or twice the header's.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isIdle := time.Until(t) > headerTimeout
+	if c.phase == phaseHeader && !c.deadline.IsZero() && t.After(c.deadline) {
+		return nil
+	}
 	if c.phase != phaseServing && !t.IsZero() {
 		t = c.limitDeadline(t, isIdle)
 	}
-	c.deadline = t
+	c.deadline, c.isIdleDeadline = t, isIdle
 	if c.expired && isIdle {
 		return nil
 	}
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -97,6 +97,53 @@
 	})
 }
 
+// Guards against callers that occupy connections with the first byte of a call for as long as with
+// nothing, or for twice the header timeout, and against a call in parts that is cut by the end of the
+// wait for its first byte.
+func TestHeaderTimeoutCountsFromTheFirstByteOnAnIdleConnection(t *testing.T) {
+	limits := routing.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: 2 * time.Second}
+	const whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, c := range map[string]struct {
+		idle, pause time.Duration // before the first part, and between the parts
+		parts       []string
+		closedAfter time.Duration // the last part
+		answered    bool
+	}{
+		"one byte":               {0, 0, []string{"G"}, 2 * time.Second, false},
+		"one byte, then more":    {0, 1500 * time.Millisecond, []string{"G", "ET / HTTP/1.1\r\n"}, 500 * time.Millisecond, false},
+		"several slow parts":     {0, 600 * time.Millisecond, []string{"G", "E", "T", " "}, 200 * time.Millisecond, false},
+		"at the end of the wait": {4900 * time.Millisecond, 1500 * time.Millisecond, []string{whole[:1], whole[1:]}, 5 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller, side := net.Pipe()
+				l := &singleConnListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+				l.conn <- side
+				server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
+				go server.Serve(&callerListener{Listener: l, limits: func() routing.Limits { return limits }, conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers()})
+				defer server.Close()
+
+				is.NoErr(call(caller))
+				is.Equal(answer(caller), http.StatusOK)
+				synctest.Wait() // the server waits for the next call
+				time.Sleep(c.idle)
+				for i, part := range c.parts {
+					if i > 0 {
+						time.Sleep(c.pause)
+					}
+					_, err := caller.Write([]byte(part))
+					is.NoErr(err)
+				}
+				if c.answered {
+					is.Equal(answer(caller), http.StatusOK)
+				}
+				is.Equal(timeUntilClosed(caller), c.closedAfter)
+			})
+		})
+	}
+}
+
 // Guards against an instance that exceeds its memory because callers open thousands of connections.
 // Their number must be bounded: a new one replaces the one that has been idle for longest, and is
 // rejected while all of them have calls.
