Node: tests for the end of a connection's wait and the header's deadline

No fault; changes that break these went unnoticed by the tests. Each new test fails with its change: expireIfWaiting without the look at the socket (TestWaitForAnArrivedCallIsNotEnded); more time for bytes that arrive in the header phase (TestArrivedBytesDoNotProlongTheHeaderTimeout); an idle deadline that revokes the end of the wait, and a header deadline that does not (TestDeadlineOfTheWaitDoesNotRevokeItsEnd); a first byte that prolongs a new connection's deadline (TestHeaderTimeoutCountsFromTheStartOfANewConnection).

--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,10 +12,12 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
 	_ "foxhall/internal/fuzzing" // one processor under the race detector
+	"foxhall/internal/netdial"
 	"foxhall/internal/routing"
 )
 
@@ -79,6 +83,26 @@
 	})
 }
 
+// Guards against callers that keep new connections for longer with a byte: the header timeout counts from
+// the start of a new connection, and the first byte does not prolong it.
+func TestHeaderTimeoutCountsFromTheStartOfANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		caller, side := net.Pipe()
+		l := &singleConnListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+		l.conn <- side
+		server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState}
+		limits := func() routing.Limits { return routing.Limits{HeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute} }
+		go server.Serve(&callerListener{Listener: l, limits: limits, conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers()})
+		defer server.Close()
+		synctest.Wait()
+		time.Sleep(1500 * time.Millisecond)
+		_, err := caller.Write([]byte("G"))
+		is.NoErr(err)
+		is.Equal(timeUntilClosed(caller), 500*time.Millisecond)
+	})
+}
+
 // A caller that sends half of a header must not occupy a connection for longer than the operators'
 // header timeout.
 func TestOperatorsLimitForTheHeader(t *testing.T) {
@@ -209,10 +233,93 @@
 	is.Equal(first[0].Conn.(*fakeConn).expired, 1)
 }
 
+// Guards against a connection that is closed as idle, or replaced by a newer one, while a call on it, or
+// its end, has arrived and is not read yet.
+func TestWaitForAnArrivedCallIsNotEnded(t *testing.T) {
+	for name, arrive := range map[string]func(caller net.Conn) error{
+		"call": call, "end": net.Conn.Close,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			caller, c := newTCPCallerConn(t)
+			is.NoErr(arrive(caller))
+			waitUntilArrived(t, c)
+			is.True(!c.expireIfWaiting(0))
+			_, err := c.Read(make([]byte, 1))
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	}
+	_, idle := newTCPCallerConn(t)
+	is.New(t).True(idle.expireIfWaiting(0))
+}
+
+// Guards against callers that keep connections for ever with a slow header: bytes that have arrived by
+// the end of the header timeout must not prolong it.
+func TestArrivedBytesDoNotProlongTheHeaderTimeout(t *testing.T) {
+	is := is.New(t)
+	caller, c := newTCPCallerConn(t)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(headerTimeout)))
+	_, err := io.WriteString(caller, "GET ")
+	is.NoErr(err)
+	_, err = io.ReadFull(c, make([]byte, 4))
+	is.NoErr(err)
+	_, err = io.WriteString(caller, "/")
+	is.NoErr(err)
+	waitUntilArrived(t, c)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// Guards against a connection that counts as replaced and stays open: it is to be closed just before the
+// server sets the deadline of its wait. The deadline of a call that has arrived must hold again.
+func TestDeadlineOfTheWaitDoesNotRevokeItsEnd(t *testing.T) {
+	is := is.New(t)
+	fake := &fakeConn{}
+	c := &callerConn{Conn: fake, limits: func() routing.Limits { return routing.Limits{} }}
+	is.True(c.expireIfWaiting(0))
+	is.NoErr(c.SetReadDeadline(time.Now().Add(idleTimeout)))
+	is.True(fake.deadline.Before(time.Now()))
+	is.NoErr(c.SetReadDeadline(time.Now().Add(headerTimeout)))
+	is.True(fake.deadline.After(time.Now()))
+}
+
+// newTCPCallerConn returns both ends of a connection that no server reads.
+func newTCPCallerConn(t *testing.T) (net.Conn, *callerConn) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	side, err := l.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() {
+		caller.Close()
+		side.Close()
+	})
+	callers := &callerListener{
+		limits: func() routing.Limits { return routing.Limits{} },
+		conns:  newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers(),
+	}
+	return caller, newCallerConn(side, callers)
+}
+
+// waitUntilArrived waits until there is something to read: bytes, or the end.
+func waitUntilArrived(t *testing.T, c *callerConn) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); netdial.IsIdleAndOpen(c.Conn); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("nothing arrived")
+		}
+	}
+}
+
 // fakeConn counts how often the wait for its next call was ended. Each read returns one byte.
 type fakeConn struct {
 	net.Conn
-	expired int
+	expired  int
+	deadline time.Time
 }
 
 func (c *fakeConn) Read(p []byte) (int, error) {
@@ -224,5 +331,6 @@
 	if t.Before(time.Now()) {
 		c.expired++
 	}
+	c.deadline = t
 	return nil
 }
