--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,7 +37,7 @@
 	// body is the body of a complete response that is not a stream, took the time that it took.
 	body []byte
 	took time.Duration
-	// source, splitter and received read a stream.
+	// source, splitter and readBuffer read a stream.
 	source     *readAhead
 	splitter   eventSplitter
 	readBuffer []byte
@@ -131,9 +131,9 @@
 	return errors.Is(err, httpconn.ErrStrayBytes) || at != 0 && time.Since(time.Unix(0, at)) <= tricklePause
 }
 
-// cancelledBySilence reports whether the attempt was given up because the replica's data centre fell
+// supersededInDataCentreSilence reports whether the attempt was given up because the replica's data centre fell
 // silent.
-func (a *attemptState) cancelledBySilence() bool {
+func (a *attemptState) supersededInDataCentreSilence() bool {
 	return errors.Is(context.Cause(a.ctx), errDataCentreSilent)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -158,7 +158,7 @@
 		return a.classifyBufferError(err)
 	case err != nil:
 		a.err, a.unfinished = err, a.trickles(err)
-		if a.cancelledBySilence() {
+		if a.supersededInDataCentreSilence() {
 			return unresponsive
 		}
 		return invalidResponse
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -229,7 +229,7 @@
 // is under way is abandoned; if the attempt has failed, disarm waits for the hedge if that was sent. It
 // returns the hedge's attempt if that has taken over.
 func (h *hedger) disarm(goesOn bool) *attemptState {
-	running := h.disarmLocked(goesOn)
+	running := h.endWait(goesOn)
 	if running == nil {
 		return nil
 	}
@@ -240,8 +240,8 @@
 	return running.winner
 }
 
-// disarmLocked takes the lock, stops the timer and returns the hedge that is under way.
-func (h *hedger) disarmLocked(goesOn bool) *hedge {
+// endWait stops the timer and returns the hedge that is under way, which it abandons if it is of no use.
+func (h *hedger) endWait(goesOn bool) *hedge {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.armed, h.failed = false, !goesOn
@@ -340,7 +340,7 @@
 	a.hold.Shrink(buffer.Response, len(a.body))
 	a.body = nil
 	a.end()
-	if a.cancelledBySilence() {
+	if a.supersededInDataCentreSilence() {
 		return unresponsive
 	}
 	return responseLost
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -68,7 +68,7 @@
 		return notSent
 	case errors.Is(err, httpconn.ErrHeaderTooLarge):
 		return oversizedResponse
-	case a.cancelledBySilence(), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
+	case a.supersededInDataCentreSilence(), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
 		return unresponsive
 	default:
 		return responseLost
