--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -306,22 +306,6 @@
 	return nil, errors.Wrap(ErrResponseLost, "too many responses before the call's own")
 }
 
-// skipBody reads the body of a response to another call. After an error the connection is unusable:
-// the rest of a body that is not read to its end would be taken for the call's own response.
-func skipBody(response *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody+1))
-	switch {
-	case err != nil:
-		return errors.Wrap(err, "response to another call")
-	case n > maxStrayBody:
-		return errors.New("response to another call is too long to be skipped")
-	case response.Close:
-		return errors.New("connection closes after a response to another call")
-	default:
-		return nil
-	}
-}
-
 // readHeader reads a response up to its body. The bytes that are buffered already come on top of the
 // limit.
 func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
--- a/internal/httpconn/limited.go
+++ b/internal/httpconn/limited.go
@@ -1,6 +1,11 @@
 package httpconn
 
-import "io"
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
 
 // limitedReader fails with ErrHeaderTooLarge once more than the allowed bytes or parts were read.
 //
@@ -43,3 +48,19 @@
 	r.remainingParts--
 	return n, err
 }
+
+// skipBody reads the body of a response to another call. After an error the connection is unusable:
+// the rest of a body that is not read to its end would be taken for the call's own response.
+func skipBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody+1))
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "response to another call")
+	case n > maxStrayBody:
+		return errors.New("response to another call is too long to be skipped")
+	case response.Close:
+		return errors.New("connection closes after a response to another call")
+	default:
+		return nil
+	}
+}
