gateway: no hedge where the open attempts may end as many replicas as a content may

Cause that a test shows: an isolated content, under which two replicas have ended, was hedged while the third still had it. Change: a suspected content gets no hedge if that and the attempts under way could end more replicas than may end under one content. An isolated call so waits for its replica, as any call that has no other.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/buffer"
+	"foxhall/internal/quarantine"
 	"foxhall/internal/scheduler"
 )
 
@@ -263,7 +264,7 @@
 // the silent attempt, which is shared then, since a response or a connection alone may be lost. nil means
 // that there is none.
 func (f *inFlightCall) placeHedge(ctx context.Context, silent *attemptState, cause error) (at *place, shared bool) {
-	if f.attempts >= maxAttempts || f.isOutOfTime() {
+	if f.attempts >= maxAttempts || f.isOutOfTime() || f.mayEndTooMany() {
 		return nil, false
 	}
 	if f.mayFailOver(silent.grant) {
@@ -278,6 +279,16 @@
 	return silent.place, true
 }
 
+// mayEndTooMany reports whether another attempt might end one replica more than may end under a content,
+// if the open attempts end theirs.
+//
+// It prevents the following failure: a hedge is sent while the replica of its silent attempt ends under
+// the content, as the third one.
+func (f *inFlightCall) mayEndTooMany() bool {
+	s := f.standing()
+	return (s.Suspected() || s.Isolated()) && s.Ends+s.Doubts+len(f.open) >= quarantine.MaxEnds
+}
+
 // tryHedge makes an attempt of a hedge. It returns the attempt that has received its response, which may
 // be a hedge of it, or the verdict of one that has failed.
 func (f *inFlightCall) tryHedge(ctx context.Context, at *place, shared bool, x *exchange) (*attemptState, verdict) {
