--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -56,11 +56,14 @@
 // Item is one waiting step.
 type Item[T any] struct {
 	Value    T
-	key      time.Time
+	key      Key
 	sequence uint64
 	index    int
 }
 
+// Key returns the item's place in the order.
+func (i *Item[T]) Key() Key { return i.key }
+
 // Queue is a priority queue of waiting steps in the order of their keys, first in first out among
 // equal keys. It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -71,8 +74,11 @@
 // Len returns the number of waiting steps.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
-// Push adds a step and returns its item.
-func (q *Queue[T]) Push(key time.Time, value T) *Item[T] {
+// Push adds a step with a time as its key and returns its item.
+func (q *Queue[T]) Push(key time.Time, value T) *Item[T] { return q.PushKey(Key{At: key}, value) }
+
+// PushKey adds a step and returns its item.
+func (q *Queue[T]) PushKey(key Key, value T) *Item[T] {
 	q.lastSequence++
 	item := &Item[T]{Value: value, key: key, sequence: q.lastSequence}
 	heap.Push(&q.items, item)
@@ -100,6 +106,32 @@
 	return heap.Pop(&q.items).(*Item[T])
 }
 
+// Rekey changes the keys of the waiting steps for which f returns true, and restores the order.
+func (q *Queue[T]) Rekey(f func(T) (Key, bool)) {
+	changed := false
+	for _, item := range q.items {
+		if key, differs := f(item.Value); differs {
+			item.key, changed = key, true
+		}
+	}
+	if changed {
+		heap.Init(&q.items)
+	}
+}
+
+// Ahead returns the number of waiting steps that go before a new one with the key. In a queue of more
+// than maxCounted it is estimated from evenly spaced ones.
+func (q *Queue[T]) Ahead(key Key) int {
+	stride := max(1, (len(q.items)+maxCounted-1)/maxCounted)
+	ahead := 0
+	for i := 0; i < len(q.items); i += stride {
+		if q.items[i].key.Compare(key) <= 0 {
+			ahead++
+		}
+	}
+	return min(ahead*stride, len(q.items))
+}
+
 // Restore returns a popped item to its former place in the order.
 func (q *Queue[T]) Restore(item *Item[T]) { heap.Push(&q.items, item) }
 
@@ -108,8 +140,8 @@
 func (s itemHeap[T]) Len() int { return len(s) }
 
 func (s itemHeap[T]) Less(i, j int) bool {
-	if !s[i].key.Equal(s[j].key) {
-		return s[i].key.Before(s[j].key)
+	if c := s[i].key.Compare(s[j].key); c != 0 {
+		return c < 0
 	}
 	return s[i].sequence < s[j].sequence
 }
