scheduler: admission of model calls to engines by urgency, behind a switch

Calls queue inside the engines, where they can't be ordered, moved or refused: an entry limits only its own calls at an engine, and many entries share one.

With Settings.LoadControl, an engine is full for a model call from a number of calls of all entries on that depends on the call's class and rank. Other calls wait in the entry's queue, which is ordered by rank and urgency and scanned when an own call ends, when a peer reports a lower load (at most every 10 ms) and every 50 ms. A call that can't be done by its deadline is refused on arrival or in a scan, by an estimate from the loads of all entries.

Ruled out: stopping a scan at the first step for which all engines are full, as without the switch. They may have a place for a more urgent step of a lower rank behind it. Steps whose allowance is known to be used up are skipped without a decision instead.

Without the switch decisions, order, refusals and log lines are as before.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -12,8 +12,8 @@
 func WriteTrace(w io.Writer, lines []Line) error {
 	for i := range lines {
 		line := &lines[i]
-		_, err := fmt.Fprintf(w, "%+8.3f s  %-20s %s  %s\n",
-			line.Time.Sub(lines[0].Time).Seconds(), line.Text("instance"), line.Message, fieldsOf(line))
+		_, err := fmt.Fprintf(w, "%+8.3f s  %-20s %s  %s%s\n",
+			line.Time.Sub(lines[0].Time).Seconds(), line.Text("instance"), line.Message, queueingOf(line), fieldsOf(line))
 		if err != nil {
 			return err
 		}
@@ -21,6 +21,31 @@
 	return nil
 }
 
+// waitCauses are the causes for which a call waits in a queue, by their names in log lines.
+var waitCauses = map[string]string{
+	"place":         "a place at an engine",
+	"better-engine": "a better engine than those with a place",
+	"upstream":      "a usable engine",
+}
+
+// queueingOf states how long a call that was ordered by urgency waited in the queue and for what, or
+// returns "" for any other line.
+func queueingOf(line *Line) string {
+	class := line.Text("class")
+	if class == "" || line.Fields["queued_ms"] == nil {
+		return ""
+	}
+	state := fmt.Sprintf("%s, rank %v", class, line.Fields["rank"])
+	if line.Fields["overdue"] == true {
+		state += ", overdue"
+	}
+	cause := waitCauses[line.Text("waited_for")]
+	if cause == "" {
+		return fmt.Sprintf("[%s: did not wait] ", state)
+	}
+	return fmt.Sprintf("[%s: waited %v ms for %s; %v engines full for it] ", state, line.Fields["queued_ms"], cause, line.Fields["full"])
+}
+
 // fieldsOf formats the fields of a line, sorted by name; the instance is left out.
 func fieldsOf(line *Line) string {
 	var names []string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,7 +144,7 @@
 		Target:         Target{ID: a.grant.Upstream, Address: a.grant.Address},
 		Body:           f.body,
 		Timeout:        time.Until(f.deadline),
-		Priority:       f.priority(),
+		Priority:       f.replicaPriority(),
 		Customer:       f.customerName(),
 		ResumeAfter:    a.resumeAfter,
 		MaxConnections: f.connectionLimit(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,10 @@
 	// OnSilence registers f to be called if a data centre falls silent before stop is called.
 	// Only its instances are known to be silent: its replicas may still respond.
 	OnSilence func(dataCentre string, f func()) (stop func())
+	// LoadControl gives the calls of all ranks the same priority at engines. An engine preempts a running
+	// call for one of a higher priority, and the preempted prompt is prefilled again; the scheduler
+	// orders the calls by rank before they are sent.
+	LoadControl bool
 	// Quarantine holds the contents under which replicas ended; nil for a table of this gateway alone.
 	Quarantine *quarantine.Table
 	// Turn returns this instance's turn to try rejected contents; nil if it never does.
@@ -319,6 +323,18 @@
 	return f.route.Priority
 }
 
+// commonEnginePriority is the rank that engines are given for all calls under load control. It is in
+// the middle of their range.
+const commonEnginePriority = 5
+
+// replicaPriority returns the rank that the replica is given.
+func (f *inFlightCall) replicaPriority() int {
+	if f.gateway.settings.LoadControl && f.service.Engine != nil {
+		return commonEnginePriority
+	}
+	return f.priority()
+}
+
 // serviceKey returns the key by which the route chooses the call's service. All calls of a
 // program have the same key, so that they go to the same service.
 func (f *inFlightCall) serviceKey() uint64 {
@@ -346,6 +362,10 @@
 		LastUpstream:       f.lastUpstream,
 		LastUpstreamBlocks: f.sharedBlocks(),
 		Repeatable:         f.route.Repeatable(),
+		CallID:             f.call.ID,
+		Objective:          f.call.Program.Objective,
+		Arrived:            f.call.Arrived,
+		Resent:             f.attempts > 0,
 	}
 	if suspected {
 		r.Isolated, r.Avoid = true, f.gateway.isolation.Replicas()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,7 +209,12 @@
 		ConnectCost:       connectCost,
 		RemoteViewAge:     n.load.DataCentreSilentFor,
 		MaxViewAge:        partitionTimeout,
+		LoadControl:       n.settings.LoadControl,
+		Registry:          n.registry,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: cacheViewBlocks}))
+	if n.settings.LoadControl {
+		n.load.OnLoadLowered(sched.OnLoadLowered)
+	}
 	n.fleet.onSilence = n.keeperSilence.onSilence
 	n.buffers = buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry)
 	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
@@ -220,6 +225,8 @@
 		Quotas:      n.quotas,
 		Buffers:     n.buffers,
 
+		LoadControl: n.settings.LoadControl,
+
 		SilentFor: n.load.DataCentreSilentFor,
 		OnSilence: n.dataCentreSilence.onSilence,
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,8 @@
 	ChangeDeadline, Heartbeat time.Duration
 	// Tolerance is how far customers may exceed their quotas.
 	Tolerance limit.Tolerance
+	// LoadControl turns on the admission of model calls to engines by urgency and rank.
+	LoadControl bool
 	// Memory is the memory that the process may use, in bytes.
 	Memory int64
 	// Grace is the time allowed from the order to stop until the process exits.
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -77,6 +77,8 @@
 	// onKeeperStatus receives the status of other keepers. It is nil in an instance that is not a
 	// keeper.
 	onKeeperStatus func([]byte)
+	// onLoadLowered is nil where no one waits for upstreams.
+	onLoadLowered func()
 	// quotas exchange customers' usage. It is nil in an instance that admits no calls.
 	quotas Quotas
 	// contents is nil in an instance that sends no calls.
@@ -241,8 +243,27 @@
 // expireLoads removes the loads of peers that have sent none for loadLifetime.
 func (x *Exchange) expireLoads(now time.Time) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.loads.expire(x.peerCount, now)
+	lowered := x.takeLowered()
+	x.mu.Unlock()
+	x.reportLowered(lowered)
+}
+
+// OnLoadLowered sets the function to be called when the calls of other instances at an upstream have
+// become fewer. It must not block, and it must be set before Run.
+func (x *Exchange) OnLoadLowered(f func()) { x.onLoadLowered = f }
+
+// takeLowered reports whether a load was lowered since its last call. The caller holds the lock.
+func (x *Exchange) takeLowered() bool {
+	lowered := x.loads.lowered
+	x.loads.lowered = false
+	return lowered
+}
+
+func (x *Exchange) reportLowered(lowered bool) {
+	if lowered && x.onLoadLowered != nil {
+		x.onLoadLowered()
+	}
 }
 
 // ReachableOrUnknown reports whether the last contact with an instance is recent. It returns true if
@@ -461,10 +482,12 @@
 // RecordLoad records a peer's load and the contact with it.
 func (x *Exchange) RecordLoad(load *peerloadpb.Load, now time.Time) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.loads.replace(load, x.peerCount, now)
 	x.lastContactAt = now
 	x.dataCentreContacts[load.DataCentre], x.contacts[load.From] = now, contact{receivedAt: now, sendsPerRound: x.sendsPerRoundOf(load), busy: isActive(load)}
+	lowered := x.takeLowered()
+	x.mu.Unlock()
+	x.reportLowered(lowered)
 }
 
 // sendsPerRoundOf returns the sender's number of sends per round. Older versions don't report it
--- a/internal/peerload/sums.go
+++ b/internal/peerload/sums.go
@@ -16,6 +16,8 @@
 	// oldest and newest are the ends of the list of the peers' loads, in the order of their arrival.
 	oldest, newest *receivedLoad
 	sums           map[uint64]remoteLoad
+	// lowered is set if the calls at some upstream became fewer since it was last cleared.
+	lowered bool
 }
 
 // receivedLoad is the last load of a peer, in a linked list.
@@ -96,7 +98,9 @@
 	for _, hash := range load.Upstreams {
 		if u := s.table.ByHash(hash); u != nil {
 			sum := s.sums[hash]
-			u.SetRemoteLoad(int(scale*float64(sum.calls)), int(scale*float64(sum.backlog)), now.Add(loadLifetime))
+			if u.SetRemoteLoad(int(scale*float64(sum.calls)), int(scale*float64(sum.backlog)), now.Add(loadLifetime)) {
+				s.lowered = true
+			}
 		}
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -119,13 +119,13 @@
 	}
 }
 
-// Ahead returns the number of waiting steps that go before a new one with the key. In a queue of more
-// than maxCounted it is estimated from evenly spaced ones.
+// Ahead returns the number of waiting steps that go before one with the key. In a queue of more than
+// maxCounted it is estimated from evenly spaced ones.
 func (q *Queue[T]) Ahead(key Key) int {
 	stride := max(1, (len(q.items)+maxCounted-1)/maxCounted)
 	ahead := 0
 	for i := 0; i < len(q.items); i += stride {
-		if q.items[i].key.Compare(key) <= 0 {
+		if q.items[i].key.Compare(key) < 0 {
 			ahead++
 		}
 	}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -124,6 +124,9 @@
 	if idle := p.scheduler.settings.HasIdleConnection; idle != nil && !idle(u.Name, u.Address) {
 		c.ConnectCost = p.scheduler.settings.ConnectCost
 	}
+	if w.isFullFor(&c) {
+		c.Load.Condition = upstream.Full
+	}
 	p.scheduler.restrict(&c, endpoint, w.request)
 	p.candidates = append(p.candidates, c)
 }
--- a/internal/scheduler/log.go
+++ b/internal/scheduler/log.go
@@ -60,6 +60,9 @@
 	} else {
 		fields["service"] = w.request.Service
 	}
+	if w.byUrgency {
+		w.addUrgency(fields)
+	}
 	for reason, n := range d.Rejections {
 		if n > 0 {
 			fields["out_"+placement.Reason(reason).String()] = n
@@ -68,4 +71,20 @@
 	return fields
 }
 
+// addUrgency adds what decided on the step's place in the queue.
+func (w *waiter) addUrgency(fields log.Fields) {
+	fields["class"] = w.urgent.state.Class.String()
+	fields["rank"] = w.urgent.order.Rank
+	fields["full"] = w.urgent.full
+	if w.urgent.state.Overdue {
+		fields["overdue"] = true
+	}
+	if w.urgent.waitsFor != "" {
+		fields["waited_for"] = w.urgent.waitsFor
+	}
+	if w.request.CallID != "" {
+		fields["request"] = w.request.CallID
+	}
+}
+
 func millis(seconds float64) int64 { return int64(seconds * 1000) }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -46,8 +46,18 @@
 	// lastRequestAt is when the last step arrived, even if it was refused.
 	lastRequestAt time.Time
 	tickScheduled bool
-	candidates    []placement.Candidate
-	skipped       []*queue.Item[*waiter]
+	// byUrgency is set if the steps are ordered and placed by urgency. The fields below are used
+	// only then. nextChange is when the order of the waiting steps changes next; zero for never.
+	// fullAllowance is the largest allowance for which all upstreams were full in this scan; -1 for
+	// none.
+	byUrgency     bool
+	nextChange    time.Time
+	fullAllowance int
+	// decisions counts the decisions of this scan.
+	decisions  int
+	capacity   capacity
+	candidates []placement.Candidate
+	skipped    []*queue.Item[*waiter]
 	// rotation is the queue index at which placeRotating continues.
 	rotation int
 	matches  cache.Matches
@@ -63,12 +73,17 @@
 	promptTokens int
 	enqueued     time.Time
 	criteria     queue.Criteria
-	item         *queue.Item[*waiter]
-	granted      chan *Grant
-	refused      chan *Refusal
+	// urgent is set only if byUrgency is.
+	byUrgency bool
+	urgent    urgentStep
+	item      *queue.Item[*waiter]
+	granted   chan *Grant
+	refused   chan *Refusal
 }
 
-func newPool(s *Scheduler, key poolKey) *pool { return &pool{scheduler: s, key: key} }
+func newPool(s *Scheduler, key poolKey) *pool {
+	return &pool{scheduler: s, key: key, byUrgency: s.ordersByUrgency(key)}
+}
 
 func (s *Scheduler) newWaiter(r *Request) *waiter {
 	now := time.Now()
@@ -137,6 +152,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastRequestAt = w.enqueued
+	if p.byUrgency {
+		return p.enqueueByUrgency(w)
+	}
 	if refusal := p.shedOnArrival(w); refusal != nil {
 		return refusal
 	}
@@ -146,6 +164,24 @@
 	return nil
 }
 
+// enqueueByUrgency is enqueue in a pool that is ordered by urgency.
+func (p *pool) enqueueByUrgency(w *waiter) *Refusal {
+	now := w.enqueued
+	w.byUrgency = true
+	p.setOrder(w, p.scheduler.endpoints(p.key), now)
+	if m := p.scheduler.urgencyMetrics; m != nil {
+		m.classes[w.urgent.state.Class].Inc(1)
+	}
+	if refusal := p.shedByUrgency(w, now); refusal != nil {
+		return refusal
+	}
+	w.item = p.queue.PushKey(w.urgent.order.Key(now), w)
+	p.noteChange(w.urgent.changesAt)
+	p.placeWaiting()
+	p.scheduleTick()
+	return nil
+}
+
 // queueKey returns the key of the step's place in the queue: ordered by program under the cost
 // policy, first come first served under the baselines.
 func (p *pool) queueKey(w *waiter) time.Time {
@@ -199,7 +235,10 @@
 	endpoints := p.scheduler.endpoints(p.key)
 	now := time.Now()
 	p.skipped = p.skipped[:0]
-	if !p.placeFirst(endpoints, now) {
+	if p.byUrgency {
+		p.placeFirstByUrgency(endpoints, now)
+		p.placeRotating(endpoints, now)
+	} else if !p.placeFirst(endpoints, now) {
 		p.placeRotating(endpoints, now)
 	}
 	for _, item := range p.skipped {
@@ -234,8 +273,10 @@
 			p.rotation = 0
 		}
 		item := p.queue.At(p.rotation)
-		decided, allFull := p.tryPlace(endpoints, item.Value, now)
-		if allFull {
+		var decided, allFull bool
+		if p.byUrgency {
+			decided = p.tryPlaceByUrgency(endpoints, item.Value, len(p.skipped)+p.queue.Ahead(item.Key()), now)
+		} else if decided, allFull = p.tryPlace(endpoints, item.Value, now); allFull {
 			return
 		}
 		if decided {
@@ -252,6 +293,7 @@
 	w.step.Waited = now.Sub(w.enqueued)
 	d := p.decide(endpoints, w, now)
 	if refusal := p.refuseIfLate(w, &d, now); refusal != nil {
+		w.urgent.full = d.Rejections[placement.Full]
 		w.refused <- refusal
 		return true, false
 	}
@@ -264,6 +306,9 @@
 			return true, false
 		}
 	}
+	if p.byUrgency {
+		w.recordDecision(&d)
+	}
 	if !placement.AnyCapable(&d) && w.step.Waited >= noUpstreamWait {
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -126,7 +126,7 @@
 	if d.Chosen < 0 || w.request.Deadline.IsZero() || p.scheduler.settings.Policy != placement.Cost {
 		return nil
 	}
-	if p.learnedCallTime() == 0 {
+	if p.knowsOnlyDefaults(now) {
 		// Only default speeds are known, and no step may be refused because of a default.
 		return nil
 	}
@@ -139,9 +139,19 @@
 	if !now.Add(need).After(w.request.Deadline) {
 		return nil
 	}
+	if p.byUrgency {
+		return p.refuseOverloaded(w, len(p.skipped), now, "the deadline can't be met; not run")
+	}
 	return refuse(step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
 }
 
+func (p *pool) knowsOnlyDefaults(now time.Time) bool {
+	if p.byUrgency {
+		return !p.currentCapacity(now).learned
+	}
+	return p.learnedCallTime() == 0
+}
+
 // expectedWait returns how long a step that arrives now is expected to wait in the queue.
 func (p *pool) expectedWait() time.Duration {
 	slots := p.usableSlots()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/cache"
 	"foxhall/internal/chat"
@@ -43,6 +44,12 @@
 	ConnectCost       time.Duration
 	// MaxViewAge is the maximum age of the view of another data centre; 0 for placement.MaxViewAge.
 	MaxViewAge time.Duration
+	// LoadControl turns on the admission of model calls by urgency: an engine is full for a call from
+	// a number of calls of all instances on that depends on the call's urgency and rank, and calls wait
+	// in the order of both. It requires placement.Cost.
+	LoadControl bool
+	// Registry receives the metrics of LoadControl; nil for none.
+	Registry metrics.Registry
 	// Mover moves programs' caches between engines; nil for no moves.
 	Mover Mover
 	// ReleaseCache asks an engine to release a program's cache memory; nil for none. It must not
@@ -94,6 +101,13 @@
 	NonStreaming bool
 	// Deadline is when the caller gives up; zero for none.
 	Deadline time.Time
+	// CallID is the id of the call in log lines; empty for none.
+	CallID string
+	// Objective is the time by which the program should have finished, Arrived when the call arrived
+	// at this instance; zero if unknown. Resent is set if an earlier attempt was refused or lost.
+	// They are used only with Settings.LoadControl.
+	Objective, Arrived time.Time
+	Resent             bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
 	// Hedge is set if an attempt of the step is under way. Hedges have a retry budget of their own, so that
@@ -132,6 +146,12 @@
 	inflow           inflows
 	moveRates        moveRates
 	decisionCount    atomic.Uint64
+	// urgencyMetrics is nil without LoadControl or a registry.
+	urgencyMetrics *urgencyMetrics
+	// rescanScheduled is set while a scan of the queues is scheduled, rescannedAt is when the last one
+	// began, in Unix nanoseconds.
+	rescanScheduled atomic.Bool
+	rescannedAt     atomic.Int64
 
 	mu    sync.RWMutex
 	pools map[poolKey]*pool
@@ -151,7 +171,7 @@
 	if settings.QueueLimit == 0 {
 		settings.QueueLimit = defaultQueueLimit
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		settings:         settings,
 		table:            table,
 		view:             view,
@@ -161,6 +181,10 @@
 		prefixPopularity: newPopularity(),
 		pools:            map[poolKey]*pool{},
 	}
+	if settings.LoadControl && settings.Registry != nil {
+		s.urgencyMetrics = newUrgencyMetrics(s, settings.Registry)
+	}
+	return s
 }
 
 // Acquire waits in the queue for an upstream for the step and returns a grant or a refusal. It does
@@ -177,6 +201,9 @@
 	w := s.newWaiter(&r)
 	p := s.pool(&r)
 	grant, refusal := p.place(ctx, w)
+	if m := s.urgencyMetrics; m != nil && w.byUrgency {
+		m.waited.Update(time.Since(w.enqueued).Microseconds())
+	}
 	if refusal != nil {
 		s.logRefusal(w, refusal)
 		return nil, refusal
--- /dev/null
+++ b/internal/scheduler/urgency.go
@@ -0,0 +1,319 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/engine"
+	"foxhall/internal/placement"
+	"foxhall/internal/queue"
+	"foxhall/internal/step"
+	"foxhall/internal/upstream"
+	"foxhall/internal/urgency"
+)
+
+const (
+	// maxPriority is the highest priority of a request, which corresponds to rank 0.
+	maxPriority = 9
+	// rescanInterval is the least time between two scans that are caused by the loads of other
+	// instances. Their datagrams arrive up to 850 times per second from 50 of them, and a scan takes
+	// up to some hundred microseconds.
+	rescanInterval = 10 * time.Millisecond
+	// capacityLifetime is how long a summary of the engines' loads is used for estimates of waiting
+	// times. Its cost grows with the number of engines.
+	capacityLifetime = 20 * time.Millisecond
+	// maxPopped bounds the steps that one scan takes from the front of the queue. It is larger than
+	// maxScanned, since most of them only wait for a place and take no decision; more than maxScanned
+	// late steps of a high rank would otherwise hide tight ones of a lower rank, which may have a place.
+	maxPopped = 256
+	// minRetryAfter is the least delay given to callers that are refused. Loads are reported about every
+	// 60 ms; an earlier retry finds the same queue.
+	minRetryAfter = 100 * time.Millisecond
+	// waitedSampleSize is the number of steps in the histogram's sample of waiting times.
+	waitedSampleSize = 1028
+)
+
+// The causes for which a step waits, as used in log lines.
+const (
+	// waitsForPlace: all engines that the step may use are full for it.
+	waitsForPlace = "place"
+	// waitsForBetter: an engine has a place, but a full one is expected to complete the step earlier.
+	waitsForBetter = "better-engine"
+	// waitsForUpstream: no engine is usable.
+	waitsForUpstream = "upstream"
+)
+
+// urgencyMetrics are the metrics of steps that are ordered by urgency.
+type urgencyMetrics struct {
+	waited  metrics.Histogram
+	classes [len(urgency.Classes)]metrics.Counter
+}
+
+func newUrgencyMetrics(s *Scheduler, registry metrics.Registry) *urgencyMetrics {
+	m := &urgencyMetrics{waited: metrics.GetOrRegisterHistogram("scheduler.queue.waited.us", registry, metrics.NewUniformSample(waitedSampleSize))}
+	for _, c := range urgency.Classes {
+		m.classes[c] = metrics.GetOrRegisterCounter("scheduler.class."+c.String(), registry)
+	}
+	_ = registry.Register("scheduler.queue.waiting", metrics.NewFunctionalGauge(func() int64 { return int64(s.Waiting()) }))
+	return m
+}
+
+// ordersByUrgency reports whether steps of the pool are ordered and placed by urgency.
+func (s *Scheduler) ordersByUrgency(key poolKey) bool {
+	return s.settings.LoadControl && s.settings.Policy == placement.Cost && !key.service
+}
+
+// urgentStep is what a waiter needs in a pool that is ordered by urgency.
+type urgentStep struct {
+	order     queue.Order
+	changesAt time.Time
+	state     queue.State
+	allowance int
+	// full is the number of engines that were full for the step in its last decision.
+	full int
+	// waitsFor is why the step was not placed in its last decision; empty if it has not waited.
+	waitsFor string
+}
+
+// setOrder sets the step's place in the order. The caller holds the pool's lock.
+func (p *pool) setOrder(w *waiter, endpoints []*upstream.Endpoint, now time.Time) {
+	r := w.request
+	w.urgent.order = queue.Order{
+		Rank:      max(0, maxPriority-r.Priority),
+		Objective: r.Objective,
+		Expected:  p.expectedDuration(w, endpoints),
+		Resent:    r.Resent,
+		Arrived:   w.enqueued,
+		Deadline:  r.Deadline,
+		Attained:  w.criteria.Attained,
+	}
+	if !r.Arrived.IsZero() && r.Arrived.Before(w.enqueued) {
+		w.urgent.order.Arrived = r.Arrived
+	}
+	w.urgent.changesAt = w.urgent.order.ChangesAt(now)
+	w.setState(now)
+}
+
+func (w *waiter) setState(now time.Time) {
+	w.urgent.state = w.urgent.order.At(now)
+	w.urgent.allowance = w.urgent.state.Allowance()
+}
+
+// expectedDuration returns the expected duration of the step on the engine that has the longest part
+// of its prompt cached, if it takes the last free slot there. It is 0 while only default speeds are
+// known, by which no step may count as tight or late.
+func (p *pool) expectedDuration(w *waiter, endpoints []*upstream.Endpoint) time.Duration {
+	if len(endpoints) == 0 {
+		return 0
+	}
+	c := placement.Candidate{Slots: max(1, endpoints[0].Upstream.Slots), Speed: meanSpeed(endpoints)}
+	if c.Speed == upstream.DefaultSpeed {
+		return 0
+	}
+	c.Load.Total, c.Load.Slowness = c.Slots-1, 1
+	p.scheduler.view.Lookup(w.blockHashes, &p.matches)
+	if len(p.matches.Found) > 0 {
+		c.CachedTokens = p.matches.Found[0].Blocks * engine.BlockTokens
+	}
+	e := placement.EstimateCost(&c, &w.step, c.CachedTokens)
+	return time.Duration(e.Total() * float64(time.Second))
+}
+
+// reorder moves the waiting steps whose class has changed, or which have waited too long, to their new
+// places in the order.
+func (p *pool) reorder(now time.Time) {
+	if p.nextChange.IsZero() || now.Before(p.nextChange) {
+		return
+	}
+	p.nextChange = time.Time{}
+	p.queue.Rekey(func(w *waiter) (queue.Key, bool) {
+		u := &w.urgent
+		due := !u.changesAt.IsZero() && !now.Before(u.changesAt)
+		if due {
+			u.changesAt = u.order.ChangesAt(now)
+		}
+		p.noteChange(u.changesAt)
+		return u.order.Key(now), due
+	})
+}
+
+// noteChange brings forward the time of the next reordering.
+func (p *pool) noteChange(at time.Time) {
+	if !at.IsZero() && (p.nextChange.IsZero() || at.Before(p.nextChange)) {
+		p.nextChange = at
+	}
+}
+
+// shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline.
+func (p *pool) shedByUrgency(w *waiter, now time.Time) *Refusal {
+	ahead := p.queue.Ahead(w.urgent.order.Key(now))
+	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
+		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
+	}
+	return p.refuseIfHopeless(w, ahead, 1, now)
+}
+
+// refuseIfHopeless refuses a step if the fraction of its expected wait and duration exceeds the time
+// to its deadline. It refuses nothing while only default speeds are known.
+func (p *pool) refuseIfHopeless(w *waiter, ahead int, fraction float64, now time.Time) *Refusal {
+	if w.request.Deadline.IsZero() {
+		return nil
+	}
+	c := p.currentCapacity(now)
+	if !c.learned {
+		return nil
+	}
+	need := c.view(w.urgent.allowance).Wait(ahead) + w.urgent.order.Expected
+	if time.Duration(fraction*float64(need)) <= w.request.Deadline.Sub(now) {
+		return nil
+	}
+	return p.refuseOverloaded(w, ahead, now, "the step can't be done by its deadline; not run")
+}
+
+// refuseOverloaded returns a refusal with the expected time until the steps ahead have been placed.
+func (p *pool) refuseOverloaded(w *waiter, ahead int, now time.Time, message string) *Refusal {
+	c := p.currentCapacity(now)
+	return refuse(step.CodeOverloaded, 503, message, max(minRetryAfter, c.view(w.urgent.allowance).Wait(ahead)))
+}
+
+// capacity sums up the engines of a pool, according to the loads that all instances report.
+type capacity struct {
+	at         time.Time
+	calls, own int
+	rate       float64
+	// free is the number of free places by allowance.
+	free [urgency.MaxAllowance + 1]int
+	// learned is set if some engine has completed a call.
+	learned bool
+}
+
+func (c *capacity) view(allowance int) urgency.View {
+	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, Free: c.free[allowance]}
+}
+
+// currentCapacity returns the capacity, not older than capacityLifetime.
+func (p *pool) currentCapacity(now time.Time) *capacity {
+	if age := now.Sub(p.capacity.at); age >= 0 && age < capacityLifetime {
+		return &p.capacity
+	}
+	p.capacity = capacity{at: now}
+	for _, endpoint := range p.scheduler.endpoints(p.key) {
+		p.capacity.add(endpoint, now.UnixNano())
+	}
+	return &p.capacity
+}
+
+func (c *capacity) add(endpoint *upstream.Endpoint, now int64) {
+	l := endpoint.Upstream.Load(now)
+	if l.Condition > upstream.Full || !endpoint.Serving().Ready {
+		return
+	}
+	slots := max(1, endpoint.Upstream.Slots)
+	speed := learnedOrMeanSpeed(endpoint)
+	c.learned = c.learned || speed.Samples > 0
+	c.calls += l.Total
+	c.own += l.Own
+	c.rate += urgency.CallRate(l.Total, slots, speed.CallSeconds)
+	for allowance := range c.free {
+		c.free[allowance] += max(0, min(slots+allowance-l.Total, l.Limit-l.Own))
+	}
+}
+
+// placeFirstByUrgency tries to place the first steps of the queue in order. Engines that are full for
+// one step may have a place for a more urgent one behind it, so that a scan goes on until they are
+// full for all.
+func (p *pool) placeFirstByUrgency(endpoints []*upstream.Endpoint, now time.Time) {
+	p.reorder(now)
+	p.fullAllowance, p.decisions = -1, 0
+	for popped := 0; popped < maxPopped && p.decisions < maxScanned; popped++ {
+		if popped >= maxScanned && p.fullAllowance >= urgency.MaxAllowance {
+			return
+		}
+		item := p.queue.Pop()
+		if item == nil {
+			return
+		}
+		if !p.tryPlaceByUrgency(endpoints, item.Value, len(p.skipped), now) {
+			p.skipped = append(p.skipped, item)
+		}
+	}
+}
+
+// tryPlaceByUrgency grants or refuses one step, or leaves it waiting, and reports whether the step was
+// granted or refused. ahead is the number of steps before it.
+func (p *pool) tryPlaceByUrgency(endpoints []*upstream.Endpoint, w *waiter, ahead int, now time.Time) (decided bool) {
+	u := &w.urgent
+	w.setState(now)
+	if refusal := p.refuseIfHopeless(w, ahead, certainFraction, now); refusal != nil {
+		w.refused <- refusal
+		return true
+	}
+	if u.allowance <= p.fullAllowance && !w.isRestricted() {
+		u.waitsFor = waitsForPlace
+		return false
+	}
+	// Each try looks at another sample of a large fleet.
+	w.step.Random++
+	p.decisions++
+	decided, _ = p.tryPlace(endpoints, w, now)
+	if !decided && u.waitsFor == waitsForPlace && len(p.candidates) == len(endpoints) && !w.isRestricted() {
+		p.fullAllowance = max(p.fullAllowance, u.allowance)
+	}
+	return decided
+}
+
+// isRestricted reports whether the step may not use some of the upstreams that other steps may use.
+func (w *waiter) isRestricted() bool {
+	r := w.request
+	return r.Grant != nil || r.Isolated || len(r.Tried) > 0 || len(r.Avoid) > 0
+}
+
+// recordDecision records why a step is left waiting.
+func (w *waiter) recordDecision(d *placement.Decision) {
+	w.urgent.full = d.Rejections[placement.Full]
+	switch {
+	case d.Rejections[placement.Allowed] > 0:
+		w.urgent.waitsFor = waitsForBetter
+	case d.Rejections[placement.Full] > 0:
+		w.urgent.waitsFor = waitsForPlace
+	default:
+		w.urgent.waitsFor = waitsForUpstream
+	}
+}
+
+// isFullFor reports whether an upstream that may get new work is full for the step, counting the
+// calls of all instances.
+func (w *waiter) isFullFor(c *placement.Candidate) bool {
+	return w.byUrgency && c.Load.Condition == upstream.Usable && urgency.IsFull(c.Load.Total, c.Slots, w.urgent.allowance)
+}
+
+// OnLoadLowered is called when another instance reports fewer calls at an upstream. It scans the
+// queues soon, at most every rescanInterval, in a goroutine of its own.
+func (s *Scheduler) OnLoadLowered() {
+	if !s.settings.LoadControl || !s.rescanScheduled.CompareAndSwap(false, true) {
+		return
+	}
+	delay := time.Until(time.Unix(0, s.rescannedAt.Load()).Add(rescanInterval))
+	time.AfterFunc(max(0, delay), s.rescan)
+}
+
+func (s *Scheduler) rescan() {
+	s.rescannedAt.Store(time.Now().UnixNano())
+	s.rescanScheduled.Store(false)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, p := range s.pools {
+		if p.byUrgency {
+			p.scanIfWaiting()
+		}
+	}
+}
+
+func (p *pool) scanIfWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Len() > 0 {
+		p.placeWaiting()
+	}
+}
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -72,9 +72,11 @@
 }
 
 // SetRemoteLoad sets the load that other instances report to have placed on the upstream, in calls
-// and in prompt tokens not yet prefilled. It is valid until the given time.
-func (u *Upstream) SetRemoteLoad(calls, backlog int, until time.Time) {
-	u.remoteCalls.Store(int32(calls))
+// and in prompt tokens not yet prefilled. It is valid until the given time. lowered reports whether the
+// number of calls is lower than before.
+func (u *Upstream) SetRemoteLoad(calls, backlog int, until time.Time) (lowered bool) {
+	before := u.remoteCalls.Swap(int32(calls))
 	u.remoteBacklog.Store(int64(backlog))
 	u.remoteUntil.Store(until.UnixNano())
+	return int32(calls) < before
 }
--- /dev/null
+++ b/internal/urgency/view.go
@@ -0,0 +1,35 @@
+package urgency
+
+import "time"
+
+// View is what an entry knows of the engines that a call may be sent to.
+type View struct {
+	// Calls is the number of calls of all entries at the engines, Own the number of this entry's.
+	Calls, Own int
+	// Rate is the number of calls that the engines complete per second while all slots are in use.
+	Rate float64
+	// Free is the number of places at the engines below the call's allowance.
+	Free int
+}
+
+// Wait returns the expected time until there is a place for a call with the number of calls before it
+// in this entry's queue. Other entries' queues are not known: of the places that get free, this entry
+// is assumed to get as large a part as it has of the calls at the engines.
+func (v View) Wait(ahead int) time.Duration {
+	missing := ahead + 1 - v.Free
+	if missing <= 0 || v.Rate <= 0 {
+		return 0
+	}
+	share := min(1, float64(v.Own+1)/float64(v.Calls+1))
+	return time.Duration(float64(missing) / (v.Rate * share) * float64(time.Second))
+}
+
+// CallRate returns the number of calls per second that an engine completes while all its slots are in
+// use. callSeconds is the mean time that calls spent there; it includes their wait for a slot, so by
+// Little's law the calls beyond the slots count as well.
+func CallRate(calls, slots int, callSeconds float64) float64 {
+	if callSeconds <= 0 {
+		return 0
+	}
+	return float64(max(calls, slots)) / callSeconds
+}
