scheduler, queue, urgency: tests of admission by urgency

The queue's order is fuzzed against a sorted list, with classes that change while calls wait.

The fuzzing of the waiting time found an overflow at rates near 0: estimates are now bounded. The number of full engines that is logged is that of the decision that last left the call waiting, since at its placement some engine has a place.

--- /dev/null
+++ b/internal/queue/urgency_test.go
@@ -0,0 +1,230 @@
+package queue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxhall/internal/urgency"
+)
+
+var start = time.Unix(1000, 0)
+
+func drawOrder(t *rapid.T) Order {
+	millis := func(name string, low, high int) time.Duration {
+		return time.Duration(rapid.IntRange(low, high).Draw(t, name)) * time.Millisecond
+	}
+	o := Order{
+		Rank:     rapid.IntRange(0, 3).Draw(t, "rank"),
+		Arrived:  start.Add(millis("arrived", 0, 8000)),
+		Expected: millis("expected", 0, 2000),
+		Resent:   rapid.Bool().Draw(t, "resent"),
+		Attained: millis("attained", 0, 3),
+	}
+	if rapid.Bool().Draw(t, "has objective") {
+		o.Objective = o.Arrived.Add(millis("left", -2000, 12000))
+	}
+	if rapid.Bool().Draw(t, "has deadline") {
+		o.Deadline = o.Arrived.Add(millis("deadline", 0, 30000))
+	}
+	return o
+}
+
+// goesBefore is the order as the design page states it, written without keys.
+func goesBefore(a, b *Order, now time.Time) bool {
+	x, y := a.At(now), b.At(now)
+	switch {
+	case x.Rank != y.Rank:
+		return x.Rank < y.Rank
+	case x.Overdue != y.Overdue:
+		return x.Overdue
+	case x.Overdue:
+		return sooner(a.Arrived, b.Arrived, a, b)
+	case x.Class != y.Class:
+		return x.Class < y.Class
+	case x.Class == urgency.Late:
+		return sooner(a.Arrived, b.Arrived, a, b)
+	default:
+		return sooner(a.objective(), b.objective(), a, b)
+	}
+}
+
+func sooner(x, y time.Time, a, b *Order) bool {
+	if !x.Equal(y) {
+		return x.Before(y)
+	}
+	return a.Attained < b.Attained
+}
+
+// Calls arrive, are placed, give up and wait until their classes change. The queue must always place the
+// same call as the oracle, a sorted list. Guards against a call that keeps its former place in the order
+// after its class has changed.
+func TestUrgencyOrderAgainstOracle(t *testing.T) {
+	type call struct {
+		order     Order
+		changesAt time.Time
+		item      *Item[*call]
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[*call]
+		var oracle []*call // in the order of arrival at the queue
+		now := start
+		first := func() *call {
+			sorted := slices.Clone(oracle)
+			slices.SortStableFunc(sorted, func(a, b *call) int {
+				if goesBefore(&a.order, &b.order, now) {
+					return -1
+				} else if goesBefore(&b.order, &a.order, now) {
+					return 1
+				}
+				return 0
+			})
+			return sorted[0]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				c := &call{order: drawOrder(t)}
+				c.changesAt = c.order.ChangesAt(now)
+				c.item = q.PushKey(c.order.Key(now), c)
+				oracle = append(oracle, c)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				q.Rekey(func(c *call) (Key, bool) {
+					due := !c.changesAt.IsZero() && !now.Before(c.changesAt)
+					if due {
+						c.changesAt = c.order.ChangesAt(now)
+					}
+					return c.order.Key(now), due
+				})
+			},
+			"place": func(t *rapid.T) {
+				if len(oracle) == 0 {
+					return
+				}
+				want := first()
+				ahead := 0
+				for _, c := range oracle {
+					if c.item.key.Compare(want.item.key) < 0 {
+						ahead++
+					}
+				}
+				if got := q.Ahead(want.item.key); got != 0 || ahead != 0 {
+					t.Fatalf("%d of %d calls ahead of the first one", got, ahead)
+				}
+				if got := q.Pop().Value; got != want {
+					t.Fatalf("placed %+v, oracle %+v", got.order, want.order)
+				}
+				oracle = slices.DeleteFunc(oracle, func(c *call) bool { return c == want })
+			},
+			"give up": func(t *rapid.T) {
+				if len(oracle) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(oracle)-1).Draw(t, "which")
+				if !q.Remove(oracle[i].item) {
+					t.Fatal("a waiting call is not in the queue")
+				}
+				oracle = slices.Delete(oracle, i, i+1)
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(oracle) {
+					t.Fatalf("%d calls, oracle %d", q.Len(), len(oracle))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a key that changes at another time than the announced one.
+func TestKeyChangesOnlyAtTheAnnouncedTimes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := drawOrder(t)
+		now := start.Add(time.Duration(rapid.IntRange(0, 40000).Draw(t, "now")) * time.Millisecond)
+		changes := o.ChangesAt(now)
+		if changes.IsZero() {
+			changes = now.Add(time.Hour)
+		}
+		if !changes.After(now) {
+			t.Fatalf("the next change is %v before now", now.Sub(changes))
+		}
+		until := now.Add(time.Duration(rapid.Float64Range(0, 0.999).Draw(t, "part") * float64(changes.Sub(now))))
+		if o.Key(now) != o.Key(until) || o.At(now) != o.At(until) {
+			t.Fatalf("the key of %+v changes before the announced time", o)
+		}
+	})
+}
+
+// A stream of calls of the same rank and of its two neighbours arrives without end, whatever their class.
+// Guards against a call that they hold until its deadline: once it is overdue, it must go before all of
+// them that arrive later and are not overdue themselves, and always before overdue ones of its own rank
+// and of lower ones.
+func TestOverdueCallGoesBeforeLaterArrivals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o, later := drawOrder(t), drawOrder(t)
+		later.Arrived = o.Arrived.Add(1 + time.Duration(rapid.IntRange(0, 20000).Draw(t, "after"))*time.Millisecond)
+		later.Rank = max(0, o.Rank+rapid.IntRange(-1, 3).Draw(t, "rank difference"))
+		now := later.Arrived.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "waited")) * time.Millisecond)
+		if !o.At(now).Overdue || later.Rank < o.Rank && later.At(now).Overdue {
+			return
+		}
+		if o.Key(now).Compare(later.Key(now)) >= 0 {
+			t.Fatalf("%+v goes before the overdue %+v", later, o)
+		}
+		if o.At(now).Class == urgency.Late {
+			t.Fatal("an overdue call counts as late")
+		}
+	})
+}
+
+// Guards against ranks that don't hold: before any call is overdue, a call of a higher rank goes first,
+// and among calls of one class it may use at least as many places at an engine.
+func TestRanksHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		high, low := drawOrder(t), drawOrder(t)
+		low.Rank = high.Rank + rapid.IntRange(1, 3).Draw(t, "difference")
+		now := start.Add(8 * time.Second)
+		if low.At(now).Overdue {
+			return
+		}
+		if high.Key(now).Compare(low.Key(now)) >= 0 {
+			t.Fatalf("%+v goes before %+v", low, high)
+		}
+		if high.At(now).Class == low.At(now).Class && high.At(now).Allowance() < low.At(now).Allowance() {
+			t.Fatal("a call of a lower rank may use more places")
+		}
+	})
+}
+
+// Guards against an order within a rank that lets programs finish late that had time: tight calls go
+// first, then the earliest objective, late ones last.
+func TestOrderWithinARank(t *testing.T) {
+	is := is.New(t)
+	with := func(left time.Duration) Order {
+		return Order{Arrived: start, Objective: start.Add(left), Expected: time.Second, Deadline: start.Add(time.Minute)}
+	}
+	orders := []Order{with(2 * time.Second), with(3 * time.Second), with(5 * time.Second), with(9 * time.Second), {Arrived: start, Expected: time.Second, Deadline: start.Add(time.Minute)}, with(20 * time.Second), with(-time.Second)}
+	for i := range orders[1:] {
+		is.True(orders[i].Key(start).Compare(orders[i+1].Key(start)) < 0)
+	}
+	more := with(5 * time.Second)
+	more.Attained = time.Second
+	is.True(orders[2].Key(start).Compare(more.Key(start)) < 0) // less attained service goes first
+}
+
+// Guards against estimates of the calls ahead that are off in a long queue, in which not all are counted.
+func TestAheadIsEstimatedInALongQueue(t *testing.T) {
+	is := is.New(t)
+	var q Queue[int]
+	const n = 4096
+	for i := range n {
+		q.Push(start.Add(time.Duration(i*1237%n)*time.Second), i)
+	}
+	for _, at := range []int{0, n / 4, n / 2, n} {
+		ahead := q.Ahead(Key{At: start.Add(time.Duration(at) * time.Second)})
+		is.True(ahead >= at-n/8 && ahead <= at+n/8)
+	}
+}
--- a/internal/scheduler/decision_bench_test.go
+++ b/internal/scheduler/decision_bench_test.go
@@ -16,9 +16,16 @@
 // BenchmarkDecision measures one complete decision for a history of 120,000 tokens, including the
 // lookup in the cache view and the collection of the candidates.
 func BenchmarkDecision(b *testing.B) {
-	for _, n := range []int{20, 440, 2200} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p, w, endpoints := newDecisionFixture(n)
+	for _, c := range []struct {
+		n           int
+		loadControl bool
+	}{{20, false}, {440, false}, {2200, false}, {20, true}, {440, true}, {2200, true}} {
+		name := fmt.Sprint(c.n)
+		if c.loadControl {
+			name += "-load-control"
+		}
+		b.Run(name, func(b *testing.B) {
+			p, w, endpoints := newDecisionFixture(c.n, Settings{DataCentre: "a", LoadControl: c.loadControl})
 			now := time.Now()
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -32,7 +39,7 @@
 	}
 }
 
-func newDecisionFixture(n int) (*pool, *waiter, []*upstream.Endpoint) {
+func newDecisionFixture(n int, settings Settings) (*pool, *waiter, []*upstream.Endpoint) {
 	var listed []usage.Upstream
 	for i := range n {
 		name := fmt.Sprint("e", i)
@@ -40,7 +47,7 @@
 	}
 	table := upstream.NewTable()
 	table.Apply(listed, time.Now())
-	s := New(Settings{DataCentre: "a"}, table, cache.New(cache.DefaultOptions))
+	s := New(settings, table, cache.New(cache.DefaultOptions))
 	endpoints := table.Snapshot().Model("m")
 	grant := &usage.Grant{Models: []string{"m"}, DataCentres: []string{"a"}, LatencyWeight: 1, CacheWeight: 0.5}
 	r := &Request{Model: "m", Program: "p", Grant: grant, Messages: []chat.Message{{Raw: make([]byte, 120000*engine.TokenBytes)}}}
@@ -51,7 +58,12 @@
 		s.view.RecordSent(endpoint.Upstream.ID, w.blockHashes[:8])
 		endpoint.Upstream.Begin(time.Now().UnixNano(), 100, time.Hour)
 	}
-	return s.pool(r), w, endpoints
+	p := s.pool(r)
+	if p.byUrgency {
+		w.byUrgency = true
+		p.setOrder(w, endpoints, time.Now())
+	}
+	return p, w, endpoints
 }
 
 // BenchmarkHash measures the hashing of a history of 120,000 tokens.
@@ -68,7 +80,7 @@
 func BenchmarkEngineMemory(b *testing.B) {
 	for range b.N {
 		before := heapBytes()
-		p, _, endpoints := newDecisionFixture(2200)
+		p, _, endpoints := newDecisionFixture(2200, Settings{DataCentre: "a"})
 		b.ReportMetric(float64(heapBytes()-before)/2200, "B/engine")
 		runtime.KeepAlive(p)
 		runtime.KeepAlive(endpoints)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -300,6 +300,9 @@
 	if d.Chosen >= 0 && !d.ShouldWait {
 		endpoint := endpoints[p.candidates[d.Chosen].Index]
 		if trial, ok := endpoint.Upstream.TakeTrial(); ok {
+			if w.urgent.waitsFor == "" {
+				w.urgent.full = d.Rejections[placement.Full]
+			}
 			g := p.grant(endpoint, w, &d, now)
 			g.trial = trial
 			w.granted <- g
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -70,7 +70,8 @@
 	changesAt time.Time
 	state     queue.State
 	allowance int
-	// full is the number of engines that were full for the step in its last decision.
+	// full is the number of engines that were full for the step in the last decision that left it
+	// waiting, or else in the one that placed or refused it.
 	full int
 	// waitsFor is why the step was not placed in its last decision; empty if it has not waited.
 	waitsFor string
--- a/internal/urgency/view.go
+++ b/internal/urgency/view.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// maxWait bounds estimates, which would exceed the range of durations at a rate near 0. No caller waits
+// for so long.
+const maxWait = time.Hour
+
 // View is what an entry knows of the engines that a call may be sent to.
 type View struct {
 	// Calls is the number of calls of all entries at the engines, Own the number of this entry's.
@@ -21,7 +25,7 @@
 		return 0
 	}
 	share := min(1, float64(v.Own+1)/float64(v.Calls+1))
-	return time.Duration(float64(missing) / (v.Rate * share) * float64(time.Second))
+	return time.Duration(min(maxWait.Seconds(), float64(missing)/(v.Rate*share)) * float64(time.Second))
 }
 
 // CallRate returns the number of calls per second that an engine completes while all its slots are in
