--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -262,7 +262,11 @@
 		list = append(list, u)
 	}
 	w.upstreams.Apply(list, time.Now())
-	sched := scheduler.New(scheduler.Settings{}, w.upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
+	scheduling := scheduler.Settings{LoadControl: settings.LoadControl}
+	if settings.LoadControl {
+		scheduling.Logger = &log.Logger{Handler: w.lines}
+	}
+	sched := scheduler.New(scheduling, w.upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
 	settings.Table = func() *routing.Table { return table }
 	settings.Instances = func() int { return 1 }
 	settings.IsolatedFor = func() time.Duration { return time.Second }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -15,9 +16,11 @@
 	"foxhall/internal/cache"
 	"foxhall/internal/gateway"
 	"foxhall/internal/mirror"
+	"foxhall/internal/peerload/peerloadpb"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/store"
+	"foxhall/internal/upstream"
 )
 
 // stubReplicas sends nothing.
@@ -30,6 +33,12 @@
 // newTestNode returns a node that does not run, with an adapter that decodes store entries as JSON
 // of the routing types.
 func newTestNode(t *testing.T) *Node {
+	t.Helper()
+	return newTestNodeWith(t, func(*Settings) {})
+}
+
+// newTestNodeWith is newTestNode with changed settings.
+func newTestNodeWith(t *testing.T, change func(*Settings)) *Node {
 	t.Helper()
 	adapter := Adapter{
 		Replicas: stubReplicas{},
@@ -44,6 +53,7 @@
 		Callers: func(*gateway.Gateway, func() bool) http.Handler { return http.NotFoundHandler() },
 	}
 	s := Settings{Instance: "me", IP: "10.0.0.1", DataCentre: "a", CallersAddress: "10.0.0.1:1", PeerPort: 7}
+	change(&s)
 	n, err := New(s, adapter, &log.Logger{Handler: discard.Default}, metrics.NewRegistry())
 	is.New(t).NoErr(err)
 	n.mirror.Apply(mirror.Delta{Kind: mirror.Config, Full: true, AsOf: 1, Entries: []mirror.Entry{{Name: mirror.ConfigName, Revision: 1}}})
@@ -105,3 +115,24 @@
 	n.refresh()
 	is.Equal(n.nextReplica(t), "")
 }
+
+// Guards against load control that is in force without being asked for, or that is asked for and reaches
+// only some of the parts: its metrics must be there, and a lower load of another instance must lead to a
+// scan of the queues.
+func TestLoadControlIsInForceOnlyOnRequest(t *testing.T) {
+	for _, loadControl := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newTestNodeWith(t, func(s *Settings) { s.LoadControl = loadControl })
+			n.setReplicas(t, 2, routing.Replica{ID: "r", Incarnation: 1, Service: "s", Address: "10.0.0.9:80", DataCentre: "a", Slots: 2})
+			for _, calls := range []uint32{2, 1} {
+				n.load.RecordLoad(&peerloadpb.Load{From: "other", Upstreams: []uint64{upstream.NameHash("r@1")}, Calls: []uint32{calls}, Backlog: []uint32{0}}, time.Now())
+			}
+			time.Sleep(time.Second)
+			rescans, found := n.registry.Get("scheduler.queue.rescans").(metrics.Counter)
+			is.Equal(found, loadControl)
+			is.True(!loadControl || rescans.Count() == 1)
+			is.Equal(n.registry.Get("scheduler.queue.waiting") != nil, loadControl)
+		})
+	}
+}
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -165,3 +165,37 @@
 		is.Equal(x.IsolatedFor(others), time.Duration(0))
 	})
 }
+
+// Guards against calls that wait although a peer has reported that an upstream has fewer calls, and against
+// scans for each datagram: only a lower number of calls is reported, by a datagram, by a datagram that no
+// longer names the upstream, or by the expiry of a silent peer's load.
+func TestLowerLoadsAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x, u := newTestExchange()
+		reports := 0
+		x.OnLoadLowered(func() {
+			reports++
+			x.SilentFor("a") // the exchange may be used within the call
+		})
+		record := func(from string, calls uint32) int {
+			reports = 0
+			x.RecordLoad(loadOf(from, "here", calls), time.Now())
+			return reports
+		}
+		is.Equal(record("a", 4), 0)
+		is.Equal(record("a", 4), 0)
+		is.Equal(record("b", 2), 0)
+		is.Equal(record("a", 3), 1)
+		is.Equal(record("a", 5), 0)
+		reports = 0
+		x.RecordLoad(&peerloadpb.Load{From: "a", DataCentre: "here"}, time.Now())
+		is.Equal(reports, 1)
+		is.Equal(u.Load(time.Now().UnixNano()).Total, 2)
+		reports = 0
+		time.Sleep(loadLifetime + time.Millisecond)
+		x.expireLoads(time.Now())
+		x.expireLoads(time.Now())
+		is.Equal(reports, 1)
+	})
+}
--- a/internal/scheduler/decision_bench_test.go
+++ b/internal/scheduler/decision_bench_test.go
@@ -66,6 +66,22 @@
 	return p, w, endpoints
 }
 
+// BenchmarkCapacity measures the summary of the engines' loads by which waiting times are estimated.
+func BenchmarkCapacity(b *testing.B) {
+	for _, n := range []int{440, 2200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, _, _ := newDecisionFixture(n, Settings{DataCentre: "a", LoadControl: true})
+			now := time.Now()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				p.capacity.at = time.Time{}
+				p.currentCapacity(now)
+			}
+		})
+	}
+}
+
 // BenchmarkHash measures the hashing of a history of 120,000 tokens.
 func BenchmarkHash(b *testing.B) {
 	messages := []chat.Message{{Raw: make([]byte, 120000*engine.TokenBytes)}}
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -21,8 +21,8 @@
 	// up to some hundred microseconds.
 	rescanInterval = 10 * time.Millisecond
 	// capacityLifetime is how long a summary of the engines' loads is used for estimates of waiting
-	// times. Its cost grows with the number of engines.
-	capacityLifetime = 20 * time.Millisecond
+	// times. Its cost grows with the number of engines, and loads are reported about every 60 ms.
+	capacityLifetime = 50 * time.Millisecond
 	// maxPopped bounds the steps that one scan takes from the front of the queue. It is larger than
 	// maxScanned, since most of them only wait for a place and take no decision; more than maxScanned
 	// late steps of a high rank would otherwise hide tight ones of a lower rank, which may have a place.
@@ -46,12 +46,17 @@
 
 // urgencyMetrics are the metrics of steps that are ordered by urgency.
 type urgencyMetrics struct {
-	waited  metrics.Histogram
+	waited metrics.Histogram
+	// rescans counts the scans that lower loads of other instances caused.
+	rescans metrics.Counter
 	classes [len(urgency.Classes)]metrics.Counter
 }
 
 func newUrgencyMetrics(s *Scheduler, registry metrics.Registry) *urgencyMetrics {
-	m := &urgencyMetrics{waited: metrics.GetOrRegisterHistogram("scheduler.queue.waited.us", registry, metrics.NewUniformSample(waitedSampleSize))}
+	m := &urgencyMetrics{
+		waited:  metrics.GetOrRegisterHistogram("scheduler.queue.waited.us", registry, metrics.NewUniformSample(waitedSampleSize)),
+		rescans: metrics.GetOrRegisterCounter("scheduler.queue.rescans", registry),
+	}
 	for _, c := range urgency.Classes {
 		m.classes[c] = metrics.GetOrRegisterCounter("scheduler.class."+c.String(), registry)
 	}
@@ -302,6 +307,9 @@
 func (s *Scheduler) rescan() {
 	s.rescannedAt.Store(time.Now().UnixNano())
 	s.rescanScheduled.Store(false)
+	if s.urgencyMetrics != nil {
+		s.urgencyMetrics.rescans.Inc(1)
+	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, p := range s.pools {
