scheduler: count only competing calls in the estimate of the wait

A tight call of a lower rank was refused behind a long queue of late calls of a higher rank, although engines had places for it: all calls before it in the order counted as ahead. Now calls with a larger allowance count wherever they are, calls with the same one if they are before it, and calls with a smaller one not at all, since engines are full for them as long as there is no place for this call.

Counting by position in the order alone was ruled out: it is a different question from who gets the next place. Engines of data centres whose view is too old no longer count as capacity.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -119,17 +119,13 @@
 	}
 }
 
-// Ahead returns the number of waiting steps that go before one with the key. In a queue of more than
-// maxCounted it is estimated from evenly spaced ones.
-func (q *Queue[T]) Ahead(key Key) int {
-	stride := max(1, (len(q.items)+maxCounted-1)/maxCounted)
-	ahead := 0
+// Sample calls f with waiting steps and the number of steps that each of them stands for: with all of
+// them and 1, or in a queue of more than maxSampled with evenly spaced ones.
+func (q *Queue[T]) Sample(f func(item *Item[T], weight int)) {
+	stride := (len(q.items) + maxSampled - 1) / maxSampled
 	for i := 0; i < len(q.items); i += stride {
-		if q.items[i].key.Compare(key) < 0 {
-			ahead++
-		}
+		f(q.items[i], min(stride, len(q.items)-i))
 	}
-	return min(ahead*stride, len(q.items))
 }
 
 // Restore returns a popped item to its former place in the order.
--- a/internal/queue/urgency.go
+++ b/internal/queue/urgency.go
@@ -17,8 +17,8 @@
 	// assumedObjective is the time after its arrival at which a call without an objective is assumed
 	// to have one, for its place among calls that have one.
 	assumedObjective = 10 * time.Second
-	// maxCounted bounds the items that Ahead looks at.
-	maxCounted = 256
+	// maxSampled bounds the items that Sample looks at.
+	maxSampled = 256
 )
 
 // Key is a place in the order; the lowest goes first.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -46,15 +46,11 @@
 	// lastRequestAt is when the last step arrived, even if it was refused.
 	lastRequestAt time.Time
 	tickScheduled bool
-	// byUrgency is set if the steps are ordered and placed by urgency. The fields below are used
-	// only then. nextChange is when the order of the waiting steps changes next; zero for never.
-	// fullAllowance is the largest allowance for which all upstreams were full in this scan; -1 for
-	// none.
-	byUrgency     bool
-	nextChange    time.Time
-	fullAllowance int
-	// decisions counts the decisions of this scan.
-	decisions  int
+	// byUrgency is set if the steps are ordered and placed by urgency. The next three fields are used
+	// only then; nextChange is when the order of the waiting steps changes next, zero for never.
+	byUrgency  bool
+	nextChange time.Time
+	scan       scanState
 	capacity   capacity
 	candidates []placement.Candidate
 	skipped    []*queue.Item[*waiter]
@@ -275,7 +271,7 @@
 		item := p.queue.At(p.rotation)
 		var decided, allFull bool
 		if p.byUrgency {
-			decided = p.tryPlaceByUrgency(endpoints, item.Value, len(p.skipped)+p.queue.Ahead(item.Key()), now)
+			decided = p.tryPlaceByUrgency(endpoints, item.Value, now)
 		} else if decided, allFull = p.tryPlace(endpoints, item.Value, now); allFull {
 			return
 		}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if p.byUrgency {
-		return p.refuseOverloaded(w, len(p.skipped), now, "the deadline can't be met; not run")
+		return p.refuseOverloaded(w, p.scan.ahead(w.urgent.allowance), now, "the deadline can't be met; not run")
 	}
 	return refuse(step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
 }
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -153,13 +153,55 @@
 
 // shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline.
 func (p *pool) shedByUrgency(w *waiter, now time.Time) *Refusal {
-	ahead := p.queue.Ahead(w.urgent.order.Key(now))
+	ahead := p.aheadOnArrival(w, w.urgent.order.Key(now))
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
 	}
 	return p.refuseIfHopeless(w, ahead, 1, now)
 }
 
+// aheadOnArrival returns the number of waiting steps that get a place before one with the key. Steps with
+// a larger allowance do so wherever they are in the order, and steps with a smaller one don't, since the
+// engines are full for them as long as there is no place for this one.
+func (p *pool) aheadOnArrival(w *waiter, key queue.Key) int {
+	ahead := 0
+	p.queue.Sample(func(item *queue.Item[*waiter], weight int) {
+		other := item.Value.urgent.allowance
+		if other > w.urgent.allowance || other == w.urgent.allowance && item.Key().Compare(key) < 0 {
+			ahead += weight
+		}
+	})
+	return ahead
+}
+
+// scanState is the state of one scan of a pool that is ordered by urgency.
+type scanState struct {
+	// fullAllowance is the largest allowance for which all upstreams were full in this scan; -1 for
+	// none.
+	fullAllowance int
+	// decisions is the number of decisions in this scan.
+	decisions int
+	// waiting is the number of steps that waited at the start of the scan, by allowance, passed that
+	// of those considered so far.
+	waiting, passed [urgency.MaxAllowance + 1]int
+}
+
+func (p *pool) beginScan(now time.Time) {
+	p.reorder(now)
+	p.scan = scanState{fullAllowance: -1}
+	p.queue.Sample(func(item *queue.Item[*waiter], weight int) { p.scan.waiting[item.Value.urgent.allowance] += weight })
+}
+
+// ahead returns the number of steps that get a place before one that is considered now. It counts those
+// that were placed in this scan, since the capacity may be older than the scan.
+func (c *scanState) ahead(allowance int) int {
+	ahead := c.passed[allowance]
+	for _, n := range c.waiting[allowance+1:] {
+		ahead += n
+	}
+	return ahead
+}
+
 // refuseIfHopeless refuses a step if the fraction of its expected wait and duration exceeds the time
 // to its deadline. It refuses nothing while only default speeds are known.
 func (p *pool) refuseIfHopeless(w *waiter, ahead int, fraction float64, now time.Time) *Refusal {
@@ -204,12 +246,30 @@
 		return &p.capacity
 	}
 	p.capacity = capacity{at: now}
+	dataCentre, usable := p.scheduler.settings.DataCentre, true
 	for _, endpoint := range p.scheduler.endpoints(p.key) {
-		p.capacity.add(endpoint, now.UnixNano())
+		if dc := endpoint.Upstream.DataCentre; dc != dataCentre {
+			dataCentre, usable = dc, p.scheduler.isUsable(dc)
+		}
+		if usable {
+			p.capacity.add(endpoint, now.UnixNano())
+		}
 	}
 	return &p.capacity
 }
 
+// isUsable reports whether steps may be sent to a data centre according to the age of its view.
+func (s *Scheduler) isUsable(dataCentre string) bool {
+	if dataCentre == s.settings.DataCentre {
+		return true
+	}
+	maxAge := s.settings.MaxViewAge
+	if maxAge == 0 {
+		maxAge = placement.MaxViewAge
+	}
+	return s.settings.RemoteViewAge != nil && s.settings.RemoteViewAge(dataCentre) <= maxAge
+}
+
 func (c *capacity) add(endpoint *upstream.Endpoint, now int64) {
 	l := endpoint.Upstream.Load(now)
 	if l.Condition > upstream.Full || !endpoint.Serving().Ready {
@@ -230,41 +290,42 @@
 // one step may have a place for a more urgent one behind it, so that a scan goes on until they are
 // full for all.
 func (p *pool) placeFirstByUrgency(endpoints []*upstream.Endpoint, now time.Time) {
-	p.reorder(now)
-	p.fullAllowance, p.decisions = -1, 0
-	for popped := 0; popped < maxPopped && p.decisions < maxScanned; popped++ {
-		if popped >= maxScanned && p.fullAllowance >= urgency.MaxAllowance {
+	p.beginScan(now)
+	for popped := 0; popped < maxPopped && p.scan.decisions < maxScanned; popped++ {
+		if popped >= maxScanned && p.scan.fullAllowance >= urgency.MaxAllowance {
 			return
 		}
 		item := p.queue.Pop()
 		if item == nil {
 			return
 		}
-		if !p.tryPlaceByUrgency(endpoints, item.Value, len(p.skipped), now) {
+		if !p.tryPlaceByUrgency(endpoints, item.Value, now) {
 			p.skipped = append(p.skipped, item)
 		}
 	}
 }
 
 // tryPlaceByUrgency grants or refuses one step, or leaves it waiting, and reports whether the step was
-// granted or refused. ahead is the number of steps before it.
-func (p *pool) tryPlaceByUrgency(endpoints []*upstream.Endpoint, w *waiter, ahead int, now time.Time) (decided bool) {
+// granted or refused.
+func (p *pool) tryPlaceByUrgency(endpoints []*upstream.Endpoint, w *waiter, now time.Time) (decided bool) {
 	u := &w.urgent
 	w.setState(now)
+	ahead := p.scan.ahead(u.allowance)
+	p.scan.passed[u.allowance]++
 	if refusal := p.refuseIfHopeless(w, ahead, certainFraction, now); refusal != nil {
 		w.refused <- refusal
 		return true
 	}
-	if u.allowance <= p.fullAllowance && !w.isRestricted() {
+	if u.allowance <= p.scan.fullAllowance && !w.isRestricted() {
 		u.waitsFor = waitsForPlace
 		return false
 	}
 	// Each try looks at another sample of a large fleet.
 	w.step.Random++
-	p.decisions++
+	p.scan.decisions++
 	decided, _ = p.tryPlace(endpoints, w, now)
 	if !decided && u.waitsFor == waitsForPlace && len(p.candidates) == len(endpoints) && !w.isRestricted() {
-		p.fullAllowance = max(p.fullAllowance, u.allowance)
+		p.scan.fullAllowance = max(p.scan.fullAllowance, u.allowance)
 	}
 	return decided
 }
@@ -281,7 +342,7 @@
 	switch {
 	case d.Rejections[placement.Allowed] > 0:
 		w.urgent.waitsFor = waitsForBetter
-	case d.Rejections[placement.Full] > 0:
+	case placement.AnyCapable(d):
 		w.urgent.waitsFor = waitsForPlace
 	default:
 		w.urgent.waitsFor = waitsForUpstream
