--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -228,7 +228,9 @@
 		s, table := newPressured(Settings{}, 1)
 		defer keepPeers(table, "e0", 13)() // no place for ordinary calls, some for tight ones
 		r := urgentRequest("p", 0, 8*time.Second)
-		g, refusal := s.Acquire(t.Context(), r)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		g, refusal := s.Acquire(ctx, r)
 		is.True(refusal == nil)
 		waited := time.Since(r.Arrived)
 		is.True(waited > 2*time.Second && waited < 6*time.Second)
@@ -237,6 +239,35 @@
 	})
 }
 
+// Guards against an order that is fixed at arrival: calls with little time left keep arriving, and a call that
+// has waited for a quarter of its time must go before all that arrived after it.
+func TestOverdueCallIsPlacedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newPressured(Settings{}, 1)
+		holder := holdOnePlace(t, s, table)
+		overdue := urgentRequest("overdue", 0, ordinaryLeft)
+		overdue.Deadline = overdue.Arrived.Add(40 * time.Second)
+		grants := make(chan *Grant, 2)
+		acquire := func(r Request) {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			g, _ := s.Acquire(ctx, r)
+			grants <- g
+		}
+		go acquire(overdue)
+		time.Sleep(9 * time.Second)
+		go acquire(urgentRequest("tight", 0, tightLeft))
+		time.Sleep(1100 * time.Millisecond) // the first call is overdue, the other one still tight
+		holder.Done(Feedback{Cancelled: true})
+		g := <-grants
+		is.True(g != nil)
+		is.Equal(g.waiter.request.Program, "overdue")
+		g.Done(Feedback{Cancelled: true})
+		(<-grants).Done(Feedback{Cancelled: true})
+	})
+}
+
 // Guards against late calls that wait for ever while more urgent ones take every place: after a quarter of
 // its time a late call may use the places of ordinary ones.
 func TestLateCallDoesNotStarve(t *testing.T) {
