experiment: refusals and scans of the model as in the scheduler

Change: the estimate respects an entry's own limit and needs one learned speed; a scan considers all waiting turns, of which those that all engines are full for take no decision.

--- a/internal/experiment/entry.go
+++ b/internal/experiment/entry.go
@@ -20,10 +20,8 @@
 	// progressTimeout is the time without progress after which an engine counts as stalled. It is
 	// longer than any wait in the model.
 	progressTimeout = time.Minute
-	// scanInterval and maxScanned are those of the product's queue: how often it is scanned without
-	// an event, and how many waiting turns a scan considers.
+	// scanInterval is that of the product: how often the queue is scanned without an event.
 	scanInterval = 50 * time.Millisecond
-	maxScanned   = 32
 	// certainFraction is that of the product: the fraction of an estimate that a turn almost
 	// certainly takes.
 	certainFraction = 0.7
@@ -57,7 +55,7 @@
 	// tried are the engines that refused the turn.
 	tried           []int
 	since, deadline time.Time
-	// order and class are set only with load control.
+	// order, class and allowance are set only with load control.
 	order     queue.Order
 	class     urgency.Class
 	allowance int
@@ -121,15 +119,17 @@
 // of it, and of its duration exceeds the time to its deadline.
 func (e *modelEntry) refuseIfHopeless(w *waitingTurn, ahead int, fraction float64) bool {
 	var view urgency.View
+	learned := false // default speeds refuse nothing
 	for _, endpoint := range e.table.Snapshot().Model(modelName) {
 		u := endpoint.Upstream
 		l := u.Load(e.clock.now.UnixNano())
+		learned = learned || endpoint.Speed().Samples > 0
 		view.Calls, view.Own = view.Calls+l.Total, view.Own+l.Own
 		view.Rate += urgency.CallRate(l.Total, u.Slots, endpoint.Speed().CallSeconds)
-		view.Free += max(0, u.Slots+w.allowance-l.Total)
+		view.Free += max(0, min(u.Slots+w.allowance-l.Total, l.Limit-l.Own))
 	}
 	wait := view.Wait(ahead)
-	if time.Duration(fraction*float64(wait+w.order.Expected)) <= w.deadline.Sub(e.clock.now) {
+	if !learned || time.Duration(fraction*float64(wait+w.order.Expected)) <= w.deadline.Sub(e.clock.now) {
 		return false
 	}
 	e.refuse(w, max(time.Second, wait))
@@ -147,7 +147,7 @@
 	}
 	var skipped []*queue.Item[*waitingTurn]
 	full := -1 // the largest allowance for which all engines are full
-	for range min(maxScanned, e.queue.Len()) {
+	for range e.queue.Len() {
 		item := e.queue.Pop()
 		w := item.Value
 		if !now.Before(w.deadline) {
