queue, urgency, scheduler: one order by objective, in which a rank is worth a second

Overdue calls, a quarter of their time old, turned the order into that of arrival in a burst; the share refused calls of entries with few calls under way although nothing waited there. Change: the key is the objective, plus a second for each rank; late calls count as due 4 s after their arrival and yield places for a quarter of their time; the estimate of the wait knows the entry's own placements of late; ranks below the highest have one place less.

--- a/internal/queue/urgency.go
+++ b/internal/queue/urgency.go
@@ -8,10 +8,18 @@
 )
 
 const (
-	// overdueShare is the part of the time between a call's arrival and its deadline after which it
-	// goes ahead of all later arrivals. The rest of the time is enough for the call itself and for
-	// the overdue calls that arrived before it.
-	overdueShare = 0.25
+	// rankDelay is by how much a call is placed later for each rank below the highest: a rank is worth
+	// the time of about three calls. If ranks went first without limit, programs of a low rank would miss
+	// their objectives beside a stream of programs of a higher one that have time.
+	rankDelay = time.Second
+	// lateDelay is how long after its arrival a late call counts as having its objective. It goes behind
+	// the calls whose programs can still finish in time, and ahead of those that have more time than this.
+	lateDelay = 4 * time.Second
+	// maxDelayedRank bounds the ranks that delay a call.
+	maxDelayedRank = 9
+	// yieldShare is the part of the time between a call's arrival and its deadline in which it yields its
+	// places to ordinary calls if it is late. The rest is enough for the call itself.
+	yieldShare = 0.25
 	// assumedTime is the time from the arrival to the deadline of a call without a deadline.
 	assumedTime = 20 * time.Second
 	// assumedObjective is the time after its arrival at which a call without an objective is assumed
@@ -23,18 +31,14 @@
 
 // Key is a place in the order; the lowest goes first.
 type Key struct {
-	// Rank is 0 for the highest rank.
-	Rank int
-	// Level orders the calls of a rank: 0 for calls that have waited too long, then by class.
-	Level uint8
-	At    time.Time
+	At time.Time
 	// Attained breaks ties: programs that have had little service go first.
 	Attained time.Duration
 }
 
 // Compare returns a negative number if k goes before other.
 func (k Key) Compare(other Key) int {
-	return cmp.Or(cmp.Compare(k.Rank, other.Rank), cmp.Compare(k.Level, other.Level), k.At.Compare(other.At), cmp.Compare(k.Attained, other.Attained))
+	return cmp.Or(k.At.Compare(other.At), cmp.Compare(k.Attained, other.Attained))
 }
 
 // Order determines the place of a model call in a queue that is ordered by urgency.
@@ -53,63 +57,54 @@
 	Attained time.Duration
 }
 
-// State is the state of a waiting call at one moment, by which it is ordered and placed.
+// State is the state of a waiting call at one moment, by which it is placed.
 type State struct {
 	// Class is how urgent the call is. It changes while the call waits.
 	Class urgency.Class
-	// Rank is the rank by which the call is ordered.
-	Rank int
-	// Overdue is set if the call has waited for overdueShare of its time.
-	Overdue bool
+	Rank  int
 }
 
-// OverdueAt returns when the call goes ahead of all later arrivals.
-func (o *Order) OverdueAt() time.Time {
-	total := assumedTime
-	if !o.Deadline.IsZero() {
-		total = max(0, o.Deadline.Sub(o.Arrived))
+// At returns the state of the call at now. A late call that has waited for yieldShare of its time counts as
+// Ordinary: ordinary calls that keep the engines full for late ones would else hold it until its deadline.
+func (o *Order) At(now time.Time) State {
+	s := State{Class: o.class(now), Rank: max(0, o.Rank)}
+	if s.Class == urgency.Late && !now.Before(o.yieldsUntil()) {
+		s.Class = urgency.Ordinary
 	}
-	return o.Arrived.Add(time.Duration(overdueShare * float64(total)))
+	return s
 }
 
-// At returns the state of the call at now. An overdue call counts as at least Ordinary and as of the
-// next higher rank. Without that, a stream of more urgent calls, or of calls of that rank, would hold
-// it until its deadline.
-func (o *Order) At(now time.Time) State {
-	s := State{Rank: max(0, o.Rank), Overdue: !now.Before(o.OverdueAt())}
-	s.Class = urgency.ClassOf(urgency.Call{
-		Rank:         o.Rank,
+func (o *Order) class(now time.Time) urgency.Class {
+	return urgency.ClassOf(urgency.Call{
 		Left:         o.Objective.Sub(now),
 		HasObjective: !o.Objective.IsZero(),
 		Expected:     o.Expected,
 		Resent:       o.Resent,
 	})
-	if s.Overdue {
-		s.Rank = max(0, s.Rank-1)
-		s.Class = min(s.Class, urgency.Ordinary)
+}
+
+// yieldsUntil returns until when the call yields if it is late.
+func (o *Order) yieldsUntil() time.Time {
+	total := assumedTime
+	if !o.Deadline.IsZero() {
+		total = max(0, o.Deadline.Sub(o.Arrived))
 	}
-	return s
+	return o.Arrived.Add(time.Duration(yieldShare * float64(total)))
 }
 
 // Allowance returns the number of calls beyond an engine's slots from which on the engine is full
 // for the call.
 func (s State) Allowance() int { return urgency.Allowance(s.Class, s.Rank) }
 
-// Key returns the call's place in the order at now, by rank first. Within a rank, overdue calls go
-// first, in the order of arrival; then tight and ordinary ones, each by the earliest objective; then
-// late ones, in the order of arrival.
+// Key returns the call's place in the order at now: the earliest objective goes first, and each rank
+// delays it. The keys of later arrivals grow with time, so that no call starves.
 func (o *Order) Key(now time.Time) Key {
-	s := o.At(now)
-	key := Key{Rank: s.Rank, Attained: o.Attained}
-	switch {
-	case s.Overdue:
-		key.At = o.Arrived
-	case s.Class == urgency.Late:
-		key.Level, key.At = 1+uint8(s.Class), o.Arrived
-	default:
-		key.Level, key.At = 1+uint8(s.Class), o.objective()
+	at := o.objective()
+	if o.class(now) == urgency.Late {
+		at = o.Arrived.Add(lateDelay)
 	}
-	return key
+	rank := min(maxDelayedRank, max(0, o.Rank))
+	return Key{At: at.Add(time.Duration(rank) * rankDelay), Attained: o.Attained}
 }
 
 // objective returns the program's objective, or an assumed one that is no later than the deadline.
@@ -124,19 +119,17 @@
 	return assumed
 }
 
-// ChangesAt returns the first time after now at which the key changes; zero for never.
+// ChangesAt returns the first time after now at which the key may change; zero for never.
 func (o *Order) ChangesAt(now time.Time) time.Time {
-	var first time.Time
-	consider := func(t time.Time) {
-		if t.After(now) && (first.IsZero() || t.Before(first)) {
-			first = t
-		}
+	if o.Objective.IsZero() {
+		return time.Time{}
 	}
-	consider(o.OverdueAt())
-	if !o.Objective.IsZero() {
-		consider(urgency.TightAt(o.Objective, o.Expected))
-		// At LateAt itself, exactly the expected duration is left.
-		consider(urgency.LateAt(o.Objective, o.Expected).Add(1))
+	if tight := urgency.TightAt(o.Objective, o.Expected); tight.After(now) {
+		return tight
+	}
+	// At LateAt itself, exactly the expected duration is left.
+	if late := urgency.LateAt(o.Objective, o.Expected).Add(1); late.After(now) {
+		return late
 	}
-	return first
+	return time.Time{}
 }
--- a/internal/scheduler/log.go
+++ b/internal/scheduler/log.go
@@ -76,9 +76,6 @@
 	fields["class"] = w.urgent.state.Class.String()
 	fields["rank"] = w.urgent.order.Rank
 	fields["full"] = w.urgent.full
-	if w.urgent.state.Overdue {
-		fields["overdue"] = true
-	}
 	if w.urgent.waitsFor != "" {
 		fields["waited_for"] = w.urgent.waitsFor
 	}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -46,12 +46,13 @@
 	// lastRequestAt is when the last step arrived, even if it was refused.
 	lastRequestAt time.Time
 	tickScheduled bool
-	// byUrgency is set if the steps are ordered and placed by urgency. The next three fields are used
+	// byUrgency is set if the steps are ordered and placed by urgency. The next four fields are used
 	// only then; nextChange is when the order of the waiting steps changes next, zero for never.
 	byUrgency  bool
 	nextChange time.Time
 	scan       scanState
 	capacity   capacity
+	placed     placementRate
 	candidates []placement.Candidate
 	skipped    []*queue.Item[*waiter]
 	// rotation is the queue index at which placeRotating continues.
@@ -301,6 +302,9 @@
 			}
 			g := p.grant(endpoint, w, &d, now)
 			g.trial = trial
+			if p.byUrgency {
+				p.placed.record(now)
+			}
 			w.granted <- g
 			return true, false
 		}
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -157,7 +158,7 @@
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
 	}
-	return p.refuseIfHopeless(w, ahead, 1, now)
+	return p.refuseIfHopeless(w, ahead, now)
 }
 
 // aheadOnArrival returns the number of waiting steps that get a place before one with the key. Steps with
@@ -202,9 +203,10 @@
 	return ahead
 }
 
-// refuseIfHopeless refuses a step if the fraction of its expected wait and duration exceeds the time
-// to its deadline. It refuses nothing while only default speeds are known.
-func (p *pool) refuseIfHopeless(w *waiter, ahead int, fraction float64, now time.Time) *Refusal {
+// refuseIfHopeless refuses a step that almost certainly can't be done by its deadline: certainFraction of
+// its expected wait and duration exceeds the time left. It refuses nothing while only default speeds are
+// known.
+func (p *pool) refuseIfHopeless(w *waiter, ahead int, now time.Time) *Refusal {
 	if w.request.Deadline.IsZero() {
 		return nil
 	}
@@ -212,8 +214,8 @@
 	if !c.learned {
 		return nil
 	}
-	need := c.view(w.urgent.allowance).Wait(ahead) + w.urgent.order.Expected
-	if time.Duration(fraction*float64(need)) <= w.request.Deadline.Sub(now) {
+	need := p.view(c, w.urgent.allowance, now).Wait(ahead) + w.urgent.order.Expected
+	if time.Duration(certainFraction*float64(need)) <= w.request.Deadline.Sub(now) {
 		return nil
 	}
 	return p.refuseOverloaded(w, ahead, now, "the step can't be done by its deadline; not run")
@@ -222,7 +224,7 @@
 // refuseOverloaded returns a refusal with the expected time until the steps ahead have been placed.
 func (p *pool) refuseOverloaded(w *waiter, ahead int, now time.Time, message string) *Refusal {
 	c := p.currentCapacity(now)
-	return refuse(step.CodeOverloaded, 503, message, max(minRetryAfter, c.view(w.urgent.allowance).Wait(ahead)))
+	return refuse(step.CodeOverloaded, 503, message, max(minRetryAfter, p.view(c, w.urgent.allowance, now).Wait(ahead)))
 }
 
 // capacity sums up the engines of a pool, according to the loads that all instances report.
@@ -236,8 +238,27 @@
 	learned bool
 }
 
-func (c *capacity) view(allowance int) urgency.View {
-	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, Free: c.free[allowance]}
+func (p *pool) view(c *capacity, allowance int, now time.Time) urgency.View {
+	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, OwnRate: p.placed.rate(now), Free: c.free[allowance]}
+}
+
+// placementRate is the number of steps that were placed per second of late, weighted by their age.
+type placementRate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// placementRateTime is the time constant of the weights: longer than the time between two steps of an
+// entry under load, shorter than a burst.
+const placementRateTime = time.Second
+
+func (r *placementRate) record(now time.Time) {
+	r.perSecond = r.rate(now) + 1/placementRateTime.Seconds()
+	r.at = now
+}
+
+func (r *placementRate) rate(now time.Time) float64 {
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/placementRateTime.Seconds())
 }
 
 // currentCapacity returns the capacity, not older than capacityLifetime.
@@ -312,7 +333,7 @@
 	w.setState(now)
 	ahead := p.scan.ahead(u.allowance)
 	p.scan.passed[u.allowance]++
-	if refusal := p.refuseIfHopeless(w, ahead, certainFraction, now); refusal != nil {
+	if refusal := p.refuseIfHopeless(w, ahead, now); refusal != nil {
 		w.refused <- refusal
 		return true
 	}
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -14,8 +14,6 @@
 
 // Call is what the urgency of a call depends on.
 type Call struct {
-	// Rank is that of the client account if it has one, else of the route; 0 is the highest.
-	Rank int
 	// Left is the time until the program's objective; it counts only if HasObjective is set.
 	Left         time.Duration
 	HasObjective bool
@@ -83,18 +81,20 @@
 	lateAllowance     = 2
 	// MaxAllowance is the largest allowance of any call.
 	MaxAllowance = tightAllowance
-	// maxRankReduction bounds by how many calls a low rank reduces the allowance. It is the difference
-	// between Ordinary and Late, so that every class may use all slots.
-	maxRankReduction = ordinaryAllowance - lateAllowance
+	// rankReduction is by how many calls the allowance of ranks below the highest is smaller.
+	rankReduction = 1
 )
 
 // Allowance returns the number of calls of all entries beyond an engine's slots from which on the
-// engine is full for a call of this class and rank. A call of a higher rank has a larger allowance
-// than one of a lower rank and the same class, so that ranks hold also between entries, whose
+// engine is full for a call of this class and rank. A call of the highest rank has a larger allowance
+// than one of a lower rank and the same class, so that this rank counts also between entries, whose
 // queues don't know of each other.
 func Allowance(c Class, rank int) int {
-	base := [...]int{tightAllowance, ordinaryAllowance, lateAllowance}[c]
-	return base - min(max(0, rank), maxRankReduction)
+	allowance := [...]int{tightAllowance, ordinaryAllowance, lateAllowance}[c]
+	if rank > 0 {
+		allowance -= rankReduction
+	}
+	return allowance
 }
 
 // IsFull reports whether an engine with the calls of all entries is full for a call with the
--- a/internal/urgency/view.go
+++ b/internal/urgency/view.go
@@ -12,20 +12,24 @@
 	Calls, Own int
 	// Rate is the number of calls that the engines complete per second while all slots are in use.
 	Rate float64
+	// OwnRate is the number of this entry's calls that were placed per second of late.
+	OwnRate float64
 	// Free is the number of places at the engines below the call's allowance.
 	Free int
 }
 
 // Wait returns the expected time until there is a place for a call with the number of calls before it
 // in this entry's queue. Other entries' queues are not known: of the places that get free, this entry
-// is assumed to get as large a part as it has of the calls at the engines.
+// is assumed to get as large a part as it has of the calls at the engines, or as many as of late. An entry
+// with few calls under way would else refuse its first calls although there is no queue.
 func (v View) Wait(ahead int) time.Duration {
 	missing := ahead + 1 - v.Free
 	if missing <= 0 || v.Rate <= 0 {
 		return 0
 	}
 	share := min(1, float64(v.Own+1)/float64(v.Calls+1))
-	return time.Duration(min(maxWait.Seconds(), float64(missing)/(v.Rate*share)) * float64(time.Second))
+	rate := max(v.Rate*share, v.OwnRate)
+	return time.Duration(min(maxWait.Seconds(), float64(missing)/rate) * float64(time.Second))
 }
 
 // CallRate returns the number of calls per second that an engine completes while all its slots are in
