--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -101,6 +101,9 @@
 	synctest.Wait()
 	select {
 	case g := <-granted:
+		if g == nil { // refused
+			return false
+		}
 		g.Done(Feedback{Cancelled: true})
 		return true
 	default:
