mirror: unanswered checks show that a follower has lost the store

Ruled out: loss of exchanges between instances (the cut followers respond). Change: UnavailableFor counts from the first check without a response, also while it is still waiting; the next check follows until one has a response. Before: TestChangeIsInForceAfterSilenceOfTheStoreToAllFollowers fails with all 50 instances outdated. After: it passes, as do the package's other tests.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -41,7 +41,11 @@
 	// unavailableSince is, for each kind, the time in Unix nanoseconds since which the store has
 	// not responded, or 0 while it does.
 	unavailableSince []atomic.Int64
-	active           atomic.Bool
+	// checkUnansweredSince is the time in Unix nanoseconds of the first check without a response since
+	// the last one that had one, or 0. A check shows sooner than a waiting poll that the store is
+	// unreachable: a poll is silent until its connection fails.
+	checkUnansweredSince atomic.Int64
+	active               atomic.Bool
 	// sampleAfter is the name after which the sample of the replicas begins. Only the goroutine that
 	// samples uses it.
 	sampleAfter string
@@ -77,20 +81,27 @@
 	for i := range f.unavailableSince {
 		f.unavailableSince[i].Store(0)
 	}
+	f.checkUnansweredSince.Store(0)
 }
 
 // UnavailableFor returns how long the store has not responded, or 0 while it does. Of the kinds,
 // the longest time counts.
 func (f *Follower) UnavailableFor(now time.Time) time.Duration {
-	longest := time.Duration(0)
+	longest := unansweredFor(&f.checkUnansweredSince, now)
 	for i := range f.unavailableSince {
-		if at := f.unavailableSince[i].Load(); at != 0 {
-			longest = max(longest, now.Sub(time.Unix(0, at)))
-		}
+		longest = max(longest, unansweredFor(&f.unavailableSince[i], now))
 	}
 	return longest
 }
 
+func unansweredFor(since *atomic.Int64, now time.Time) time.Duration {
+	at := since.Load()
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.active.Store(true)
@@ -146,19 +157,26 @@
 		if f.standby.Load() {
 			due += standbyDelay
 		}
-		if f.mirror.Age(Config, time.Now()) > due {
-			f.handleCheckResult(ctx, Config, f.checkConfig(ctx))
+		// After a check without a response the next one follows even if peers confirm the state, since
+		// the peers' responses do not show that the store responds to this instance.
+		if f.mirror.Age(Config, time.Now()) > due || f.checkUnansweredSince.Load() != 0 {
+			f.check(ctx, Config, f.checkConfig)
 			jitter = rand.N(checkJitter)
 		}
 		if f.mirror.Age(Replicas, time.Now()) > due {
-			f.handleCheckResult(ctx, Replicas, f.checkReplicas(ctx))
+			f.check(ctx, Replicas, f.checkReplicas)
 			jitter = rand.N(checkJitter)
 		}
 	}
 }
 
-func (f *Follower) handleCheckResult(ctx context.Context, k Kind, err error) {
+// check reads a kind. While the store leaves the read unanswered, UnavailableFor counts from its
+// beginning.
+func (f *Follower) check(ctx context.Context, k Kind, read func(context.Context) error) {
+	f.checkUnansweredSince.CompareAndSwap(0, time.Now().UnixNano())
+	err := read(ctx)
 	if err == nil {
+		f.checkUnansweredSince.Store(0)
 		return
 	}
 	// Store outages are logged by the concurrent poll.
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -27,7 +27,9 @@
 	// calls fail.
 	ignorePolls bool
 	refused     map[string]bool
-	calls       map[string]int
+	// silent holds the names of instances whose calls get no response.
+	silent map[string]bool
+	calls  map[string]int
 }
 
 type storeClient struct {
@@ -42,9 +44,22 @@
 	if s.refused[s.instance] {
 		return store.ErrUnavailable
 	}
+	if s.silent[s.instance] {
+		s.mu.Unlock()
+		time.Sleep(silentCallTimeout)
+		s.mu.Lock()
+		return store.ErrUnknown
+	}
 	return nil
 }
 
+const (
+	// silentCallTimeout is the timeout of a call to the store, silentPollTimeout the time until a waiting
+	// poll on a silent connection fails: keep-alive probes and the dial that follows take that long.
+	silentCallTimeout = time.Second
+	silentPollTimeout = 2700 * time.Millisecond
+)
+
 func (s storeClient) object() store.Object {
 	return store.Object{Key: store.Key{Kind: string(Config), Name: ConfigName}, Version: s.version}
 }
@@ -80,8 +95,12 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		version, changed, deaf, refused := s.version, s.changed, s.ignorePolls, s.refused[s.instance]
+		version, changed, deaf, refused, silent := s.version, s.changed, s.ignorePolls, s.refused[s.instance], s.silent[s.instance]
 		s.mu.Unlock()
+		if silent {
+			time.Sleep(silentPollTimeout)
+			return store.Changes{}, store.ErrUnknown
+		}
 		if refused {
 			return store.Changes{}, store.ErrUnavailable
 		}
@@ -152,7 +171,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{version: 5, changed: make(chan struct{}), refused: map[string]bool{}, calls: map[string]int{}}
+	return &fakeStore{version: 5, changed: make(chan struct{}), refused: map[string]bool{}, silent: map[string]bool{}, calls: map[string]int{}}
 }
 
 func countFollowing(all []*instance) int {
--- a/internal/mirror/watch_test.go
+++ b/internal/mirror/watch_test.go
@@ -137,6 +137,22 @@
 	})
 }
 
+// silence makes the store leave all calls of instances unanswered, including their waiting polls.
+func (f *bigFleet) silence(instances ...*instance) {
+	f.store.set(func() {
+		for _, n := range instances {
+			f.store.silent[n.name] = true
+		}
+		close(f.store.changed)
+		f.store.changed = make(chan struct{})
+	})
+}
+
+// followers returns the instances that follow the store.
+func (f *bigFleet) followers() []*instance {
+	return slices.DeleteFunc(slices.Clone(f.all), func(n *instance) bool { return !n.relay.Following() })
+}
+
 // outdated returns the instances, other than the excepted ones, that lack the version of the kinds
 // Config or Fleet.
 func (f *bigFleet) outdated(version store.Version, except ...*instance) (list []string) {
@@ -271,3 +287,26 @@
 		return nil
 	})
 }
+
+// Guards against an outdated configuration when the links of all followers to the store fall silent:
+// they still respond to the other instances, and their waiting polls show nothing for seconds.
+func TestChangeIsInForceAfterSilenceOfTheStoreToAllFollowers(t *testing.T) {
+	const (
+		deadline  = 3 * time.Second
+		heartbeat = 1200 * time.Millisecond
+		// pause is the time from the silence to the change.
+		pause = 1200 * time.Millisecond
+	)
+	for range 5 {
+		runInBigFleetWith(t, 50, NewTiming(deadline, heartbeat), func(f *bigFleet) error {
+			f.silence(f.followers()...)
+			time.Sleep(pause)
+			f.store.change()
+			time.Sleep(deadline)
+			if late := outdated(f.all, 6); late != nil {
+				return errors.Errorf("to be in force in %v, outdated: %v", deadline, late)
+			}
+			return nil
+		})
+	}
+}
