gateway: a call waits for the proof of the ends that it caused itself

A content that has ended two replicas runs apart, and a call waits for the proof of doubtful ends only when it goes apart. Its third end, seen as a broken connection of a replica that accepts the next one, was in doubt until the list had the later start, and the call, apart already, was sent to a fourth replica at once. With replicas that start again at once each end is in doubt first, and a proof that is late on a busy machine makes calls end one or two replicas each instead of three.

Ruled out: an end that is counted as one with an earlier end of the same start (attempts of a call go to different replicas, and a retry begins after its end was recorded); the proof itself (departures are kept for ends that are recorded later).

A call now waits before each placement for which its content has more ends than it has waited for, also if the doubt arises while it queues for a place. A content whose doubts are not proven is still sent after the wait.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,8 @@
 	open         []*attemptState
 	// leaveIsolation ends the time in which the call runs alone; nil if it does not.
 	leaveIsolation func()
+	// awaitedEnds is the number of ends, proven and doubtful, for whose proof the call has waited.
+	awaitedEnds int
 	// hedgeHolds are the memory held for hedges' responses.
 	hedgeHolds []*buffer.Hold
 	// lastReplica is the replica of the latest attempt.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -47,6 +47,9 @@
 			if result := f.isolate(ctx); result != nil {
 				return nil, result
 			}
+			continue
+		}
+		if f.mustAwaitProof(standing) {
 			f.awaitProof(ctx)
 			continue
 		}
@@ -56,7 +59,7 @@
 			return nil, &result
 		}
 		now := f.standing()
-		if now.Rejected() && now.Ends != triedEnds || now.Isolated() && f.leaveIsolation == nil {
+		if now.Rejected() && now.Ends != triedEnds || now.Isolated() && f.leaveIsolation == nil || f.mustAwaitProof(now) {
 			grant.Done(scheduler.Feedback{Cancelled: true})
 			continue
 		}
@@ -118,11 +121,25 @@
 	proofCheckInterval = 20 * time.Millisecond
 )
 
+// mustAwaitProof reports whether the content would be rejected if its doubtful ends were proven, and the
+// call has not yet waited for that. It waits again for each further end.
+//
+// It prevents the following failure: a call waited while two ends were known, ended the third replica
+// itself, and sent the content to a fourth one before the third end was proven.
+func (f *inFlightCall) mustAwaitProof(s quarantine.Standing) bool {
+	return s.InDoubt() && s.Ends+s.Doubts > f.awaitedEnds
+}
+
 // awaitProof waits while the content would be rejected if its doubtful ends were proven. Doubts alone
 // delay a call and do not reject it.
 func (f *inFlightCall) awaitProof(ctx context.Context) {
-	for began := time.Now(); f.standing().InDoubt() && time.Since(began) < proofWait; {
-		if !sleep(ctx, proofCheckInterval) {
+	for began := time.Now(); ; {
+		s := f.standing()
+		if !s.InDoubt() {
+			return
+		}
+		if time.Since(began) >= proofWait || !sleep(ctx, proofCheckInterval) {
+			f.awaitedEnds = s.Ends + s.Doubts
 			return
 		}
 	}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -367,3 +367,47 @@
 		}
 	})
 }
+
+// isProvenLater returns the script of a replica that ends under the call and accepts connections again at
+// once: only the list, a while later, proves the end.
+func (w *testGateway) isProvenLater(after time.Duration) script {
+	return func(_ context.Context, a *Attempt) (*Response, error) {
+		replica := a.Target.ID
+		time.AfterFunc(after, func() { w.gateway.settings.Quarantine.ConfirmEnds(replica, true, time.Now()) })
+		return nil, httpconn.ErrBroken
+	}
+}
+
+// Guards against a call that sends its content to a fourth replica at once after it ended the third, the
+// proof of which is yet to arrive: the call has waited for its place before, when two ends were known and
+// none was in doubt.
+func TestCallWaitsForTheProofOfItsOwnEnds(t *testing.T) {
+	is := is.New(t)
+	for _, known := range []int{1, quarantine.MaxEnds - 1} {
+		inGateway(t, nil, routing.Route{Kind: routing.Idempotent, Attempts: 4}, nil, func(w *testGateway, serve func(Call, script) testOutcome) {
+			content := quarantine.Content{Host: "h", Body: []byte("b")}
+			now := time.Now()
+			for i := range known {
+				e := quarantine.End{Replica: fmt.Sprint("elsewhere", i), Evidence: quarantine.Proven, Began: now, At: now}
+				w.gateway.settings.Quarantine.RecordEnd(content.Fingerprint(), e, now)
+			}
+			got := serve(Call{Body: []byte("b")}, w.isProvenLater(proofWait/2))
+			is.Equal(len(got.targets), quarantine.MaxEnds-known)
+			is.Equal(got.result.Reason, Quarantined)
+			is.Equal(got.result.Outcome, Unknown)
+		})
+	}
+}
+
+// Guards against a content that is held back for ever because its ends stay in doubt: a call waits once
+// for each state of the doubts and is sent then.
+func TestCallIsSentOnAfterTheWaitForProof(t *testing.T) {
+	is := is.New(t)
+	inGateway(t, nil, routing.Route{Kind: routing.Idempotent, Attempts: 5}, nil, func(w *testGateway, serve func(Call, script) testOutcome) {
+		got := serve(Call{Body: []byte("b")}, failsWith(httpconn.ErrBroken))
+		is.Equal(len(got.targets), maxAttempts)
+		is.Equal(countDistinct(got.targets), maxAttempts)
+		is.Equal(got.result.Reason, ReplicaLost)
+		is.Equal(got.duration, proofWait)
+	})
+}
