gateway: hedges count ends that are not recorded yet

An attempt that fails waits for its hedge, and its end is recorded after that. On a machine on which calls take longer than the silence after which they are hedged, each attempt of an idempotent call may end its replica while its hedge is under way: nothing is known of the ends, the content counts as unsuspected, and the third attempt gets a hedge at its own place, which reaches the next start of the replica: a fourth send, after three ends.

Recording the end before the wait was ruled out: the state of the call belongs to the goroutine of the hedge then.

An open attempt that has failed now makes the content a suspected one for hedges, whose bound already counts all open attempts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,9 @@
 	err error
 	// liveness is what a new connection showed about the replica after its connection broke.
 	liveness httpconn.Liveness
+	// failed is set once the attempt has failed. What it showed of its replica is recorded after its hedge
+	// has ended.
+	failed atomic.Bool
 	// finished is set once the replica's response was received whole.
 	finished bool
 	// unfinished is set if bytes arrived until the attempt ended and did not make the next part of the
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -246,6 +247,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.armed, h.failed = false, !goesOn
+	h.attempt.failed.Store(!goesOn)
 	if h.timer != nil {
 		h.timer.Stop()
 	}
@@ -282,11 +284,13 @@
 // mayEndTooMany reports whether another attempt might end one replica more than may end under a content,
 // if the open attempts end theirs.
 //
-// It prevents the following failure: a hedge is sent while the replica of its silent attempt ends under
-// the content, as the third one.
+// It prevents the following failures: a hedge is sent while the replica of its silent attempt ends under
+// the content, as the third one; or while attempts that have ended their replicas wait for their hedges,
+// so that nothing is recorded of these ends.
 func (f *inFlightCall) mayEndTooMany() bool {
 	s := f.standing()
-	return (s.Suspected() || s.Isolated()) && s.Ends+s.Doubts+len(f.open) >= quarantine.MaxEnds
+	suspected := s.Suspected() || slices.ContainsFunc(f.open, func(a *attemptState) bool { return a.failed.Load() })
+	return suspected && s.Ends+s.Doubts+len(f.open) >= quarantine.MaxEnds
 }
 
 // tryHedge makes an attempt of a hedge. It returns the attempt that has received its response, which may
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -16,6 +16,7 @@
 
 	"foxhall/internal/buffer"
 	"foxhall/internal/httpconn"
+	"foxhall/internal/quarantine"
 	"foxhall/internal/routing"
 )
 
@@ -231,3 +232,28 @@
 	is.Equal(got.result.Outcome, Completed)
 	is.True(got.logFields("attempt failed") == nil)
 }
+
+// Guards against a call that ends a fourth replica by a hedge: its silent attempts ended their replicas
+// one after the other, and none of the ends is recorded while the attempt's hedge is under way.
+func TestEndsBesideHedgesUnderWayCount(t *testing.T) {
+	is := is.New(t)
+	const mean = 20 * time.Millisecond
+	for _, provenLater := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestGateway(routing.Service{Name: "s"}, nil, Settings{}, routing.Route{Kind: routing.Idempotent, Attempts: 3}, nil, delayed(mean, succeedsWith("ok")))
+			for i := range 60 {
+				w.serve(&fakeCaller{}, Call{Body: fmt.Append(nil, "warm", i)})
+			}
+			end := ends
+			if provenLater {
+				end = w.isProvenLater(proofWait / 2)
+			}
+			// Each replica ends shortly after the hedge of its attempt was sent.
+			w.replicas.steps = []script{delayed(minAttemptTimeout+mean/2, end)}
+			got := w.serve(&fakeCaller{}, Call{ID: "r", Body: []byte("b")})
+			is.Equal(countDistinct(got.targets), quarantine.MaxEnds)
+			is.Equal(len(got.targets), quarantine.MaxEnds)
+			is.Equal(got.result.Outcome, Unknown)
+		})
+	}
+}
