platform: a response without a request id is taken only from a new connection

A response that names no call matched any call. A faulty replica's second response without an id, which came when the connection had just been taken by the next call, was that call's response: a caller got another one's.

Two other rules were ruled out. If no response without an id were accepted, a service that sends none would serve nothing. If such a response ended the call on a connection in use, the call would be lost although its own response follows.

On a connection that has served no call yet, the first response can't be that of another one: it is accepted, and the connection serves no further call. So on a connection that does, the replica has named each call, a response without an id is a stray one, and it is skipped like one with another call's id. A call whose own response is skipped so, or whose connection ends, is told that it may have run, also by a response that says it was not executed.

--- a/internal/httpconn/bounds_test.go
+++ b/internal/httpconn/bounds_test.go
@@ -128,3 +128,67 @@
 	is.NoErr(err)
 	is.Equal(len(body), 0)
 }
+
+// Guards against a caller that gets a response which names no call and belongs to another one, and against
+// calls to a server that never names them, which would get none.
+func TestAnonymousResponseIsAcceptedOnlyOnANewConnection(t *testing.T) {
+	const named, anonymous, other = "HTTP/1.1 200 OK\r\nCall: own\r\nContent-Length: 3\r\n\r\nown",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone", "HTTP/1.1 200 OK\r\nCall: other\r\nContent-Length: 5\r\n\r\nother"
+	for name, c := range map[string]struct {
+		// sent is what the server sends after each request on a connection, the last one before it closes.
+		sent []string
+		// want are the bodies that the calls get; empty for a lost response.
+		want        []string
+		connections int64
+	}{
+		"never named":                    {[]string{anonymous, anonymous}, []string{"none", "none"}, 2},
+		"stray one before the own":       {[]string{named, anonymous + named, named}, []string{"own", "own", "own"}, 1},
+		"two stray ones before the own":  {[]string{named, anonymous + other + named}, []string{"own", "own"}, 1},
+		"only a stray one":               {[]string{named, anonymous}, []string{"own", ""}, 1},
+		"no response":                    {[]string{named, "extra\r\n\r\n" + named}, []string{"own", ""}, 1},
+		"after a stray one, new":         {[]string{other + anonymous}, []string{""}, 1},
+		"after an informational one":     {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + anonymous}, []string{"none"}, 1},
+		"refused before it was executed": {[]string{named, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"}, []string{"own", ""}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						for _, part := range c.sent {
+							if _, err := conn.Read(make([]byte, 1<<10)); err != nil {
+								return
+							}
+							_, _ = io.WriteString(conn, part)
+						}
+					}()
+				}
+			}()
+			pool := NewPool(listener.Addr().String())
+			defer pool.Close()
+			for _, want := range c.want {
+				call := get("/")
+				call.Matches = func(h http.Header) bool { return h.Get("Call") == "own" }
+				call.Anonymous = func(h http.Header) bool { return h.Get("Call") == "" }
+				response, err := pool.Do(context.Background(), call, 1)
+				if want == "" {
+					is.True(errors.Is(err, ErrResponseLost))
+					continue
+				}
+				is.NoErr(err)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body), want)
+			}
+			is.Equal(pool.OpenedCount(), c.connections)
+		})
+	}
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -82,6 +82,11 @@
 	// Matches reports whether a response belongs to this call; nil accepts any. A late response to
 	// an earlier call may arrive in place of this call's response.
 	Matches func(http.Header) bool
+	// Anonymous reports whether a response does not name the call that it belongs to; nil if all do. An
+	// anonymous response is accepted only as the first one of a new connection, which serves no further
+	// call then. On a connection that has served a call, the server names the calls, so that an anonymous
+	// response is a stray one.
+	Anonymous func(http.Header) bool
 }
 
 // Response is the header of a response, with its body still to be read. Close must be called; a body
@@ -288,6 +293,7 @@
 	if err := c.writeRequest(request, call.Body); err != nil {
 		return nil, err
 	}
+	first := true
 	for range maxResponsesPerCall {
 		response, err := c.readHeader(request)
 		if err != nil {
@@ -296,9 +302,10 @@
 		if response.StatusCode < 200 {
 			continue
 		}
-		if call.Matches == nil || call.Matches(response.Header) {
+		if c.accepts(call, response, first) {
 			return c.newResponse(response), nil
 		}
+		first = false
 		if err := skipBody(response); err != nil {
 			return nil, c.strayLost(err)
 		}
@@ -306,6 +313,19 @@
 	return nil, errors.Wrap(ErrResponseLost, "too many responses before the call's own")
 }
 
+// accepts reports whether the response is the call's own. first is set if it is the first one that was
+// read for the call, informational ones aside.
+func (c *conn) accepts(call *Call, response *http.Response, first bool) bool {
+	if call.Anonymous == nil || !call.Anonymous(response.Header) {
+		return call.Matches == nil || call.Matches(response.Header)
+	}
+	if !first || c.callCount > 1 {
+		return false
+	}
+	response.Close = true
+	return true
+}
+
 // readHeader reads a response up to its body. The bytes that are buffered already come on top of the
 // limit.
 func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
