gateway, quarantine: ends of replicas count when the call's time is up

Nothing was recorded of an attempt whose context had ended. So a replica that ended in the moment of the deadline, of which the entry had read the end, counted for nothing; and one that was silent, got the call's connection closed by the entry, and ended under the call afterwards was never seen to end. A content could then be sent to a fourth replica after three had ended under it.

A read error that shows the end of the server's side now counts also when the context has ended: a connection that this side closed fails with another error (TestConnectionClosedAtTheDeadlineIsNoEnd). The end is in doubt at first; the probe that may prove it runs beside the call, so that the caller does not wait.

Silent ends in the table of contents were ruled out for this: they would be told to all instances for each call that times out in an outage, and evict contents with known ends. The runs are kept apart, 1,024 contents at most, are told only once they are proven, and a completion of the content forgets them.

What remains: until the list has the later start, nobody knows of an end that nobody saw, and a call that arrives before is sent.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,10 +34,15 @@
 	attempts []Attempt
 	// refusing are the replicas that accept no connection.
 	refusing map[string]bool
+	// probeDelay is how long a probe takes.
+	probeDelay time.Duration
 }
 
 // Probe implements Replicas.
-func (f *fakeReplicas) Probe(_ context.Context, t Target, _ int) httpconn.Liveness {
+func (f *fakeReplicas) Probe(ctx context.Context, t Target, _ int) httpconn.Liveness {
+	if !sleep(ctx, f.probeDelay) {
+		return httpconn.LivenessUnknown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refusing[t.ID] {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"foxhall/internal/httpconn"
 	"foxhall/internal/quarantine"
@@ -177,16 +178,28 @@
 		}
 		return
 	}
+	end := quarantine.End{Replica: state.grant.Upstream, Version: state.grant.Version, Began: state.began, At: now}
 	evidence, ok := state.evidenceOfEnd(v)
-	if !ok {
-		return
+	switch {
+	case ok:
+		end.Evidence = evidence
+		f.recordEnd(state, end, now)
+	case f.gaveUp(state, v):
+		table.RecordGivenUp(f.fingerprint, end, now)
 	}
-	standing := table.RecordEnd(f.fingerprint, quarantine.End{Replica: state.grant.Upstream, Version: state.grant.Version, Evidence: evidence, Began: state.began, At: now}, now)
-	if evidence == quarantine.Silent {
+}
+
+// recordEnd records the end, or the possible end, of an attempt's replica.
+func (f *inFlightCall) recordEnd(state *attemptState, end quarantine.End, now time.Time) {
+	standing := f.gateway.settings.Quarantine.RecordEnd(f.fingerprint, end, now)
+	if end.Evidence == quarantine.Silent {
 		return
 	}
+	if end.Evidence == quarantine.Broken && state.ctx.Err() != nil {
+		f.probeLater(state, end)
+	}
 	f.gateway.logger.WithFields(log.Fields{
-		"request": f.call.ID, "content": f.fingerprint.String(), "replica": state.grant.Upstream, "evidence": evidence.String(),
+		"request": f.call.ID, "content": f.fingerprint.String(), "replica": end.Replica, "evidence": end.Evidence.String(),
 		"ends": standing.Ends, "doubts": standing.Doubts, "ran_ms": now.Sub(state.began).Milliseconds(),
 	}).Info("replica ended under a call")
 }
@@ -206,14 +219,45 @@
 }
 
 // connectionBroke reports whether the replica's side closed or reset the connection while the call
-// may have been running.
+// may have been running. The error shows it also if the call's time was up by then: a connection that
+// was closed on this side fails with another one.
 func (a *attemptState) connectionBroke(v verdict) bool {
-	return v.mayHaveRun() && a.ctx.Err() == nil && httpconn.IsBroken(a.err)
+	return v.mayHaveRun() && httpconn.IsBroken(a.err)
+}
+
+// gaveUp reports whether the attempt ended because the call's time was up, or because the caller left,
+// while its replica was silent: no part of any response had arrived from it for some time. The replica
+// may go on and end under the call, which nobody sees then.
+func (f *inFlightCall) gaveUp(a *attemptState, v verdict) bool {
+	silentFrom := time.Now().Add(-minAttemptTimeout)
+	return v.mayHaveRun() && (f.callerCtx.Err() != nil || errors.Is(context.Cause(a.ctx), context.DeadlineExceeded)) &&
+		!a.lastReceived().After(silentFrom) && !a.grant.HasBeenHeard(silentFrom)
 }
 
-// probe finds out whether the replica of a broken connection still accepts connections.
+// probe finds out whether the replica of a broken connection still accepts connections. Once the
+// attempt's time is up, nothing is found out; see probeLater.
 func (f *inFlightCall) probe(state *attemptState) {
+	if state.ctx.Err() != nil {
+		return
+	}
 	target := Target{ID: state.grant.Upstream, Address: state.grant.Address}
 	state.liveness = f.gateway.replicas.Probe(state.ctx, target, f.connectionLimit())
 	f.gateway.attempts.probes[state.liveness].Inc(1)
 }
+
+// probeLater finds out, without keeping the caller waiting, whether the replica of a connection that broke
+// when the call's time was up still accepts connections, and records its end if it refuses them.
+func (f *inFlightCall) probeLater(state *attemptState, end quarantine.End) {
+	ctx, target, limit := context.WithoutCancel(state.ctx), Target{ID: end.Replica, Address: state.grant.Address}, f.connectionLimit()
+	g, content := f.gateway, f.fingerprint
+	go func() {
+		liveness := g.replicas.Probe(ctx, target, limit)
+		g.attempts.probes[liveness].Inc(1)
+		if liveness != httpconn.Refused {
+			return
+		}
+		end.Evidence = quarantine.Proven
+		g.settings.Quarantine.RecordEnd(content, end, time.Now())
+		g.logger.WithFields(log.Fields{"content": content.String(), "replica": end.Replica}).Info("end of a replica confirmed: it refuses connections")
+	}()
+}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -411,3 +412,99 @@
 		is.Equal(got.duration, proofWait)
 	})
 }
+
+// endsAtTheDeadline is the script of a replica that is silent, and ends in the moment in which the call's
+// time is up.
+func endsAtTheDeadline(ctx context.Context, _ *Attempt) (*Response, error) {
+	<-ctx.Done()
+	return nil, errEnds
+}
+
+// Guards against a content that is sent to a fourth replica because the end of one was read in the moment
+// in which the call's time was up or its caller left, and against callers that wait for what is found out
+// about it.
+func TestEndInTheMomentOfTheDeadlineCounts(t *testing.T) {
+	is := is.New(t)
+	const timeout = 500 * time.Millisecond
+	inGateway(t, nil, routing.Route{Kind: routing.Idempotent, Attempts: 4, Timeout: timeout}, nil, func(w *testGateway, serve func(Call, script) testOutcome) {
+		w.replicas.probeDelay = 50 * time.Millisecond
+		for range quarantine.MaxEnds - 1 {
+			got := serve(Call{Body: []byte("b")}, endsAtTheDeadline)
+			is.Equal(len(got.targets), 1)
+			is.Equal(got.result.Reason, TimedOut)
+			is.Equal(got.duration, timeout)
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(timeout/2, leave)
+		call := Call{Host: "h", Path: "/x", Arrived: time.Now(), Body: []byte("b")}
+		is.Equal(w.gateway.Serve(ctx, &call, &fakeCaller{}).Outcome, CallerGone)
+		is.Equal(time.Since(call.Arrived), timeout/2)
+
+		// The last end is in doubt until the probe has shown it.
+		got := serve(Call{Body: []byte("b")}, succeedsWith("sent on"))
+		is.Equal(len(got.targets), 0)
+		is.Equal(got.result.Reason, Quarantined)
+	})
+}
+
+// Guards against connections that this side closed at the deadline and that count as ends of replicas.
+func TestConnectionClosedAtTheDeadlineIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	inGateway(t, nil, routing.Route{Kind: routing.Idempotent, Attempts: 4, Timeout: 500 * time.Millisecond}, nil, func(w *testGateway, serve func(Call, script) testOutcome) {
+		for range 2 * quarantine.MaxEnds {
+			got := serve(Call{Body: []byte("b")}, hangs)
+			is.Equal(len(got.targets), 1)
+			is.Equal(got.result.Reason, TimedOut)
+			is.True(got.logFields("replica ended under a call") == nil)
+		}
+		is.Equal(serve(Call{Body: []byte("b")}, succeedsWith("ok")).result.Outcome, Completed)
+	})
+}
+
+// Guards against a content that ends silent replicas after its calls were given up, which nobody sees: the
+// list has later starts of them. A replica that is heard on other calls, or is removed, proves nothing.
+func TestReplicaThatStartsAgainAfterAGivenUpCallCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		replaced, heard bool
+		timeout         time.Duration
+		rejected        bool
+	}{
+		"started again":              {replaced: true, timeout: 500 * time.Millisecond, rejected: true},
+		"removed":                    {timeout: 500 * time.Millisecond},
+		"heard on another call":      {replaced: true, heard: true, timeout: 500 * time.Millisecond},
+		"not silent for long enough": {replaced: true, timeout: minAttemptTimeout / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			inGateway(t, nil, routing.Route{Kind: routing.AtMostOnce, Attempts: 1, Timeout: c.timeout}, nil, func(w *testGateway, serve func(Call, script) testOutcome) {
+				hangsUntilHeard := func(ctx context.Context, a *Attempt) (*Response, error) {
+					if c.heard {
+						time.AfterFunc(c.timeout-minAttemptTimeout/2, func() {
+							for _, u := range w.upstreams.Snapshot().All {
+								u.RecordHeard(time.Now().UnixNano())
+							}
+						})
+					}
+					return hangs(ctx, a)
+				}
+				w.replicas.steps = []script{hangsUntilHeard}
+				sent := len(w.replicas.attempts)
+				var calls sync.WaitGroup
+				const callsAtOnce = 16 // more than three replicas have slots for
+				for range callsAtOnce {
+					calls.Go(func() {
+						call := Call{Host: "h", Path: "/x", Arrived: time.Now(), Body: []byte("b")}
+						w.gateway.Serve(context.Background(), &call, &fakeCaller{})
+					})
+				}
+				calls.Wait()
+				is.True(countDistinct(w.replicas.targets()[sent:]) >= quarantine.MaxEnds)
+				for _, name := range testReplicas {
+					w.gateway.settings.Quarantine.ConfirmEnds(name, c.replaced, time.Now())
+				}
+				got := serve(Call{ID: "n", Body: []byte("b")}, succeedsWith("ok"))
+				is.Equal(got.result.Reason == Quarantined, c.rejected)
+			})
+		})
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -22,6 +22,8 @@
 	// maxCompletions bounds the completed contents that are remembered, completionLifetime for how long.
 	maxCompletions     = 4096
 	completionLifetime = time.Minute
+	// maxGivenUp bounds the contents of which given up runs are remembered, at about 0.3 KB each.
+	maxGivenUp = 1024
 	// maxDepartures bounds the starts of replicas that have left the list and are remembered.
 	maxDepartures = 1024
 	// proofWindow is how long after a broken connection the replica's removal from the list proves that
@@ -42,6 +44,9 @@
 	byReplica map[string][]Fingerprint
 	// completions are the contents that completed at this instance, with the time.
 	completions *simplelru.LRU[Fingerprint, time.Time]
+	// givenUp are the runs that were given up at silent replicas. They are told to no other instance and
+	// hold nothing against their contents, until one becomes a proven end.
+	givenUp *simplelru.LRU[Fingerprint, []End]
 	// departed are the starts of replicas that have left the list.
 	departed *simplelru.LRU[string, departure]
 	// news are the contents whose change is yet to be sent, and whether it began at this instance.
@@ -63,6 +68,7 @@
 		records:     map[Fingerprint]*record{},
 		byReplica:   map[string][]Fingerprint{},
 		completions: newLRU[Fingerprint, time.Time](maxCompletions),
+		givenUp:     newLRU[Fingerprint, []End](maxGivenUp),
 		departed:    newLRU[string, departure](maxDepartures),
 		news:        map[Fingerprint]bool{},
 		metrics: tableMetrics{
@@ -128,6 +134,10 @@
 func (t *Table) recordEnd(f Fingerprint, e End, now time.Time) (s Standing, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordEndLocked(f, e, now)
+}
+
+func (t *Table) recordEndLocked(f Fingerprint, e End, now time.Time) (s Standing, changed bool) {
 	r := t.recordFor(f, now)
 	if r == nil {
 		return Standing{}, false
@@ -156,6 +166,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.completions.Add(f, now)
+	t.givenUp.Remove(f)
 	r := t.records[f]
 	if r == nil || len(r.ends) == 0 {
 		return false
@@ -179,6 +190,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.departed.Add(replica, left)
+	confirmed = t.proveGivenUp(replica, left, now)
 	for _, f := range slices.Clone(t.byReplica[replica]) {
 		if t.confirm(f, t.records[f], replica, now) {
 			confirmed++
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -198,6 +198,11 @@
 	g.endpoint.Upstream.RecordSilence(time.Now().UnixNano(), length)
 }
 
+// HasBeenHeard reports whether a part of any response has arrived from the upstream after a time.
+func (g *Grant) HasBeenHeard(after time.Time) bool {
+	return g.endpoint.Upstream.HasBeenHeard(after.UnixNano())
+}
+
 // RecordFirstToken records that the response has begun.
 func (g *Grant) RecordFirstToken() {
 	g.RecordProgress()
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -38,3 +38,6 @@
 		u.silence.silent.Store(false)
 	}
 }
+
+// HasBeenHeard reports whether a part of a response has arrived after a time.
+func (u *Upstream) HasBeenHeard(after int64) bool { return u.silence.heardAt.Load() > after }
