--- a/internal/httpconn/bounds_test.go
+++ b/internal/httpconn/bounds_test.go
@@ -141,14 +141,14 @@
 		want        []string
 		connections int64
 	}{
-		"never named":                    {[]string{anonymous, anonymous}, []string{"none", "none"}, 2},
-		"stray one before the own":       {[]string{named, anonymous + named, named}, []string{"own", "own", "own"}, 1},
-		"two stray ones before the own":  {[]string{named, anonymous + other + named}, []string{"own", "own"}, 1},
-		"only a stray one":               {[]string{named, anonymous}, []string{"own", ""}, 1},
-		"no response":                    {[]string{named, "extra\r\n\r\n" + named}, []string{"own", ""}, 1},
-		"after a stray one, new":         {[]string{other + anonymous}, []string{""}, 1},
-		"after an informational one":     {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + anonymous}, []string{"none"}, 1},
-		"refused before it was executed": {[]string{named, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"}, []string{"own", ""}, 1},
+		"never named":                   {[]string{anonymous, anonymous}, []string{"none", "none"}, 2},
+		"stray one before the own":      {[]string{named, anonymous + named, named}, []string{"own", "own", "own"}, 1},
+		"two stray ones before the own": {[]string{named, anonymous + other + named}, []string{"own", "own"}, 1},
+		"only a stray one":              {[]string{named, anonymous}, []string{"own", ""}, 1},
+		"no response":                   {[]string{named, "extra\r\n\r\n" + named}, []string{"own", ""}, 1},
+		"after a stray one, new":        {[]string{other + anonymous}, []string{""}, 1},
+		"after an informational one":    {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + anonymous}, []string{"none"}, 1},
+		"a refusal that names no call":  {[]string{named, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"}, []string{"own", ""}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -232,8 +232,14 @@
 		}
 		table.RecordCompletion(fingerprint(fmt.Sprint("sound", i)), start)
 	}
+	withoutGivenUp := heap() - before
+	for i := range maxGivenUp {
+		for n := range maxEndsKept {
+			table.RecordGivenUp(fingerprint(fmt.Sprint("given up", i)), endAt(fmt.Sprintf("i-%010x@%d", i*maxEndsKept+n, 1700000000000), Silent, n, 0), start)
+		}
+	}
 	used := heap() - before
-	t.Logf("%d B for %d contents with %d ends each", used, maxRecords, maxEndsKept)
+	t.Logf("%d B for %d contents with %d ends each, of which %d for %d contents that were given up %d times", used, maxRecords, maxEndsKept, used-withoutGivenUp, maxGivenUp, maxEndsKept)
 	is.New(t).True(used <= maxTableBytes)
 	runtime.KeepAlive(table)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -22,7 +22,7 @@
 	// maxCompletions bounds the completed contents that are remembered, completionLifetime for how long.
 	maxCompletions     = 4096
 	completionLifetime = time.Minute
-	// maxGivenUp bounds the contents of which given up runs are remembered, at about 0.3 KB each.
+	// maxGivenUp bounds the contents of which runs that were given up are remembered, at up to 1.7 KB each.
 	maxGivenUp = 1024
 	// maxDepartures bounds the starts of replicas that have left the list and are remembered.
 	maxDepartures = 1024
