Connection-aware placement; the sum over entries stays within max_connections

Cause: an entry's share of a replica's connections (400 / 51 = 7) was known to the connection pool alone. Placement chose the replica, the pool refused, and the refused send took one of the call's four attempts and a retry. The share was divided by the entries that this one knew at that time, also before it knew any, so that the sum over entries exceeded the limit while entries started, or held shares of different times.

Ruled out: passing the limit to the scheduler by service name (placement would need the routing table); a lock per pool in addition to that of the pools' map (two locks per candidate); the remainder of the division spread over entries by rank (entries with different views take the same part); newcomers that take a full share after a fixed time (an entry that is cut off never learns of them, and the sum test fails).

Change: the pool publishes its connections in use without a lock, and Replicas.Connections returns for a candidate whether one is idle and whether one is free. placement.NoConnection ("no-connection") counts like Full. Calls that are granted and not yet sent count as connections. An entry under a new name takes its share from that until it has heard from all other entries and 30 s have passed; one that has heard from nobody for 29 min gives its share up before the others take it. Idle connections above a share are closed. gateway.Settings.ConnectionShare takes the place of Instances.

CloseIfUnused and RetainTargets take limits, so that their tests pass one.

Not covered: limits below the number of entries, more newcomers at once than one in eight entries (at least one), calls that outlast 30 s after a start, and a partition of over 30 min with several entries on each side.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -196,7 +197,9 @@
 			a = next
 			continue
 		}
-		if v != complete {
+		switch {
+		case next == nil && v == noFreeConnection && f.takeBack(a):
+		case v != complete:
 			f.reportFailure(ctx, a, v)
 		}
 		a.place.leave()
@@ -207,6 +210,29 @@
 	}
 }
 
+// maxRepeatedPlacements bounds how often one call is placed again because no connection was free where it
+// was placed. Placement sees the connections in use, so that only calls at the same moment collide.
+const maxRepeatedPlacements = 8
+
+// takeBack makes an attempt count as not made, so that the call is placed again: all connections to its
+// replica were in use, which says nothing against the replica. It returns false if that happened too often.
+func (f *inFlightCall) takeBack(a *attemptState) bool {
+	if f.repeatedPlacements >= maxRepeatedPlacements {
+		return false
+	}
+	f.repeatedPlacements++
+	f.attempts--
+	if a.sharesPlace {
+		return true
+	}
+	if i := slices.Index(f.triedReplicas, a.grant.Upstream); i >= 0 {
+		f.triedReplicas = slices.Delete(f.triedReplicas, i, i+1)
+	}
+	f.placeAgain = true
+	a.grant.Done(scheduler.Feedback{Cancelled: true})
+	return true
+}
+
 // combine returns the verdict over all attempts at the place, of which v is the latest one's. An
 // attempt that did not run does not change it, since the call may have run in an earlier one.
 func (p *place) combine(v verdict) verdict {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,9 +54,9 @@
 type Settings struct {
 	// Table returns the configuration in force, or nil before the first.
 	Table func() *routing.Table
-	// Instances returns the number of instances that send to replicas. They share the
-	// connections that a replica accepts.
-	Instances func() int
+	// ConnectionShare returns this instance's share of the connections that a replica accepts from all
+	// instances together.
+	ConnectionShare func(maxConnections int) int
 	// IsolatedFor returns how long this instance has been isolated from the other data centres.
 	IsolatedFor func() time.Duration
 	// Quotas enforces the customers' quotas.
@@ -145,6 +145,10 @@
 	// fingerprint identifies the content that replicas receive.
 	fingerprint   quarantine.Fingerprint
 	triedReplicas []string
+	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
+	// use. repeatedPlacements counts how often that happened.
+	placeAgain         bool
+	repeatedPlacements int
 	// lastUpstream is the engine that most likely has the prompt cached.
 	lastUpstream string
 	// attempts counts the attempts so far.
@@ -337,6 +341,8 @@
 		Priority:           maxPriority - min(maxPriority, f.priority()),
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
+		MaxConnections:     f.placementLimit(),
+		Again:              f.placeAgain,
 		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
 		OutputHint:         min(f.call.OutputHint, f.call.MaxOutputTokens),
@@ -358,6 +364,7 @@
 	} else {
 		r.Service = f.service.Name
 	}
+	f.placeAgain = false
 	began := time.Now()
 	defer func() { f.stageTimes.placing += time.Since(began) }()
 	return f.gateway.scheduler.Acquire(ctx, r)
@@ -388,13 +395,26 @@
 	return result
 }
 
-// connectionLimit returns this instance's share of the connections that a replica accepts from
-// all instances.
+// connectionLimit returns the number of connections that this instance may open to a replica.
 func (f *inFlightCall) connectionLimit() int {
+	return ConnectionLimit(f.service, f.gateway.settings.ConnectionShare)
+}
+
+// placementLimit returns the limit that the placement of the call observes; 0 for none.
+func (f *inFlightCall) placementLimit() int {
 	if f.service.MaxConnections == 0 {
+		return 0
+	}
+	return f.connectionLimit()
+}
+
+// ConnectionLimit returns the number of connections that an instance with the share may open to a
+// replica of the service.
+func ConnectionLimit(service *routing.Service, share func(maxConnections int) int) int {
+	if service.MaxConnections == 0 {
 		return unlimitedConnections
 	}
-	return max(1, f.service.MaxConnections/max(1, f.gateway.settings.Instances()))
+	return share(service.MaxConnections)
 }
 
 // unlimitedConnections is the connection limit for a service whose MaxConnections is 0.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -339,10 +339,13 @@
 		next.sharesPlace = a.sharesPlace
 		return
 	}
+	takenBack := next == nil && v == noFreeConnection && f.takeBack(a)
 	if a.sharesPlace {
 		return
 	}
-	f.reportFailure(ctx, a, v)
+	if !takenBack {
+		f.reportFailure(ctx, a, v)
+	}
 	a.place.leave()
 }
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,7 +107,14 @@
 	openCount int
 	// openedCount counts the connections opened since the pool was created.
 	openedCount int64
-	closed      bool
+	// limit is the limit that was stated last.
+	limit  int
+	closed bool
+
+	// usedCount is the number of connections that are in use or being opened, and idleUntil when the idle
+	// connection that was used last reaches its idle timeout, in Unix nanoseconds; 0 if none is idle. They
+	// are set under mu, and read without it by each placement decision.
+	usedCount, idleUntil atomic.Int64
 }
 
 // NewPool returns a pool without connections.
@@ -145,10 +153,33 @@
 
 // HasIdleConnection reports whether the pool has an idle connection that has not reached its idle timeout.
 func (p *Pool) HasIdleConnection() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.idle)
-	return n > 0 && time.Since(p.idle[n-1].idleSince) < p.idle[n-1].idleTimeout
+	until := p.idleUntil.Load()
+	return until != 0 && time.Now().UnixNano() < until
+}
+
+// HasRoom reports whether Do would get a connection: an idle one, or a new one if fewer than limit are in use.
+func (p *Pool) HasRoom(limit int) bool { return p.usedCount.Load() < int64(limit) }
+
+// publishLocked sets what is read without the lock, which is held.
+func (p *Pool) publishLocked() {
+	p.usedCount.Store(int64(p.openCount - len(p.idle)))
+	if n := len(p.idle); n > 0 {
+		p.idleUntil.Store(p.idle[n-1].idleSince.Add(p.idle[n-1].idleTimeout).UnixNano())
+		return
+	}
+	p.idleUntil.Store(0)
+}
+
+// setLimitLocked sets the limit and closes the idle connections above it, those that have been idle for
+// longest first; the lock is held.
+func (p *Pool) setLimitLocked(limit int) {
+	p.limit = limit
+	excess := min(len(p.idle), max(0, p.openCount-limit))
+	for _, c := range p.idle[:excess] {
+		c.netConn.Close()
+	}
+	p.openCount -= excess
+	p.idle = slices.Delete(p.idle, 0, excess)
 }
 
 // Close closes idle connections; those in use are closed when their calls end.
@@ -161,14 +192,17 @@
 		c.netConn.Close()
 	}
 	p.idle = nil
+	p.publishLocked()
 }
 
-// CloseIfUnused closes the connections that have reached their idle timeout. If none is left, it
-// closes the pool and returns true. Without it, a connection that its server closed would be kept
-// until the next call to the same address.
-func (p *Pool) CloseIfUnused() bool {
+// CloseIfUnused closes the connections that have reached their idle timeout, and the idle ones above
+// limit. If none is left, it closes the pool and returns true. Without it, a connection that its server
+// closed would be kept until the next call to the same address.
+func (p *Pool) CloseIfUnused(limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.publishLocked()
+	p.setLimitLocked(limit)
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
 		if time.Since(c.idleSince) < c.idleTimeout {
 			return false
@@ -230,6 +264,8 @@
 func (p *Pool) takeIdleOrReserve(limit int) (c *conn, dial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.publishLocked()
+	p.setLimitLocked(limit)
 	if n := len(p.idle); n > 0 {
 		c = p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -250,8 +286,9 @@
 	n, err := connect(ctx, "tcp", p.address)
 	if err != nil {
 		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.openCount--
-		p.mu.Unlock()
+		p.publishLocked()
 		return nil, err
 	}
 	netdial.LimitReceiveBuffer(n, receiveBuffer)
@@ -268,6 +305,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openCount--
+	p.publishLocked()
 }
 
 // prepareForCall prepares an idle connection for the next call. It returns false unless the connection
@@ -457,7 +495,8 @@
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !reusable || p.closed {
+	defer p.publishLocked()
+	if !reusable || p.closed || p.openCount > p.limit {
 		p.openCount--
 		c.netConn.Close()
 		return
--- a/internal/httpconn/probe.go
+++ b/internal/httpconn/probe.go
@@ -60,7 +60,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	defer p.publishLocked()
+	if p.closed || p.openCount > p.limit {
 		p.openCount--
 		c.netConn.Close()
 		return Listening
@@ -97,6 +98,8 @@
 func (p *Pool) reserve(limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.publishLocked()
+	p.setLimitLocked(limit)
 	if p.openCount >= limit {
 		return false
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -76,6 +76,10 @@
 	// isIsolated reports whether this instance has had no recent contact with any other data
 	// centre.
 	isIsolated func() bool
+	// contactedWithin reports whether an instance has sent something within a time.
+	contactedWithin func(name string, within time.Duration) bool
+	// followsStore reports whether this instance asks the store itself for changes.
+	followsStore func() bool
 	// broadcast sends a keeper's status to other keepers.
 	broadcast func(status []byte, keepers []*net.UDPAddr)
 	logger    log.Interface
@@ -91,6 +95,8 @@
 	// current is derived from members whenever they change, since each call and each datagram needs
 	// a part of it.
 	current atomic.Pointer[membership]
+	// standing is what the others know of this instance.
+	standing standing
 
 	mu            sync.Mutex
 	keeperClients map[string]historypb.Keeper
@@ -162,6 +168,7 @@
 	if changed {
 		f.current.Store(f.newMembership())
 	}
+	f.refreshStanding(time.Now())
 }
 
 // setMember adds or replaces a member and reports whether it changed. What this instance is follows
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,10 +43,12 @@
 // Replicas sends calls to the present replicas and keeps connections to them.
 type Replicas interface {
 	gateway.Replicas
-	// RetainTargets closes the connections to targets that are not listed, and those that have been
-	// idle for too long.
-	RetainTargets(isListed func(gateway.Target) bool)
-	Idle(name, address string) bool
+	// RetainTargets closes the connections to targets that are not listed, those that have been idle for
+	// too long, and idle ones above the target's limit.
+	RetainTargets(limitOf func(gateway.Target) (limit int, listed bool))
+	// Connections reports whether there is an idle connection to a target, and whether one is free if at
+	// most limit may be in use.
+	Connections(name, address string, limit int) (idle, free bool)
 }
 
 // Adapter holds what depends on the platform's protocols: the store, the replicas, the formats of
@@ -195,30 +197,31 @@
 	n.fleet.isReachable = n.isReachable
 	n.fleet.isSilent = n.isSilent
 	n.fleet.isIsolated = n.isIsolated
+	n.fleet.contactedWithin, n.fleet.followsStore = n.load.ContactedWithin, n.relay.Following
 	n.openGateway()
 	return n, nil
 }
 
 func (n *Node) openGateway() {
 	sched := scheduler.New(scheduler.Settings{
-		DataCentre:        n.settings.DataCentre,
-		RemoteCosts:       n.settings.remoteCosts(),
-		Logger:            n.logger,
-		Random:            rand.Uint64,
-		HasIdleConnection: n.adapter.Replicas.Idle,
-		ConnectCost:       connectCost,
-		RemoteViewAge:     n.load.DataCentreSilentFor,
-		MaxViewAge:        partitionTimeout,
+		DataCentre:    n.settings.DataCentre,
+		RemoteCosts:   n.settings.remoteCosts(),
+		Logger:        n.logger,
+		Random:        rand.Uint64,
+		Connections:   n.adapter.Replicas.Connections,
+		ConnectCost:   connectCost,
+		RemoteViewAge: n.load.DataCentreSilentFor,
+		MaxViewAge:    partitionTimeout,
 	}, n.upstream, cache.New(cache.Options{MaxBlocks: cacheViewBlocks}))
 	n.fleet.onSilence = n.keeperSilence.onSilence
 	n.buffers = buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry)
 	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
-		Table:       n.table.Load,
-		Instances:   n.fleet.entryCount,
-		IsolatedFor: n.isolatedFor,
-		Quotas:      n.quotas,
-		Buffers:     n.buffers,
+		Table:           n.table.Load,
+		ConnectionShare: n.fleet.connectionShare,
+		IsolatedFor:     n.isolatedFor,
+		Quotas:          n.quotas,
+		Buffers:         n.buffers,
 
 		SilentFor: n.load.DataCentreSilentFor,
 		OnSilence: n.dataCentreSilence.onSilence,
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"foxhall/internal/gateway"
 	"foxhall/internal/mirror"
+	"foxhall/internal/routing"
 )
 
 // runRefresh updates this instance's state after each change of the mirror until ctx ends. Only its
@@ -23,7 +25,8 @@
 				n.refresh()
 			}
 		case <-sweep.C:
-			n.adapter.Replicas.RetainTargets(n.replicas.contains)
+			n.fleet.refreshStanding(time.Now())
+			n.adapter.Replicas.RetainTargets(n.connectionLimitOf)
 		case <-ctx.Done():
 			return
 		}
@@ -54,7 +57,21 @@
 	}
 	upstreams, gone := upstreamChanges(table, changes)
 	n.upstream.Update(upstreams, gone, time.Now())
-	n.adapter.Replicas.RetainTargets(n.replicas.contains)
+	n.adapter.Replicas.RetainTargets(n.connectionLimitOf)
+}
+
+// connectionLimitOf returns the number of connections that this instance may open to a target, and
+// whether the target is in use.
+func (n *Node) connectionLimitOf(t gateway.Target) (limit int, listed bool) {
+	r, listed := n.replicas.target(t)
+	if !listed {
+		return 0, false
+	}
+	service := &routing.Service{}
+	if table := n.table.Load(); table != nil && table.Service(r.Service) != nil {
+		service = table.Service(r.Service)
+	}
+	return gateway.ConnectionLimit(service, n.fleet.connectionShare), true
 }
 
 // confirmEnds tells the quarantine of replicas that were replaced by a later start, or removed without
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -109,10 +109,11 @@
 	return replicaChange{before: &r}
 }
 
-// contains reports whether a target is in use, draining ones included: they still complete calls.
-func (s *replicaSet) contains(t gateway.Target) bool {
+// target returns the replica of a target, and whether it is in use, draining ones included: they still
+// complete calls.
+func (s *replicaSet) target(t gateway.Target) (routing.Replica, bool) {
 	r, ok := s.byID[routing.ReplicaID(t.ID)]
-	return ok && r.Name() == t.ID && r.Address == t.Address
+	return r, ok && r.Name() == t.ID && r.Address == t.Address
 }
 
 // all returns every replica as a change, for a table with other services.
--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -3,17 +3,17 @@
 // chooseNth chooses the nth available upstream, counting full ones, so that a program hash maps to
 // the same upstream while that is full.
 func chooseNth(candidates []Candidate, n uint64, d *Decision) {
-	available := d.Rejections[Allowed] + d.Rejections[Full]
+	available := d.Rejections[Allowed] + d.FullCount()
 	if available == 0 {
 		return
 	}
 	remaining := n % uint64(available)
 	for i := range candidates {
-		if r := candidates[i].Rejection; r != Allowed && r != Full {
+		if r := candidates[i].Rejection; r != Allowed && !r.isFull() {
 			continue
 		}
 		if remaining == 0 {
-			d.Chosen, d.ShouldWait = i, candidates[i].Rejection == Full
+			d.Chosen, d.ShouldWait = i, candidates[i].Rejection.isFull()
 			return
 		}
 		remaining--
@@ -50,7 +50,7 @@
 			d.Chosen = i
 		}
 	}
-	if d.Chosen < 0 && d.Rejections[Full] > 0 {
+	if d.Chosen < 0 && d.FullCount() > 0 {
 		d.ShouldWait = true
 	}
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -125,7 +125,7 @@
 		case Allowed:
 			c.Estimate = EstimateCost(c, s, d.BestCached)
 			best = cheaper(candidates, best, i)
-		case Full:
+		case Full, NoConnection:
 			c.Estimate = EstimateCost(c, s, d.BestCached)
 			bestFull = cheaper(candidates, bestFull, i)
 		}
@@ -204,4 +204,4 @@
 }
 
 // AnyCapable reports whether any candidate is able to take the step, now or once it has a free slot.
-func AnyCapable(d *Decision) bool { return d.Rejections[Allowed]+d.Rejections[Full] > 0 }
+func AnyCapable(d *Decision) bool { return d.Rejections[Allowed]+d.FullCount() > 0 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,6 +41,8 @@
 	ViewAge time.Duration
 	// ConnectCost is the cost of a new connection; 0 if one is idle.
 	ConnectCost time.Duration
+	// NoConnection is set if no connection is idle and no further one may be opened.
+	NoConnection bool
 	// Estimate is set by Decide.
 	Estimate Estimate
 	// Rejection is the reason why the candidate is rejected, or Allowed.
@@ -62,14 +64,18 @@
 	Stalled
 	ViewTooOld
 	Full
+	NoConnection
 	reasonCount
 )
 
 // String returns the reason's name in log lines.
 func (r Reason) String() string {
-	return [...]string{"allowed", "not-granted", "tried", "avoided", "not-loaded", "leaving", "broken", "stalled", "view-too-old", "full"}[r]
+	return [...]string{"allowed", "not-granted", "tried", "avoided", "not-loaded", "leaving", "broken", "stalled", "view-too-old", "full", "no-connection"}[r]
 }
 
+// isFull reports whether the candidate can take the step once a call that is under way there has ended.
+func (r Reason) isFull() bool { return r == Full || r == NoConnection }
+
 // Step is the step to be placed.
 type Step struct {
 	// PromptTokens is the length of the prompt and OutputTokens the expected length of the output, in tokens.
@@ -165,7 +171,7 @@
 			c.Rejection = rejectionOf(c, maxViewAge)
 		}
 		d.Rejections[c.Rejection]++
-		if c.Rejection == Allowed || c.Rejection == Full {
+		if c.Rejection == Allowed || c.Rejection.isFull() {
 			d.BestCached = max(d.BestCached, c.CachedTokens)
 		}
 	}
@@ -185,11 +191,16 @@
 		return ViewTooOld
 	case c.Load.Condition == upstream.Full:
 		return Full
+	case c.NoConnection:
+		return NoConnection
 	default:
 		return Allowed
 	}
 }
 
+// FullCount returns the number of candidates that can take the step once a call there has ended.
+func (d *Decision) FullCount() int { return d.Rejections[Full] + d.Rejections[NoConnection] }
+
 // Decide filters the candidates and chooses one according to the policy.
 func Decide(policy Policy, candidates []Candidate, s *Step) Decision {
 	d := Decision{Chosen: -1}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -121,13 +121,26 @@
 		Speed:        learnedOrMeanSpeed(endpoint),
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
 	}
-	if idle := p.scheduler.settings.HasIdleConnection; idle != nil && !idle(u.Name, u.Address) {
-		c.ConnectCost = p.scheduler.settings.ConnectCost
-	}
+	p.scheduler.setConnections(&c, u, w.request.MaxConnections)
 	p.scheduler.restrict(&c, endpoint, w.request)
 	p.candidates = append(p.candidates, c)
 }
 
+// setConnections sets what a connection to the candidate costs and whether one is free. Calls that were
+// granted and are yet to be sent take none of the connections in use; they are among this instance's
+// calls.
+func (s *Scheduler) setConnections(c *placement.Candidate, u *upstream.Upstream, limit int) {
+	c.NoConnection = limit > 0 && c.Load.Own >= limit
+	if s.settings.Connections == nil {
+		return
+	}
+	idle, free := s.settings.Connections(u.Name, u.Address, limit)
+	if !idle {
+		c.ConnectCost = s.settings.ConnectCost
+	}
+	c.NoConnection = c.NoConnection || limit > 0 && !free
+}
+
 // moveRate returns the rate, in tokens per second, at which the program's cache can be moved from
 // its last upstream. It is 0 if that upstream is unreachable or another engine caches more of the
 // prompt.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -268,7 +268,7 @@
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
 	}
-	return false, d.Rejections[placement.Full] > 0 && d.Rejections[placement.Full] == len(p.candidates)
+	return false, d.FullCount() > 0 && d.FullCount() == len(p.candidates)
 }
 
 func (p *pool) scheduleTick() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,10 +37,11 @@
 	// RemoteViewAge returns the age of the view of another data centre. If it is nil, the views of
 	// other data centres count as too old.
 	RemoteViewAge func(dataCentre string) time.Duration
-	// HasIdleConnection reports whether a connection to an upstream is open and unused, and
-	// ConnectCost is the cost of a new one. If HasIdleConnection is nil, connections cost nothing.
-	HasIdleConnection func(upstream, address string) bool
-	ConnectCost       time.Duration
+	// Connections reports whether a connection to an upstream is open and unused, and whether one is free
+	// if at most limit may be in use. It is called for each candidate of a decision. If it is nil,
+	// connections cost nothing and all are free. ConnectCost is the cost of a new connection.
+	Connections func(upstream, address string, limit int) (idle, free bool)
+	ConnectCost time.Duration
 	// MaxViewAge is the maximum age of the view of another data centre; 0 for placement.MaxViewAge.
 	MaxViewAge time.Duration
 	// Mover moves programs' caches between engines; nil for no moves.
@@ -96,6 +97,12 @@
 	Deadline time.Time
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
+	// MaxConnections is the number of connections that this instance may have to one upstream; 0 for no
+	// limit. An upstream to which so many are in use is full.
+	MaxConnections int
+	// Again is set if the step was granted before and not sent, since all connections to the upstream were
+	// in use. It draws on no retry budget.
+	Again bool
 	// Hedge is set if an attempt of the step is under way. Hedges have a retry budget of their own, so that
 	// many silent upstreams leave the budget of failed attempts untouched.
 	Hedge bool
@@ -190,6 +197,8 @@
 // mayTry takes a retry or a hedge from its budget, or records a first attempt.
 func (s *Scheduler) mayTry(r *Request, now time.Time) bool {
 	switch {
+	case r.Again:
+		return true
 	case r.Hedge:
 		return s.hedges.TryTake(now)
 	case len(r.Tried) > 0:
