--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 	err error
 	// liveness is what a new connection showed about the replica after its connection broke.
 	liveness httpconn.Liveness
+	// failed is set once the attempt has failed. What it showed of its replica is recorded after its hedge
+	// has ended.
+	failed atomic.Bool
 	// finished is set once the replica's response was received whole.
 	finished bool
 	// unfinished is set if bytes arrived until the attempt ended and did not make the next part of the
@@ -196,7 +200,9 @@
 			a = next
 			continue
 		}
-		if v != complete {
+		switch {
+		case next == nil && v == noFreeConnection && f.takeBack(a):
+		case v != complete:
 			f.reportFailure(ctx, a, v)
 		}
 		a.place.leave()
@@ -207,6 +213,29 @@
 	}
 }
 
+// maxRepeatedPlacements bounds how often one call is placed again because no connection was free where it
+// was placed. Placement sees the connections in use, so that only calls at the same moment collide.
+const maxRepeatedPlacements = 8
+
+// takeBack makes an attempt count as not made, so that the call is placed again: all connections to its
+// replica were in use, which says nothing against the replica. It returns false if that happened too often.
+func (f *inFlightCall) takeBack(a *attemptState) bool {
+	if f.repeatedPlacements >= maxRepeatedPlacements {
+		return false
+	}
+	f.repeatedPlacements++
+	f.attempts--
+	if a.sharesPlace {
+		return true
+	}
+	if i := slices.Index(f.triedReplicas, a.grant.Upstream); i >= 0 {
+		f.triedReplicas = slices.Delete(f.triedReplicas, i, i+1)
+	}
+	f.placeAgain = true
+	a.grant.Done(scheduler.Feedback{Cancelled: true})
+	return true
+}
+
 // combine returns the verdict over all attempts at the place, of which v is the latest one's. An
 // attempt that did not run does not change it, since the call may have run in an earlier one.
 func (p *place) combine(v verdict) verdict {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,10 +34,15 @@
 	attempts []Attempt
 	// refusing are the replicas that accept no connection.
 	refusing map[string]bool
+	// probeDelay is how long a probe takes.
+	probeDelay time.Duration
 }
 
 // Probe implements Replicas.
-func (f *fakeReplicas) Probe(_ context.Context, t Target, _ int) httpconn.Liveness {
+func (f *fakeReplicas) Probe(ctx context.Context, t Target, _ int) httpconn.Liveness {
+	if !sleep(ctx, f.probeDelay) {
+		return httpconn.LivenessUnknown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refusing[t.ID] {
@@ -268,7 +273,9 @@
 	}
 	sched := scheduler.New(scheduling, w.upstreams, cache.New(cache.Options{MaxBlocks: 1 << 10}))
 	settings.Table = func() *routing.Table { return table }
-	settings.Instances = func() int { return 1 }
+	if settings.ConnectionShare == nil {
+		settings.ConnectionShare = func(maxConnections int) int { return maxConnections }
+	}
 	settings.IsolatedFor = func() time.Duration { return time.Second }
 	if settings.Quotas == nil {
 		settings.Quotas = limit.NewQuotas("entry", 1, limit.Tolerance{})
