--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -122,6 +122,9 @@
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
 	}
 	p.scheduler.setConnections(&c, u, w.request.MaxConnections)
+	if w.isFullFor(&c) {
+		c.Load.Condition = upstream.Full
+	}
 	p.scheduler.restrict(&c, endpoint, w.request)
 	p.candidates = append(p.candidates, c)
 }
--- a/internal/scheduler/connections_test.go
+++ b/internal/scheduler/connections_test.go
@@ -96,7 +96,7 @@
 // Guards against decisions that allocate: there are thousands in a second.
 func TestDecisionDoesNotAllocate(t *testing.T) {
 	for _, n := range []int{100, 440} {
-		p, w, endpoints := newDecisionFixture(n)
+		p, w, endpoints := newDecisionFixture(n, Settings{})
 		w.request.MaxConnections = 6
 		calls := 0
 		p.scheduler.settings.Connections = func(_, _ string, limit int) (idle, free bool) {
