scheduler: no data race in the test of waiting for a connection

Cause: the test changed a map in a timer while decisions of another one read it; found with -race. Ruled out: a fault of the scheduler, since the map is the test's own. Change: atomic flags. Conclusion: go test -race passes for the new tests of the package.

--- a/internal/scheduler/connections_test.go
+++ b/internal/scheduler/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +20,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		lines := memory.New()
-		full := map[string]bool{}
+		var fullX, fullY atomic.Bool
 		settings := Settings{
-			Logger:      &log.Logger{Handler: lines},
-			Connections: func(name, _ string, _ int) (idle, free bool) { return true, !full[name] },
+			Logger: &log.Logger{Handler: lines},
+			Connections: func(name, _ string, _ int) (idle, free bool) {
+				return true, !map[string]*atomic.Bool{"x": &fullX, "y": &fullY}[name].Load()
+			},
 		}
 		s, _ := newTestScheduler(settings, engineAt("x", "a", 8), engineAt("y", "a", 8))
 		request := testRequest("p")
@@ -48,8 +51,9 @@
 		for _, g := range append(grants[1:], g) {
 			g.Done(Feedback{Cancelled: true})
 		}
-		full["x"], full["y"] = true, true
-		time.AfterFunc(time.Second, func() { full["y"] = false })
+		fullX.Store(true)
+		fullY.Store(true)
+		time.AfterFunc(time.Second, func() { fullY.Store(false) })
 		began = time.Now()
 		g, refusal = s.Acquire(t.Context(), request)
 		is.True(refusal == nil)
@@ -59,7 +63,7 @@
 		g.Done(Feedback{Cancelled: true})
 
 		// Without a limit the connections don't matter.
-		full["y"] = true
+		fullY.Store(true)
 		request.MaxConnections = 0
 		_, refusal = s.Acquire(t.Context(), request)
 		is.True(refusal == nil)
