node: an entry that is told of the list of instances is not forgotten

Cause: an entry took its registration for one that may be removed as stale if it had not asked the store itself for 29 minutes and had received nothing from another entry. Where a keeper asks the store, a fleet's only entry, or one whose only other entry has ended, is in this state although the keeper relays the list to it. Its share of 400 connections fell from 350 to 37, or from 175 to 1, for as long as that lasted.

Ruled out: counting what keepers send. A keeper's datagrams show that it runs, and not that the entry would learn of its removal.

Change: the age of the store's last response about the list, own or relayed, counts as the entry's own reading does. The list then shows its removal.

Conclusion: the share stays for two hours of such a state, and still falls after a cut of 30 minutes. The simulation of entries that are cut off and removed passes unchanged.

--- a/internal/node/standing.go
+++ b/internal/node/standing.go
@@ -57,15 +57,15 @@
 }
 
 // mayBeForgotten reports whether the others may be about to remove this entry's registration as stale, and
-// to take its share of the connections, without its notice: it has read nothing from the store for long,
-// and nothing from another entry.
+// to take its share of the connections, without its notice: for long it has had nothing of the store, neither
+// read by itself nor relayed by another instance, and nothing from another entry.
 func (f *fleet) mayBeForgotten(now time.Time) bool {
 	const silence = staleTimeout - staleCheckInterval
 	s := &f.standing
 	if f.followsStore() {
 		s.followedAt = now
 	}
-	if now.Sub(s.joinedAt) < silence || now.Sub(s.followedAt) < silence {
+	if now.Sub(s.joinedAt) < silence || now.Sub(s.followedAt) < silence || f.mirror.Age(mirror.Fleet, now) < silence {
 		return false
 	}
 	return !slices.ContainsFunc(f.others(), func(m member) bool { return m.Entry && f.contactedWithin(m.Name, silence) })
--- a/internal/node/standing_test.go
+++ b/internal/node/standing_test.go
@@ -254,3 +254,45 @@
 		})
 	})
 }
+
+// Guards against an entry that gives up most of its connections although it is up to date: one that does
+// not ask the store itself, since a keeper does, and that no other entry sends to, still learns from the
+// keeper whether it is registered.
+func TestEntryThatIsToldOfTheListIsNotForgotten(t *testing.T) {
+	const limit = 400
+	keeper := member{Name: "k", IP: "10.0.0.2", DataCentre: "a", Keeper: true}
+	ended := member{Name: "ended", IP: "10.0.0.3", DataCentre: "a", Entry: true}
+	for _, others := range [][]member{{keeper}, {keeper, ended}} {
+		synctest.Test(t, func(t *testing.T) {
+			settings := &Settings{Instance: "me", IP: "10.0.0.1", DataCentre: "a", CallersAddress: "10.0.0.1:1", PeerPort: 7}
+			f := newFleet(settings, mirror.New(), nil, &log.Logger{Handler: discard.Default}, metrics.NewRegistry())
+			f.contactedWithin = func(name string, _ time.Duration) bool { return name == keeper.Name }
+			f.followsStore = func() bool { return false }
+			d := mirror.Delta{Kind: mirror.Fleet, Full: true, AsOf: 9}
+			for i, m := range append([]member{f.self()}, others...) {
+				value, err := json.Marshal(m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				d.Entries = append(d.Entries, mirror.Entry{Name: instancePrefix + m.Name, Revision: store.Version(i + 1), Value: value})
+			}
+			f.mirror.Apply(d)
+			f.mirror.Confirm(mirror.Fleet, time.Now())
+			f.refresh()
+			share := f.connectionShare(limit)
+			for range 120 {
+				time.Sleep(time.Minute)
+				f.mirror.Confirm(mirror.Fleet, time.Now())
+				f.refreshStanding(time.Now())
+				if now := f.connectionShare(limit); now != share {
+					t.Fatalf("beside %d others: a share of %d connections, expected %d as at the start", len(others), now, share)
+				}
+			}
+			time.Sleep(staleTimeout)
+			f.refreshStanding(time.Now())
+			if now := f.connectionShare(limit); now >= share {
+				t.Fatalf("beside %d others: a share of %d connections after %v of silence, expected less than %d", len(others), now, staleTimeout, share)
+			}
+		})
+	}
+}
