scheduler, urgency: calls that wait for connections are refused early

Cause: the estimate of the wait under load control counted the places of engines to which this instance has no free connection, and the rate of all slots of an engine. An instance with one connection to an engine of 8 slots and 19 waiting calls held a further one with a deadline of 11 s, although the 19 before it take 19 s, instead of refusing it on arrival.

Ruled out: the order and the decision. Both see that no connection is free.

Change: an engine's places for this instance's calls are bounded by the connections that it may open, as by its limit of calls, and the rate at which places get free by these connections and the learned call time.

Conclusion: the call is refused on arrival. Estimates for services without a limit of connections are as before.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -46,13 +46,16 @@
 	// lastRequestAt is when the last step arrived, even if it was refused.
 	lastRequestAt time.Time
 	tickScheduled bool
-	// byUrgency is set if the steps are ordered and placed by urgency. The next four fields are used
-	// only then; nextChange is when the order of the waiting steps changes next, zero for never.
-	byUrgency  bool
-	nextChange time.Time
-	scan       scanState
-	capacity   capacity
-	placed     placementRate
+	// byUrgency is set if the steps are ordered and placed by urgency. The next five fields are used
+	// only then; nextChange is when the order of the waiting steps changes next, zero for never, and
+	// maxConnections is that of the latest request.
+	byUrgency      bool
+	nextChange     time.Time
+	scan           scanState
+	capacity       capacity
+	placed         placementRate
+	maxConnections int
+
 	candidates []placement.Candidate
 	skipped    []*queue.Item[*waiter]
 	// rotation is the queue index at which placeRotating continues.
@@ -165,6 +168,7 @@
 func (p *pool) enqueueByUrgency(w *waiter) *Refusal {
 	now := w.enqueued
 	w.byUrgency = true
+	p.maxConnections = w.request.MaxConnections
 	p.setOrder(w, p.scheduler.endpoints(p.key), now)
 	if m := p.scheduler.urgencyMetrics; m != nil {
 		m.classes[w.urgent.state.Class].Inc(1)
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -232,6 +232,8 @@
 	at         time.Time
 	calls, own int
 	rate       float64
+	// maxRate is the rate that this instance's connections allow; 0 for no limit.
+	maxRate float64
 	// free is the number of free places by allowance.
 	free [urgency.MaxAllowance + 1]int
 	// learned is set if some engine has completed a call.
@@ -239,7 +241,7 @@
 }
 
 func (p *pool) view(c *capacity, allowance int, now time.Time) urgency.View {
-	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, OwnRate: p.placed.rate(now), Free: c.free[allowance]}
+	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, MaxRate: c.maxRate, OwnRate: p.placed.rate(now), Free: c.free[allowance]}
 }
 
 // placementRate is the number of steps that were placed per second of late, weighted by their age.
@@ -273,7 +275,7 @@
 			dataCentre, usable = dc, p.scheduler.isUsable(dc)
 		}
 		if usable {
-			p.capacity.add(endpoint, now.UnixNano())
+			p.capacity.add(endpoint, p.maxConnections, now.UnixNano())
 		}
 	}
 	return &p.capacity
@@ -291,7 +293,9 @@
 	return s.settings.RemoteViewAge != nil && s.settings.RemoteViewAge(dataCentre) <= maxAge
 }
 
-func (c *capacity) add(endpoint *upstream.Endpoint, now int64) {
+// add adds an engine to which this instance may have maxConnections; 0 for no limit. Places for which it has
+// no connection don't count: steps that wait for connections would else be held until their deadlines.
+func (c *capacity) add(endpoint *upstream.Endpoint, maxConnections int, now int64) {
 	l := endpoint.Upstream.Load(now)
 	if l.Condition > upstream.Full || !endpoint.Serving().Ready {
 		return
@@ -302,8 +306,13 @@
 	c.calls += l.Total
 	c.own += l.Own
 	c.rate += urgency.CallRate(l.Total, slots, speed.CallSeconds)
+	limit := l.Limit
+	if maxConnections > 0 {
+		limit = min(limit, maxConnections)
+		c.maxRate += urgency.CallRate(maxConnections, 1, speed.CallSeconds)
+	}
 	for allowance := range c.free {
-		c.free[allowance] += max(0, min(slots+allowance-l.Total, l.Limit-l.Own))
+		c.free[allowance] += max(0, min(slots+allowance-l.Total, limit-l.Own))
 	}
 }
 
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -564,3 +564,29 @@
 		g.Done(Feedback{Cancelled: true})
 	})
 }
+
+// Guards against calls that are held until their deadlines although they wait for connections: an engine with
+// free slots and all of this instance's connections in use has no place for its calls.
+func TestCallsThatWaitForConnectionsAreRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newPressured(Settings{}, 1)
+		request := func(program string, timeout time.Duration) Request {
+			r := urgentRequest(program, 0, 0)
+			r.MaxConnections, r.Deadline = 1, r.Arrived.Add(timeout)
+			return r
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 20 {
+			go func() { _, _ = s.Acquire(ctx, request(fmt.Sprint("waits", i), time.Hour)) }()
+		}
+		synctest.Wait()
+		is.Equal(s.Waiting(), 19)
+		r := request("hurried", 11*time.Second)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil)
+		is.Equal(refusal.Code, step.CodeOverloaded)
+		is.Equal(time.Since(r.Arrived), time.Duration(0))
+	})
+}
--- a/internal/urgency/view.go
+++ b/internal/urgency/view.go
@@ -12,6 +12,9 @@
 	Calls, Own int
 	// Rate is the number of calls that the engines complete per second while all slots are in use.
 	Rate float64
+	// MaxRate is the number of calls per second that this entry's connections to the engines allow; 0 for no
+	// limit.
+	MaxRate float64
 	// OwnRate is the number of this entry's calls that were placed per second of late.
 	OwnRate float64
 	// Free is the number of places at the engines below the call's allowance.
@@ -29,6 +32,9 @@
 	}
 	share := min(1, float64(v.Own+1)/float64(v.Calls+1))
 	rate := max(v.Rate*share, v.OwnRate)
+	if v.MaxRate > 0 {
+		rate = min(rate, v.MaxRate)
+	}
 	return time.Duration(min(maxWait.Seconds(), float64(missing)/rate) * float64(time.Second))
 }
 
--- a/internal/urgency/view_test.go
+++ b/internal/urgency/view_test.go
@@ -17,7 +17,8 @@
 	is.Equal(v.Wait(3), 400*time.Millisecond) // 1 call at a fortieth of 100 calls per second
 	is.Equal(v.Wait(7), 2*time.Second)
 	is.Equal(View{Calls: 9, Own: 9, Rate: 100}.Wait(9), 100*time.Millisecond) // no other entry has calls
-	is.Equal(View{}.Wait(5), time.Duration(0))                                // nothing is known
+	is.Equal(View{Calls: 9, Own: 9, Rate: 100, MaxRate: 5}.Wait(9), 2*time.Second)
+	is.Equal(View{}.Wait(5), time.Duration(0)) // nothing is known
 	rapid.Check(t, func(t *rapid.T) {
 		v := View{Calls: rapid.IntRange(0, 500).Draw(t, "calls"), Rate: rapid.Float64Range(0, 1000).Draw(t, "rate"), Free: rapid.IntRange(0, 20).Draw(t, "free")}
 		v.Own = rapid.IntRange(0, v.Calls).Draw(t, "own")
