scheduler: arrivals that waited for the lock use the current capacity

Cause: the capacity of a pool's engines is kept for 50 ms, but not for a step whose arrival is earlier than the sum. Such a step waited for the pool's lock while another summed up; it summed up all engines again and set the sum's time back. The cost of the request path grew with the engines at the moment at which the lock is contended.

Ruled out: a sum of the zero time, which is older than the lifetime.

Change: a sum that is later than the step's arrival is used.

Conclusion: the sum and its time stay for an arrival that is 1 ms older.

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -263,9 +263,10 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/placementRateTime.Seconds())
 }
 
-// currentCapacity returns the capacity, not older than capacityLifetime.
+// currentCapacity returns the capacity, not older than capacityLifetime. A step that waited for the lock has
+// an earlier now than the capacity that was summed up meanwhile, which it uses as well.
 func (p *pool) currentCapacity(now time.Time) *capacity {
-	if age := now.Sub(p.capacity.at); age >= 0 && age < capacityLifetime {
+	if now.Sub(p.capacity.at) < capacityLifetime {
 		return &p.capacity
 	}
 	p.capacity = capacity{at: now}
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -590,3 +590,19 @@
 		is.Equal(time.Since(r.Arrived), time.Duration(0))
 	})
 }
+
+// Guards against a sum over all engines for each arrival: arrivals that waited for the pool's lock are older
+// than the capacity that the holder of the lock has summed up.
+func TestCapacityIsKeptForOlderArrivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newPressured(Settings{}, 1)
+		r := urgentRequest("p", 0, 0)
+		p := s.pool(&r)
+		arrived := time.Now()
+		time.Sleep(time.Millisecond)
+		now := time.Now()
+		is.Equal(p.currentCapacity(now).at, now)
+		is.Equal(p.currentCapacity(arrived).at, now)
+	})
+}
