scheduler: a refused step doesn't count as ahead of itself

Cause: under load control a scan counted a step as passed before it decided on it, so that a step refused for its deadline was one of those ahead of it in the estimate of its Retry-After. A step with a place got 1.09 s instead of the least delay of 100 ms.

Ruled out: the estimate for steps that can't be done by their deadlines. It takes the number ahead before the step is counted.

Change: a step counts as passed after the decision on it.

Conclusion: the step with a place is told to retry after 100 ms.

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -342,7 +342,7 @@
 	u := &w.urgent
 	w.setState(now)
 	ahead := p.scan.ahead(u.allowance)
-	p.scan.passed[u.allowance]++
+	defer func() { p.scan.passed[u.allowance]++ }()
 	if refusal := p.refuseIfHopeless(w, ahead, now); refusal != nil {
 		w.refused <- refusal
 		return true
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -606,3 +606,18 @@
 		is.Equal(p.currentCapacity(arrived).at, now)
 	})
 }
+
+// Guards against a Retry-After for which a refused step counts as one that waits ahead of itself.
+func TestRefusedStepIsNotAheadOfItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newPressured(Settings{}, 1)
+		setPeers(table, "e0", 11) // one place is left, behind three calls that wait for a slot
+		r := urgentRequest("p", 0, 0)
+		r.Deadline = r.Arrived.Add(800 * time.Millisecond)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil)
+		is.Equal(refusal.Message, "the deadline can't be met; not run")
+		is.Equal(refusal.RetryAfter, minRetryAfter)
+	})
+}
