queue: a late objective doesn't hold a call until its deadline

Cause: a call was ordered by its program's objective, however late that is. A call whose program has ten minutes and whose caller waits 20 s was behind all calls without an objective that arrived in these 20 s; at one and a half times the rate of the places it was never placed.

Ruled out: the deadline alone as the bound.

Change: the objective counts as at the latest the deadline or 10 s after the arrival, whichever is later; 20 s after the arrival without a deadline.

Conclusion: the call is placed before its deadline.

--- a/internal/queue/urgency.go
+++ b/internal/queue/urgency.go
@@ -107,16 +107,32 @@
 	return Key{At: at.Add(time.Duration(rank) * rankDelay), Attained: o.Attained}
 }
 
-// objective returns the program's objective, or an assumed one that is no later than the deadline.
+// objective returns the program's objective, or an assumed one. Without a bound, a call whose program has time
+// for much longer than its caller waits would stay behind all arrivals until its deadline; with the deadline
+// alone as the bound, programs of many calls would take the places of those with less time.
 func (o *Order) objective() time.Time {
-	if !o.Objective.IsZero() {
-		return o.Objective
+	assumed, deadline := o.Arrived.Add(assumedObjective), o.Deadline
+	if deadline.IsZero() {
+		deadline = o.Arrived.Add(assumedTime)
 	}
-	assumed := o.Arrived.Add(assumedObjective)
-	if !o.Deadline.IsZero() && o.Deadline.Before(assumed) {
-		return o.Deadline
+	if o.Objective.IsZero() {
+		return earlier(assumed, deadline)
+	}
+	return earlier(o.Objective, later(assumed, deadline))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return assumed
+	return a
 }
 
 // ChangesAt returns the first time after now at which the key may change; zero for never.
