scheduler: a call that is next is not refused by an old estimate

Cause: a call was refused for its expected wait before a placement was tried. The places of the engines are counted at most every 50 ms. A call that arrived within this time after the calls of other instances had ended was refused on arrival although the engine was idle.

Ruled out: counting the places anew before each refusal. Its cost grows with the engines, and refusals are frequent under overload.

Change: a call with none ahead of it is refused only after a decision found no place for it, on arrival and in each scan.

Conclusion: the call is placed at once. A call with others ahead, or for which the same scan found all engines full, is refused as before.

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -152,12 +152,16 @@
 	}
 }
 
-// shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline.
+// shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline. A step
+// with none ahead may have a place that was not free when the places were counted; the scan decides on it.
 func (p *pool) shedByUrgency(w *waiter, now time.Time) *Refusal {
 	ahead := p.aheadOnArrival(w, w.urgent.order.Key(now))
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
 	}
+	if ahead == 0 {
+		return nil
+	}
 	return p.refuseIfHopeless(w, ahead, now)
 }
 
@@ -337,17 +341,19 @@
 }
 
 // tryPlaceByUrgency grants or refuses one step, or leaves it waiting, and reports whether the step was
-// granted or refused.
+// granted or refused. A step that is next is refused only after it was found to have no place, since the
+// estimate of the wait may be older than a free place.
 func (p *pool) tryPlaceByUrgency(endpoints []*upstream.Endpoint, w *waiter, now time.Time) (decided bool) {
 	u := &w.urgent
 	w.setState(now)
 	ahead := p.scan.ahead(u.allowance)
 	defer func() { p.scan.passed[u.allowance]++ }()
-	if refusal := p.refuseIfHopeless(w, ahead, now); refusal != nil {
-		w.refused <- refusal
+	allFull := u.allowance <= p.scan.fullAllowance && !w.isRestricted()
+	triesFirst := ahead == 0 && !allFull
+	if !triesFirst && p.refusesHopeless(w, ahead, now) {
 		return true
 	}
-	if u.allowance <= p.scan.fullAllowance && !w.isRestricted() {
+	if allFull {
 		u.waitsFor = waitsForPlace
 		return false
 	}
@@ -358,7 +364,16 @@
 	if !decided && u.waitsFor == waitsForPlace && len(p.candidates) == len(endpoints) && !w.isRestricted() {
 		p.scan.fullAllowance = max(p.scan.fullAllowance, u.allowance)
 	}
-	return decided
+	return decided || triesFirst && p.refusesHopeless(w, ahead, now)
+}
+
+// refusesHopeless refuses a waiting step if refuseIfHopeless does, and reports whether it was refused.
+func (p *pool) refusesHopeless(w *waiter, ahead int, now time.Time) bool {
+	refusal := p.refuseIfHopeless(w, ahead, now)
+	if refusal != nil {
+		w.refused <- refusal
+	}
+	return refusal != nil
 }
 
 // isRestricted reports whether the step may not use some of the upstreams that other steps may use.
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -621,3 +621,22 @@
 		is.Equal(refusal.RetryAfter, minRetryAfter)
 	})
 }
+
+// Guards against a refusal although an engine has a place: the calls of other instances there have ended since
+// the places were counted for an estimate.
+func TestCallWithAPlaceIsNotRefusedByAnOldEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newPressured(Settings{}, 1)
+		setPeers(table, "e0", 15)
+		r := urgentRequest("earlier", 0, 0)
+		r.Deadline = r.Arrived.Add(time.Second)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil) // the engine is full for it, and the next place comes too late
+		setPeers(table, "e0", 0)
+		time.Sleep(capacityLifetime / 2)
+		r = urgentRequest("p", 0, 0)
+		r.Deadline = r.Arrived.Add(time.Second)
+		is.True(isPlacedAtOnce(s, r))
+	})
+}
