httpconn: the doc comment of Share names the limits without a reserve

An eighth of a limit below 8 is 0. The one connection of an entry that others don't know yet then comes on top of a sum that may be the limit: with a limit of 4, one entry has a share of 4 and one that starts has 1. A reserve of one connection would take a quarter or more of such a limit at all times.

--- a/internal/httpconn/share.go
+++ b/internal/httpconn/share.go
@@ -16,7 +16,8 @@
 // Newcomers share three quarters of the reserve; the rest is for entries that know of no others, which get
 // one connection. The sum over all entries is at most limit while newcomers are at most one in eight
 // entries, or one of fewer, and entries with one connection at most a 32nd of the limit. No entry gets
-// less than one connection, since it would serve no call: limits below the number of entries are exceeded.
+// less than one connection, since it would serve no call: limits below the number of entries are exceeded, and
+// limits below reserveDivisor, which leave no reserve, while an entry starts.
 func Share(limit, entries int, newcomer bool) int {
 	if entries <= 0 {
 		return 1
