scheduler: waiting calls follow the limit of connections

Cause: a waiting call kept the limit of connections of its arrival. When an instance's share grew, as at the end of its time as a newcomer, calls that waited under the smaller limit went on waiting although more connections could be opened. A scan that found all upstreams full for such a call, with or without load control, also ended there or skipped those behind it.

Ruled out: other limits within a queue. All requests of a queue are for one service, whose limit and share hold for each of them.

Change: a request with another limit applies it to the waiting calls. The cost is that of the queue, once for each change.

Conclusion: four calls, three of which waited under a limit of 1, are placed at once when the last arrives with a limit of 8.

--- a/internal/scheduler/connections_test.go
+++ b/internal/scheduler/connections_test.go
@@ -70,6 +70,39 @@
 	})
 }
 
+// Guards against steps that wait for a connection although more of them may be opened by now, and that hold
+// those behind them, to whose requests this is known.
+func TestWaitingStepsFollowTheLimitOfConnections(t *testing.T) {
+	for _, loadControl := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestScheduler(Settings{LoadControl: loadControl}, engineAt("x", "a", 8))
+			request := testRequest("p")
+			request.MaxConnections = 1
+			holder, refusal := s.Acquire(t.Context(), request)
+			is.True(refusal == nil)
+			defer holder.Done(Feedback{Cancelled: true})
+			placed := make(chan *Grant, 4)
+			acquire := func(r Request) {
+				g, _ := s.Acquire(t.Context(), r)
+				placed <- g
+			}
+			for range 3 {
+				go acquire(request)
+			}
+			synctest.Wait()
+			is.Equal(s.Waiting(), 3)
+			request.MaxConnections = 8
+			go acquire(request)
+			synctest.Wait()
+			is.Equal(s.Waiting(), 0)
+			for range 4 {
+				(<-placed).Done(Feedback{Cancelled: true})
+			}
+		})
+	}
+}
+
 // Guards against steps that are refused for lack of retries although they were never sent, and against a
 // budget that such steps raise.
 func TestStepPlacedAgainTakesNoRetry(t *testing.T) {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -46,16 +46,15 @@
 	// lastRequestAt is when the last step arrived, even if it was refused.
 	lastRequestAt time.Time
 	tickScheduled bool
-	// byUrgency is set if the steps are ordered and placed by urgency. The next five fields are used
-	// only then; nextChange is when the order of the waiting steps changes next, zero for never, and
-	// maxConnections is that of the latest request.
-	byUrgency      bool
-	nextChange     time.Time
-	scan           scanState
-	capacity       capacity
-	placed         placementRate
+	// maxConnections is that of the latest request, which holds for all waiting steps.
 	maxConnections int
-
+	// byUrgency is set if the steps are ordered and placed by urgency. The next four fields are used
+	// only then; nextChange is when the order of the waiting steps changes next, zero for never.
+	byUrgency  bool
+	nextChange time.Time
+	scan       scanState
+	capacity   capacity
+	placed     placementRate
 	candidates []placement.Candidate
 	skipped    []*queue.Item[*waiter]
 	// rotation is the queue index at which placeRotating continues.
@@ -152,6 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastRequestAt = w.enqueued
+	p.setMaxConnections(w.request.MaxConnections)
 	if p.byUrgency {
 		return p.enqueueByUrgency(w)
 	}
@@ -164,11 +164,22 @@
 	return nil
 }
 
+// setMaxConnections applies a change of the limit of connections to the waiting steps. They would else wait
+// for fewer connections than may be open, and a scan that finds all upstreams full for them ends there.
+func (p *pool) setMaxConnections(limit int) {
+	if limit == p.maxConnections {
+		return
+	}
+	p.maxConnections = limit
+	for i := range p.queue.Len() {
+		p.queue.At(i).Value.request.MaxConnections = limit
+	}
+}
+
 // enqueueByUrgency is enqueue in a pool that is ordered by urgency.
 func (p *pool) enqueueByUrgency(w *waiter) *Refusal {
 	now := w.enqueued
 	w.byUrgency = true
-	p.maxConnections = w.request.MaxConnections
 	p.setOrder(w, p.scheduler.endpoints(p.key), now)
 	if m := p.scheduler.urgencyMetrics; m != nil {
 		m.classes[w.urgent.state.Class].Inc(1)
