node: a pause of the process doesn't make its entry forgotten

Cause: after a pause, all that the mirror holds counts as unconfirmed until the next exchange. An entry that learns of the list from a keeper alone then counted as one whose registration may have been removed, and its share of 400 connections fell from 350 to 37.

Ruled out: the time of the last own reading, which a pause leaves as it is.

Change: the time of the last relayed response is kept as that of the last own reading is.

--- a/internal/node/standing.go
+++ b/internal/node/standing.go
@@ -21,7 +21,8 @@
 	// settled is set once all registered entries know this one, and forgotten while they may have ceased to.
 	settled, forgotten atomic.Bool
 	// registersAnew is set if the list lacked this instance, and joinedAt is when it was found there.
-	// followedAt is when this instance last read the store itself. Only the refreshing goroutine uses them.
+	// followedAt is when this instance last read the store, or had the store's response relayed. Only the
+	// refreshing goroutine uses them.
 	registersAnew        bool
 	joinedAt, followedAt time.Time
 	// knownAt is since when all other entries know this one, as far as it can tell; zero while they don't.
@@ -65,7 +66,10 @@
 	if f.followsStore() {
 		s.followedAt = now
 	}
-	if now.Sub(s.joinedAt) < silence || now.Sub(s.followedAt) < silence || f.mirror.Age(mirror.Fleet, now) < silence {
+	if confirmedAt := now.Add(-f.mirror.Age(mirror.Fleet, now)); confirmedAt.After(s.followedAt) {
+		s.followedAt = confirmedAt
+	}
+	if now.Sub(s.joinedAt) < silence || now.Sub(s.followedAt) < silence {
 		return false
 	}
 	return !slices.ContainsFunc(f.others(), func(m member) bool { return m.Entry && f.contactedWithin(m.Name, silence) })
--- a/internal/node/standing_test.go
+++ b/internal/node/standing_test.go
@@ -288,6 +288,12 @@
 					t.Fatalf("beside %d others: a share of %d connections, expected %d as at the start", len(others), now, share)
 				}
 			}
+			// After a pause of the process nothing is confirmed until the next exchange.
+			f.mirror.MarkStale()
+			f.refreshStanding(time.Now())
+			if now := f.connectionShare(limit); now != share {
+				t.Fatalf("beside %d others: a share of %d connections after a pause, expected %d", len(others), now, share)
+			}
 			time.Sleep(staleTimeout)
 			f.refreshStanding(time.Now())
 			if now := f.connectionShare(limit); now >= share {
