--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -203,9 +203,8 @@
 	return ahead
 }
 
-// refuseIfHopeless refuses a step that almost certainly can't be done by its deadline: certainFraction of
-// its expected wait and duration exceeds the time left. It refuses nothing while only default speeds are
-// known.
+// refuseIfHopeless refuses a step that almost certainly can't be done by its deadline. It refuses nothing
+// while only default speeds are known.
 func (p *pool) refuseIfHopeless(w *waiter, ahead int, now time.Time) *Refusal {
 	if w.request.Deadline.IsZero() {
 		return nil
@@ -214,8 +213,7 @@
 	if !c.learned {
 		return nil
 	}
-	need := p.view(c, w.urgent.allowance, now).Wait(ahead) + w.urgent.order.Expected
-	if time.Duration(certainFraction*float64(need)) <= w.request.Deadline.Sub(now) {
+	if urgency.CertainDuration(p.view(c, w.urgent.allowance, now).Wait(ahead), w.urgent.order.Expected) <= w.request.Deadline.Sub(now) {
 		return nil
 	}
 	return p.refuseOverloaded(w, ahead, now, "the step can't be done by its deadline; not run")
--- a/internal/urgency/view.go
+++ b/internal/urgency/view.go
@@ -32,6 +32,20 @@
 	return time.Duration(min(maxWait.Seconds(), float64(missing)/rate) * float64(time.Second))
 }
 
+const (
+	// certainWaitFraction is the fraction of an estimated wait that a call almost certainly takes. The
+	// queues of other entries are not known, and more urgent calls may end or be refused.
+	certainWaitFraction = 0.25
+	// certainDurationFraction is the same for the call's own duration.
+	certainDurationFraction = 0.7
+)
+
+// CertainDuration returns the time that a call with an expected wait and duration almost certainly takes.
+// A call that has less time left is refused.
+func CertainDuration(wait, expected time.Duration) time.Duration {
+	return time.Duration(certainWaitFraction*float64(wait) + certainDurationFraction*float64(expected))
+}
+
 // CallRate returns the number of calls per second that an engine completes while all its slots are in
 // use. callSeconds is the mean time that calls spent there; it includes their wait for a slot, so by
 // Little's law the calls beyond the slots count as well.
