--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -152,12 +152,16 @@
 	}
 }
 
-// shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline.
+// shedByUrgency refuses a step on arrival if the queue is full or if the step can't meet its deadline. A step
+// with none ahead may have a place that was not free when the places were counted; the scan decides on it.
 func (p *pool) shedByUrgency(w *waiter, now time.Time) *Refusal {
 	ahead := p.aheadOnArrival(w, w.urgent.order.Key(now))
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
 	}
+	if ahead == 0 {
+		return nil
+	}
 	return p.refuseIfHopeless(w, ahead, now)
 }
 
@@ -230,6 +234,8 @@
 	at         time.Time
 	calls, own int
 	rate       float64
+	// maxRate is the rate that this instance's connections allow; 0 for no limit.
+	maxRate float64
 	// free is the number of free places by allowance.
 	free [urgency.MaxAllowance + 1]int
 	// learned is set if some engine has completed a call.
@@ -237,7 +243,7 @@
 }
 
 func (p *pool) view(c *capacity, allowance int, now time.Time) urgency.View {
-	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, OwnRate: p.placed.rate(now), Free: c.free[allowance]}
+	return urgency.View{Calls: c.calls, Own: c.own, Rate: c.rate, MaxRate: c.maxRate, OwnRate: p.placed.rate(now), Free: c.free[allowance]}
 }
 
 // placementRate is the number of steps that were placed per second of late, weighted by their age.
@@ -259,9 +265,10 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/placementRateTime.Seconds())
 }
 
-// currentCapacity returns the capacity, not older than capacityLifetime.
+// currentCapacity returns the capacity, not older than capacityLifetime. A step that waited for the lock has
+// an earlier now than the capacity that was summed up meanwhile, which it uses as well.
 func (p *pool) currentCapacity(now time.Time) *capacity {
-	if age := now.Sub(p.capacity.at); age >= 0 && age < capacityLifetime {
+	if now.Sub(p.capacity.at) < capacityLifetime {
 		return &p.capacity
 	}
 	p.capacity = capacity{at: now}
@@ -271,7 +278,7 @@
 			dataCentre, usable = dc, p.scheduler.isUsable(dc)
 		}
 		if usable {
-			p.capacity.add(endpoint, now.UnixNano())
+			p.capacity.add(endpoint, p.maxConnections, now.UnixNano())
 		}
 	}
 	return &p.capacity
@@ -289,7 +296,9 @@
 	return s.settings.RemoteViewAge != nil && s.settings.RemoteViewAge(dataCentre) <= maxAge
 }
 
-func (c *capacity) add(endpoint *upstream.Endpoint, now int64) {
+// add adds an engine to which this instance may have maxConnections; 0 for no limit. Places for which it has
+// no connection don't count: steps that wait for connections would else be held until their deadlines.
+func (c *capacity) add(endpoint *upstream.Endpoint, maxConnections int, now int64) {
 	l := endpoint.Upstream.Load(now)
 	if l.Condition > upstream.Full || !endpoint.Serving().Ready {
 		return
@@ -300,8 +309,13 @@
 	c.calls += l.Total
 	c.own += l.Own
 	c.rate += urgency.CallRate(l.Total, slots, speed.CallSeconds)
+	limit := l.Limit
+	if maxConnections > 0 {
+		limit = min(limit, maxConnections)
+		c.maxRate += urgency.CallRate(maxConnections, 1, speed.CallSeconds)
+	}
 	for allowance := range c.free {
-		c.free[allowance] += max(0, min(slots+allowance-l.Total, l.Limit-l.Own))
+		c.free[allowance] += max(0, min(slots+allowance-l.Total, limit-l.Own))
 	}
 }
 
@@ -325,17 +339,19 @@
 }
 
 // tryPlaceByUrgency grants or refuses one step, or leaves it waiting, and reports whether the step was
-// granted or refused.
+// granted or refused. A step that is next is refused only after it was found to have no place, since the
+// estimate of the wait may be older than a free place.
 func (p *pool) tryPlaceByUrgency(endpoints []*upstream.Endpoint, w *waiter, now time.Time) (decided bool) {
 	u := &w.urgent
 	w.setState(now)
 	ahead := p.scan.ahead(u.allowance)
-	p.scan.passed[u.allowance]++
-	if refusal := p.refuseIfHopeless(w, ahead, now); refusal != nil {
-		w.refused <- refusal
+	defer func() { p.scan.passed[u.allowance]++ }()
+	allFull := u.allowance <= p.scan.fullAllowance && !w.isRestricted()
+	triesFirst := ahead == 0 && !allFull
+	if !triesFirst && p.refusesHopeless(w, ahead, now) {
 		return true
 	}
-	if u.allowance <= p.scan.fullAllowance && !w.isRestricted() {
+	if allFull {
 		u.waitsFor = waitsForPlace
 		return false
 	}
@@ -346,7 +362,16 @@
 	if !decided && u.waitsFor == waitsForPlace && len(p.candidates) == len(endpoints) && !w.isRestricted() {
 		p.scan.fullAllowance = max(p.scan.fullAllowance, u.allowance)
 	}
-	return decided
+	return decided || triesFirst && p.refusesHopeless(w, ahead, now)
+}
+
+// refusesHopeless refuses a waiting step if refuseIfHopeless does, and reports whether it was refused.
+func (p *pool) refusesHopeless(w *waiter, ahead int, now time.Time) bool {
+	refusal := p.refuseIfHopeless(w, ahead, now)
+	if refusal != nil {
+		w.refused <- refusal
+	}
+	return refusal != nil
 }
 
 // isRestricted reports whether the step may not use some of the upstreams that other steps may use.
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -564,3 +564,79 @@
 		g.Done(Feedback{Cancelled: true})
 	})
 }
+
+// Guards against calls that are held until their deadlines although they wait for connections: an engine with
+// free slots and all of this instance's connections in use has no place for its calls.
+func TestCallsThatWaitForConnectionsAreRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newPressured(Settings{}, 1)
+		request := func(program string, timeout time.Duration) Request {
+			r := urgentRequest(program, 0, 0)
+			r.MaxConnections, r.Deadline = 1, r.Arrived.Add(timeout)
+			return r
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 20 {
+			go func() { _, _ = s.Acquire(ctx, request(fmt.Sprint("waits", i), time.Hour)) }()
+		}
+		synctest.Wait()
+		is.Equal(s.Waiting(), 19)
+		r := request("hurried", 11*time.Second)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil)
+		is.Equal(refusal.Code, step.CodeOverloaded)
+		is.Equal(time.Since(r.Arrived), time.Duration(0))
+	})
+}
+
+// Guards against a sum over all engines for each arrival: arrivals that waited for the pool's lock are older
+// than the capacity that the holder of the lock has summed up.
+func TestCapacityIsKeptForOlderArrivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newPressured(Settings{}, 1)
+		r := urgentRequest("p", 0, 0)
+		p := s.pool(&r)
+		arrived := time.Now()
+		time.Sleep(time.Millisecond)
+		now := time.Now()
+		is.Equal(p.currentCapacity(now).at, now)
+		is.Equal(p.currentCapacity(arrived).at, now)
+	})
+}
+
+// Guards against a Retry-After for which a refused step counts as one that waits ahead of itself.
+func TestRefusedStepIsNotAheadOfItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newPressured(Settings{}, 1)
+		setPeers(table, "e0", 11) // one place is left, behind three calls that wait for a slot
+		r := urgentRequest("p", 0, 0)
+		r.Deadline = r.Arrived.Add(800 * time.Millisecond)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil)
+		is.Equal(refusal.Message, "the deadline can't be met; not run")
+		is.Equal(refusal.RetryAfter, minRetryAfter)
+	})
+}
+
+// Guards against a refusal although an engine has a place: the calls of other instances there have ended since
+// the places were counted for an estimate.
+func TestCallWithAPlaceIsNotRefusedByAnOldEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newPressured(Settings{}, 1)
+		setPeers(table, "e0", 15)
+		r := urgentRequest("earlier", 0, 0)
+		r.Deadline = r.Arrived.Add(time.Second)
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil) // the engine is full for it, and the next place comes too late
+		setPeers(table, "e0", 0)
+		time.Sleep(capacityLifetime / 2)
+		r = urgentRequest("p", 0, 0)
+		r.Deadline = r.Arrived.Add(time.Second)
+		is.True(isPlacedAtOnce(s, r))
+	})
+}
