--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,20 +177,6 @@
 	stageTimes   stageTimes
 }
 
-// stageTimes is the time that a call spent in each stage.
-type stageTimes struct {
-	// admitting is the wait for other instances' reports of the customer's calls.
-	admitting time.Duration
-	// reserving is the wait for the program's keepers before a turn, retaining the wait for them
-	// after it.
-	reserving, retaining time.Duration
-	// placing is the wait for the scheduler to grant a replica.
-	placing time.Duration
-	// awaitingHeader is the time from the start of an attempt to its response header, summed over
-	// all attempts.
-	awaitingHeader time.Duration
-}
-
 func (f *inFlightCall) serve(ctx context.Context) Result {
 	f.table = f.gateway.settings.Table()
 	if f.table == nil {
@@ -417,95 +403,12 @@
 	return result
 }
 
-// connectionLimit returns the number of connections that this instance may open to a replica.
-func (f *inFlightCall) connectionLimit() int {
-	return ConnectionLimit(f.service, f.gateway.settings.ConnectionShare)
-}
-
-// placementLimit returns the limit that the placement of the call observes; 0 for none.
-func (f *inFlightCall) placementLimit() int {
-	if f.service.MaxConnections == 0 {
-		return 0
-	}
-	return f.connectionLimit()
-}
-
-// ConnectionLimit returns the number of connections that an instance with the share may open to a
-// replica of the service.
-func ConnectionLimit(service *routing.Service, share func(maxConnections int) int) int {
-	if service.MaxConnections == 0 {
-		return unlimitedConnections
-	}
-	return share(service.MaxConnections)
-}
-
-// unlimitedConnections is the connection limit for a service whose MaxConnections is 0.
-const unlimitedConnections = 1 << 10
-
 func (f *inFlightCall) result(outcome Outcome, reason Reason, status int) Result {
 	return Result{Outcome: outcome, Reason: reason, Status: status, Replica: f.lastReplica, Attempts: f.attempts}
 }
 
 func (f *inFlightCall) isOutOfTime() bool { return time.Until(f.deadline) < minTimeLeft }
 
-// logResult writes the log line that summarises the call.
-func (f *inFlightCall) logResult(r *Result) {
-	fields := log.Fields{
-		"request": f.call.ID,
-		"outcome": r.Outcome.String(),
-		"ms":      time.Since(f.call.Arrived).Milliseconds(),
-		"sends":   r.Attempts,
-	}
-	if f.call.Program.ID != "" {
-		fields["program"] = f.call.Program.ID
-	}
-	if objective := f.call.Program.Objective; !objective.IsZero() {
-		fields["program_left_ms"] = time.Until(objective).Milliseconds()
-	}
-	if f.table != nil {
-		fields["version"] = f.table.Version
-	}
-	if f.route != nil {
-		fields["route"] = f.route.Name
-	}
-	if f.customer != nil {
-		fields["customer"] = f.customer.Name
-	}
-	if r.Replica != "" {
-		fields["replica"] = r.Replica
-	}
-	if r.Status != 0 {
-		fields["status"] = r.Status
-	}
-	if !f.firstEventAt.IsZero() {
-		fields["first_ms"] = f.firstEventAt.Sub(f.call.Arrived).Milliseconds()
-	}
-	f.stageTimes.addTo(fields)
-	if r.Cause != nil {
-		fields["cause"] = r.Cause
-		fields["previous"] = f.call.Previous
-	}
-	if r.Reason != "" {
-		fields["reason"] = string(r.Reason)
-		fields["retry_ms"] = r.RetryAfter.Milliseconds()
-		if !f.deadline.IsZero() {
-			fields["left_ms"] = time.Until(f.deadline).Milliseconds()
-		}
-	}
-	f.gateway.logger.WithFields(fields).Info("call")
-}
-
-// addTo adds the stages that took a millisecond or more to a log line's fields.
-func (s *stageTimes) addTo(fields log.Fields) {
-	for name, d := range map[string]time.Duration{
-		"admitting_ms": s.admitting, "reserving_ms": s.reserving, "keeping_ms": s.retaining, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
-	} {
-		if d >= time.Millisecond {
-			fields[name] = d.Milliseconds()
-		}
-	}
-}
-
 // NewHold returns a hold on the memory budget of calls.
 func (g *Gateway) NewHold() *buffer.Hold { return g.settings.Buffers.NewHold() }
 
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/apex/log"
+)
+
+// stageTimes is the time that a call spent in each stage.
+type stageTimes struct {
+	// admitting is the wait for other instances' reports of the customer's calls.
+	admitting time.Duration
+	// reserving is the wait for the program's keepers before a turn, retaining the wait for them
+	// after it.
+	reserving, retaining time.Duration
+	// placing is the wait for the scheduler to grant a replica.
+	placing time.Duration
+	// awaitingHeader is the time from the start of an attempt to its response header, summed over
+	// all attempts.
+	awaitingHeader time.Duration
+}
+
+// logResult writes the log line that summarises the call.
+func (f *inFlightCall) logResult(r *Result) {
+	fields := log.Fields{
+		"request": f.call.ID,
+		"outcome": r.Outcome.String(),
+		"ms":      time.Since(f.call.Arrived).Milliseconds(),
+		"sends":   r.Attempts,
+	}
+	if f.call.Program.ID != "" {
+		fields["program"] = f.call.Program.ID
+	}
+	if objective := f.call.Program.Objective; !objective.IsZero() {
+		fields["program_left_ms"] = time.Until(objective).Milliseconds()
+	}
+	if f.table != nil {
+		fields["version"] = f.table.Version
+	}
+	if f.route != nil {
+		fields["route"] = f.route.Name
+	}
+	if f.customer != nil {
+		fields["customer"] = f.customer.Name
+	}
+	if r.Replica != "" {
+		fields["replica"] = r.Replica
+	}
+	if r.Status != 0 {
+		fields["status"] = r.Status
+	}
+	if !f.firstEventAt.IsZero() {
+		fields["first_ms"] = f.firstEventAt.Sub(f.call.Arrived).Milliseconds()
+	}
+	f.stageTimes.addTo(fields)
+	if r.Cause != nil {
+		fields["cause"] = r.Cause
+		fields["previous"] = f.call.Previous
+	}
+	if r.Reason != "" {
+		fields["reason"] = string(r.Reason)
+		fields["retry_ms"] = r.RetryAfter.Milliseconds()
+		if !f.deadline.IsZero() {
+			fields["left_ms"] = time.Until(f.deadline).Milliseconds()
+		}
+	}
+	f.gateway.logger.WithFields(fields).Info("call")
+}
+
+// addTo adds the stages that took a millisecond or more to a log line's fields.
+func (s *stageTimes) addTo(fields log.Fields) {
+	for name, d := range map[string]time.Duration{
+		"admitting_ms": s.admitting, "reserving_ms": s.reserving, "keeping_ms": s.retaining, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
+	} {
+		if d >= time.Millisecond {
+			fields[name] = d.Milliseconds()
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpconn/pool.go
@@ -0,0 +1,192 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/netdial"
+)
+
+// Pool holds the connections to one address.
+type Pool struct {
+	address string
+
+	mu        sync.Mutex
+	idle      []*conn
+	openCount int
+	// openedCount counts the connections opened since the pool was created.
+	openedCount int64
+	// limit is the limit that was stated last.
+	limit  int
+	closed bool
+
+	// usedCount is the number of connections that are in use or being opened, and idleUntil when the idle
+	// connection that was used last reaches its idle timeout, in Unix nanoseconds; 0 if none is idle. They
+	// are set under mu, and read without it by each placement decision.
+	usedCount, idleUntil atomic.Int64
+}
+
+// NewPool returns a pool without connections.
+func NewPool(address string) *Pool { return &Pool{address: address} }
+
+// OpenedCount returns the number of connections opened so far.
+func (p *Pool) OpenedCount() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.openedCount
+}
+
+// HasIdleConnection reports whether the pool has an idle connection that has not reached its idle timeout.
+func (p *Pool) HasIdleConnection() bool {
+	until := p.idleUntil.Load()
+	return until != 0 && time.Now().UnixNano() < until
+}
+
+// HasRoom reports whether Do would get a connection: an idle one, or a new one if fewer than limit are in use.
+func (p *Pool) HasRoom(limit int) bool { return p.usedCount.Load() < int64(limit) }
+
+// publishLocked sets what is read without the lock, which is held.
+func (p *Pool) publishLocked() {
+	p.usedCount.Store(int64(p.openCount - len(p.idle)))
+	if n := len(p.idle); n > 0 {
+		p.idleUntil.Store(p.idle[n-1].idleSince.Add(p.idle[n-1].idleTimeout).UnixNano())
+		return
+	}
+	p.idleUntil.Store(0)
+}
+
+// setLimitLocked sets the limit and closes the idle connections above it, those that have been idle for
+// longest first; the lock is held.
+func (p *Pool) setLimitLocked(limit int) {
+	p.limit = limit
+	excess := min(len(p.idle), max(0, p.openCount-limit))
+	for _, c := range p.idle[:excess] {
+		c.netConn.Close()
+	}
+	p.openCount -= excess
+	p.idle = slices.Delete(p.idle, 0, excess)
+}
+
+// Close closes idle connections; those in use are closed when their calls end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		p.openCount--
+		c.netConn.Close()
+	}
+	p.idle = nil
+	p.publishLocked()
+}
+
+// CloseIfUnused closes the connections that have reached their idle timeout, and the idle ones above
+// limit. If none is left, it closes the pool and returns true. Without it, a connection that its server
+// closed would be kept until the next call to the same address.
+func (p *Pool) CloseIfUnused(limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.publishLocked()
+	p.setLimitLocked(limit)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if time.Since(c.idleSince) < c.idleTimeout {
+			return false
+		}
+		p.openCount--
+		c.netConn.Close()
+		return true
+	})
+	p.closed = p.closed || p.openCount == 0
+	return p.closed
+}
+
+// Do sends the call over an idle connection, or over a new one if fewer than limit are open. When
+// ctx ends, the connection is closed immediately, which tells the server to stop its work.
+func (p *Pool) Do(ctx context.Context, call *Call, limit int) (*Response, error) {
+	c, err := p.acquire(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	c.beginCall(ctx)
+	response, err := c.exchange(call)
+	if err != nil {
+		c.discard(c.callCount)
+		return nil, err
+	}
+	return response, nil
+}
+
+func (p *Pool) acquire(ctx context.Context, limit int) (*conn, error) {
+	for {
+		c, dial := p.takeIdleOrReserve(limit)
+		switch {
+		case c == nil && !dial:
+			return nil, ErrConnectionLimit
+		case dial:
+			c, err := p.dial(ctx, netdial.DialForCall)
+			if err != nil {
+				return nil, errors.Wrap(ErrNotSent, err.Error())
+			}
+			return c, nil
+		case c.prepareForCall():
+			return c, nil
+		}
+		p.closeConn(c)
+	}
+}
+
+// takeIdleOrReserve returns the idle connection that was used last. If there is none and fewer than
+// limit are open, it reserves a new connection and returns dial, for the caller to open it.
+func (p *Pool) takeIdleOrReserve(limit int) (c *conn, dial bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.publishLocked()
+	p.setLimitLocked(limit)
+	if n := len(p.idle); n > 0 {
+		c = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, false
+	}
+	if p.openCount >= limit {
+		return nil, false
+	}
+	p.openCount++
+	p.openedCount++
+	return nil, true
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dial opens the connection that takeIdleOrReserve reserved.
+func (p *Pool) dial(ctx context.Context, connect dialFunc) (*conn, error) {
+	n, err := connect(ctx, "tcp", p.address)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.openCount--
+		p.publishLocked()
+		return nil, err
+	}
+	netdial.LimitReceiveBuffer(n, receiveBuffer)
+	return newConn(p, n), nil
+}
+
+func newConn(p *Pool, n net.Conn) *conn {
+	limited := &limitedReader{reader: n}
+	return &conn{pool: p, netConn: n, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}
+}
+
+func (p *Pool) closeConn(c *conn) {
+	c.netConn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openCount--
+	p.publishLocked()
+}
