Log the software version of replicas, and which stream a call resumes

Cause: the lines of a call, of a failed attempt and of a listed replica name no software version, and none tells that a call resumes a stream; so the three hypotheses on streams of two versions can't be told apart in the record of the incident. Change: replica_version in 'call', 'attempt failed' and 'replica added'; resumes and resume_after; a counter of attempts that resume a stream; 'foxhall explain' of a call finds those that resume it. No decision changes. Conclusion: a stream of two versions shows as two lines of which one resumes the other, with different replica_version.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -110,7 +110,7 @@
 
 // names reports whether the line names the request or program with this ID.
 func (l *Line) names(id string) bool {
-	return l.Text("request") == id || l.Text("program") == id || l.Text("previous") == id
+	return l.Text("request") == id || l.Text("program") == id || l.Text("previous") == id || l.Text("resumes") == id
 }
 
 // contentMessages are the messages about contents under which upstreams ended.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,9 @@
 	f.attempts++
 	a := &attemptState{place: at, grant: at.grant, hold: f.hold, resumeAfter: resumeAfter, began: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	if resumeAfter != "" {
+		f.gateway.attempts.resumptions.Inc(1)
+	}
 	f.open = append(f.open, a)
 	return a
 }
@@ -249,7 +252,7 @@
 // that has taken over, if one has.
 func (f *inFlightCall) run(ctx context.Context, a *attemptState, x *exchange) (verdict, *attemptState) {
 	defer a.end()
-	f.lastReplica = a.grant.Upstream
+	f.lastReplica, f.lastVersion = a.grant.Upstream, a.grant.Version
 	h := f.newHedger(ctx, a, x)
 	defer h.stop()
 	v := a.verdict
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,9 @@
 	Previous string
 	// ResumeAfter is the ID of the last event that the caller received of an earlier response.
 	ResumeAfter string
+	// Resumes is the ID of the call that brought the first event of a resumed stream; empty if the caller
+	// names none.
+	Resumes string
 }
 
 // Caller receives the response. An error indicates that the caller has disconnected.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,8 +166,8 @@
 	awaitedEnds int
 	// hedgeHolds are the memory held for hedges' responses.
 	hedgeHolds []*buffer.Hold
-	// lastReplica is the replica of the latest attempt.
-	lastReplica string
+	// lastReplica is the replica of the latest attempt, lastVersion the version of its software.
+	lastReplica, lastVersion string
 	// replicaRefuses is set if the replica of the latest attempt refused a connection after it.
 	replicaRefuses bool
 	// headerSent is set once the response header was forwarded to the caller.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -46,6 +46,10 @@
 	if r.Replica != "" {
 		fields["replica"] = r.Replica
 	}
+	if r.Replica != "" && f.lastVersion != "" {
+		fields["replica_version"] = f.lastVersion
+	}
+	f.addResumption(fields)
 	if r.Status != 0 {
 		fields["status"] = r.Status
 	}
@@ -67,6 +71,21 @@
 	f.gateway.logger.WithFields(fields).Info("call")
 }
 
+// maxLoggedID bounds the IDs of other calls in a log line, in bytes: callers choose them.
+const maxLoggedID = 64
+
+// addResumption adds which stream the call resumes, and after which event.
+func (f *inFlightCall) addResumption(fields log.Fields) {
+	if f.call.Resumes != "" {
+		fields["resumes"] = boundedID(f.call.Resumes)
+	}
+	if f.call.ResumeAfter != "" {
+		fields["resume_after"] = boundedID(f.call.ResumeAfter)
+	}
+}
+
+func boundedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // addTo adds the stages that took a millisecond or more to a log line's fields.
 func (s *stageTimes) addTo(fields log.Fields) {
 	for name, d := range map[string]time.Duration{
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -95,6 +95,8 @@
 	// probes counts the probes after broken connections by result.
 	probes   [httpconn.Refused + 1]metrics.Counter
 	exceeded metrics.Counter
+	// resumptions counts the attempts that resume a stream after an event that the caller has.
+	resumptions metrics.Counter
 	// hedges counts the attempts that were started because another one was silent, hedgesWon those of
 	// them that took over, and hedgesAbandoned those that ended because the other one went on.
 	hedges, hedgesWon, hedgesAbandoned metrics.Counter
@@ -102,6 +104,7 @@
 
 func newAttemptCounters(registry metrics.Registry) *attemptCounters {
 	s := &attemptCounters{exceeded: metrics.GetOrRegisterCounter("gateway.attempts.exceeded", registry)}
+	s.resumptions = metrics.GetOrRegisterCounter("gateway.streams.resumptions", registry)
 	s.hedges = metrics.GetOrRegisterCounter("gateway.hedges.started", registry)
 	s.hedgesWon = metrics.GetOrRegisterCounter("gateway.hedges.won", registry)
 	s.hedgesAbandoned = metrics.GetOrRegisterCounter("gateway.hedges.abandoned", registry)
@@ -148,6 +151,12 @@
 		"unheard_ms":  f.gateway.settings.SilentFor(a.grant.DataCentre).Milliseconds(),
 		"content":     f.fingerprint.String(),
 	}
+	if a.grant.Version != "" {
+		fields["replica_version"] = a.grant.Version
+	}
+	if a.resumeAfter != "" {
+		fields["resume_after"] = boundedID(a.resumeAfter)
+	}
 	if a.connectionBroke(v) {
 		fields["replica_state"] = a.liveness.String()
 	}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -166,7 +166,7 @@
 func (n *Node) logReplicas(changes []replicaChange, revision uint64) {
 	logChange := func(r *routing.Replica, message string) {
 		n.logger.WithField("replica", r.Name()).WithField("service", r.Service).WithField("address", r.Address).
-			WithField("revision", revision).Info(message)
+			WithField("replica_version", r.Version).WithField("revision", revision).Info(message)
 	}
 	for _, c := range changes {
 		switch {
