A stream goes on only at the software version that began it

Cause: placement treated all replicas of a service as interchangeable for the whole life of a stream. Neither a second attempt or hedge within a response nor a call that takes a stream up again at any entry knew at which version the stream had begun. It is state that one entry had (not even kept) and a caller's next try needed at another. Ruled out: deriving the version from the call's ID (a change of the set of versions moves it), putting it into event IDs or headers (both are the replica's), asking all entries (370 x each resumption). Change: the version is fixed when the first event is forwarded; further attempts and hedges are placed at this version alone. The entry records it and, unless one version alone has served for a stream's longest life in a fresh view, tells three entries in different data centres, chosen on a ring by a hash of service, customer and call ID. A call with Last-Event-Id asks them. A version that nobody knows is refused at once (503, version_unknown), unless two of them vouch that only one can have begun it; so is one that no replica serves (version_gone). When a second version is listed, entries tell the streams that they had not told.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -117,7 +117,11 @@
 	Quarantined            Reason = "quarantined"
 	Isolated               Reason = "isolated"
 	TurnNotRetained        Reason = "not_kept"
-	CallerDisconnected     Reason = "caller_left"
+	// VersionUnknown: it can't be told at which version of the software the stream began. VersionGone: no
+	// replica runs it any more.
+	VersionUnknown     Reason = "version_unknown"
+	VersionGone        Reason = "version_gone"
+	CallerDisconnected Reason = "caller_left"
 )
 
 // Result describes how a call ended.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Turn func() quarantine.Turn
 	// RunsVersion reports whether any replica of a service runs a version; nil if versions are not known.
 	RunsVersion func(service, version string) bool
+	// Origins knows at which version resumable streams began; nil if they may go on at any.
+	Origins Origins
 }
 
 // Quotas enforces customers' quotas over all instances.
@@ -170,6 +172,8 @@
 	lastReplica, lastVersion string
 	// replicaRefuses is set if the replica of the latest attempt refused a connection after it.
 	replicaRefuses bool
+	// streamVersion is the version at which the stream must go on.
+	streamVersion streamVersion
 	// headerSent is set once the response header was forwarded to the caller.
 	headerSent bool
 	// firstEventAt is when the first event, or the complete response, was forwarded.
@@ -271,6 +275,9 @@
 	if f.route.Kind != routing.Stream {
 		return f.serveNonStreaming(ctx)
 	}
+	if refusal := f.resolveVersion(ctx); refusal != nil {
+		return *refusal
+	}
 	if f.gateway.turns != nil && (f.route.RetainsTurns || f.call.Program.Budget > 0) {
 		return f.serveTurn(ctx)
 	}
@@ -328,11 +335,14 @@
 }
 
 // serviceKey returns the key by which the route chooses the call's service. All calls of a
-// program have the same key, so that they go to the same service.
+// program have the same key, so that they go to the same service, and so have those of one stream.
 func (f *inFlightCall) serviceKey() uint64 {
 	if f.call.Program.ID != "" {
 		return xxhash.Sum64String(f.call.Program.ID)
 	}
+	if f.call.ResumeAfter != "" && f.call.Resumes != "" {
+		return xxhash.Sum64String(f.call.Resumes)
+	}
 	return xxhash.Sum64String(f.call.ID)
 }
 
@@ -360,6 +370,8 @@
 		Objective:          f.call.Program.Objective,
 		Arrived:            f.call.Arrived,
 		Resent:             f.attempts > 0,
+		AtVersion:          f.streamVersion.fixed,
+		Version:            f.streamVersion.version,
 	}
 	if suspected {
 		r.Isolated, r.Avoid = true, f.gateway.isolation.Replicas()
@@ -398,6 +410,9 @@
 	if r.Code == step.CodeNoUpstream || r.Code == step.CodeModelNotFound {
 		reason = NoReplica
 	}
+	if r.VersionGone {
+		reason = VersionGone
+	}
 	result := refused(reason, r.RetryAfter)
 	result.Attempts, result.Replica = f.attempts, f.lastReplica
 	return result
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -13,6 +13,8 @@
 	// reserving is the wait for the program's keepers before a turn, retaining the wait for them
 	// after it.
 	reserving, retaining time.Duration
+	// resolving is the wait for other instances that know at which version a stream began.
+	resolving time.Duration
 	// placing is the wait for the scheduler to grant a replica.
 	placing time.Duration
 	// awaitingHeader is the time from the start of an attempt to its response header, summed over
@@ -82,6 +84,12 @@
 	if f.call.ResumeAfter != "" {
 		fields["resume_after"] = boundedID(f.call.ResumeAfter)
 	}
+	if s := &f.streamVersion; f.call.ResumeAfter != "" && f.route != nil && f.keepsVersion() {
+		fields["version_found"], fields["version_answers"] = s.resolution.Source.String(), s.resolution.Answers
+		if s.fixed {
+			fields["began_at"] = s.version
+		}
+	}
 }
 
 func boundedID(id string) string { return id[:min(len(id), maxLoggedID)] }
@@ -89,7 +97,7 @@
 // addTo adds the stages that took a millisecond or more to a log line's fields.
 func (s *stageTimes) addTo(fields log.Fields) {
 	for name, d := range map[string]time.Duration{
-		"admitting_ms": s.admitting, "reserving_ms": s.reserving, "keeping_ms": s.retaining, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
+		"admitting_ms": s.admitting, "reserving_ms": s.reserving, "keeping_ms": s.retaining, "resolving_ms": s.resolving, "placing_ms": s.placing, "sending_ms": s.awaitingHeader,
 	} {
 		if d >= time.Millisecond {
 			fields[name] = d.Milliseconds()
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -31,6 +31,9 @@
 	ResumeAfter string
 	// MaxConnections is the number of connections that this instance may open to the replica.
 	MaxConnections int
+	// ProvesIdentity is set if the replica must first prove that it is the start that is listed. If it is
+	// another one, it is not sent the call, and the response is one of a misdirected call.
+	ProvesIdentity bool
 }
 
 // Response is a replica's response whose body is still to be read. Close must be called.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -179,6 +179,9 @@
 			a.recordProgress()
 			h.recordProgress(f.gapTimeout())
 		}
+		if len(events) > 0 {
+			f.fixVersion(a.grant.Version, rec)
+		}
 		if f.exceedsOutput(rec.eventCount - countBefore + len(events)) {
 			a.err = errOutputTooLong
 			return oversizedResponse, Result{}, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"foxhall/internal/limit"
 	"foxhall/internal/mirror"
 	"foxhall/internal/netdial"
+	"foxhall/internal/origin"
 	"foxhall/internal/peerload"
 	"foxhall/internal/quarantine"
 	"foxhall/internal/routing"
@@ -126,7 +127,9 @@
 	quotas   *limit.Quotas
 	// quarantine holds the contents of calls under which replicas ended.
 	quarantine *quarantine.Table
-	turns      *history.Client
+	// origins knows at which version of their service streams began.
+	origins *origin.Registry
+	turns   *history.Client
 	gateway    *gateway.Gateway
 	// buffers is the memory that calls under way may hold.
 	buffers *buffer.Budget
@@ -186,6 +189,7 @@
 		fanout = peerload.KeeperFanout
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, fanout, n.upstream, n.fleet.entryAddresses, n.logger)
+	n.origins = origin.NewRegistry(n.replicas.versions, originPeers{n}, func(now time.Time) time.Duration { return n.mirror.Age(mirror.Replicas, now) }, registry)
 	n.fleet.broadcast = n.load.BroadcastKeeperStatus
 	if n.keeper != nil {
 		n.load.OnKeeperStatus(n.receiveKeeperStatus)
@@ -193,6 +197,7 @@
 	if s.CallersAddress != "" {
 		n.load.SetQuotas(n.quotas)
 		n.load.SetQuarantine(n.quarantine, registry)
+		n.load.SetOrigins(n.origins, registry)
 	}
 	n.fleet.isReachable = n.isReachable
 	n.fleet.isSilent = n.isSilent
@@ -235,7 +240,8 @@
 
 		Quarantine:  n.quarantine,
 		Turn:        n.fleet.turn,
-		RunsVersion: n.replicas.versions.runs,
+		RunsVersion: n.replicas.versions.Runs,
+		Origins:     n.origins,
 	}, sched, n.adapter.Replicas, n.turns, n.logger, n.registry)
 }
 
@@ -323,6 +329,7 @@
 	return func(paused time.Duration) {
 		n.logger.WithField("paused_ms", paused.Milliseconds()).Warn("process was paused; reading the store again")
 		n.load.ResetAfterPause()
+		n.origins.ResetAfterPause()
 		if n.keeper != nil {
 			n.keeper.ResetAfterPause()
 		}
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -44,7 +44,11 @@
 	}
 	changed, removed := n.replicaFeed.Take()
 	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
-	asOf, _ := n.mirror.AsOf(mirror.Replicas)
+	asOf, known := n.mirror.AsOf(mirror.Replicas)
+	if known {
+		n.replicas.versions.Begin(time.Now())
+	}
+	n.tellMixedStreams()
 	n.logReplicas(changes, uint64(asOf))
 	n.confirmEnds(changes)
 	if !table.SameServices(n.appliedTable) {
@@ -60,6 +64,16 @@
 	n.adapter.Replicas.RetainTargets(n.connectionLimitOf)
 }
 
+// tellMixedStreams tells the holders of records at which version the streams began of the services that have
+// come to run a second version.
+func (n *Node) tellMixedStreams() {
+	for _, service := range n.replicas.mixed {
+		versions, counts := n.replicas.versions.Listed(service)
+		n.logger.WithField("service", service).WithField("versions", versions).WithField("replicas", counts).Info("several versions of a service")
+		n.origins.TellAll(service)
+	}
+}
+
 // connectionLimitOf returns the number of connections that this instance may open to a target, and
 // whether the target is in use.
 func (n *Node) connectionLimitOf(t gateway.Target) (limit int, listed bool) {
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"sync"
 	"time"
 	"unique"
 
 	"foxhall/internal/gateway"
 	"foxhall/internal/mirror"
+	"foxhall/internal/origin"
 	"foxhall/internal/routing"
 	"foxhall/internal/usage"
 )
@@ -20,42 +20,14 @@
 	// held are the ids of replicas whose removal is delayed because they may still be alive: entries
 	// expire while the store is unavailable.
 	held map[string]bool
-	// versions counts the replicas by version.
-	versions versionCounts
-}
-
-// versionCounts counts the replicas of each version of each service. It is safe for concurrent use.
-type versionCounts struct {
-	mu     sync.Mutex
-	counts map[serviceVersion]int
-}
-
-type serviceVersion struct{ service, version string }
-
-// runs reports whether any replica of the service runs the version.
-func (c *versionCounts) runs(service, version string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.counts[serviceVersion{service, version}] > 0
-}
-
-// replace takes a replica out of the counts and adds another one; nil for none.
-func (c *versionCounts) replace(before, after *routing.Replica) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if after != nil {
-		c.counts[serviceVersion{after.Service, after.Version}]++
-	}
-	if before != nil {
-		key := serviceVersion{before.Service, before.Version}
-		if c.counts[key]--; c.counts[key] <= 0 {
-			delete(c.counts, key)
-		}
-	}
+	// versions counts the replicas by version. mixed holds the services of which a second version was listed
+	// in the latest update.
+	versions *origin.Versions
+	mixed    []string
 }
 
 func newReplicaSet(decode func(id string, data []byte) (routing.Replica, bool)) *replicaSet {
-	return &replicaSet{decode: decode, byID: map[string]routing.Replica{}, held: map[string]bool{}, versions: versionCounts{counts: map[serviceVersion]int{}}}
+	return &replicaSet{decode: decode, byID: map[string]routing.Replica{}, held: map[string]bool{}, versions: origin.NewVersions()}
 }
 
 // replicaChange is the change of one replica. before is nil for a new one, after for a removed one.
@@ -65,6 +37,7 @@
 // register again; until then it stays in use, unless it was draining.
 func (s *replicaSet) update(changed []mirror.Entry, removed []string, grace time.Duration) []replicaChange {
 	var changes []replicaChange
+	s.mixed = s.mixed[:0]
 	for _, e := range changed {
 		r, ok := s.decode(e.Name, e.Value)
 		if !ok {
@@ -74,13 +47,15 @@
 		delete(s.held, e.Name)
 		// Thousands of replicas have few services, data centres and versions.
 		r.Service, r.DataCentre = unique.Make(r.Service).Value(), unique.Make(r.DataCentre).Value()
-		r.Version = unique.Make(r.Version).Value()
+		r.Version = unique.Make(origin.ShortVersion(r.Version)).Value()
 		change := replicaChange{after: &r}
 		if before, known := s.byID[e.Name]; known {
 			change.before = &before
 		}
 		s.byID[e.Name] = r
-		s.versions.replace(change.before, change.after)
+		if s.versions.Replace(originReplica(change.before), originReplica(change.after), time.Now()) {
+			s.mixed = append(s.mixed, r.Service)
+		}
 		changes = append(changes, change)
 	}
 	for _, id := range removed {
@@ -101,11 +76,18 @@
 	return changes
 }
 
+func originReplica(r *routing.Replica) *origin.Replica {
+	if r == nil {
+		return nil
+	}
+	return &origin.Replica{Service: r.Service, Version: r.Version, Draining: r.Draining}
+}
+
 func (s *replicaSet) remove(id string) replicaChange {
 	r := s.byID[id]
 	delete(s.byID, id)
 	delete(s.held, id)
-	s.versions.replace(&r, nil)
+	s.versions.Replace(originReplica(&r), nil, time.Now())
 	return replicaChange{before: &r}
 }
 
--- a/internal/node/upstreams_test.go
+++ b/internal/node/upstreams_test.go
@@ -131,14 +131,16 @@
 	s := newTestReplicaSet(new(int))
 	s.update([]mirror.Entry{versioned("a", "v1"), versioned("b", "v1")}, nil, 0)
 	service := s.byID["a"].Service
-	is.True(s.versions.runs(service, "v1"))
+	is.True(s.versions.Runs(service, "v1"))
 	s.update([]mirror.Entry{versioned("a", "v2")}, nil, 0)
-	is.True(s.versions.runs(service, "v1"))
-	is.True(s.versions.runs(service, "v2"))
-	is.True(!s.versions.runs("other", "v2"))
+	is.True(s.versions.Runs(service, "v1"))
+	is.True(s.versions.Runs(service, "v2"))
+	is.True(!s.versions.Runs("other", "v2"))
 	s.update(nil, []string{"b"}, time.Second)
-	is.True(s.versions.runs(service, "v1")) // it may still be alive
+	is.True(s.versions.Runs(service, "v1")) // it may still be alive
 	s.update(nil, nil, 0)
-	is.True(!s.versions.runs(service, "v1"))
-	is.Equal(len(s.versions.counts), 1)
+	is.True(!s.versions.Runs(service, "v1"))
+	versions, counts := s.versions.Listed(service)
+	is.Equal(versions, []string{"v2"})
+	is.Equal(counts, []int{1})
 }
--- /dev/null
+++ b/internal/origin/registry.go
@@ -0,0 +1,313 @@
+package origin
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// answerWait bounds the wait for the answers of other instances. Questions are repeated every askInterval.
+	answerWait  = 250 * time.Millisecond
+	askInterval = 60 * time.Millisecond
+	// settleWait is how long the answers that are still missing are waited for once enough instances vouch
+	// for a version. It is several round trips between distant data centres.
+	settleWait = 40 * time.Millisecond
+	// maxViewAge is the age of the view of the replicas above which an instance vouches for no version.
+	maxViewAge = 3 * time.Second
+)
+
+// Peers reaches the instances that hold the records of streams, each by its datagram address.
+type Peers interface {
+	// Holders returns the other instances that hold the record of a stream, and whether this one does.
+	Holders(key Key) (others []netip.AddrPort, self bool)
+	// Tell sends records to an instance, Ask a question. Both may be lost.
+	Tell(instance netip.AddrPort, records []Record)
+	Ask(instance netip.AddrPort, question Question)
+}
+
+// Question asks at which version a stream began.
+type Question struct {
+	Key     Key
+	Service string
+	Life    time.Duration
+}
+
+// Registry records at which version streams began, and finds it out. It is safe for concurrent use.
+type Registry struct {
+	versions *Versions
+	peers    Peers
+	// viewAge returns the age of the view of the replicas.
+	viewAge func(now time.Time) time.Duration
+
+	mu    sync.Mutex
+	table *table
+	// startedAt is when this instance began to receive records; zero before. A pause starts it anew.
+	startedAt time.Time
+	waiting   map[Key][]*search
+
+	told, received, asked, answered, evicted metrics.Counter
+	found                                    [Sole + 1]metrics.Counter
+}
+
+// search waits for answers. That of this instance has the zero address.
+type search struct {
+	holders int
+	answers map[netip.AddrPort]Answer
+	// changed has an element after each answer.
+	changed chan struct{}
+}
+
+// NewRegistry returns a registry without records.
+func NewRegistry(versions *Versions, peers Peers, viewAge func(now time.Time) time.Duration, registry metrics.Registry) *Registry {
+	r := &Registry{
+		versions: versions, peers: peers, viewAge: viewAge, table: newTable(), startedAt: time.Now(), waiting: map[Key][]*search{},
+		told:     metrics.GetOrRegisterCounter("streams.origin.told", registry),
+		received: metrics.GetOrRegisterCounter("streams.origin.received", registry),
+		asked:    metrics.GetOrRegisterCounter("streams.origin.asked", registry),
+		answered: metrics.GetOrRegisterCounter("streams.origin.answered", registry),
+		evicted:  metrics.GetOrRegisterCounter("streams.origin.evicted", registry),
+	}
+	for s := range r.found {
+		r.found[s] = metrics.GetOrRegisterCounter("streams.origin.found."+Source(s).String(), registry)
+	}
+	_ = registry.Register("streams.origin.records", metrics.NewFunctionalGauge(func() int64 { return int64(r.Len()) }))
+	return r
+}
+
+// Len returns the number of records.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.table.records)
+}
+
+// ResetAfterPause is called after a pause of this process, in which it may have missed records.
+func (r *Registry) ResetAfterPause() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startedAt = time.Now()
+}
+
+// vouches returns the version that alone has served for the time before now, if this instance is certain.
+func (r *Registry) vouches(service string, life time.Duration, now time.Time) (version string, ok bool) {
+	if r.viewAge(now) > maxViewAge {
+		return "", false
+	}
+	return r.versions.Vouches(service, life, now)
+}
+
+// MustProve reports whether the version at which a replica of the service is listed must be proven before
+// a stream begins there, since several may serve.
+func (r *Registry) MustProve(service string, life time.Duration) bool {
+	_, ok := r.vouches(service, boundLife(life), time.Now())
+	return !ok
+}
+
+// Began records at which version a stream began, or goes on. The record is sent before Began returns.
+func (r *Registry) Began(s Stream, version string) {
+	now, life := time.Now(), boundLife(s.Life)
+	_, sole := r.vouches(s.Service, life, now)
+	record := Record{Key: s.Key(), Version: version, Life: life}
+	r.mu.Lock()
+	added, evicted := r.table.add(record, now)
+	added.service, added.told = s.Service, !sole
+	r.mu.Unlock()
+	if evicted {
+		r.evicted.Inc(1)
+	}
+	if !sole {
+		r.tell([]Record{record})
+	}
+}
+
+// TellAll tells the records of the service's streams that were not told, as a second version serves now.
+func (r *Registry) TellAll(service string) {
+	now := time.Now()
+	var records []Record
+	r.mu.Lock()
+	for at := r.table.newest; at != nil; at = at.older {
+		if at.service == service && !at.told && now.Before(at.expires) {
+			at.told = true
+			records = append(records, Record{Key: at.key, Version: at.version, Life: at.expires.Sub(now)})
+		}
+	}
+	r.mu.Unlock()
+	r.tell(records)
+}
+
+// tell sends each record to its holders, and the records of one holder together.
+func (r *Registry) tell(records []Record) {
+	byHolder := map[netip.AddrPort][]Record{}
+	for _, record := range records {
+		others, _ := r.peers.Holders(record.Key)
+		for _, holder := range others {
+			byHolder[holder] = append(byHolder[holder], record)
+		}
+	}
+	for holder, list := range byHolder {
+		r.told.Inc(int64(len(list)))
+		r.peers.Tell(holder, list)
+	}
+}
+
+// Receive adds records that another instance told.
+func (r *Registry) Receive(records []Record) {
+	now := time.Now()
+	r.received.Inc(int64(len(records)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		if _, evicted := r.table.add(record, now); evicted {
+			r.evicted.Inc(1)
+		}
+	}
+}
+
+// Answer answers another instance's question.
+func (r *Registry) Answer(q Question) Answer {
+	now, life := time.Now(), boundLife(q.Life)
+	version, vouches := r.vouches(q.Service, life, now)
+	r.answered.Inc(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.table.lookup(q.Key, now); known != nil {
+		return Answer{Key: q.Key, Known: !known.conflict, Conflict: known.conflict, Version: known.version}
+	}
+	if !vouches || now.Sub(r.startedAt) < life {
+		return Answer{Key: q.Key}
+	}
+	return Answer{Key: q.Key, Vouches: true, Version: version}
+}
+
+// ReceiveAnswer hands an answer to the searches that wait for it. Further answers of one instance replace
+// its earlier ones.
+func (r *Registry) ReceiveAnswer(from netip.AddrPort, a Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.waiting[a.Key] {
+		s.answers[from] = a
+		select {
+		case s.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Resolve finds out at which version a stream began.
+func (r *Registry) Resolve(ctx context.Context, s Stream) Resolution {
+	result := r.resolve(ctx, s)
+	r.found[result.Source].Inc(1)
+	return result
+}
+
+func (r *Registry) resolve(ctx context.Context, s Stream) Resolution {
+	life, key := boundLife(s.Life), s.Key()
+	if s.Call == "" {
+		return r.resolveUnnamed(s.Service, life)
+	}
+	r.mu.Lock()
+	known := r.table.lookup(key, time.Now())
+	if known != nil {
+		defer r.mu.Unlock()
+		if known.conflict {
+			return Resolution{Source: Contradicted}
+		}
+		return Resolution{Source: Own, Version: known.version}
+	}
+	r.mu.Unlock()
+	return r.search(ctx, s.Service, key, life)
+}
+
+// resolveUnnamed resolves a stream of which the caller does not name the first call.
+func (r *Registry) resolveUnnamed(service string, life time.Duration) Resolution {
+	if version, ok := r.versions.Only(service, life, time.Now()); ok {
+		return Resolution{Source: Sole, Version: version}
+	}
+	return Resolution{Source: Unknown}
+}
+
+// search asks the holders of the record.
+func (r *Registry) search(ctx context.Context, service string, key Key, life time.Duration) Resolution {
+	others, self := r.peers.Holders(key)
+	s := &search{holders: len(others), answers: map[netip.AddrPort]Answer{}, changed: make(chan struct{}, 1)}
+	question := Question{Key: key, Service: service, Life: life}
+	if self {
+		s.holders++
+		s.answers[netip.AddrPort{}] = r.Answer(question)
+	}
+	defer r.await(key, s)()
+	began := time.Now()
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	timeout := time.NewTimer(answerWait)
+	defer timeout.Stop()
+	settled := time.NewTimer(settleWait)
+	defer settled.Stop()
+	r.ask(others, s, question)
+	for {
+		result, complete := r.decide(service, life, s)
+		if complete || result.Source == Sole && time.Since(began) >= settleWait {
+			return result
+		}
+		select {
+		case <-s.changed:
+		case <-settled.C:
+		case <-ticker.C:
+			r.ask(others, s, question)
+		case <-timeout.C:
+			return result
+		case <-ctx.Done():
+			return result
+		}
+	}
+}
+
+// decide returns the resolution by the answers so far, and whether further ones can't change it.
+func (r *Registry) decide(service string, life time.Duration, s *search) (result Resolution, complete bool) {
+	only, ok := r.versions.Only(service, life, time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answers := make([]Answer, 0, len(s.answers))
+	for _, a := range s.answers {
+		answers = append(answers, a)
+	}
+	result = decide(answers, s.holders, only, ok)
+	return result, len(answers) >= s.holders || result.Source == Told || result.Source == Contradicted
+}
+
+// await registers a search for answers until the returned function is called.
+func (r *Registry) await(key Key, s *search) (stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[key] = append(r.waiting[key], s)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for i, other := range r.waiting[key] {
+			if other == s {
+				r.waiting[key] = append(r.waiting[key][:i:i], r.waiting[key][i+1:]...)
+				break
+			}
+		}
+		if len(r.waiting[key]) == 0 {
+			delete(r.waiting, key)
+		}
+	}
+}
+
+// ask sends the question to the holders that have not answered.
+func (r *Registry) ask(others []netip.AddrPort, s *search, q Question) {
+	for _, holder := range others {
+		r.mu.Lock()
+		_, answered := s.answers[holder]
+		r.mu.Unlock()
+		if !answered {
+			r.asked.Inc(1)
+			r.peers.Ask(holder, q)
+		}
+	}
+}
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -83,6 +83,8 @@
 	quotas Quotas
 	// contents is nil in an instance that sends no calls.
 	contents *contents
+	// origins is nil in an instance that forwards no streams.
+	origins *origins
 	// startedAt is the time when this instance started.
 	startedAt time.Time
 	// listeningSince is the time since which datagrams have been received without a pause, but for
@@ -424,9 +426,13 @@
 			}
 			continue
 		}
-		now := time.Now()
+		now, from := time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if hasOrigins(load) {
+			x.receiveOrigins(load, from)
+			continue
+		}
 		if hasContents(load) {
-			x.receiveContents(load, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), now)
+			x.receiveContents(load, from, now)
 			continue
 		}
 		if len(load.Counted) > 0 {
@@ -434,7 +440,7 @@
 			continue
 		}
 		x.RecordLoad(load, now)
-		x.recordAddress(load.From, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		x.recordAddress(load.From, from)
 		if x.quotas != nil {
 			x.quotas.Merge(decodeQuotaReport(load), now)
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -56,6 +56,7 @@
 const (
 	Allowed Reason = iota
 	NotGranted
+	OtherVersion
 	Tried
 	Avoided
 	NotLoaded
@@ -70,7 +71,7 @@
 
 // String returns the reason's name in log lines.
 func (r Reason) String() string {
-	return [...]string{"allowed", "not-granted", "tried", "avoided", "not-loaded", "leaving", "broken", "stalled", "view-too-old", "full", "no-connection"}[r]
+	return [...]string{"allowed", "not-granted", "other-version", "tried", "avoided", "not-loaded", "leaving", "broken", "stalled", "view-too-old", "full", "no-connection"}[r]
 }
 
 // isFull reports whether the candidate can take the step once a call that is under way there has ended.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -309,6 +309,10 @@
 		w.refused <- refusal
 		return true, false
 	}
+	if refusal := p.refuseIfVersionGone(w, &d); refusal != nil {
+		w.refused <- refusal
+		return true, false
+	}
 	if d.Chosen >= 0 && !d.ShouldWait {
 		endpoint := endpoints[p.candidates[d.Chosen].Index]
 		if trial, ok := endpoint.Upstream.TakeTrial(); ok {
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -61,6 +61,8 @@
 	switch {
 	case r.Grant != nil && len(r.Grant.DataCentres) > 0 && !r.Grant.AllowsDataCentre(u.DataCentre):
 		c.Rejection = placement.NotGranted
+	case r.AtVersion && u.Version != r.Version:
+		c.Rejection = placement.OtherVersion
 	case slices.Contains(r.Tried, u.Name):
 		c.Rejection = placement.Tried
 	case slices.Contains(r.Avoid, u.Name):
@@ -204,6 +206,17 @@
 	return n
 }
 
+// refuseIfVersionGone refuses a step if no upstream has the version that it needs: a further wait would not
+// help it. d is a decision among all of the upstreams or a sample of them.
+func (p *pool) refuseIfVersionGone(w *waiter, d *placement.Decision) *Refusal {
+	if !w.request.AtVersion || d.Rejections[placement.OtherVersion] < len(p.candidates) || len(p.candidates) == 0 {
+		return nil
+	}
+	refusal := refuse(step.CodeNoUpstream, 503, "no upstream has the version of the software that the step needs", 0)
+	refusal.VersionGone, refusal.decision = true, *d
+	return refusal
+}
+
 func noUpstreamRefusal(d *placement.Decision) *Refusal {
 	refusal := refuse(step.CodeNoUpstream, 503, "no upstream can take the step at present", noUpstreamWait)
 	if d.Rejections[placement.NotLoaded] > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -126,6 +126,9 @@
 	// and to none of those in Avoid while there is another.
 	Isolated bool
 	Avoid    []string
+	// AtVersion is set for a step that only upstreams whose software has this version may take.
+	AtVersion bool
+	Version   string
 }
 
 // Refusal is the reason why a step was not placed on an upstream, and so was not run.
@@ -134,6 +137,8 @@
 	Status     int
 	Message    string
 	RetryAfter time.Duration
+	// VersionGone is set if no upstream has the version that the step needs.
+	VersionGone bool
 
 	// decision is the last decision made for the step, if any.
 	decision placement.Decision
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -377,7 +377,7 @@
 // isRestricted reports whether the step may not use some of the upstreams that other steps may use.
 func (w *waiter) isRestricted() bool {
 	r := w.request
-	return r.Grant != nil || r.Isolated || len(r.Tried) > 0 || len(r.Avoid) > 0
+	return r.Grant != nil || r.Isolated || r.AtVersion || len(r.Tried) > 0 || len(r.Avoid) > 0
 }
 
 // recordDecision records why a step is left waiting.
