A replica proves that it is the start that is listed before a stream goes on there

Cause: a fact from the view, the version, was used at a process that the view did not describe: Expect-Instance tells ids apart, not starts. Ruled out: comparing clocks (starts are told in the replica's time, and clocks step); the age of the view alone (two seconds old). Change: while several versions may serve, and for each attempt that resumes a stream, a connection's first use is GET /report; another start counts as a misdirected call, which has not run. A connection leads to one process for as long as it lasts. A report without a start proves nothing, as before.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -86,6 +86,8 @@
 	// call then. On a connection that has served a call, the server names the calls, so that an anonymous
 	// response is a stray one.
 	Anonymous func(http.Header) bool
+	// Proof proves that a connection leads to the server that is meant; nil for no need of it.
+	Proof *Proof
 }
 
 // Response is the header of a response, with its body still to be read. Close must be called; a body
@@ -110,6 +112,8 @@
 	// idleTimeout is how long the connection may be idle before it is no longer used.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// proven is set once the connection's server was proven to be the one that is meant.
+	proven bool
 
 	mu sync.Mutex
 	// callCount counts the calls on the connection and numbers the current one. Ending a call
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -110,7 +110,7 @@
 // Do sends the call over an idle connection, or over a new one if fewer than limit are open. When
 // ctx ends, the connection is closed immediately, which tells the server to stop its work.
 func (p *Pool) Do(ctx context.Context, call *Call, limit int) (*Response, error) {
-	c, err := p.acquire(ctx, limit)
+	c, err := p.acquireProven(ctx, call.Proof, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -207,3 +207,13 @@
 	id, _, _ := strings.Cut(name, incarnationSeparator)
 	return id
 }
+
+// Incarnation returns the incarnation in a name returned by Replica.Name; 0 if there is none.
+func Incarnation(name string) int64 {
+	_, incarnation, _ := strings.Cut(name, incarnationSeparator)
+	n, err := strconv.ParseInt(incarnation, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
