Log for how long several versions of a service are listed

Cause: an operator saw no release that stopped half way. Change: 'several versions of a service' and 'one version of a service again' with its duration; records of streams bounded at 32,768.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -96,3 +96,22 @@
 	is.True(strings.Contains(rows[2], "placed  program=p"))
 	is.Equal(len(l.Trace("r1")), 1)
 }
+
+// Guards against the story of a stream that lacks what became of it at other instances: the calls that took it
+// up again, with the version at which it began, who knew that, and why one was refused.
+func TestStoryOfAStreamHasTheCallsThatResumeIt(t *testing.T) {
+	is := is.New(t)
+	const text = `
+{"time":"2026-03-02T21:07:05.1Z","message":"call","fields":{"instance":"entry-1","outcome":"gone","request":"first","replica_version":"v1"}}
+{"time":"2026-03-02T21:07:05.4Z","message":"call","fields":{"instance":"entry-2","outcome":"not-run","reason":"version_unknown","request":"second","resumes":"first","resume_after":"7","version_found":"unanswered","version_answers":0}}
+{"time":"2026-03-02T21:07:05.9Z","message":"call","fields":{"instance":"entry-3","outcome":"answered","request":"third","resumes":"first","resume_after":"7","version_found":"told","version_answers":1,"began_at":"v1","replica_version":"v1"}}
+{"time":"2026-03-02T21:07:06.0Z","message":"call","fields":{"instance":"entry-3","outcome":"answered","request":"other"}}`
+	l, err := Read(strings.NewReader(text))
+	is.NoErr(err)
+	var out bytes.Buffer
+	is.NoErr(WriteTrace(&out, l.Trace("first")))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(rows), 3)
+	is.True(strings.Contains(rows[1], "reason=version_unknown") && strings.Contains(rows[1], "version_found=unanswered"))
+	is.True(strings.Contains(rows[2], "began_at=v1") && strings.Contains(rows[2], "version_found=told"))
+}
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -48,7 +48,7 @@
 	if known {
 		n.replicas.versions.Begin(time.Now())
 	}
-	n.tellMixedStreams()
+	n.followVersions()
 	n.logReplicas(changes, uint64(asOf))
 	n.confirmEnds(changes)
 	if !table.SameServices(n.appliedTable) {
@@ -64,13 +64,18 @@
 	n.adapter.Replicas.RetainTargets(n.connectionLimitOf)
 }
 
-// tellMixedStreams tells the holders of records at which version the streams began of the services that have
-// come to run a second version.
-func (n *Node) tellMixedStreams() {
-	for _, service := range n.replicas.mixed {
-		versions, counts := n.replicas.versions.Listed(service)
-		n.logger.WithField("service", service).WithField("versions", versions).WithField("replicas", counts).Info("several versions of a service")
-		n.origins.TellAll(service)
+// followVersions logs the services that have come to run several versions, or one again. Of the former it
+// tells the holders of records at which version the streams under way began.
+func (n *Node) followVersions() {
+	for _, t := range n.replicas.transitions {
+		versions, counts := n.replicas.versions.Listed(t.Service)
+		line := n.logger.WithField("service", t.Service).WithField("versions", versions).WithField("replicas", counts)
+		if !t.Mixed {
+			line.WithField("mixed_ms", t.Lasted.Milliseconds()).Info("one version of a service again")
+			continue
+		}
+		line.Info("several versions of a service")
+		n.origins.TellAll(t.Service)
 	}
 }
 
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -20,10 +20,9 @@
 	// held are the ids of replicas whose removal is delayed because they may still be alive: entries
 	// expire while the store is unavailable.
 	held map[string]bool
-	// versions counts the replicas by version. mixed holds the services of which a second version was listed
-	// in the latest update.
-	versions *origin.Versions
-	mixed    []string
+	// versions counts the replicas by version. transitions are those of the latest update.
+	versions    *origin.Versions
+	transitions []origin.Transition
 }
 
 func newReplicaSet(decode func(id string, data []byte) (routing.Replica, bool)) *replicaSet {
@@ -37,7 +36,7 @@
 // register again; until then it stays in use, unless it was draining.
 func (s *replicaSet) update(changed []mirror.Entry, removed []string, grace time.Duration) []replicaChange {
 	var changes []replicaChange
-	s.mixed = s.mixed[:0]
+	s.transitions = s.transitions[:0]
 	for _, e := range changed {
 		r, ok := s.decode(e.Name, e.Value)
 		if !ok {
@@ -53,9 +52,7 @@
 			change.before = &before
 		}
 		s.byID[e.Name] = r
-		if s.versions.Replace(originReplica(change.before), originReplica(change.after), time.Now()) {
-			s.mixed = append(s.mixed, r.Service)
-		}
+		s.count(change)
 		changes = append(changes, change)
 	}
 	for _, id := range removed {
@@ -76,6 +73,13 @@
 	return changes
 }
 
+// count brings the counts of versions up to date with a change.
+func (s *replicaSet) count(c replicaChange) {
+	if t, ok := s.versions.Replace(originReplica(c.before), originReplica(c.after), time.Now()); ok {
+		s.transitions = append(s.transitions, t)
+	}
+}
+
 func originReplica(r *routing.Replica) *origin.Replica {
 	if r == nil {
 		return nil
@@ -87,8 +91,9 @@
 	r := s.byID[id]
 	delete(s.byID, id)
 	delete(s.held, id)
-	s.versions.Replace(originReplica(&r), nil, time.Now())
-	return replicaChange{before: &r}
+	change := replicaChange{before: &r}
+	s.count(change)
+	return change
 }
 
 // target returns the replica of a target, and whether it is in use, draining ones included: they still
--- a/internal/origin/registry_test.go
+++ b/internal/origin/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -168,11 +169,23 @@
 	})
 }
 
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // Guards against memory that grows with the streams of a flood.
 func TestRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
 	inWorld(t, 1, twoVersions(), func(w *world) {
 		n := w.instances[0]
+		before := heapBytes()
+		defer func() {
+			t.Logf("%d bytes a record", (heapBytes()-before)/maxRecords)
+			is.True(n.registry.Len() > 0)
+		}()
 		for i := range maxRecords + 10 {
 			n.begin(callNumber(i), "v1")
 		}
@@ -212,3 +225,27 @@
 		is.True(n.registry.MustProve(worldService, worldLife))
 	})
 }
+
+// Guards against operators who don't learn for how long several versions served.
+func TestTransitionsOfVersions(t *testing.T) {
+	is := is.New(t)
+	v, now := NewVersions(), time.Now()
+	replace := func(before, after string) Transition {
+		var gone, come *Replica
+		if before != "" {
+			gone = &Replica{Service: worldService, Version: before}
+		}
+		if after != "" {
+			come = &Replica{Service: worldService, Version: after}
+		}
+		now = now.Add(time.Second)
+		got, _ := v.Replace(gone, come, now)
+		return got
+	}
+	is.Equal(replace("", "v1"), Transition{})
+	is.Equal(replace("", "v2"), Transition{Service: worldService, Mixed: true})
+	is.Equal(replace("", "v3"), Transition{})
+	is.Equal(replace("v2", "v1"), Transition{})
+	is.Equal(replace("v3", ""), Transition{Service: worldService, Lasted: 3 * time.Second})
+	is.Equal(replace("v1", "v1"), Transition{})
+}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxRecords bounds the records of an instance. At the designed size an instance holds some thousands.
-const maxRecords = 1 << 16
+const maxRecords = 1 << 15
 
 // Record tells at which version a stream began.
 type Record struct {
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -24,6 +24,8 @@
 	listed, serving map[string]int
 	// goneAt is when the last replica of a version was removed.
 	goneAt map[string]time.Time
+	// mixedSince is since when replicas of several versions are listed; zero while they are not.
+	mixedSince time.Time
 }
 
 // Replica is what Versions counts of a replica.
@@ -44,33 +46,68 @@
 	}
 }
 
-// Replace takes a replica out of the counts and adds another one; nil for none. It reports whether a service
-// that had run one version has come to run two.
-func (v *Versions) Replace(before, after *Replica, now time.Time) (mixed bool) {
+// Transition is a change of a service from one version to several, or back.
+type Transition struct {
+	Service string
+	// Mixed is set once several versions are listed, and not set once one is again, after Lasted.
+	Mixed  bool
+	Lasted time.Duration
+}
+
+// Replace takes a replica out of the counts and adds another one; nil for none. It returns the transition of
+// the service, if there was one.
+func (v *Versions) Replace(before, after *Replica, now time.Time) (t Transition, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.replace(before, after, now)
+	for _, r := range [...]*Replica{after, before} {
+		if r == nil {
+			continue
+		}
+		if t, ok := v.services[r.Service].transition(now); ok {
+			t.Service = r.Service
+			return t, true
+		}
+	}
+	return Transition{}, false
+}
+
+// transition returns the change between one version and several since its last call.
+func (s *serviceVersions) transition(now time.Time) (Transition, bool) {
+	mixed, was := len(s.listed) > 1, !s.mixedSince.IsZero()
+	switch {
+	case mixed == was:
+		return Transition{}, false
+	case mixed:
+		s.mixedSince = now
+		return Transition{Mixed: true}, true
+	default:
+		lasted := now.Sub(s.mixedSince)
+		s.mixedSince = time.Time{}
+		return Transition{Lasted: lasted}, true
+	}
+}
+
+func (v *Versions) replace(before, after *Replica, now time.Time) {
 	if after != nil {
 		s := v.services[after.Service]
 		if s == nil {
 			s = &serviceVersions{listed: map[string]int{}, serving: map[string]int{}, goneAt: map[string]time.Time{}}
 			v.services[after.Service] = s
 		}
-		mixed = s.add(after)
+		s.add(after)
 	}
 	if before != nil {
 		v.remove(before, now)
 	}
-	return mixed
 }
 
-func (s *serviceVersions) add(r *Replica) (mixed bool) {
-	mixed = s.listed[r.Version] == 0 && len(s.listed) == 1
+func (s *serviceVersions) add(r *Replica) {
 	s.listed[r.Version]++
 	delete(s.goneAt, r.Version)
 	if !r.Draining {
 		s.serving[r.Version]++
 	}
-	return mixed
 }
 
 func (v *Versions) remove(r *Replica, now time.Time) {
--- a/internal/origin/world_test.go
+++ b/internal/origin/world_test.go
@@ -176,7 +176,7 @@
 		if after != "" {
 			come = &Replica{Service: worldService, Version: after}
 		}
-		if versions.Replace(gone, come, time.Now()) {
+		if t, ok := versions.Replace(gone, come, time.Now()); ok && t.Mixed {
 			registry.TellAll(worldService)
 		}
 	}
