A sole version goes on beside holders that have started lately

Cause: a holder vouched only if it had both seen the replicas and received records for a stream's whole life. A missing record matters only for versions that the views may lack, which are 3 s old at most. Change: an answer tells apart what the instance has seen (only, vouches) and whether it would have received a recent record (listened, 4 s); the asking instance vouches, too. Answers that are missing are waited for 140 ms, two more questions, in place of 40. Ruled out: to trust views alone; the machine finds streams that go on at another version then. Its plays found two more: a removal of a replica of an unknown service ended the process, and a stream whose record expires while it is asked for (allowed: the oracle ends 250 ms before).

--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -14,10 +14,13 @@
 	answerWait  = 250 * time.Millisecond
 	askInterval = 60 * time.Millisecond
 	// settleWait is how long the answers that are still missing are waited for once enough instances vouch
-	// for a version. It is several round trips between distant data centres.
-	settleWait = 40 * time.Millisecond
+	// for a version. It leaves time for two more questions.
+	settleWait = 140 * time.Millisecond
 	// maxViewAge is the age of the view of the replicas above which an instance vouches for no version.
 	maxViewAge = 3 * time.Second
+	// listenedFor is how long an instance must have received records without a pause to have those of streams
+	// whose versions views of maxViewAge may lack.
+	listenedFor = maxViewAge + time.Second
 )
 
 // Peers reaches the instances that hold the records of streams, each by its datagram address.
@@ -55,8 +58,9 @@
 
 // search waits for answers. That of this instance has the zero address.
 type search struct {
-	holders int
-	answers map[netip.AddrPort]Answer
+	holders  int
+	isHolder bool
+	answers  map[netip.AddrPort]Answer
 	// changed has an element after each answer.
 	changed chan struct{}
 }
@@ -170,18 +174,23 @@
 
 // Answer answers another instance's question.
 func (r *Registry) Answer(q Question) Answer {
-	now, life := time.Now(), boundLife(q.Life)
-	version, vouches := r.vouches(q.Service, life, now)
 	r.answered.Inc(1)
+	return r.answer(q)
+}
+
+func (r *Registry) answer(q Question) Answer {
+	now, life := time.Now(), boundLife(q.Life)
+	version, only := r.versions.Only(q.Service, life, now)
+	_, vouches := r.vouches(q.Service, life, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if known := r.table.lookup(q.Key, now); known != nil {
 		return Answer{Key: q.Key, Known: !known.conflict, Conflict: known.conflict, Version: known.version}
 	}
-	if !vouches || now.Sub(r.startedAt) < life {
+	if !only {
 		return Answer{Key: q.Key}
 	}
-	return Answer{Key: q.Key, Vouches: true, Version: version}
+	return Answer{Key: q.Key, Version: version, Only: true, Vouches: vouches, Listened: now.Sub(r.startedAt) >= listenedFor}
 }
 
 // ReceiveAnswer hands an answer to the searches that wait for it. Further answers of one instance replace
@@ -234,11 +243,11 @@
 // search asks the holders of the record.
 func (r *Registry) search(ctx context.Context, service string, key Key, life time.Duration) Resolution {
 	others, self := r.peers.Holders(key)
-	s := &search{holders: len(others), answers: map[netip.AddrPort]Answer{}, changed: make(chan struct{}, 1)}
 	question := Question{Key: key, Service: service, Life: life}
+	s := &search{holders: len(others), isHolder: self, answers: map[netip.AddrPort]Answer{}, changed: make(chan struct{}, 1)}
 	if self {
 		s.holders++
-		s.answers[netip.AddrPort{}] = r.Answer(question)
+		s.answers[netip.AddrPort{}] = r.answer(question)
 	}
 	defer r.await(key, s)()
 	began := time.Now()
@@ -250,7 +259,7 @@
 	defer settled.Stop()
 	r.ask(others, s, question)
 	for {
-		result, complete := r.decide(service, life, s)
+		result, complete := r.decide(question, s)
 		if complete || result.Source == Sole && time.Since(began) >= settleWait {
 			return result
 		}
@@ -268,15 +277,15 @@
 }
 
 // decide returns the resolution by the answers so far, and whether further ones can't change it.
-func (r *Registry) decide(service string, life time.Duration, s *search) (result Resolution, complete bool) {
-	only, ok := r.versions.Only(service, life, time.Now())
+func (r *Registry) decide(q Question, s *search) (result Resolution, complete bool) {
+	own := r.answer(q)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	answers := make([]Answer, 0, len(s.answers))
 	for _, a := range s.answers {
 		answers = append(answers, a)
 	}
-	result = decide(answers, s.holders, only, ok)
+	result = decide(answers, s.holders, own, s.isHolder)
 	return result, len(answers) >= s.holders || result.Source == Told || result.Source == Contradicted
 }
 
--- a/internal/origin/resolve.go
+++ b/internal/origin/resolve.go
@@ -35,44 +35,61 @@
 // Found reports whether the version is known.
 func (r Resolution) Found() bool { return r.Source >= Own }
 
-// Answer is what another instance knows of a stream.
+// Answer is what an instance knows of a stream.
 type Answer struct {
 	Key Key
-	// Known is set if the instance has a record, Conflict if it has contradicting ones.
+	// Known is set if the instance has a record, Conflict if it has contradicting ones. Version is that of the
+	// record; the other fields are set only without one.
 	Known, Conflict bool
-	// Vouches is set if it has none, would have received one, and has seen no version but Version for the
-	// whole life of the stream.
-	Vouches bool
-	Version string
+	Version         string
+	// Only is set if the instance has seen no version but Version within the life of the stream, as far as it
+	// goes back, and Vouches if it goes back that far, by a view that is not old.
+	Only, Vouches bool
+	// Listened is set if the instance would have received the record of a stream that began at a version which
+	// views that are not old may lack.
+	Listened bool
 }
 
-// minVouching is the number of instances that must vouch for a version, if the stream has as many holders.
-// They are in different data centres, so that one that is cut off doesn't decide alone.
-const minVouching = 2
+// minAgreeing is the number of instances that must vouch for a version, and of holders that must know of no
+// record, if there are as many. Holders are in different data centres, so that one that is cut off doesn't
+// decide alone.
+const minAgreeing = 2
 
-// decide returns the resolution by the answers of the holders so far. only is the only version that this
-// instance has seen; onlyOK is set if there is just one. Without a record, the resolution is final only once
-// all holders have answered or no more answers are awaited.
-func decide(answers []Answer, holders int, only string, onlyOK bool) Resolution {
+// decide returns the resolution by the answers of the holders so far. own is what this instance knows itself;
+// isHolder is set if it is among the answers, too.
+func decide(answers []Answer, holders int, own Answer, isHolder bool) Resolution {
 	result := Resolution{Source: Unknown, Answers: len(answers)}
-	vouching := 0
+	instances, vouching, listened, agree := holders, 0, 0, own.Only
+	if !isHolder {
+		instances++
+		vouching += count(own.Vouches)
+	}
 	for i := range answers {
-		switch a := &answers[i]; {
-		case a.Conflict, a.Known && result.Source == Told && result.Version != a.Version:
+		a := &answers[i]
+		if a.Conflict || a.Known && result.Source == Told && result.Version != a.Version {
 			return Resolution{Source: Contradicted, Answers: len(answers)}
-		case a.Known:
+		}
+		if a.Known {
 			result.Source, result.Version = Told, a.Version
-		case a.Vouches && onlyOK && a.Version == only:
-			vouching++
+			continue
 		}
+		agree = agree && a.Only && a.Version == own.Version
+		vouching += count(a.Vouches)
+		listened += count(a.Listened)
 	}
-	needed := min(minVouching, holders)
 	switch {
 	case result.Source == Told:
-	case holders > 0 && vouching == len(answers) && vouching >= needed:
-		result.Source, result.Version = Sole, only
-	case len(answers) < needed:
+	case agree && vouching >= min(minAgreeing, instances) && listened >= min(minAgreeing, holders):
+		result.Source, result.Version = Sole, own.Version
+	case len(answers) < min(minAgreeing, holders):
 		result.Source = Unanswered
 	}
 	return result
 }
+
+func count(ok bool) int {
+	if ok {
+		return 1
+	}
+	return 0
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -64,7 +64,11 @@
 		if r == nil {
 			continue
 		}
-		if t, ok := v.services[r.Service].transition(now); ok {
+		s := v.services[r.Service]
+		if s == nil {
+			continue
+		}
+		if t, ok := s.transition(now); ok {
 			t.Service = r.Service
 			return t, true
 		}
--- a/internal/peerload/origins.go
+++ b/internal/peerload/origins.go
@@ -91,12 +91,12 @@
 	if q := load.OriginQuestion; q != nil {
 		a := registry.Answer(origin.Question{Key: origin.Key(q.Stream), Service: q.Service, Life: milliseconds(q.LifeMs)})
 		x.sendOrigins(&peerloadpb.Load{OriginAnswer: &peerloadpb.OriginAnswer{
-			Stream: uint64(a.Key), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version,
+			Stream: uint64(a.Key), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version, Only: a.Only, Listened: a.Listened,
 		}}, from)
 	}
 	if a := load.OriginAnswer; a != nil {
 		registry.ReceiveAnswer(from, origin.Answer{
-			Key: origin.Key(a.Stream), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version,
+			Key: origin.Key(a.Stream), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version, Only: a.Only, Listened: a.Listened,
 		})
 	}
 }
