origin: records in a list of the library, and none untold beside a second version

Cause: a list of its own where container/list serves; and a stream that began between the look at the versions and the entry of its record, in the moment at which a second version was listed, was told to nobody. Change: container/list; the look comes after the entry. Found by reading, not seen.

--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -115,18 +115,22 @@
 // Began records at which version a stream began, or goes on. The record is sent before Began returns.
 func (r *Registry) Began(s Stream, version string) {
 	now, life := time.Now(), boundLife(s.Life)
-	_, sole := r.vouches(s.Service, life, now)
 	record := Record{Key: s.Key(), Version: version, Life: life}
 	r.mu.Lock()
 	added, evicted := r.table.add(record, now)
-	added.service, added.told = s.Service, !sole
+	added.service, added.told = s.Service, false
 	r.mu.Unlock()
 	if evicted {
 		r.evicted.Inc(1)
 	}
-	if !sole {
-		r.tell([]Record{record})
+	// A second version that is listed after this look finds the record in TellAll.
+	if _, sole := r.vouches(s.Service, life, now); sole {
+		return
 	}
+	r.mu.Lock()
+	added.told = true
+	r.mu.Unlock()
+	r.tell([]Record{record})
 }
 
 // TellAll tells the records of the service's streams that were not told, as a second version serves now.
@@ -134,8 +138,8 @@
 	now := time.Now()
 	var records []Record
 	r.mu.Lock()
-	for at := r.table.newest; at != nil; at = at.older {
-		if at.service == service && !at.told && now.Before(at.expires) {
+	for element := r.table.order.Front(); element != nil; element = element.Next() {
+		if at := recordOf(element); at.service == service && !at.told && now.Before(at.expires) {
 			at.told = true
 			records = append(records, Record{Key: at.key, Version: at.version, Life: at.expires.Sub(now)})
 		}
