A replica is handed the time that is left after its proof

Cause: Deadline-Ms was set before the connection proved where it leads. A replica that is silent for a second meanwhile would have been handed that second as well. Change: the header is set once the proof has been given. Found by reading.

--- a/internal/httpconn/proof.go
+++ b/internal/httpconn/proof.go
@@ -21,6 +21,9 @@
 	// IsOther reports whether the response shows that it comes from another server than the one that is
 	// meant.
 	IsOther func(status int, header http.Header, body []byte) bool
+	// Given is called once the proof has been given and before the call is sent, which may be much later than
+	// the call of Do; nil for nothing.
+	Given func()
 }
 
 // acquireProven returns a connection that is proven to lead to the server that is meant, if proof is not nil.
@@ -36,10 +39,14 @@
 	}
 	// The response released the connection, or closed it if the server asked for that. Another one that is
 	// open now leads to the same process, since only one listens at the address.
-	if c, err = p.acquire(ctx, limit); err == nil {
-		c.proven = true
+	if c, err = p.acquire(ctx, limit); err != nil {
+		return nil, err
+	}
+	c.proven = true
+	if proof.Given != nil {
+		proof.Given()
 	}
-	return c, err
+	return c, nil
 }
 
 // prove sends the proof and reads its response to the end.
