Steps that need a version are not refused for the load of others

What callers would see: a stream that is taken up again is refused, although replicas of its version are free, because the whole service is overloaded: estimates on arrival counted the calls that wait for other versions. Change: such a step is refused by a decision on it or at its deadline, not by the estimates of the whole pool. Figures: scheduler.TestOverloadOfOtherVersionsRefusesNoStep, which fails without the change, with and without load control.

--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -108,7 +108,8 @@
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return refuse(step.CodeOverloaded, 503, "too many steps wait", p.overloadRetryAfter())
 	}
-	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() {
+	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() || w.request.AtVersion {
+		// Estimates for all upstreams say nothing of those of one version.
 		return nil
 	}
 	remaining := time.Until(w.request.Deadline)
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -210,7 +210,7 @@
 // refuseIfHopeless refuses a step that almost certainly can't be done by its deadline. It refuses nothing
 // while only default speeds are known.
 func (p *pool) refuseIfHopeless(w *waiter, ahead int, now time.Time) *Refusal {
-	if w.request.Deadline.IsZero() {
+	if w.request.Deadline.IsZero() || w.request.AtVersion {
 		return nil
 	}
 	c := p.currentCapacity(now)
--- a/internal/scheduler/version_test.go
+++ b/internal/scheduler/version_test.go
@@ -107,3 +107,40 @@
 		})
 	}
 }
+
+// Guards against a step that is refused, or waits, because upstreams of other versions are overloaded, while
+// those of its own are free.
+func TestOverloadOfOtherVersionsRefusesNoStep(t *testing.T) {
+	for _, control := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestScheduler(Settings{LoadControl: control}, versionedEngine("old", "v1", 1), versionedEngine("new", "v2", 4))
+			deadline := func(r Request) Request {
+				r.Deadline = time.Now().Add(5 * time.Second)
+				return r
+			}
+			run := func(r Request) bool {
+				grant, refusal := s.Acquire(t.Context(), r)
+				if refusal != nil {
+					return false
+				}
+				time.Sleep(time.Second)
+				grant.Done(Feedback{Prompt: 300, Output: 20, FirstToken: 100 * time.Millisecond, Total: time.Second})
+				return true
+			}
+			for i := range 4 {
+				is.True(run(deadline(versionRequest(fmt.Sprint("warm", i), "v1"))))
+				is.True(run(deadline(versionRequest(fmt.Sprint("warm", i), "v2"))))
+			}
+			var others sync.WaitGroup
+			for i := range 4 * maxScanned {
+				others.Go(func() { run(deadline(versionRequest(fmt.Sprint("p", i), "v1"))) })
+			}
+			synctest.Wait()
+			began := time.Now()
+			is.True(run(deadline(versionRequest("q", "v2"))))
+			is.True(time.Since(began) <= 2*time.Second)
+			others.Wait()
+		})
+	}
+}
