Each connection proves which start of a replica it leads to before its first resumable stream

Cause: a replica had come back under its ID and address as the first one of a new version. Entries that listed one version asked for no proof, so that streams which began there were recorded at the old version. Ruled out: to take such records back when the list shows the later start: callers come back before that. Change: the proof is asked of each connection before its first resumable stream, whatever is listed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -155,7 +155,7 @@
 		Customer:       f.customerName(),
 		ResumeAfter:    a.resumeAfter,
 		MaxConnections: f.connectionLimit(),
-		ProvesIdentity: f.mustProve(a.resumeAfter),
+		ProvesIdentity: f.keepsVersion(),
 	}
 	began := time.Now()
 	response, err := f.gateway.replicas.Send(a.ctx, attempt)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -14,8 +14,6 @@
 	Resolve(ctx context.Context, s origin.Stream) origin.Resolution
 	// Began records the version at which a stream begins or goes on. It must not wait for other instances.
 	Began(s origin.Stream, version string)
-	// MustProve reports whether a replica must prove its version before a stream begins there.
-	MustProve(service string, life time.Duration) bool
 }
 
 // unansweredRetryAfter is the retry delay given to callers whose stream began at a version that other
@@ -79,9 +77,3 @@
 		f.gateway.settings.Origins.Began(s, f.streamVersion.version)
 	}
 }
-
-// mustProve reports whether the replica of an attempt must prove that it is the one that is listed, before
-// the call is sent. A later start under the same ID and address may run another version.
-func (f *inFlightCall) mustProve(resumeAfter string) bool {
-	return f.keepsVersion() && (resumeAfter != "" || f.gateway.settings.Origins.MustProve(f.service.Name, origin.LifeOf(f.route.Timeout)))
-}
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +20,6 @@
 	resolved   []origin.Stream
 	began      []origin.Stream
 	versions   []string
-	mustProve  bool
 }
 
 func (f *fakeOrigins) Resolve(_ context.Context, s origin.Stream) origin.Resolution {
@@ -33,8 +31,6 @@
 	f.began, f.versions = append(f.began, s), append(f.versions, version)
 }
 
-func (f *fakeOrigins) MustProve(string, time.Duration) bool { return f.mustProve }
-
 // versionOf returns the version of a test replica: a and b run v1, c and d v2.
 func versionOf(replica string) string {
 	if replica == "a" || replica == "b" {
@@ -61,7 +57,7 @@
 		for i := range calls {
 			w.serve(&fakeCaller{}, Call{Body: []byte{byte(i)}}) // warms the budget of retries
 		}
-		*origins = fakeOrigins{resolution: origins.resolution, mustProve: origins.mustProve}
+		*origins = fakeOrigins{resolution: origins.resolution}
 		f(w)
 	})
 }
@@ -162,24 +158,25 @@
 	}
 }
 
-// Guards against proofs, records and questions where nothing goes on: a route that is not resumable, and a
-// stream that begins while one version serves.
-func TestOtherCallsNeedNoVersion(t *testing.T) {
+// Guards against a stream whose version is that of the list while a later start of its replica runs another one,
+// and against proofs, records and questions of calls that go on nowhere else.
+func TestOnlyResumableStreamsNeedAVersion(t *testing.T) {
 	is := is.New(t)
 	origins := &fakeOrigins{}
 	inVersionedGateway(t, origins, 2, func(w *testGateway) {
+		w.replicas.steps = []script{inOrder(brokenAfter(event(1)), streams(nil, event(2)))}
 		got := w.serve(&fakeCaller{}, Call{ID: "r", Body: []byte("b")})
-		is.True(!got.attempts[0].ProvesIdentity)
-	})
-	is.Equal(len(origins.resolved), 0)
-	origins = &fakeOrigins{mustProve: true}
-	inVersionedGateway(t, origins, 2, func(w *testGateway) {
-		got := w.serve(&fakeCaller{}, Call{ID: "r", Body: []byte("b")})
-		is.True(got.attempts[0].ProvesIdentity)
+		is.Equal(len(got.attempts), 2)
+		for _, a := range got.attempts {
+			is.True(a.ProvesIdentity)
+		}
+		is.Equal(len(origins.resolved), 0)
 	})
-	origins = &fakeOrigins{}
-	got := serveWith(t, nil, Settings{Origins: origins}, routing.Route{Kind: routing.Stream, Attempts: 1}, Call{ID: "r", ResumeAfter: "7"}, nil, streams(nil, event(1)))
-	is.Equal(got.result.Outcome, Completed)
-	is.Equal(len(origins.resolved)+len(origins.began), 0)
-	is.True(strings.Contains(got.body, "d1"))
+	for _, route := range []routing.Route{{Kind: routing.Stream, Attempts: 1}, {Kind: routing.Idempotent, Attempts: 2}} {
+		origins := &fakeOrigins{}
+		got := serveWith(t, nil, Settings{Origins: origins}, route, Call{ID: "r", ResumeAfter: "7"}, nil, streams(nil, event(1)))
+		is.Equal(got.result.Outcome, Completed)
+		is.True(!got.attempts[0].ProvesIdentity)
+		is.Equal(len(origins.resolved)+len(origins.began), 0)
+	}
 }
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -104,14 +104,6 @@
 	return r.versions.Vouches(service, life, now)
 }
 
-// MustProve reports whether the version at which a replica of the service is listed must be proven before
-// a stream begins there: several were seen lately, or the view is old.
-func (r *Registry) MustProve(service string, life time.Duration) bool {
-	now := time.Now()
-	_, only := r.versions.Only(service, boundLife(life), now)
-	return !only || r.viewAge(now) > maxViewAge
-}
-
 // Began records at which version a stream began, or goes on. The record is sent before Began returns.
 func (r *Registry) Began(s Stream, version string) {
 	now, life := time.Now(), boundLife(s.Life)
--- a/internal/origin/registry_test.go
+++ b/internal/origin/registry_test.go
@@ -209,23 +209,6 @@
 	})
 }
 
-// Guards against proofs that are asked of the replicas of one version by each instance that has started, and
-// against none where a replica may have come back as another version.
-func TestProofIsNeededOnlyWhereVersionsMayDiffer(t *testing.T) {
-	is := is.New(t)
-	inWorld(t, 1, map[string]int{"v1": 3}, func(w *world) {
-		n := w.instances[0]
-		n.start()
-		is.True(!n.registry.MustProve(worldService, worldLife))
-		w.set(func() { n.staleSince = time.Now().Add(-maxViewAge - 1) })
-		is.True(n.registry.MustProve(worldService, worldLife))
-		w.set(func() { n.staleSince = time.Time{} })
-		w.change("", "v2")
-		time.Sleep(worldViewLag)
-		is.True(n.registry.MustProve(worldService, worldLife))
-	})
-}
-
 // Guards against operators who don't learn for how long several versions served.
 func TestTransitionsOfVersions(t *testing.T) {
 	is := is.New(t)
