--- a/internal/origin/registry_test.go
+++ b/internal/origin/registry_test.go
@@ -75,7 +75,7 @@
 		is.Equal(got.Source, Sole)
 		is.True(got.Answers >= minAgreeing)
 		w.instances[1].start() // knows nothing of the time before
-		s = w.instances[1].begin("s2", "v1")
+		w.instances[1].begin("s2", "v1")
 		is.Equal(w.instances[1].registry.told.Count() > 0, true)
 	})
 }
