--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -48,7 +48,7 @@
 
 	mu    sync.Mutex
 	table *table
-	// startedAt is when this instance began to receive records; zero before. A pause starts it anew.
+	// startedAt is since when this instance has received records without a pause.
 	startedAt time.Time
 	waiting   map[Key][]*search
 
