A server without a report gets resumable streams as before

Cause: since proof and call share a connection, a response without a body, or one that closes its connection, counted as no proof three times and refused the call. Change: a response that tells no start proves nothing either way: the call goes over any connection. Only a server that tells its start and closes the connection each time gets none.

--- a/internal/httpconn/proof.go
+++ b/internal/httpconn/proof.go
@@ -18,14 +18,25 @@
 // for as long as it lasts, so that it needs no second proof.
 type Proof struct {
 	Call *Call
-	// IsOther reports whether the response shows that it comes from another server than the one that is
-	// meant.
-	IsOther func(status int, header http.Header, body []byte) bool
+	// Judge returns what the response shows of its server.
+	Judge func(status int, header http.Header, body []byte) Judgement
 	// Given is called once the proof has been given and before the call is sent, which may be much later than
 	// the call of Do; nil for nothing.
 	Given func()
 }
 
+// Judgement is what a response to a proof shows.
+type Judgement uint8
+
+const (
+	// Unclear: nothing. The call may be sent.
+	Unclear Judgement = iota
+	// Same: the server is the one that is meant.
+	Same
+	// Other: it is another one.
+	Other
+)
+
 // maxProofs bounds the connections on which one call is proven, for servers that close them after the proof.
 const maxProofs = 3
 
@@ -38,39 +49,48 @@
 			return c, err
 		}
 		c.beginCall(ctx)
-		reusable, err := c.prove(proof)
+		judgement, reusable, err := c.prove(proof)
 		if err == nil && reusable && c.finishCall(c.callCount) {
 			c.proven = true
-			if proof.Given != nil {
-				proof.Given()
-			}
+			proof.notifyGiven()
 			return c, nil
 		}
 		c.discard(c.callCount)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case judgement == Unclear:
+			proof.notifyGiven()
+			return p.acquire(ctx, limit)
 		}
 	}
 	return nil, errors.Wrap(ErrNotSent, "the server closes its connections after the proof")
 }
 
+func (p *Proof) notifyGiven() {
+	if p.Given != nil {
+		p.Given()
+	}
+}
+
 // prove sends the proof and reads its response to the end. The connection stays that of the proof; reusable
 // reports whether it can serve the call.
-func (c *conn) prove(proof *Proof) (reusable bool, err error) {
+func (c *conn) prove(proof *Proof) (judgement Judgement, reusable bool, err error) {
 	response, err := c.exchange(proof.Call)
 	if err != nil {
-		return false, errors.Wrap(ErrNotSent, err.Error())
+		return Unclear, false, errors.Wrap(ErrNotSent, err.Error())
 	}
 	body, ok := response.Body.(*responseBody)
 	if !ok {
-		return false, nil // without a body, the connection is free already
+		return proof.Judge(response.Status, response.Header, nil), false, nil // without a body, the connection is free already
 	}
 	data, err := io.ReadAll(io.LimitReader(body.reader, maxProofBytes+1))
 	if err != nil {
-		return false, errors.Wrap(ErrNotSent, err.Error())
+		return Unclear, false, errors.Wrap(ErrNotSent, err.Error())
 	}
-	if proof.IsOther(response.Status, response.Header, data) {
-		return false, ErrOtherServer
+	judgement = proof.Judge(response.Status, response.Header, data)
+	if judgement == Other {
+		return Other, false, ErrOtherServer
 	}
-	return !body.closeAfter && len(data) <= maxProofBytes && c.reader.Buffered() == 0, nil
+	return judgement, !body.closeAfter && len(data) <= maxProofBytes && c.reader.Buffered() == 0, nil
 }
--- a/internal/httpconn/proof_test.go
+++ b/internal/httpconn/proof_test.go
@@ -47,7 +47,16 @@
 }
 
 func proofOfName(name string) *Proof {
-	return &Proof{Call: get("/name"), IsOther: func(_ int, _ http.Header, body []byte) bool { return string(body) != name }}
+	return &Proof{Call: get("/name"), Judge: func(_ int, _ http.Header, body []byte) Judgement {
+		switch string(body) {
+		case "":
+			return Unclear
+		case name:
+			return Same
+		default:
+			return Other
+		}
+	}}
 }
 
 func provenCall(name string) *Call {
@@ -137,3 +146,30 @@
 	is.True(err != nil)
 	is.Equal(pool.inUse(), 0)
 }
+
+// Guards against a server without the means of a proof, whose response has no body, that gets no call.
+func TestServerWithoutProofsGetsCalls(t *testing.T) {
+	is := is.New(t)
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		pool := NewPool(newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				response := "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n" + header + "\r\n"
+				if request.URL.Path != "/name" {
+					response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+				}
+				if _, err := io.WriteString(c, response); err != nil || header != "" {
+					return
+				}
+			}
+		}))
+		response, err := pool.Do(context.Background(), provenCall("old."), 1)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "done")
+	}
+}
