serve: a configuration is in force only once its upstreams are

Cause: config.Source published the lists, and with that the instance was ready and admitted calls by them, before another goroutine had applied them to the upstream table. The same holds for each later edit that adds a model or a service: a conclusion from the absence in a view that is older than the lists by which the call was admitted.

Ruled out: a store that loses the lists (its outage is the test's), readiness without lists (Ready requires a version).

Change: Options.Apply brings a version into force elsewhere before the source publishes it, in the order of versions. instance uses it for the upstream table.

TestConfigurationInForceHasItsUpstreams, on the code before: 0 != 2 engines; now green. The refusal itself stays a 404, since an absent model is certain now.

--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -48,7 +48,10 @@
 	// Peers are the other instances; nil if there are none.
 	Peers Peers
 	// DataFolder is the data folder; empty on an instance without a disk.
-	DataFolder          string
+	DataFolder string
+	// Apply brings each configuration into force elsewhere, before it is in force here and in the order of
+	// the versions; nil for nothing. A call that the new plans admit must not be decided by older upstreams.
+	Apply               func(*Current)
 	PeerInterval        time.Duration
 	PollInterval        time.Duration
 	StoreCallsPerSecond float64
@@ -237,6 +240,9 @@
 	// The version is saved on disk before it is in force. Otherwise an instance that crashed between
 	// the two steps could restart with an older version than it had used.
 	s.saveToDisk(next)
+	if s.options.Apply != nil {
+		s.options.Apply(next)
+	}
 	s.current.Store(next)
 	s.addFetched(nil)
 	close(previous.superseded)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -136,6 +136,7 @@
 	i.gate = limit.NewGate(limit.Options{Members: gateMembers{i}, Arbiters: arbiters{i}, Registry: i.registry})
 	i.config = config.NewSource(i.store, config.Options{
 		Peers: configPeers{i}, DataFolder: s.DataFolder, Registry: i.registry, Log: log.Log,
+		Apply: func(next *config.Current) { i.table.Apply(next.Usage.Upstreams, time.Now()) },
 	})
 	i.budget = budget.NewAllocator(i.store, plansInForce{i.config}, budget.Options{Registry: i.registry, Log: log.Log})
 	if err := i.newDuties(); err != nil {
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -155,12 +155,11 @@
 	return err
 }
 
-// followConfig applies each new configuration to the upstream table and announces its version.
+// followConfig announces the version of each new configuration.
 func (i *Instance) followConfig(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := i.config.Changed()
 		if current := i.config.Current(); current != nil {
-			i.table.Apply(current.Usage.Upstreams, time.Now())
 			i.members.SetReport(i.report())
 			_ = i.control.Post(control.ConfigChanged{Version: current.Version})
 			log.WithField("version", current.Version).Info("configuration in force")
