A connection stays that of its proof until the proof is judged

What callers saw: a stream or a turn that was answered 200 and cut a few milliseconds later, "unexpected EOF", or a call that was answered 502 although its replica ran it; at any time, beside a stream of a resumable route that began at the same replica in the same moment. In the log: `attempt failed` with the error "use of closed network connection" and no cause.

Cause: before a resumable stream is sent, the connection's server is asked for its report. An answer without a body (421 or 503 with Content-Length: 0) freed the connection as the response was read, before it was judged. Another call could take it, and the proof, which thought it its own, then ended "the connection's present call", which was that one. With an answer that has a body the connection was kept.

Change: the response's header is read without handing the connection over; only Do hands it to the call's response, which may free it. A proof without a body now leaves its connection to the call, as one with a body does.

Evidence: TestProofWithoutABodyCutsNoOtherCall lets another call come while the proof is judged.

proof_reuse_test.go:52: err: read tcp 127.0.0.1:38558->127.0.0.1:35715: use of closed network connection --- FAIL: TestProofWithoutABodyCutsNoOtherCall (0.00s)

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -148,7 +148,9 @@
 	return netdial.TolerateSilence(c.netConn) == nil && netdial.IsIdleAndOpen(c.netConn)
 }
 
-func (c *conn) exchange(call *Call) (*Response, error) {
+// exchange sends the call and reads the header of its response. The connection stays that of the call, whether
+// the response has a body or not.
+func (c *conn) exchange(call *Call) (*http.Response, error) {
 	request, err := newRequest(call)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
@@ -166,7 +168,8 @@
 			continue
 		}
 		if c.accepts(call, response, first) {
-			return c.newResponse(response), nil
+			c.updateIdleTimeout(response.Header.Get("Keep-Alive"))
+			return response, nil
 		}
 		first = false
 		if err := skipBody(response); err != nil {
@@ -278,8 +281,8 @@
 	c.bodyUnwritten = err != nil
 }
 
+// newResponse hands the response to the call. One without a body frees the connection.
 func (c *conn) newResponse(r *http.Response) *Response {
-	c.updateIdleTimeout(r.Header.Get("Keep-Alive"))
 	response := &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, callNumber: c.callCount}
 	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -122,7 +122,7 @@
 		c.discard(c.callCount)
 		return nil, err
 	}
-	return response, nil
+	return c.newResponse(response), nil
 }
 
 func (p *Pool) acquire(ctx context.Context, limit int) (*conn, error) {
--- a/internal/httpconn/proof.go
+++ b/internal/httpconn/proof.go
@@ -80,17 +80,13 @@
 	if err != nil {
 		return Unclear, false, errors.Wrap(ErrNotSent, err.Error())
 	}
-	body, ok := response.Body.(*responseBody)
-	if !ok {
-		return proof.Judge(response.Status, response.Header, nil), false, nil // without a body, the connection is free already
-	}
-	data, err := io.ReadAll(io.LimitReader(body.reader, maxProofBytes+1))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxProofBytes+1))
 	if err != nil {
 		return Unclear, false, errors.Wrap(ErrNotSent, err.Error())
 	}
-	judgement = proof.Judge(response.Status, response.Header, data)
+	judgement = proof.Judge(response.StatusCode, response.Header, data)
 	if judgement == Other {
 		return Other, false, ErrOtherServer
 	}
-	return judgement, !body.closeAfter && len(data) <= maxProofBytes && c.reader.Buffered() == 0, nil
+	return judgement, !response.Close && len(data) <= maxProofBytes && c.reader.Buffered() == 0, nil
 }
