Waits before a call is sent end once a stop has made sure that it will not be

What callers saw: a call that came early in a planned stop of its entry was refused for the stop up to 1.8 s after the moment from which on it could not be sent any more.

Cause: placement ends its waits with the acceptance of the call; the waits before it did not know of the stop: the reservation at the keepers (1.8 s at most, when they don't answer), the reports of a customer's other calls (0.4 s) and the version of a stream that is taken up again (0.25 s).

The keepers did not answer since none of the three wrote to its disk for 6.3 s, from their first assignment on: each told the others that it had stalled, and all served at the same millisecond again. They share the test machine's disk; why it stalled was not traced.

Change: one way to await a step before the sending, which cancels the step with the acceptance and refuses the call for the stop. A reservation that was given up is released in the background, as one that timed out.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,7 @@
 	if !f.isAccepted() {
 		return refused(Stopping, 0)
 	}
-	if refusal := f.admit(ctx); refusal != nil {
+	if refusal := f.awaitWhileAccepted(ctx, f.admit); refusal != nil {
 		return *refusal
 	}
 	admitted := time.Now()
@@ -289,7 +289,7 @@
 	if f.route.Kind != routing.Stream {
 		return f.serveNonStreaming(ctx)
 	}
-	if refusal := f.resolveVersion(ctx); refusal != nil {
+	if refusal := f.awaitWhileAccepted(ctx, f.resolveVersion); refusal != nil {
 		return *refusal
 	}
 	if f.gateway.turns != nil && (f.route.RetainsTurns || f.call.Program.Budget > 0) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,11 +146,14 @@
 	chain       []Turn
 	settleErr   error
 	settlements []Settlement
-	// settleDelay is how long a settlement takes.
-	settleDelay time.Duration
+	// reserveDelay and settleDelay are how long a reservation and a settlement take.
+	reserveDelay, settleDelay time.Duration
 }
 
-func (f *fakeTurns) Reserve(context.Context, Reservation) (Reserved, error) {
+func (f *fakeTurns) Reserve(ctx context.Context, _ Reservation) (Reserved, error) {
+	if !sleep(ctx, f.reserveDelay) {
+		return Reserved{}, ctx.Err()
+	}
 	return Reserved{Chain: f.chain}, f.reserveErr
 }
 
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -17,13 +17,16 @@
 // fakeOrigins resolves every stream alike and records those that begin.
 type fakeOrigins struct {
 	resolution origin.Resolution
-	resolved   []origin.Stream
-	began      []origin.Stream
-	versions   []string
+	// delay is how long the other instances take to answer.
+	delay    time.Duration
+	resolved []origin.Stream
+	began    []origin.Stream
+	versions []string
 }
 
-func (f *fakeOrigins) Resolve(_ context.Context, s origin.Stream) origin.Resolution {
+func (f *fakeOrigins) Resolve(ctx context.Context, s origin.Stream) origin.Resolution {
 	f.resolved = append(f.resolved, s)
+	sleep(ctx, f.delay)
 	return f.resolution
 }
 
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -140,6 +140,19 @@
 	return f.route.Objective
 }
 
+// awaitWhileAccepted runs a step that precedes the sending of the call, which returns the call's refusal if there
+// is one. Once the call may not be sent any more, since this instance stops, the step's context is cancelled, and
+// the call is refused for the stop.
+func (f *inFlightCall) awaitWhileAccepted(ctx context.Context, step func(context.Context) *Result) *Result {
+	ctx, release := f.gateway.shutdown.whileAccepted(ctx, f.deadline)
+	defer release()
+	refusal := step(ctx)
+	if refusal != nil && errors.Is(context.Cause(ctx), errStopping) {
+		return f.endForShutdown()
+	}
+	return refusal
+}
+
 // timeLeft returns the time that a replica has for the call.
 func (f *inFlightCall) timeLeft() time.Duration {
 	if plan := f.gateway.shutdown.plan.Load(); plan != nil && plan.End.Before(f.deadline) {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -30,23 +30,13 @@
 // serveTurn serves a turn of a program: it reserves the turn's tokens, sends the chain with the
 // new input, and retains the turn before the response ends.
 func (f *inFlightCall) serveTurn(ctx context.Context) Result {
-	reservation := Reservation{
-		Customer:        f.customerName(),
-		Program:         f.call.Program.ID,
-		Turn:            f.call.ID,
-		Previous:        f.call.Previous,
-		MaxOutputTokens: f.call.MaxOutputTokens,
-		Budget:          f.call.Program.Budget,
-		Deadline:        f.deadline,
-
-		Retain:    f.route.RetainsTurns,
-		Retention: f.route.Retention,
-	}
-	began := time.Now()
-	reserved, err := f.gateway.turns.Reserve(ctx, reservation)
-	f.stageTimes.reserving += time.Since(began)
-	if err != nil {
-		return f.refuseTurn(err)
+	var reserved Reserved
+	refusal := f.awaitWhileAccepted(ctx, func(ctx context.Context) (refusal *Result) {
+		reserved, refusal = f.reserveTurn(ctx)
+		return refusal
+	})
+	if refusal != nil {
+		return *refusal
 	}
 	f.lastUpstream = reserved.LastUpstream
 	if err := f.hold.Grow(buffer.Prompt, chainSize(reserved.Chain)); err != nil {
@@ -81,6 +71,30 @@
 	return result
 }
 
+// reserveTurn reserves the turn's tokens. It returns the call's result if it can't.
+func (f *inFlightCall) reserveTurn(ctx context.Context) (Reserved, *Result) {
+	reservation := Reservation{
+		Customer:        f.customerName(),
+		Program:         f.call.Program.ID,
+		Turn:            f.call.ID,
+		Previous:        f.call.Previous,
+		MaxOutputTokens: f.call.MaxOutputTokens,
+		Budget:          f.call.Program.Budget,
+		Deadline:        f.deadline,
+
+		Retain:    f.route.RetainsTurns,
+		Retention: f.route.Retention,
+	}
+	began := time.Now()
+	reserved, err := f.gateway.turns.Reserve(ctx, reservation)
+	f.stageTimes.reserving += time.Since(began)
+	if err != nil {
+		result := f.refuseTurn(err)
+		return Reserved{}, &result
+	}
+	return reserved, nil
+}
+
 // refuseTurn returns the result of a turn that could not be reserved.
 func (f *inFlightCall) refuseTurn(err error) Result {
 	result := refused(TurnsUnavailable, turnsUnavailableRetryAfter)
