A keeper logs a disk write that stalled

A keeper whose disk stalls tells only the other keepers, which leave it out. In the log of a row of planned stops, three keepers served no turn for 6.3 s after their first assignment, and nothing said why: it follows only from all three logging "no eligible backup", which a stalled keeper leaves out, in the same millisecond, with each other "out". The new line tells a stall from shards that are being recovered and from keepers that don't reach each other. No logic changes.

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -397,6 +397,9 @@
 			return
 		}
 		k.mu.Lock()
+		if took := k.stalledFor(); took > diskStallTimeout {
+			k.settings.Logger.WithField("ms", took.Milliseconds()).WithField("writes", len(batch)).Warn("disk write stalled")
+		}
 		k.writingSince = time.Time{}
 		for _, w := range batch {
 			if w.done != nil {
