A reset is not the end of a response without a length

Cause: Linux reports a reset once, to the read or write that comes first. The goroutine that writes the rest of a large body takes the error, and the read that follows returns 0 bytes, as after an orderly close.

Ruled out: lengths and chunks, which net/http checks; calls whose body was written before, whose reader is the only one to meet the error.

--- /dev/null
+++ b/internal/httpconn/cut_test.go
@@ -0,0 +1,66 @@
+package httpconn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveOnce accepts one connection, reads a part of a call from it and runs script.
+func serveOnce(t *testing.T, script func(c *net.TCPConn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 1<<10))
+		script(c.(*net.TCPConn))
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a response without a length that is reset and looks complete: the error of a reset is reported
+// once, to the writing of the call's body, and the reading that follows meets an orderly end.
+func TestResetDuringTheCallsBodyIsNotTheEndOfItsResponse(t *testing.T) {
+	is := is.New(t)
+	reset := make(chan struct{})
+	address := serveOnce(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		<-reset
+		_ = c.SetLinger(0)
+	})
+	call := get("/")
+	call.Method, call.Body = "POST", bytes.Repeat([]byte("x"), 32<<20)
+	response, err := NewPool(address).Do(context.Background(), call, 1)
+	is.NoErr(err)
+	defer response.Close()
+	part := make([]byte, 4)
+	_, err = io.ReadFull(response.Body, part)
+	is.NoErr(err)
+	close(reset)
+	// Nothing reads the response while the writing of the body meets the reset.
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.ReadAll(response.Body)
+	is.True(IsBroken(err))
+}
+
+// Guards against a response without a length that is refused though its connection ended in order.
+func TestResponseEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	address := serveOnce(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it") })
+	response, err := NewPool(address).Do(context.Background(), get("/"), 1)
+	is.NoErr(err)
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "all of it")
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -281,7 +281,7 @@
 func (c *conn) newResponse(r *http.Response) *Response {
 	c.updateIdleTimeout(r.Header.Get("Keep-Alive"))
 	response := &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, callNumber: c.callCount}
-	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close}
+	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close, framing: framingOf(r)}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		// A response to HEAD states the length of a body that it does not have.
 		response.Body, response.Length = http.NoBody, 0
@@ -305,6 +305,7 @@
 	response   *Response
 	reader     io.Reader
 	closeAfter bool
+	framing    framing
 	// ended is set once the body was read to its end.
 	ended bool
 }
@@ -316,6 +317,9 @@
 	c := b.response.conn
 	before := c.limited.total
 	n, err := b.reader.Read(p)
+	if err == io.EOF && !c.provesEnd(b.framing) {
+		err = errors.Wrap(ErrBroken, "reset within a body without a length")
+	}
 	switch {
 	case err == io.EOF:
 		b.ended = true
