A header in which another response begins is refused

What callers saw: 200 with an empty or short body, or with another call's, framed as whole, where a replica stopped within a line of its header and the next bytes on the connection were another response (MIXED). The rest of that response's header counted as the rest of the line and of the header, so that its Content-Length framed the body, under the id and signature of the first.

Cause: to the parser a value may hold anything but a line feed; a status line within one went unnoticed. A stop between two lines was refused before, since a status line is no header line.

Change: a response of which a header value holds a status line is lost, and its connection is closed. The price: a response that quotes a status line in a header of its own is refused too.

--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // serveOnce accepts one connection, reads a part of a call from it and runs script.
@@ -64,3 +67,20 @@
 	is.NoErr(err)
 	is.Equal(string(body), "all of it")
 }
+
+// Guards against a call that gets the body of another one: a server stops in a header line, and what it sends
+// next on the connection is another response, of which the rest would count as the rest of the header.
+func TestHeaderWithAnotherStatusLineIsRefused(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nCall: 2\r\nSignature: sig\r\nServer: s\r\nContent-Length: 3\r\n\r\n"
+	const other = "HTTP/1.1 200 OK\r\nCall: 1\r\nSignature: other\r\nContent-Length: 5\r\n\r\nother"
+	for cut := range head {
+		t.Run(fmt.Sprintf("after %d bytes", cut), func(t *testing.T) {
+			is := is.New(t)
+			address := serveOnce(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, head[:cut]+other) })
+			call := get("/")
+			call.Matches = func(h http.Header) bool { return h.Get("Call") == "2" }
+			_, err := NewPool(address).Do(context.Background(), call, 1)
+			is.True(errors.Is(err, ErrResponseLost))
+		})
+	}
+}
--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -2,10 +2,30 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
+
+	"github.com/pkg/errors"
 
 	"foxhall/internal/netdial"
 )
 
+// errSecondStatusLine indicates a header in which another response begins: its server stopped within a line.
+// The length of the other response would count as the first one's.
+var errSecondStatusLine = errors.Wrap(ErrResponseLost, "another status line within the header")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}\b`)
+
+// holdsStatusLine reports whether the value of a header line holds a status line.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // framing is what tells where the body of a response ends.
 type framing uint8
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -197,6 +197,8 @@
 	defer c.limited.unlimit()
 	response, err := http.ReadResponse(c.reader, request)
 	switch {
+	case err == nil && holdsStatusLine(response.Header):
+		return nil, errSecondStatusLine
 	case err == nil:
 		return response, nil
 	case errors.Is(c.limited.err, ErrHeaderTooLarge):
