Chunks in an HTTP/1.0 response are not taken for its body

Cause: net/http drops Transfer-Encoding of HTTP/1.0, which doesn't have it, and reads the body until the connection ends. RFC 9112, 6.1, has such a message treated as one whose framing is faulty.

Ruled out: HTTP/1.1 with Content-Length and chunks (the chunks count, the length is dropped) and with two lengths (refused).

Change: such a response is lost, and so is an HTTP/1.0 response whose header exceeds the read buffer (4 KB), since the header is only looked at there.

--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -84,3 +84,18 @@
 		})
 	}
 }
+
+// Guards against chunk sizes that are taken for parts of a body: net/http drops the Transfer-Encoding of an
+// HTTP/1.0 response and reads its body until the connection ends.
+func TestOldResponseInChunksIsRefused(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200 OK\nA: b\ntransfer-encoding: chunked\n\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		is := is.New(t)
+		address := serveOnce(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, head+"2\r\nok\r\n0\r\n\r\n") })
+		_, err := NewPool(address).Do(context.Background(), get("/"), 1)
+		is.True(errors.Is(err, ErrResponseLost))
+	}
+}
--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -1,6 +1,8 @@
 package httpconn
 
 import (
+	"bufio"
+	"bytes"
 	"net/http"
 	"regexp"
 	"slices"
@@ -26,6 +28,52 @@
 	return false
 }
 
+// errOldChunks indicates an HTTP/1.0 response that states a Transfer-Encoding, which that version doesn't have.
+// net/http drops the header, so that the sizes of chunks would count as parts of the body.
+var errOldChunks = errors.Wrap(ErrResponseLost, "Transfer-Encoding in an HTTP/1.0 response")
+
+var (
+	oldVersion       = []byte("HTTP/1.0")
+	transferEncoding = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
+	headerEnd        = regexp.MustCompile(`\n\r?\n`)
+)
+
+// parseHeader reads a response up to its body, unless its framing is ambiguous.
+func (c *conn) parseHeader(request *http.Request) (*http.Response, error) {
+	// The kernel reports an error of the connection once, and the looks ahead would hide it.
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if c.holdsOldChunks() {
+		return nil, errOldChunks
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err == nil && holdsStatusLine(response.Header) {
+		return nil, errSecondStatusLine
+	}
+	return response, err
+}
+
+// holdsOldChunks reports whether the response that is read next is of HTTP/1.0 and states a Transfer-Encoding,
+// or has a header beyond the buffer. An error of the reading is left to the parser.
+func (c *conn) holdsOldChunks() bool {
+	if version, _ := c.reader.Peek(len(oldVersion)); !bytes.Equal(version, oldVersion) {
+		return false
+	}
+	for {
+		head, err := c.reader.Peek(c.reader.Buffered())
+		if end := headerEnd.FindIndex(head); end != nil {
+			return transferEncoding.Match(head[:end[1]])
+		}
+		if err == nil {
+			_, err = c.reader.Peek(len(head) + 1)
+		}
+		if err != nil {
+			return errors.Is(err, bufio.ErrBufferFull)
+		}
+	}
+}
+
 // framing is what tells where the body of a response ends.
 type framing uint8
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -195,12 +195,10 @@
 	begun := c.reader.Buffered() > 0
 	c.limited.limit(maxHeaderBytes, maxHeaderParts)
 	defer c.limited.unlimit()
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := c.parseHeader(request)
 	switch {
-	case err == nil && holdsStatusLine(response.Header):
-		return nil, errSecondStatusLine
-	case err == nil:
-		return response, nil
+	case err == nil, errors.Is(err, errSecondStatusLine), errors.Is(err, errOldChunks):
+		return response, err
 	case errors.Is(c.limited.err, ErrHeaderTooLarge):
 		return nil, ErrHeaderTooLarge
 	case begun || c.limited.remaining < maxHeaderBytes:
