--- /dev/null
+++ b/internal/httpconn/framing.go
@@ -0,0 +1,104 @@
+package httpconn
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"regexp"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/netdial"
+)
+
+// errSecondStatusLine indicates a header in which another response begins: its server stopped within a line.
+// The length of the other response would count as the first one's.
+var errSecondStatusLine = errors.Wrap(ErrResponseLost, "another status line within the header")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}\b`)
+
+// holdsStatusLine reports whether the value of a header line holds a status line.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
+// errOldChunks indicates an HTTP/1.0 response that states a Transfer-Encoding, which that version doesn't have.
+// net/http drops the header, so that the sizes of chunks would count as parts of the body.
+var errOldChunks = errors.Wrap(ErrResponseLost, "Transfer-Encoding in an HTTP/1.0 response")
+
+var (
+	oldVersion       = []byte("HTTP/1.0")
+	transferEncoding = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
+	headerEnd        = regexp.MustCompile(`\n\r?\n`)
+)
+
+// parseHeader reads a response up to its body, unless its framing is ambiguous.
+func (c *conn) parseHeader(request *http.Request) (*http.Response, error) {
+	// The kernel reports an error of the connection once, and the looks ahead would hide it.
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if c.holdsOldChunks() {
+		return nil, errOldChunks
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err == nil && holdsStatusLine(response.Header) {
+		return nil, errSecondStatusLine
+	}
+	return response, err
+}
+
+// holdsOldChunks reports whether the response that is read next is of HTTP/1.0 and states a Transfer-Encoding,
+// or has a header beyond the buffer. An error of the reading is left to the parser.
+func (c *conn) holdsOldChunks() bool {
+	if version, _ := c.reader.Peek(len(oldVersion)); !bytes.Equal(version, oldVersion) {
+		return false
+	}
+	for {
+		head, err := c.reader.Peek(c.reader.Buffered())
+		if end := headerEnd.FindIndex(head); end != nil {
+			return transferEncoding.Match(head[:end[1]])
+		}
+		if err == nil {
+			_, err = c.reader.Peek(len(head) + 1)
+		}
+		if err != nil {
+			return errors.Is(err, bufio.ErrBufferFull)
+		}
+	}
+}
+
+// framing is what tells where the body of a response ends.
+type framing uint8
+
+const (
+	// framedByLength: its Content-Length, or a status or method without a body.
+	framedByLength framing = iota
+	// framedByChunks: its last chunk, with the end of the trailers.
+	framedByChunks
+	// framedByClose: the orderly end of the connection.
+	framedByClose
+)
+
+func framingOf(r *http.Response) framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return framedByChunks
+	case r.ContentLength < 0:
+		return framedByClose
+	default:
+		return framedByLength
+	}
+}
+
+// provesEnd reports whether the end that the reading of a body has met is the body's own. net/http has checked
+// lengths and chunks.
+func (c *conn) provesEnd(f framing) bool {
+	return f != framedByClose || netdial.EndedInOrder(c.netConn)
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -198,10 +198,10 @@
 	begun := c.reader.Buffered() > 0
 	c.limited.limit(maxHeaderBytes, maxHeaderParts)
 	defer c.limited.unlimit()
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := c.parseHeader(request)
 	switch {
-	case err == nil:
-		return response, nil
+	case err == nil, errors.Is(err, errSecondStatusLine), errors.Is(err, errOldChunks):
+		return response, err
 	case errors.Is(c.limited.err, ErrHeaderTooLarge):
 		return nil, ErrHeaderTooLarge
 	case begun || c.limited.remaining < maxHeaderBytes:
@@ -284,7 +284,7 @@
 // newResponse hands the response to the call. One without a body frees the connection.
 func (c *conn) newResponse(r *http.Response) *Response {
 	response := &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, callNumber: c.callCount}
-	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close}
+	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close, framing: framingOf(r)}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		// A response to HEAD states the length of a body that it does not have.
 		response.Body, response.Length = http.NoBody, 0
@@ -308,6 +308,7 @@
 	response   *Response
 	reader     io.Reader
 	closeAfter bool
+	framing    framing
 	// ended is set once the body was read to its end.
 	ended bool
 }
@@ -319,6 +320,9 @@
 	c := b.response.conn
 	before := c.limited.total
 	n, err := b.reader.Read(p)
+	if err == io.EOF && !c.provesEnd(b.framing) {
+		err = errors.Wrap(ErrBroken, "reset within a body without a length")
+	}
 	switch {
 	case err == io.EOF:
 		b.ended = true
