A connection whose state the kernel does not tell counts as closed in order

The check for a reset before the end of a response without a length asks TCP_INFO. Only the state after a reset does now.

--- a/internal/netdial/end.go
+++ b/internal/netdial/end.go
@@ -7,11 +7,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// stateCloseWait is TCP_CLOSE_WAIT: the peer has closed its side in order, and this one is open.
-const stateCloseWait = 8
+// stateClosed is TCP_CLOSE, the state after a reset. After an orderly close by the peer alone it is
+// TCP_CLOSE_WAIT.
+const stateClosed = 7
 
 // EndedInOrder reports whether a connection whose reading met its end was closed in order, so that all that its
-// peer sent has arrived. Other than TCP connections count as closed in order.
+// peer sent has arrived. Connections whose state the kernel doesn't tell count as closed in order.
 //
 // The kernel reports a reset once, to the read or write that comes first. A read that comes later meets the same
 // end as after an orderly close.
@@ -27,7 +28,7 @@
 	inOrder := false
 	err = rc.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		inOrder = err == nil && info.State == stateCloseWait
+		inOrder = err != nil || info.State != stateClosed
 	})
 	return err == nil && inOrder
 }
