A header's time counts from its first byte on new connections too

What callers saw: 400 to a proper call whose header came in 2.3 s, with header_timeout_ms 3,000, since its connection had been opened 1.5 s before.

Cause: the time of a header was taken from the deadlines that net/http sets. On a new connection it sets the one of the header before the first byte. Which ones it sets between the first bytes and the end of a header differs between versions, and a deadline that was withdrawn in between could be set anew.

Change: the connection counts the header's time itself, from the first byte to the blank line, and ignores later deadlines meanwhile. A new connection without a byte is closed after the same time, as before.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -205,15 +205,16 @@
 	announced time.Duration
 	// headerBegan is when the first bytes of the call's header were read.
 	headerBegan time.Time
+	// inHeader is set from then until the end of the header was read. mu guards it.
+	inHeader bool
 
 	mu           sync.Mutex
 	phase        connPhase
 	waitingSince time.Time
 	// deadline is the read deadline that the server has set. While expired is set, a passed one is in
-	// force in its place. isIdleDeadline is set while it bounds the wait for a call's first byte.
-	deadline       time.Time
-	isIdleDeadline bool
-	expired        bool
+	// force in its place.
+	deadline time.Time
+	expired  bool
 	// refused is set if the rest of the call's header is not awaited.
 	refused bool
 	// readErr is the error of the last read; nil for none.
@@ -282,7 +283,6 @@
 // startHeaderTimeout sets the deadline of the call's header in place of that of the wait for the call;
 // the lock is held.
 func (c *callerConn) startHeaderTimeout() error {
-	c.isIdleDeadline = false
 	c.deadline = c.limitDeadline(time.Now().Add(headerTimeout), false)
 	return c.Conn.SetReadDeadline(c.deadline)
 }
@@ -296,15 +296,20 @@
 		return false
 	}
 	if c.phase == phaseWaiting {
-		c.headerBegan = time.Now()
+		c.headerBegan, c.inHeader = time.Now(), true
 		c.begin(phaseHeader)
-		if c.isIdleDeadline {
-			_ = c.startHeaderTimeout() // a closed connection needs no deadline
-		}
+		_ = c.startHeaderTimeout() // a closed connection needs no deadline
 	}
 	return true
 }
 
+// endHeader ends the header's time: the server's deadlines apply from now on.
+func (c *callerConn) endHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHeader = false
+}
+
 func (c *callerConn) readError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -368,6 +373,9 @@
 		c.conns.setIdle(c, false)
 	}
 	c.header.add(p[:n])
+	if c.header.ended {
+		c.endHeader()
+	}
 	if more := c.header.excess() - c.held; more > 0 {
 		if c.hold.Grow(buffer.Header, more) != nil {
 			c.refuseHeader(p)
@@ -425,23 +433,23 @@
 	caller.conns.setIdle(caller, s == http.StateIdle)
 }
 
-// SetReadDeadline implements net.Conn. Between calls the server sets two deadlines: one for the
-// start of the next call, and a much shorter one for the call's header. A deadline later than
-// headerTimeout is the first kind. The handler's deadlines stay as they are.
+// SetReadDeadline implements net.Conn. The server sets deadlines for the start of a call and, much shorter ones,
+// for its header. A deadline later than headerTimeout is of the first kind. The handler's deadlines stay as they are.
 //
-// The server sets the second only after the fourth byte of a call. Here it counts from the first, and is
-// not prolonged: a part of a header could keep its connection for the idle time, or twice the header's.
+// When the server sets those of a header, and whether it withdraws them in between, depends on its version. The
+// header's time is therefore counted here, from the first byte to the last, and is not prolonged: a part of a header
+// could keep its connection for the idle time, or twice the header's.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isIdle := time.Until(t) > headerTimeout
-	if c.phase == phaseHeader && !c.deadline.IsZero() && t.After(c.deadline) {
+	if c.phase == phaseHeader && c.inHeader && (t.IsZero() || t.After(c.deadline)) {
 		return nil
 	}
+	isIdle := time.Until(t) > headerTimeout
 	if c.phase != phaseServing && !t.IsZero() {
 		t = c.limitDeadline(t, isIdle)
 	}
-	c.deadline, c.isIdleDeadline = t, isIdle
+	c.deadline = t
 	if c.expired && isIdle {
 		return nil
 	}
