Where an answer was cut short is logged and counted

What operators saw: an attempt that failed with 'unexpected EOF', without a sign whether its replica had stopped in the header, a body with a length, chunks, trailers or an event; nothing told how many answers rest on the end of their connection alone. A header that was cut within a line and a cut in the trailers didn't count as a connection that the replica closed, so that no probe followed.

Change: field cut of 'attempt failed', counters gateway.cuts.PART and gateway.framed_by_close. The parser's error gives way to what the connection showed.

TestCutOfAResponse, TestCutsAreCountedAndLogged; neither compiles on the old code. TestCancelledCallIsNotCutShort: an end that this side caused is no cut.

--- /dev/null
+++ b/internal/gateway/cut_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/httpconn"
+	"foxhall/internal/routing"
+)
+
+// cutsShort sends an attempt over a connection whose server sends bytes and closes.
+func cutsShort(t *testing.T, bytes string) script {
+	server, err := newScriptedServer(func(c net.Conn) { _, _ = io.WriteString(c, bytes) })
+	is.New(t).NoErr(err)
+	t.Cleanup(server.awaitClosed)
+	return func(ctx context.Context, a *Attempt) (*Response, error) {
+		call := &httpconn.Call{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+		response, err := httpconn.NewPool(server.address()).Do(ctx, call, 1)
+		if err != nil {
+			return nil, err
+		}
+		return NewResponse(Response{Status: response.Status, Verified: true, Executed: true, Length: response.Length, Body: response.Body, FramedByClose: response.FramedByClose}, response.Close), nil
+	}
+}
+
+// Guards against responses that are cut short, or rest on the end of their connection alone, and leave no trace
+// that tells where.
+func TestCutsAreCountedAndLogged(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		sent, counter, field string
+		kind                 routing.Kind
+	}{
+		{head + "A: b", "gateway.cuts.header", "header", routing.AtMostOnce},
+		{head + "Content-Length: 5\r\n\r\npart", "gateway.cuts.length", "length", routing.AtMostOnce},
+		{head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n", "gateway.cuts.trailers", "trailers", routing.AtMostOnce},
+		{head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart", "gateway.cuts.chunks", "chunks", routing.Stream},
+		{head + "\r\nid: 1\n", "gateway.cuts.event", "event", routing.Stream},
+		{head + "\r\nwhole", "gateway.framed_by_close", "", routing.AtMostOnce},
+		{head + "\r\nid: 1\n\n", "gateway.framed_by_close", "", routing.Stream},
+	} {
+		t.Run(c.counter+" "+c.field, func(t *testing.T) {
+			is := is.New(t)
+			service := routing.Service{Name: "s"}
+			if c.kind == routing.Stream {
+				service.Engine = &routing.Engine{TokensPerEvent: 2}
+			}
+			w := newTestGateway(service, nil, Settings{}, routing.Route{Kind: c.kind, Attempts: 1}, nil, cutsShort(t, c.sent))
+			call := Call{ID: "r", Host: "h", Path: "/x", Arrived: time.Now()}
+			w.gateway.Serve(context.Background(), &call, &fakeCaller{})
+			is.Equal(metrics.GetOrRegisterCounter(c.counter, w.registry).Count(), int64(1))
+			for _, line := range w.lines.Entries {
+				if line.Message == "attempt failed" {
+					is.Equal(line.Fields["cut"], c.field)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -43,6 +43,8 @@
 	// Length is the body's length in bytes, or -1 if unknown.
 	Length int64
 	Body   io.Reader
+	// FramedByClose is set if only the orderly end of the connection ends the body.
+	FramedByClose bool
 	// Verified is set if the response has the replica's signature.
 	Verified bool
 	// Executed is false if the replica states that it did not run the call.
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -100,6 +100,10 @@
 	// hedges counts the attempts that were started because another one was silent, hedgesWon those of
 	// them that took over, and hedgesAbandoned those that ended because the other one went on.
 	hedges, hedgesWon, hedgesAbandoned metrics.Counter
+	// cuts counts the responses that were cut short by where, cutsInEvent the streams that ended within an event,
+	// and framedByClose the complete responses of which only the end of their connection showed the end.
+	cuts                       [httpconn.CutCount]metrics.Counter
+	cutsInEvent, framedByClose metrics.Counter
 }
 
 func newAttemptCounters(registry metrics.Registry) *attemptCounters {
@@ -111,6 +115,11 @@
 	for v := range s.byVerdict {
 		s.byVerdict[v] = metrics.GetOrRegisterCounter("gateway.sendings."+verdict(v).String(), registry)
 	}
+	s.cutsInEvent = metrics.GetOrRegisterCounter("gateway.cuts."+cutInEvent, registry)
+	s.framedByClose = metrics.GetOrRegisterCounter("gateway.framed_by_close", registry)
+	for c := range s.cuts {
+		s.cuts[c] = metrics.GetOrRegisterCounter("gateway.cuts."+httpconn.Cut(c).String(), registry)
+	}
 	for l := range s.probes {
 		s.probes[l] = metrics.GetOrRegisterCounter("gateway.probes."+httpconn.Liveness(l).String(), registry)
 	}
@@ -134,6 +143,9 @@
 	}
 	f.judgeReplica(a, v)
 	if v == complete {
+		if a.finished && a.response.FramedByClose {
+			f.gateway.attempts.framedByClose.Inc(1)
+		}
 		return
 	}
 	fields := log.Fields{
@@ -161,6 +173,9 @@
 	if a.connectionBroke(v) {
 		fields["replica_state"] = a.liveness.String()
 	}
+	if cut := f.gateway.attempts.countCut(a.err); cut != "" {
+		fields["cut"] = cut
+	}
 	if cause := context.Cause(a.ctx); cause != nil {
 		fields["cause"] = cause.Error()
 	}
@@ -171,6 +186,24 @@
 	entry.Info("attempt failed")
 }
 
+// cutInEvent is the name of a cut within an event in log lines and counters.
+const cutInEvent = "event"
+
+// countCut counts where a response was cut short whose attempt failed with err, and returns its name; empty if it
+// wasn't.
+func (c *attemptCounters) countCut(err error) string {
+	if errors.Is(err, errCutInEvent) {
+		c.cutsInEvent.Inc(1)
+		return cutInEvent
+	}
+	cut, ok := httpconn.CutOf(err)
+	if !ok {
+		return ""
+	}
+	c.cuts[cut].Inc(1)
+	return cut.String()
+}
+
 // recordPossibleRun records that the replica may have run the call.
 func (f *inFlightCall) recordPossibleRun(replica string) {
 	before := len(f.possibleRuns)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -250,7 +250,7 @@
 			}
 		}
 		if err == io.EOF && a.splitter.hasPartialEvent() {
-			err = io.ErrUnexpectedEOF
+			err = errCutInEvent
 		}
 		if len(events) > 0 || err != nil {
 			return events, err
@@ -258,6 +258,9 @@
 	}
 }
 
+// errCutInEvent indicates a stream that ended within an event.
+var errCutInEvent = errors.Wrap(io.ErrUnexpectedEOF, "cut within event")
+
 // classifyReadError records the error that ended the reading of a stream and returns its verdict.
 func (a *attemptState) classifyReadError(err error) verdict {
 	if errors.Is(err, errEventTooLarge) || errors.Is(err, buffer.ErrFull) {
--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -99,3 +99,69 @@
 		is.True(errors.Is(err, ErrResponseLost))
 	}
 }
+
+// Guards against logs and counters that can't tell where a server stopped.
+func TestCutOfAResponse(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		sent  string
+		reset bool
+		want  Cut
+	}{
+		{"HTTP/1.1 2", false, CutHeader},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n", false, CutHeader},
+		{"HTTP/1.1 200 OK\r\nA: b\r\nContent-Le", false, CutHeader},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n", true, CutHeader},
+		{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", false, CutHeader},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", false, CutLength},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", true, CutLength},
+		{chunked + "5", false, CutChunks},
+		{chunked + "5\r\npart", false, CutChunks},
+		{chunked + "4\r\npart\r\n", true, CutChunks},
+		{chunked + "4\r\npart\r\n0\r\n", false, CutTrailers},
+		{chunked + "4\r\npart\r\n0\r\nA: b\r\n", false, CutTrailers},
+		{"HTTP/1.1 200 OK\r\n\r\npart", true, CutClose},
+	} {
+		t.Run(fmt.Sprintf("%q, reset: %t", c.sent, c.reset), func(t *testing.T) {
+			is := is.New(t)
+			read := make(chan struct{})
+			address := serveOnce(t, func(s *net.TCPConn) {
+				_, _ = io.WriteString(s, c.sent)
+				if c.reset {
+					<-read // a reset overtakes what was not read
+					_ = s.SetLinger(0)
+				}
+			})
+			time.AfterFunc(20*time.Millisecond, func() { close(read) })
+			response, err := NewPool(address).Do(context.Background(), get("/"), 1)
+			if err == nil {
+				defer response.Close()
+				_, err = io.ReadAll(response.Body)
+			}
+			cut, ok := CutOf(err)
+			is.True(ok)
+			is.Equal(cut, c.want)
+			is.True(IsBroken(err))
+		})
+	}
+}
+
+// Guards against a call that counts as cut short by its server though it was cancelled here.
+func TestCancelledCallIsNotCutShort(t *testing.T) {
+	is := is.New(t)
+	done := make(chan struct{})
+	defer close(done)
+	address := serveOnce(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart")
+		<-done
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := NewPool(address).Do(ctx, get("/"), 1)
+	is.NoErr(err)
+	defer response.Close()
+	cancel()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+	_, ok := CutOf(err)
+	is.True(!ok)
+}
--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -97,6 +97,66 @@
 	}
 }
 
+// Cut is the part of a response within which its server closed or reset the connection.
+type Cut uint8
+
+// The parts. CutClose is a body without a length whose connection didn't end in order.
+const (
+	CutHeader Cut = iota
+	CutLength
+	CutChunks
+	CutTrailers
+	CutClose
+	// CutCount is the number of parts.
+	CutCount
+)
+
+// String returns the name in log lines and counters.
+func (c Cut) String() string {
+	return [...]string{"header", "length", "chunks", "trailers", "close"}[c]
+}
+
+// cutError is the error of a response that was cut short.
+type cutError struct {
+	cut   Cut
+	cause error
+}
+
+// Error implements error.
+func (e *cutError) Error() string { return "cut within " + e.cut.String() + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *cutError) Unwrap() error { return e.cause }
+
+// CutOf returns where the response was cut short whose reading failed with err; false if it wasn't.
+func CutOf(err error) (Cut, bool) {
+	var cut *cutError
+	if !errors.As(err, &cut) {
+		return 0, false
+	}
+	return cut.cut, true
+}
+
+// withCut adds where a response was cut short to the error of its reading, if the server ended the connection.
+func (c *conn) withCut(cut Cut, err error) error {
+	if !IsBroken(c.limited.err) {
+		return err
+	}
+	if !IsBroken(err) { // the parser's view of a line that the end of the connection has cut
+		err = errors.Wrap(ErrBroken, err.Error())
+	}
+	return &cutError{cut, err}
+}
+
+// bodyError returns the error of a body that could not be read to its end.
+func (c *conn) bodyError(f framing, err error) error {
+	cut := map[framing]Cut{framedByLength: CutLength, framedByChunks: CutChunks, framedByClose: CutClose}[f]
+	if f == framedByChunks && !IsBroken(err) {
+		cut = CutTrailers
+	}
+	return c.withCut(cut, err)
+}
+
 // provesEnd reports whether the end that the reading of a body has met is the body's own. net/http has checked
 // lengths and chunks.
 func (c *conn) provesEnd(f framing) bool {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -98,6 +98,8 @@
 	// Length is the body's length in bytes, or -1 if unknown.
 	Length int64
 	Body   io.Reader
+	// FramedByClose is set if only the orderly end of the connection ends the body.
+	FramedByClose bool
 
 	conn       *conn
 	callNumber int
@@ -202,7 +204,7 @@
 	case errors.Is(c.limited.err, ErrHeaderTooLarge):
 		return nil, ErrHeaderTooLarge
 	case begun || c.limited.remaining < maxHeaderBytes:
-		return nil, c.strayLost(err)
+		return nil, c.withCut(CutHeader, c.strayLost(err))
 	default:
 		return nil, responseLost(err)
 	}
@@ -281,6 +283,7 @@
 func (c *conn) newResponse(r *http.Response) *Response {
 	c.updateIdleTimeout(r.Header.Get("Keep-Alive"))
 	response := &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, callNumber: c.callCount}
+	response.FramedByClose = r.Body != http.NoBody && framingOf(r) == framedByClose
 	response.Body = &responseBody{response: response, reader: r.Body, closeAfter: r.Close, framing: framingOf(r)}
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		// A response to HEAD states the length of a body that it does not have.
@@ -326,6 +329,8 @@
 		c.release(b.response.callNumber, b.closeAfter)
 	case err != nil && n == 0 && c.limited.total > before && errors.Is(c.limited.err, net.ErrClosed):
 		err = errors.Wrap(ErrStrayBytes, err.Error())
+	case err != nil:
+		err = c.bodyError(b.framing, err)
 	}
 	return n, err
 }
