Instances wait for a port that is taken at their start

What callers saw: an entry that ended by itself 0.5 ms after its start; turns of a keeper's shards that reached nobody, since the keeper ran on without the listener of its peers, counted as lost and logged nothing until it was stopped ("foxhall: listen: ... address already in use" came after its line "stop").

Cause: each part of a node opens its listener for itself, in a group whose other parts run on when one fails; an error is returned when all have ended. The load exchange and the callers' listener ended the process, those of peers, readiness and metrics did not. Class: a failure of a part that is reported only at the end of the whole.

On real machines a port may be taken by an earlier process that is still ending, or, if it lies among the ephemeral ones, by a connection of its own address.

Ruled out: retrying other errors. A malformed address still ends the process at once.

Change: a listener whose address is taken or not there is opened again every 100 ms until the process is to stop, with a warning at the first failure.

The test before the change (24.3 s): "not listening on port 18149 of instance 1 in time"; entry-1: "start", 0.5 ms later "stop", "foxhall: load exchange: listen udp 127.65.116.1:18380: bind: address already in use"; keeper-1 ran on. After: ok, 6.1 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -340,7 +340,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load exchange")
 	}
-	conn, err := net.ListenUDP("udp", address)
+	conn, err := openListener(ctx, n.logger, address.String(), func() (*net.UDPConn, error) { return net.ListenUDP("udp", address) })
 	if err != nil {
 		return errors.Wrap(err, "load exchange")
 	}
@@ -393,13 +393,17 @@
 		ConnContext:       withConn,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	listener, err := netdial.ListenForCallers(serving, n.settings.CallersAddress)
+	listener, err := openListener(ctx, n.logger, n.settings.CallersAddress, func() (net.Listener, error) {
+		return netdial.ListenForCallers(serving, n.settings.CallersAddress)
+	})
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	limited := &callerListener{Listener: listener, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.logger, n.registry), buffers: n.buffers}
 	var group errgroup.Group
-	group.Go(func() error { return n.listen(serving, ready, n.settings.ReadyAddress) })
+	answering, stopAnswering := context.WithCancel(serving)
+	defer stopAnswering()
+	group.Go(func() error { return n.listen(answering, ready, n.settings.ReadyAddress) })
 	group.Go(func() error { return serve(serving, callers, limited) })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -417,6 +421,7 @@
 		settleCtx, cancel := context.WithDeadline(context.Background(), plan.settled)
 		defer cancel()
 		n.gateway.Drain(settleCtx)
+		stopAnswering()
 		_ = ready.Close()
 		return errors.Wrap(err, "end of the grace period")
 	})
@@ -442,7 +447,7 @@
 }
 
 func (n *Node) listen(ctx context.Context, server *http.Server, address string) error {
-	listener, err := netdial.Listen(ctx, address)
+	listener, err := openListener(ctx, n.logger, address, func() (net.Listener, error) { return netdial.Listen(ctx, address) })
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
