--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -17,7 +17,7 @@
 }
 
 // unansweredRetryAfter is the retry delay given to callers whose stream began at a version that other
-// instances may know, which don't answer: another instance may reach them.
+// instances may know, which don't answer, or at a version that a newer view would show: another instance may reach them, or the store.
 const unansweredRetryAfter = 200 * time.Millisecond
 
 // streamVersion is the software version at which a call's stream must go on.
@@ -58,7 +58,7 @@
 		return nil
 	}
 	result := refused(VersionUnknown, 0)
-	if resolution.Source == origin.Unanswered {
+	if resolution.Source == origin.Unanswered || resolution.Source == origin.Unproven {
 		result.RetryAfter = unansweredRetryAfter
 	}
 	return &result
--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"foxhall/internal/store"
 )
@@ -14,6 +15,11 @@
 	// pending holds the names of the entries that changed since the last Take. The mirror's lock
 	// protects it.
 	pending map[string]struct{}
+	// passed are entries that came and went, applying is set between Take and Applied, since and until are as of the last
+	// contents applied.
+	passed       []Entry
+	applying     bool
+	since, until time.Time
 }
 
 // NewFeed returns a feed of the kind's entries and their changes.
@@ -42,9 +48,38 @@
 		}
 	}
 	f.pending = map[string]struct{}{}
+	f.applying = true
 	return changed, removed
 }
 
+// TakePassed returns the entries that came and went since the last call.
+func (f *Feed) TakePassed() []Entry {
+	f.mirror.mu.Lock()
+	defer f.mirror.mu.Unlock()
+	passed := f.passed
+	f.passed = nil
+	return passed
+}
+
+// Applied is called once what Take and TakePassed returned is in use.
+func (f *Feed) Applied() {
+	f.mirror.mu.Lock()
+	defer f.mirror.mu.Unlock()
+	f.applying = false
+}
+
+// Complete returns the interval of which no change is missing in what the feed's user applied. It ends when the last
+// read of the store by this instance began, and is empty if there was none.
+func (f *Feed) Complete() (since, until time.Time) {
+	f.mirror.mu.Lock()
+	defer f.mirror.mu.Unlock()
+	if len(f.pending) == 0 && len(f.passed) == 0 && !f.applying {
+		c := f.mirror.kinds[f.kind]
+		f.since, f.until = c.unbrokenSince, c.provenAt
+	}
+	return f.since, f.until
+}
+
 // maxLoggedChanges bounds the changes of a kind that are kept in order. A peer that is further
 // behind costs a search of all entries.
 const maxLoggedChanges = 4096
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"foxhall/internal/store"
 )
@@ -53,11 +54,16 @@
 	listedAt atomic.Int64
 	// standby is true while other followers poll for changes and relay them to this one.
 	standby atomic.Bool
+	// renewals reads the replicas on demand.
+	renewals renewals
 }
 
 // NewFollower returns a follower that is not yet active.
 func NewFollower(m *Mirror, s store.Poller, logger log.Interface) *Follower {
-	return &Follower{mirror: m, store: s, logger: logger, unavailableSince: make([]atomic.Int64, len(Kinds))}
+	return &Follower{
+		mirror: m, store: s, logger: logger, unavailableSince: make([]atomic.Int64, len(Kinds)),
+		renewals: renewals{limiter: rate.NewLimiter(maxRenewalRate, renewalBurst)},
+	}
 }
 
 // Active reports whether the follower is running.
@@ -267,21 +273,29 @@
 }
 
 func (f *Follower) poll(ctx context.Context, k Kind, wait time.Duration) error {
-	from, known := f.mirror.AsOf(k)
-	if !known {
+	if _, known := f.mirror.AsOf(k); !known {
 		return f.snapshot(ctx, k)
 	}
+	changed, err := f.readChanges(ctx, k, wait)
+	if err == nil && changed {
+		sleep(ctx, f.mirror.timing.debounceDelay)
+	}
+	return err
+}
+
+// readChanges polls once and reports whether there were changes.
+func (f *Follower) readChanges(ctx context.Context, k Kind, wait time.Duration) (changed bool, err error) {
+	requestedAt := time.Now()
+	from, _ := f.mirror.AsOf(k)
 	changes, err := f.store.Poll(ctx, string(k), from, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.detectOutageEnd(k)
 	f.mirror.Apply(compactChanges(k, from, changes))
 	f.mirror.Confirm(k, time.Now())
-	if len(changes.Events) > 0 {
-		sleep(ctx, f.mirror.timing.debounceDelay)
-	}
-	return nil
+	f.mirror.prove(k, requestedAt, changes.AsOf)
+	return len(changes.Events) > 0, nil
 }
 
 // compactChanges keeps only the last event of each name, since an object may be removed and written
@@ -289,10 +303,14 @@
 // gets the revision of the whole response.
 func compactChanges(k Kind, from store.Version, changes store.Changes) Delta {
 	last := map[string]store.Event{}
+	d := Delta{Kind: k, From: from, AsOf: changes.AsOf}
 	for _, e := range changes.Events {
-		last[e.Object.Key.Name] = e
+		name := e.Object.Key.Name
+		if before, ok := last[name]; ok && !before.Deleted {
+			d.Passed = append(d.Passed, Entry{Name: name, Revision: before.Object.Version, Value: before.Object.Value})
+		}
+		last[name] = e
 	}
-	d := Delta{Kind: k, From: from, AsOf: changes.AsOf}
 	for name, e := range last {
 		if e.Deleted {
 			d.Removed = append(d.Removed, Entry{Name: name, Revision: changes.AsOf})
@@ -304,17 +322,24 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context, k Kind) error {
+	if _, known := f.mirror.AsOf(k); k == Replicas && known && f.mirror.unseenFor(k, time.Now()) > maxUnseen {
+		// The history shows what came and went since, the listing does not.
+		if _, err := f.readChanges(ctx, k, 0); err != nil && !errors.Is(err, store.ErrGone) {
+			return err
+		}
+	}
 	requestedAt := time.Now()
 	listing, err := f.store.Snapshot(ctx, string(k))
 	if err != nil {
 		return err
 	}
 	f.detectOutageEnd(k)
-	f.mirror.Confirm(k, requestedAt)
 	if k == Replicas {
 		f.listedAt.Store(requestedAt.UnixNano())
 	}
 	f.mirror.Apply(Delta{Kind: k, Full: true, AsOf: listing.AsOf, Entries: entriesOf(listing)})
+	f.mirror.Confirm(k, requestedAt)
+	f.mirror.prove(k, requestedAt, listing.AsOf)
 	return nil
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,6 +36,10 @@
 // is further behind receives all entries of the kind.
 const maxTombstones = 512
 
+// maxUnseen is the time between two responses about a kind in which no entry is assumed to come, to be used elsewhere
+// and to go, where the store's history does not show it.
+const maxUnseen = 2 * time.Second
+
 // Entry is one object as of its last change.
 type Entry struct {
 	Name     string
@@ -51,6 +55,8 @@
 	From, AsOf store.Version
 	Entries    []Entry
 	Removed    []Entry
+	// Passed are entries that were written and then replaced or removed after From and up to AsOf.
+	Passed []Entry
 }
 
 // kindCopy is the mirrored state of one kind.
@@ -69,6 +75,10 @@
 	// none or the state is stale. returnedAt is the time of the first response after the latest
 	// outage.
 	confirmedAt, returnedAt time.Time
+	// provenAt is when a read of the store began in this process after which the state lacks no change; zero if there is none.
+	// A response that arrives late proves nothing of the time since. unbrokenSince is since when no entry can have
+	// come and gone unseen.
+	provenAt, unbrokenSince time.Time
 }
 
 // Mirror is the local copy of all kinds. It is safe for concurrent use.
@@ -141,10 +151,30 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range m.kinds {
-		c.confirmedAt = time.Time{}
+		c.confirmedAt, c.provenAt = time.Time{}, time.Time{}
+	}
+}
+
+// prove records that a read of the store, begun at a time, found a version of a kind.
+func (m *Mirror) prove(k Kind, at time.Time, asOf store.Version) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.kinds[k]; c.known && c.asOf >= asOf && at.After(c.provenAt) {
+		c.provenAt = at
 	}
 }
 
+// unseenFor returns the time since the last known response about the kind.
+func (m *Mirror) unseenFor(k Kind, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kinds[k].unseenFor(now)
+}
+
+func (c *kindCopy) unseenFor(now time.Time) time.Duration {
+	return min(now.Sub(c.provenAt), now.Sub(c.confirmedAt))
+}
+
 // Entries returns the kind's entries sorted by name.
 func (m *Mirror) Entries(k Kind) []Entry {
 	m.mu.Lock()
@@ -233,9 +263,10 @@
 // has no effect, so that a delayed response never reverts that state.
 func (m *Mirror) Apply(d Delta) bool {
 	m.mu.Lock()
-	changed, becameKnown := m.kinds[d.Kind].apply(d)
+	changed, becameKnown := m.kinds[d.Kind].apply(d, time.Now())
+	passed := m.kinds[d.Kind].pass(d.Passed)
 	m.mu.Unlock()
-	if changed || becameKnown {
+	if changed || becameKnown || passed {
 		for _, f := range m.listeners {
 			f(d.Kind)
 		}
@@ -244,15 +275,21 @@
 }
 
 // apply reports whether entries changed, and whether the kind became known.
-func (c *kindCopy) apply(d Delta) (changed, becameKnown bool) {
+func (c *kindCopy) apply(d Delta, now time.Time) (changed, becameKnown bool) {
 	switch {
 	case c.known && (d.AsOf < c.asOf || d.AsOf == c.asOf && !d.Full):
 		return false, false
 	case d.Full:
+		if !c.known || d.AsOf > c.asOf && c.unseenFor(now) > maxUnseen {
+			c.unbrokenSince = now
+		}
 		changed = c.applyListing(d)
 	case !c.known || d.From > c.asOf:
 		return false, false
 	default:
+		if c.lacksPassed(d) {
+			c.unbrokenSince = now
+		}
 		changed = c.applyChanges(d)
 	}
 	becameKnown = !c.known
@@ -260,6 +297,28 @@
 	return changed, becameKnown
 }
 
+// lacksPassed reports whether a delta removes an entry that this mirror has never held.
+func (c *kindCopy) lacksPassed(d Delta) bool {
+	named := func(list []Entry, name string) bool {
+		return slices.ContainsFunc(list, func(e Entry) bool { return e.Name == name })
+	}
+	for _, e := range d.Removed {
+		_, held := c.entries[e.Name]
+		if !held && e.Revision > c.asOf && !named(c.tombstones, e.Name) && !named(d.Passed, e.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// pass tells the feeds of entries that came and went.
+func (c *kindCopy) pass(entries []Entry) bool {
+	for _, f := range c.feeds {
+		f.passed = append(f.passed, entries...)
+	}
+	return len(entries) > 0
+}
+
 // applyListing applies a complete listing. Entries that it lacks were removed at some revision up
 // to its own. They get tombstones, so that peers need not be sent all entries of the kind again.
 func (c *kindCopy) applyListing(d Delta) bool {
--- a/internal/mirror/sample.go
+++ b/internal/mirror/sample.go
@@ -59,8 +59,9 @@
 		return err
 	}
 	if f.sampleAfter == "" && !more {
-		f.mirror.Confirm(Replicas, requestedAt)
 		f.mirror.Apply(Delta{Kind: Replicas, Full: true, AsOf: page.AsOf, Entries: entriesOf(page)})
+		f.mirror.Confirm(Replicas, requestedAt)
+		f.mirror.prove(Replicas, requestedAt, page.AsOf)
 		return nil
 	}
 	if f.sampleAfter == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 		fanout = peerload.KeeperFanout
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, fanout, n.upstream, n.fleet.entryAddresses, n.logger)
-	n.origins = origin.NewRegistry(n.replicas.versions, originPeers{n}, func(now time.Time) time.Duration { return n.mirror.Age(mirror.Replicas, now) }, registry)
+	n.origins = origin.NewRegistry(n.replicas.versions, originPeers{n}, replicaView{n.mirror, n.replicaFeed, follower, wake.NewSuspensions()}, registry)
 	n.fleet.broadcast = n.load.BroadcastKeeperStatus
 	if n.keeper != nil {
 		n.load.OnKeeperStatus(n.receiveKeeperStatus)
@@ -311,6 +311,7 @@
 		return nil
 	})
 	group.Go(func() error { n.logSilence(serving); return nil })
+	group.Go(func() error { n.logViewAge(serving); return nil })
 	group.Go(func() error {
 		n.keeperSilence.run(serving, func(name string) bool { return !n.fleet.isReachable(name) })
 		return nil
--- a/internal/node/ring.go
+++ b/internal/node/ring.go
@@ -5,10 +5,13 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"foxhall/internal/mirror"
 	"foxhall/internal/origin"
+	"foxhall/internal/wake"
 )
 
 const (
@@ -142,6 +145,28 @@
 	return slices.ContainsFunc(members, func(m *ringMember) bool { return m.dataCentre == dataCentre })
 }
 
+// replicaView is this instance's view of the replicas.
+type replicaView struct {
+	mirror      *mirror.Mirror
+	feed        *mirror.Feed
+	follower    *mirror.Follower
+	suspensions *wake.Suspensions
+}
+
+// Age implements origin.View.
+func (v replicaView) Age(now time.Time) time.Duration { return v.mirror.Age(mirror.Replicas, now) }
+
+// Complete implements origin.View.
+func (v replicaView) Complete() (since, until time.Time) {
+	if v.suspensions.Detected() {
+		v.mirror.MarkStale()
+	}
+	return v.feed.Complete()
+}
+
+// Renew implements origin.View.
+func (v replicaView) Renew() <-chan struct{} { return v.follower.Renew() }
+
 // originPeers reaches the instances that hold the records of streams.
 type originPeers struct{ node *Node }
 
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -73,6 +73,15 @@
 	return changes
 }
 
+// pass counts the versions of replicas that came and went.
+func (s *replicaSet) pass(entries []mirror.Entry) {
+	for _, e := range entries {
+		if r, ok := s.decode(e.Name, e.Value); ok {
+			s.versions.Passed(&origin.Replica{Service: r.Service, Version: origin.ShortVersion(r.Version)}, time.Now())
+		}
+	}
+}
+
 // count brings the counts of versions up to date with a change.
 func (s *replicaSet) count(c replicaChange) {
 	if t, ok := s.versions.Replace(originReplica(c.before), originReplica(c.after), time.Now()); ok {
--- a/internal/origin/machine_test.go
+++ b/internal/origin/machine_test.go
@@ -19,8 +19,6 @@
 	steps    *rand.Rand
 	versions []string
 	streams  []testStream
-	// firstListed is when the first of the present replicas of a version was listed.
-	firstListed map[string]time.Time
 	// told are the instances, by their incarnations, that received the record of a stream.
 	told map[Key]map[*testInstance]int
 	seed uint64
@@ -40,7 +38,7 @@
 
 func (m *machine) step() {
 	n := m.instances[m.steps.IntN(len(m.instances))]
-	switch m.steps.IntN(10) {
+	switch m.steps.IntN(12) {
 	case 0, 1, 2, 3:
 		m.beginStream(n)
 	case 4, 5, 6:
@@ -60,24 +58,24 @@
 // beginStream begins a stream at a version that serves and that the instance sees.
 func (m *machine) beginStream(n *testInstance) {
 	version := m.versions[m.steps.IntN(len(m.versions))]
-	if n.down || m.replicas[version] == 0 || !n.versions.Serves(worldService, version) {
+	if n.isOut() || m.replicas[version] == 0 || !n.versions.Serves(worldService, version) {
 		return
 	}
 	m.streams = append(m.streams, n.begin(callNumber(len(m.streams)), version))
 }
 
 func (m *machine) resumeStream(n *testInstance) {
-	if len(m.streams) == 0 || n.down {
+	if len(m.streams) == 0 || n.isOut() {
 		return
 	}
 	s := m.streams[max(0, len(m.streams)-1-m.steps.IntN(20))]
-	if time.Since(s.began) >= worldLife-answerWait {
+	if time.Since(s.began) >= worldLife-renewalWait {
 		return // its record may expire before it is asked for
 	}
 	known := m.isKnownTo(n, s)
 	got := n.registry.Resolve(context.Background(), s.stream())
 	switch {
-	case got.Found() && got.Version != s.version && !m.isUnseen(s):
+	case got.Found() && got.Version != s.version:
 		m.t.Fatalf("seed %d, loss %v: %s began at %s and goes on at %s (%s, %d answers)", m.seed, m.loss, s.call, s.version, got.Version, got.Source, got.Answers)
 	case !got.Found() && known && m.loss == 0:
 		m.t.Fatalf("seed %d, loss %v: %s is refused (%s) although its record is in reach", m.seed, m.loss, s.call, got.Source)
@@ -89,31 +87,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for holder, incarnation := range m.told[s.key()] {
-		if holder.incarnation != incarnation || holder.down {
+		if holder.incarnation != incarnation || holder.down || !holder.pausedSince.IsZero() {
 			continue
 		}
-		if holder == n || !holder.cut && !n.cut && slices.Contains(m.holders(s.key()), holder) {
+		if holder == n || !holder.cut && !n.cut && !n.cutTo[holder] && !holder.cutTo[n] && slices.Contains(m.holders(s.key()), holder) {
 			return true
 		}
 	}
 	return false
 }
 
-// isUnseen reports whether the stream began at a version that was listed for the first time so shortly before
-// that the views of others may lack it, and more than one of its holders was not told. That is what the records and the
-// views together can't show.
-func (m *machine) isUnseen(s testStream) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	missed := 0
-	for _, holder := range m.holders(s.key()) {
-		if _, ok := m.told[s.key()][holder]; !ok {
-			missed++
-		}
-	}
-	return missed > 1 && s.began.Sub(m.firstListed[s.version]) < worldViewLag+maxViewAge
-}
-
 func (m *machine) changeVersions() {
 	before, after := "", m.versions[m.steps.IntN(len(m.versions))]
 	if m.steps.IntN(2) == 0 {
@@ -122,9 +105,6 @@
 			return
 		}
 	}
-	if after != "" && m.replicas[after] == 0 {
-		m.set(func() { m.firstListed[after] = time.Now() })
-	}
 	m.change(before, after)
 }
 
@@ -139,32 +119,75 @@
 }
 
 func (m *machine) disturb(n *testInstance) {
-	switch m.steps.IntN(3) {
+	switch m.steps.IntN(9) {
 	case 0:
 		m.set(func() { n.down = true })
 	case 1:
 		n.start()
-		m.set(func() { n.cut, n.staleSince = false, time.Time{} })
-	default:
+		m.set(func() { n.cut, n.cutTo, n.staleSince = false, nil, time.Time{} })
+	case 2:
+		m.set(func() { n.cut = !n.cut })
+	case 3:
+		m.set(func() { m.cutSome(n) })
+	case 4:
 		m.set(func() {
-			n.cut = !n.cut
-			n.staleSince = time.Time{}
-			if n.cut {
-				n.staleSince = time.Now()
+			n.stopFollowing()
+			n.loses = m.steps.IntN(4) == 0
+		})
+	case 5:
+		m.set(n.followAgain)
+	case 6:
+		m.set(func() { // the store is out of reach of all, or back
+			stale := !n.staleSince.IsZero()
+			for _, other := range m.all() {
+				if stale {
+					other.followAgain()
+				} else {
+					other.stopFollowing()
+				}
 			}
 		})
-		if !n.cut {
-			n.start() // reads the list as it is now
+	default:
+		if n.pausedSince.IsZero() {
+			n.pause()
+			return
+		}
+		n.resumeProcess()
+		if n.number < len(m.instances) {
+			m.resumeStream(n) // finds the call waiting
 		}
 	}
 }
 
+// cutSome cuts an instance from some of the others, one way or both ways, or connects all again.
+func (m *machine) cutSome(n *testInstance) {
+	if m.steps.IntN(2) == 0 {
+		for _, other := range m.all() {
+			other.cutTo, other.cut = nil, false
+		}
+		return
+	}
+	n.cutTo = map[*testInstance]bool{}
+	for _, other := range m.all() {
+		n.cutTo[other] = m.steps.IntN(3) == 0
+		if m.steps.IntN(3) == 0 {
+			if other.cutTo == nil {
+				other.cutTo = map[*testInstance]bool{}
+			}
+			other.cutTo[n] = !other.cutTo[n]
+		}
+	}
+}
+
+// isOut reports whether the instance takes no calls.
+func (n *testInstance) isOut() bool { return n.down || !n.pausedSince.IsZero() }
+
 func playMachine(t *testing.T, seed uint64, loss float64) {
 	synctest.Test(t, func(t *testing.T) {
 		steps := rand.New(rand.NewPCG(seed, 0))
 		m := &machine{
 			world: newWorld(t, rand.New(rand.NewPCG(seed, 1)), 3+steps.IntN(8), map[string]int{"v1": 1 + steps.IntN(4)}),
-			steps: steps, seed: seed, versions: []string{"v1", "v2", "v3"}, firstListed: map[string]time.Time{}, told: map[Key]map[*testInstance]int{},
+			steps: steps, seed: seed, versions: []string{"v1", "v2", "v3"}, told: map[Key]map[*testInstance]int{},
 		}
 		m.addKeepers(steps.IntN(5))
 		m.watchRecords()
@@ -178,8 +201,8 @@
 }
 
 // Guards against streams of two versions, and against streams that are refused although their record is in
-// reach, while versions come and go, instances and keepers are killed, cut off and restarted, and all instances
-// lose their records at once.
+// reach, while versions come and go, instances and keepers are killed, stand still, are cut off from the store, from
+// all or some others, one way or both ways, and restart, and all instances lose their records at once.
 func TestOriginMachine(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		playMachine(t, rapid.Uint64().Draw(rt, "seed"), rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(rt, "loss"))
--- /dev/null
+++ b/internal/origin/outofstep_test.go
@@ -0,0 +1,136 @@
+package origin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newVersionOutOfSight lists a version that one instance alone sees so far, begins a stream at it there and loses the
+// record on its way to all holders.
+func newVersionOutOfSight(w *world, sees *testInstance) testStream {
+	w.set(func() {
+		sees.cutTo = map[*testInstance]bool{}
+		for _, n := range w.all() {
+			if n != sees {
+				n.stopFollowing()
+				sees.cutTo[n] = true
+			}
+		}
+	})
+	w.change("", "v2")
+	time.Sleep(worldViewLag)
+	s := sees.begin("s", "v2")
+	time.Sleep(2 * worldDelay)
+	return s
+}
+
+// Guards against a stream that began at a version listed moments before and goes on at the old one, since all that
+// answer were cut off from the store meanwhile, and its record reached none of them.
+func TestInstanceCutOffWhileAVersionJoinsDoesNotGuess(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.addKeepers(3)
+		time.Sleep(2 * worldLife)
+		s := newVersionOutOfSight(w, w.instances[0])
+		other := w.other(w.instances[0], s)
+		is.True(!other.resume(s).Found())
+		w.set(other.followAgain)
+		is.True(!other.resume(s).Found())
+		time.Sleep(worldResumption)
+		is.Equal(other.resume(s).Source, Unknown) // it sees both versions
+	})
+}
+
+// Guards against the same at an instance that stood still, finds the call waiting and reads the store afterwards.
+func TestInstanceThatStoodStillWhileAVersionJoinedDoesNotGuess(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.addKeepers(3)
+		time.Sleep(2 * worldLife)
+		s := testStream{call: "s"}
+		other := w.other(w.instances[0], s)
+		other.pause()
+		s = newVersionOutOfSight(w, w.instances[0])
+		other.resumeProcess()
+		is.True(!other.resume(s).Found())
+	})
+}
+
+// Guards against a stream of a version that came and went while an instance stood still and the store dropped the
+// history of it: the list of replicas, newer than the call, shows one version.
+func TestVersionThatCameAndWentDuringAPauseIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.addKeepers(3)
+		time.Sleep(2 * worldLife)
+		s := testStream{call: "s", version: "v2"}
+		for _, n := range w.all() {
+			n.pause()
+			w.set(func() { n.loses = true })
+		}
+		w.change("", "v2")
+		w.change("v2", "")
+		time.Sleep(time.Second)
+		for _, n := range w.all() {
+			n.resumeProcess()
+		}
+		time.Sleep(worldCheck)
+		for _, n := range w.instances {
+			is.True(!n.resume(s).Found())
+		}
+		unnamed := s.stream()
+		unnamed.Call = ""
+		is.True(!w.instances[0].registry.Resolve(context.Background(), unnamed).Found())
+	})
+}
+
+// Guards against the same where others vouch by views that are older than the end of the pause: nobody has seen the time
+// between.
+func TestViewsThatDoNotMeetProveNothing(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.addKeepers(3)
+		time.Sleep(2 * worldLife)
+		s := testStream{call: "s", version: "v2"}
+		other := w.other(w.instances[0], s)
+		other.pause()
+		for _, n := range w.all() {
+			w.set(n.stopFollowing)
+		}
+		w.change("", "v2")
+		w.change("v2", "")
+		time.Sleep(worldViewLag)
+		w.set(func() { other.loses = true })
+		other.resumeProcess()
+		time.Sleep(2 * worldResumption)
+		is.True(!other.resume(s).Found())
+		for _, n := range w.all() {
+			w.set(n.followAgain)
+		}
+		time.Sleep(2 * worldResumption)
+		is.Equal(other.resume(s).Source, Unknown) // the others have read the history
+	})
+}
+
+// Guards against callers who are refused at an instance that restarted, or stood still, while others have seen that
+// one version alone serves: they renew their view if it is older than that of the instance.
+func TestOthersCoverTheTimeThatAnInstanceHasNotSeen(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.addKeepers(3)
+		time.Sleep(2 * worldLife)
+		s := testStream{call: "s", version: "v1"}
+		other := w.other(w.instances[0], s)
+		other.start()
+		is.Equal(other.resume(s).Source, Sole)
+		other.pause()
+		w.set(func() { other.loses = true })
+		time.Sleep(time.Second)
+		other.resumeProcess()
+		time.Sleep(worldResumption)
+		is.Equal(other.resume(s).Source, Sole)
+	})
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -16,13 +16,26 @@
 	// settleWait is how long the answers that are still missing are waited for once enough instances vouch
 	// for a version. It leaves time for two more questions.
 	settleWait = 140 * time.Millisecond
-	// maxViewAge is the age of the view of the replicas above which an instance vouches for no version.
-	maxViewAge = 3 * time.Second
+	// MaxViewAge is the age of the view of the replicas above which an instance vouches for no version.
+	MaxViewAge = 3 * time.Second
 	// listenedFor is how long an instance must have received records without a pause to have those of streams
-	// whose versions views of maxViewAge may lack.
-	listenedFor = maxViewAge + time.Second
+	// whose versions views of MaxViewAge may lack.
+	listenedFor = MaxViewAge + time.Second
+	// renewalWait bounds the wait for a view that is newer than the question, in place of answerWait.
+	renewalWait = time.Second
 )
 
+// View is the view of the replicas from which the versions are.
+type View interface {
+	// Age returns the time since the store last confirmed the view, as far as this instance knows.
+	Age(now time.Time) time.Duration
+	// Complete returns the interval of which the versions lack no change, by reads of the store that this instance made.
+	// It ends when the last of them began.
+	Complete() (since, until time.Time)
+	// Renew has the view read again. The channel is closed after a read that began after the call, successful or not.
+	Renew() <-chan struct{}
+}
+
 // Peers reaches the instances that hold the records of streams, each by its datagram address.
 type Peers interface {
 	// Holders returns the instances that hold the record of a stream.
@@ -51,14 +64,16 @@
 	Key     Key
 	Service string
 	Life    time.Duration
+	// ViewSpan is for how long the one that asks has seen the replicas without a gap; 0 if that is the stream's life,
+	// or unknown.
+	ViewSpan time.Duration
 }
 
 // Registry records at which version streams began, and finds it out. It is safe for concurrent use.
 type Registry struct {
 	versions *Versions
 	peers    Peers
-	// viewAge returns the age of the view of the replicas.
-	viewAge func(now time.Time) time.Duration
+	view     View
 
 	mu    sync.Mutex
 	table *table
@@ -72,6 +87,9 @@
 
 // search waits for answers. That of this instance has the zero address.
 type search struct {
+	question Question
+	// began is when the call came that resumes the stream, or later.
+	began   time.Time
 	holders Holders
 	answers map[netip.AddrPort]Answer
 	// changed has an element after each answer.
@@ -79,9 +97,9 @@
 }
 
 // NewRegistry returns a registry without records.
-func NewRegistry(versions *Versions, peers Peers, viewAge func(now time.Time) time.Duration, registry metrics.Registry) *Registry {
+func NewRegistry(versions *Versions, peers Peers, view View, registry metrics.Registry) *Registry {
 	r := &Registry{
-		versions: versions, peers: peers, viewAge: viewAge, table: newTable(), startedAt: time.Now(), waiting: map[Key][]*search{},
+		versions: versions, peers: peers, view: view, table: newTable(), startedAt: time.Now(), waiting: map[Key][]*search{},
 		told:     metrics.GetOrRegisterCounter("streams.origin.told", registry),
 		received: metrics.GetOrRegisterCounter("streams.origin.received", registry),
 		asked:    metrics.GetOrRegisterCounter("streams.origin.asked", registry),
@@ -95,6 +113,9 @@
 	return r
 }
 
+// Unproven returns the number of streams that were refused since the view of this instance was not renewed in time.
+func (r *Registry) Unproven() int64 { return r.found[Unproven].Count() }
+
 // Len returns the number of records.
 func (r *Registry) Len() int {
 	r.mu.Lock()
@@ -111,12 +132,38 @@
 
 // vouches returns the version that alone has served for the time before now, if this instance is certain.
 func (r *Registry) vouches(service string, life time.Duration, now time.Time) (version string, ok bool) {
-	if r.viewAge(now) > maxViewAge {
+	if span, _ := r.viewed(now); r.view.Age(now) > MaxViewAge || span < life {
 		return "", false
 	}
 	return r.versions.Vouches(service, life, now)
 }
 
+// viewed returns for how long this instance has seen the replicas without a gap, and until when.
+func (r *Registry) viewed(now time.Time) (span time.Duration, until time.Time) {
+	since, until := r.view.Complete()
+	if known := r.versions.KnownSince(); known.After(since) {
+		since = known
+	}
+	if since.IsZero() {
+		return 0, time.Time{}
+	}
+	return now.Sub(since), until
+}
+
+// covers reports whether this instance has seen all of a stream's life up to the time from which on the one that asks
+// has. If its view is too old for that, it is renewed for a further question.
+func (r *Registry) covers(q Question, life time.Duration, now time.Time) bool {
+	span, until := r.viewed(now)
+	if q.ViewSpan <= 0 || span < life+renewalWait { // the call came up to renewalWait ago
+		return false
+	}
+	if now.Sub(until) > q.ViewSpan {
+		r.view.Renew()
+		return false
+	}
+	return true
+}
+
 // Began records at which version a stream began, or goes on. The record is sent before Began returns.
 func (r *Registry) Began(s Stream, version string) {
 	now, life := time.Now(), boundLife(s.Life)
@@ -188,6 +235,8 @@
 
 func (r *Registry) answer(q Question) Answer {
 	now, life := time.Now(), boundLife(q.Life)
+	// The interval is read before the versions, which may be newer.
+	covers := r.covers(q, life, now)
 	version, only := r.versions.Only(q.Service, life, now)
 	_, vouches := r.vouches(q.Service, life, now)
 	r.mu.Lock()
@@ -198,7 +247,7 @@
 	if !only {
 		return Answer{Key: q.Key}
 	}
-	return Answer{Key: q.Key, Version: version, Only: true, Vouches: vouches, Listened: now.Sub(r.startedAt) >= listenedFor}
+	return Answer{Key: q.Key, Version: version, Only: true, Vouches: vouches, Listened: now.Sub(r.startedAt) >= listenedFor, Covers: covers}
 }
 
 // ReceiveAnswer hands an answer to the searches that wait for it. Further answers of one instance replace
@@ -225,7 +274,7 @@
 func (r *Registry) resolve(ctx context.Context, s Stream) Resolution {
 	life, key := boundLife(s.Life), s.Key()
 	if s.Call == "" {
-		return r.resolveUnnamed(s.Service, life)
+		return r.resolveUnnamed(ctx, s.Service, life)
 	}
 	r.mu.Lock()
 	known := r.table.lookup(key, time.Now())
@@ -241,40 +290,75 @@
 }
 
 // resolveUnnamed resolves a stream of which the caller does not name the first call.
-func (r *Registry) resolveUnnamed(service string, life time.Duration) Resolution {
-	if version, ok := r.versions.Only(service, life, time.Now()); ok {
-		return Resolution{Source: Sole, Version: version}
+func (r *Registry) resolveUnnamed(ctx context.Context, service string, life time.Duration) Resolution {
+	asked := time.Now()
+	timeout := time.NewTimer(renewalWait)
+	defer timeout.Stop()
+	for {
+		own := r.ownAnswer(Question{Service: service, Life: life}, asked)
+		switch {
+		case !own.Only || !own.Covers:
+			return Resolution{Source: Unknown}
+		case own.Current:
+			return Resolution{Source: Sole, Version: own.Version}
+		}
+		select {
+		case <-r.view.Renew():
+		case <-timeout.C:
+			return Resolution{Source: Unproven}
+		case <-ctx.Done():
+			return Resolution{Source: Unproven}
+		}
 	}
-	return Resolution{Source: Unknown}
+}
+
+// ownAnswer is what this instance knows of the versions, for a call that came at a time.
+func (r *Registry) ownAnswer(q Question, asked time.Time) Answer {
+	now, life := time.Now(), boundLife(q.Life)
+	// The interval is read before the versions, which may be newer.
+	span, until := r.viewed(now)
+	own := r.answer(q)
+	own.Covers, own.Current = span-now.Sub(asked) >= life, until.After(asked)
+	return own
 }
 
 // search asks the holders of the record.
 func (r *Registry) search(ctx context.Context, service string, key Key, life time.Duration) Resolution {
-	question := Question{Key: key, Service: service, Life: life}
-	s := &search{holders: r.peers.Holders(key), answers: map[netip.AddrPort]Answer{}, changed: make(chan struct{}, 1)}
+	s := &search{
+		question: Question{Key: key, Service: service, Life: life}, began: time.Now(),
+		holders: r.peers.Holders(key), answers: map[netip.AddrPort]Answer{}, changed: make(chan struct{}, 1),
+	}
 	if s.holders.Self {
-		s.answers[netip.AddrPort{}] = r.answer(question)
+		s.answers[netip.AddrPort{}] = r.answer(s.question)
 	}
 	defer r.await(key, s)()
-	began := time.Now()
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
-	timeout := time.NewTimer(answerWait)
+	timeout, renewed := time.NewTimer(answerWait), time.NewTimer(renewalWait)
 	defer timeout.Stop()
+	defer renewed.Stop()
 	settled := time.NewTimer(settleWait)
 	defer settled.Stop()
-	r.ask(s, question)
+	renewal := r.ask(s)
 	for {
-		result, complete := r.decide(question, s)
-		if complete || result.Source == Sole && time.Since(began) >= settleWait {
+		result, complete := r.decide(s)
+		if complete || result.Source == Sole && time.Since(s.began) >= settleWait {
 			return result
 		}
 		select {
 		case <-s.changed:
 		case <-settled.C:
+		case <-renewal:
+			renewal = nil
 		case <-ticker.C:
-			r.ask(s, question)
+			if again := r.ask(s); renewal == nil {
+				renewal = again
+			}
 		case <-timeout.C:
+			if result.Source != Unproven {
+				return result
+			}
+		case <-renewed.C:
 			return result
 		case <-ctx.Done():
 			return result
@@ -283,12 +367,19 @@
 }
 
 // decide returns the resolution by the answers so far, and whether further ones can't change it.
-func (r *Registry) decide(q Question, s *search) (result Resolution, complete bool) {
-	own := r.answer(q)
+func (r *Registry) decide(s *search) (result Resolution, complete bool) {
+	own := r.ownAnswer(s.question, s.began)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result = decide(s.holders, s.answers, own)
-	return result, len(s.answers) >= s.holders.count() || result.Source == Told || result.Source == Contradicted
+	switch result.Source {
+	case Told, Contradicted:
+		return result, true
+	case Unproven:
+		return result, false
+	default:
+		return result, len(s.answers) >= s.holders.count() || time.Since(s.began) >= answerWait
+	}
 }
 
 // await registers a search for answers until the returned function is called.
@@ -311,15 +402,25 @@
 	}
 }
 
-// ask sends the question to the holders that have not answered.
-func (r *Registry) ask(s *search, q Question) {
+// ask sends the question to the holders that have not answered, or that may have seen since what this instance has not. It
+// has the own view renewed if that is too old, and returns a channel that is closed after this.
+func (r *Registry) ask(s *search) (renewal <-chan struct{}) {
+	own := r.ownAnswer(s.question, s.began)
+	q := s.question
+	if !own.Covers {
+		q.ViewSpan, _ = r.viewed(time.Now())
+	}
 	for _, holder := range s.holders.Others {
 		r.mu.Lock()
-		_, answered := s.answers[holder.Address]
+		a, answered := s.answers[holder.Address]
 		r.mu.Unlock()
-		if !answered {
+		if !answered || !own.Covers && a.Vouches && !a.Covers {
 			r.asked.Inc(1)
 			r.peers.Ask(holder.Address, q)
 		}
 	}
+	if own.Only && !own.Current {
+		return r.view.Renew()
+	}
+	return nil
 }
--- a/internal/origin/registry_test.go
+++ b/internal/origin/registry_test.go
@@ -165,7 +165,7 @@
 			w.set(func() { n.staleSince = time.Now() })
 		}
 		w.change("", "v2")
-		time.Sleep(maxViewAge + time.Millisecond)
+		time.Sleep(MaxViewAge + time.Millisecond)
 		is.True(!w.other(w.instances[0], s).resume(s).Found())
 	})
 	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
--- a/internal/origin/resolve.go
+++ b/internal/origin/resolve.go
@@ -14,6 +14,8 @@
 	Unknown Source = iota
 	// Unanswered: too few of the instances that would know have answered.
 	Unanswered
+	// Unproven: the view of this instance is older than the question, and the store did not renew it.
+	Unproven
 	// Contradicted: records name different versions.
 	Contradicted
 	// Own: this instance has the record.
@@ -26,7 +28,7 @@
 
 // String returns the source's name in log lines and counters.
 func (s Source) String() string {
-	return [...]string{"unknown", "unanswered", "contradicted", "own", "told", "sole"}[s]
+	return [...]string{"unknown", "unanswered", "unproven", "contradicted", "own", "told", "sole"}[s]
 }
 
 // Resolution is the version at which a stream goes on, if Found.
@@ -53,6 +55,11 @@
 	// Listened is set if the instance would have received the record of a stream that began at a version which
 	// views that are not old may lack.
 	Listened bool
+	// Covers is set if the instance has seen all of the stream's life, without a gap and by reads of the store, up to
+	// the time from which on the one that asks has.
+	Covers bool
+	// Current is set in the own answer of the instance that asks if its view is newer than the question.
+	Current bool
 }
 
 // minAgreeing is the number of failure domains in which instances must vouch for a version, and of those in which
@@ -97,6 +104,9 @@
 	case result.Source == Told:
 	case tally.showsSole():
 		result.Source, result.Version = Sole, own.Version
+		if !tally.covered || !own.Current {
+			result.Source, result.Version = Unproven, ""
+		}
 	case len(answers) < min(minAgreeing, holders.count()):
 		result.Source = Unanswered
 	}
@@ -118,10 +128,12 @@
 	vouching, listened domains
 	// agree is set while no instance has seen another version than this one.
 	agree bool
+	// covered is set once an instance has seen the time that this one has not.
+	covered bool
 }
 
 func newTally(holders Holders, own Answer) *tally {
-	t := &tally{agree: own.Only}
+	t := &tally{agree: own.Only, covered: own.Covers}
 	for _, h := range holders.all() {
 		t.holders.add(h.Domain, true)
 		t.instances.add(h.Domain, true)
@@ -134,12 +146,14 @@
 }
 
 func (t *tally) add(domain string, a, own Answer) {
+	t.covered = t.covered || a.Covers
 	t.agree = t.agree && a.Only && a.Version == own.Version
 	t.vouching.add(domain, a.Vouches)
 	t.listened.add(domain, a.Listened)
 }
 
-// showsSole reports whether a stream without a record can have begun at the only version alone.
+// showsSole reports whether the answers let a stream without a record begin at the only version alone, as far as the views
+// of those who gave them go.
 func (t *tally) showsSole() bool {
 	return t.agree && len(t.vouching) >= min(minAgreeing, len(t.instances)) && len(t.listened) >= min(minAgreeing, len(t.holders))
 }
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -178,6 +178,21 @@
 	return version, seen == 1
 }
 
+// Passed records that a replica came and went.
+func (v *Versions) Passed(r *Replica, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.replace(nil, r, now)
+	v.remove(r, now)
+}
+
+// KnownSince returns when the list of replicas was first read; zero before.
+func (v *Versions) KnownSince() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.knownSince
+}
+
 // Vouches returns the version of the service if this instance has seen all of the time before now and no
 // other version in it.
 func (v *Versions) Vouches(service string, within time.Duration, now time.Time) (version string, ok bool) {
--- a/internal/origin/world_test.go
+++ b/internal/origin/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -21,6 +22,13 @@
 	// to an instance's view.
 	worldDelay, worldViewLag = 2 * time.Millisecond, 2 * time.Second
 	worldLife                = minLife
+	// worldResumption is how long a process takes at most to read what it finds after a pause, worldPause how long it
+	// takes to notice a pause that is longer.
+	worldResumption, worldPause = 50 * time.Millisecond, 500 * time.Millisecond
+	// worldLate is how late a datagram may be in a network that loses some.
+	worldLate = 2 * time.Second
+	// worldCheck is the most time between two reads of the list.
+	worldCheck = 2 * time.Second
 )
 
 // world is a set of instances in a network, within a bubble. Its replicas are the truth that the views of
@@ -35,8 +43,9 @@
 	// mu guards all that follows, and the fields of the instances.
 	mu     sync.Mutex
 	random *rand.Rand
-	// replicas counts the replicas of each version.
+	// replicas counts the replicas of each version, at the start and after all changes.
 	replicas map[string]int
+	changes  []replicaChange
 	// loss is the share of the datagrams that are lost, twice that of those that arrive twice.
 	loss, twice float64
 	// onRecord is called for the records that an instance has received or made, with mu held; nil for nothing.
@@ -52,10 +61,24 @@
 	// incarnation counts the starts.
 	incarnation int
 	down, cut   bool
+	// cutTo are the instances that receive nothing from this one.
+	cutTo map[*testInstance]bool
 	// staleSince is since when the instance does not follow the list of replicas; zero if it does.
 	staleSince time.Time
+	// pausedSince is since when the process stands still; zero if it runs. unread is what it will find then.
+	pausedSince time.Time
+	unread      []func()
+	// applied is the number of changes of the replicas that the instance has seen.
+	applied int
+	// since and until are the interval of which the view lacks no change.
+	since, until time.Time
+	// loses is set if the store has dropped its history before the instance follows the list again.
+	loses bool
 }
 
+// replicaChange replaces a replica of one version by one of another; empty for none.
+type replicaChange struct{ before, after string }
+
 func newWorld(t testing.TB, random *rand.Rand, instances int, replicas map[string]int) *world {
 	w := &world{t: t, random: random, replicas: replicas}
 	for i := range instances {
@@ -91,17 +114,29 @@
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 	n.incarnation++
-	n.down, n.versions = false, NewVersions()
-	n.registry = NewRegistry(n.versions, n, n.viewAge, metrics.NewRegistry())
+	n.down, n.versions, n.applied = false, NewVersions(), len(n.world.changes)
+	n.pausedSince, n.unread, n.loses = time.Time{}, nil, false
+	n.since, n.until = time.Now(), time.Now()
+	n.registry = NewRegistry(n.versions, n, n, metrics.NewRegistry())
 	for version, count := range n.world.replicas {
 		for range count {
 			n.versions.Replace(nil, &Replica{Service: worldService, Version: version}, time.Now())
 		}
 	}
 	n.versions.Begin(time.Now())
+	n.check(n.incarnation)
+}
+
+// check renews the view now and then until the instance restarts.
+func (n *testInstance) check(incarnation int) {
+	n.after(time.Duration(1+n.world.random.Int64N(int64(worldCheck))), func() {
+		n.Renew()
+		n.world.set(func() { n.check(incarnation) })
+	})
 }
 
-func (n *testInstance) viewAge(now time.Time) time.Duration {
+// Age implements View. It is the time since the instance last followed the list.
+func (n *testInstance) Age(now time.Time) time.Duration {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 	if n.staleSince.IsZero() {
@@ -110,6 +145,39 @@
 	return now.Sub(n.staleSince)
 }
 
+// Complete implements View.
+func (n *testInstance) Complete() (since, until time.Time) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return n.since, n.until
+}
+
+// Renew implements View. The response tells of the changes up to a moment between call and arrival.
+func (n *testInstance) Renew() <-chan struct{} {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	done, began := make(chan struct{}), time.Now()
+	if !n.staleSince.IsZero() {
+		time.AfterFunc(renewalWait, func() { close(done) })
+		return done
+	}
+	n.after(worldDelay, func() {
+		n.world.mu.Lock()
+		defer n.world.mu.Unlock()
+		changes := len(n.world.changes)
+		n.after(time.Duration(n.world.random.Int64N(int64(worldResumption))), func() {
+			defer close(done)
+			n.follow(changes)
+			n.world.mu.Lock()
+			defer n.world.mu.Unlock()
+			if n.applied >= changes && began.After(n.until) {
+				n.until = began
+			}
+		})
+	})
+	return done
+}
+
 func (n *testInstance) address() netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n.number)}), 1)
 }
@@ -182,8 +250,8 @@
 	other := n.world.all()[to.Addr().As4()[3]]
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
-	sender, receiver := n.incarnation, other.incarnation
-	if n.cut || n.down || other.cut || n.world.random.Float64() < n.world.loss {
+	sender := n.incarnation
+	if n.cut || n.down || other.cut || n.cutTo[other] || n.world.random.Float64() < n.world.loss {
 		return
 	}
 	copies := 1
@@ -192,10 +260,12 @@
 	}
 	for range copies {
 		delay := worldDelay + time.Duration(n.world.random.Int64N(int64(worldDelay)))
-		time.AfterFunc(delay, func() {
+		if n.world.random.Float64() < n.world.loss/2 {
+			delay += time.Duration(n.world.random.Int64N(int64(worldLate)))
+		}
+		other.after(delay, func() {
 			n.world.mu.Lock()
-			delivered := !other.down && receiver == other.incarnation && sender == n.incarnation
-			registry := other.registry
+			delivered, registry := sender == n.incarnation, other.registry
 			n.world.mu.Unlock()
 			if delivered {
 				deliver(other, registry)
@@ -204,21 +274,120 @@
 	}
 }
 
-// change replaces a replica of one version by one of another; empty for none. The instances that follow the
-// list see it after a while.
-func (w *world) change(before, after string) {
-	update := func(versions *Versions, registry *Registry) {
-		var gone, come *Replica
-		if before != "" {
-			gone = &Replica{Service: worldService, Version: before}
+// after calls f after a delay, unless the instance is down then or has restarted; once it runs again if it stands
+// still. The world's lock is held.
+func (n *testInstance) after(delay time.Duration, f func()) {
+	w, incarnation := n.world, n.incarnation
+	var run func()
+	run = func() {
+		w.mu.Lock()
+		runs := !n.down && n.incarnation == incarnation
+		if runs && !n.pausedSince.IsZero() {
+			n.unread, runs = append(n.unread, run), false
+		}
+		w.mu.Unlock()
+		if runs {
+			f()
+		}
+	}
+	time.AfterFunc(delay, run)
+}
+
+// pause stops the process, resume lets it run again. It then handles in any order what it finds, while it takes
+// calls already.
+func (n *testInstance) pause() {
+	n.world.set(func() {
+		if n.pausedSince.IsZero() {
+			n.pausedSince = time.Now()
+			n.stopFollowing()
+		}
+	})
+}
+
+func (n *testInstance) resumeProcess() {
+	n.world.set(func() {
+		if n.pausedSince.IsZero() {
+			return
+		}
+		paused := time.Since(n.pausedSince)
+		n.pausedSince = time.Time{}
+		for _, f := range n.unread {
+			time.AfterFunc(time.Duration(n.world.random.Int64N(int64(worldResumption))), f)
 		}
-		if after != "" {
-			come = &Replica{Service: worldService, Version: after}
+		n.unread = nil
+		if paused > worldPause {
+			n.after(time.Duration(n.world.random.Int64N(int64(worldPause))), n.registry.ResetAfterPause)
 		}
-		if t, ok := versions.Replace(gone, come, time.Now()); ok && t.Mixed {
+		n.followAgain()
+	})
+}
+
+// stopFollowing cuts the instance from the store. The world's lock is held.
+func (n *testInstance) stopFollowing() {
+	if n.staleSince.IsZero() {
+		n.staleSince = time.Now()
+	}
+}
+
+// followAgain lets the instance read the history of the list again. The world's lock is held.
+func (n *testInstance) followAgain() {
+	n.after(time.Duration(n.world.random.Int64N(int64(worldResumption))), func() {
+		n.world.set(func() {
+			n.staleSince = time.Time{}
+		})
+		n.follow(len(n.world.changes))
+	})
+}
+
+// netChanges returns the changes without what came and went.
+func netChanges(changes []replicaChange) []replicaChange {
+	net := map[string]int{}
+	for _, c := range changes {
+		net[c.before]--
+		net[c.after]++
+	}
+	var come, gone []replicaChange
+	for _, version := range slices.Sorted(maps.Keys(net)) {
+		count := net[version]
+		for ; version != "" && count > 0; count-- {
+			come = append(come, replicaChange{after: version})
+		}
+		for ; version != "" && count < 0; count++ {
+			gone = append(gone, replicaChange{before: version})
+		}
+	}
+	return append(come, gone...)
+}
+
+// follow applies the changes up to a number of them.
+func (n *testInstance) follow(changes int) {
+	n.world.mu.Lock()
+	var seen []replicaChange
+	if n.staleSince.IsZero() && changes > n.applied {
+		seen, n.applied = n.world.changes[n.applied:changes], changes
+		if n.loses {
+			seen, n.loses, n.since = netChanges(seen), false, time.Now()
+		}
+	}
+	versions, registry := n.versions, n.registry
+	n.world.mu.Unlock()
+	for _, c := range seen {
+		if t, ok := versions.Replace(worldReplica(c.before), worldReplica(c.after), time.Now()); ok && t.Mixed {
 			registry.TellAll(worldService)
 		}
 	}
+}
+
+func worldReplica(version string) *Replica {
+	if version == "" {
+		return nil
+	}
+	return &Replica{Service: worldService, Version: version}
+}
+
+// change replaces a replica of one version by one of another; empty for none. The instances that follow the
+// list see it after a while.
+func (w *world) change(before, after string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if before != "" {
@@ -227,16 +396,10 @@
 	if after != "" {
 		w.replicas[after]++
 	}
+	w.changes = append(w.changes, replicaChange{before, after})
+	changes := len(w.changes)
 	for _, n := range w.all() {
-		incarnation := n.incarnation
-		time.AfterFunc(time.Duration(w.random.Int64N(int64(worldViewLag))), func() {
-			w.mu.Lock()
-			follows, versions, registry := n.incarnation == incarnation && n.staleSince.IsZero(), n.versions, n.registry
-			w.mu.Unlock()
-			if follows {
-				update(versions, registry)
-			}
-		})
+		n.after(time.Duration(w.random.Int64N(int64(worldViewLag))), func() { n.follow(changes) })
 	}
 }
 
--- a/internal/peerload/origins.go
+++ b/internal/peerload/origins.go
@@ -51,7 +51,7 @@
 // AskOrigin sends a question about a stream to an instance.
 func (x *Exchange) AskOrigin(to netip.AddrPort, q origin.Question) {
 	x.sendOrigins(&peerloadpb.Load{OriginQuestion: &peerloadpb.OriginQuestion{
-		Stream: uint64(q.Key), Service: q.Service, LifeMs: uint32(q.Life.Milliseconds()),
+		Stream: uint64(q.Key), Service: q.Service, LifeMs: uint32(q.Life.Milliseconds()), ViewMs: uint32(q.ViewSpan.Milliseconds()),
 	}}, to)
 }
 
@@ -89,14 +89,16 @@
 		registry.Receive(decodeOrigins(load.Origins))
 	}
 	if q := load.OriginQuestion; q != nil {
-		a := registry.Answer(origin.Question{Key: origin.Key(q.Stream), Service: q.Service, Life: milliseconds(q.LifeMs)})
+		a := registry.Answer(origin.Question{Key: origin.Key(q.Stream), Service: q.Service, Life: milliseconds(q.LifeMs), ViewSpan: milliseconds(q.ViewMs)})
 		x.sendOrigins(&peerloadpb.Load{OriginAnswer: &peerloadpb.OriginAnswer{
 			Stream: uint64(a.Key), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version, Only: a.Only, Listened: a.Listened,
+			Covers: a.Covers,
 		}}, from)
 	}
 	if a := load.OriginAnswer; a != nil {
 		registry.ReceiveAnswer(from, origin.Answer{
 			Key: origin.Key(a.Stream), Known: a.Known, Conflict: a.Conflict, Vouches: a.Vouches, Version: a.Version, Only: a.Only, Listened: a.Listened,
+			Covers: a.Covers,
 		})
 	}
 }
--- a/internal/peerload/origins_test.go
+++ b/internal/peerload/origins_test.go
@@ -30,6 +30,11 @@
 }
 
 func newOriginInstance(t testing.TB) *originInstance {
+	return newOriginInstanceAt(t, time.Now(), "v1", "v2")
+}
+
+// newOriginInstanceAt returns an instance that has seen these versions since a time.
+func newOriginInstanceAt(t testing.TB, since time.Time, listed ...string) *originInstance {
 	is := is.New(t)
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	is.NoErr(err)
@@ -38,10 +43,11 @@
 	n := &originInstance{metrics: metrics.NewRegistry(), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	n.Exchange = New(n.address.String(), "here", EntryFanout, upstream.NewTable(), func() []*net.UDPAddr { return nil }, &log.Logger{Handler: discard.Default})
 	versions := origin.NewVersions()
-	for _, version := range []string{"v1", "v2"} {
+	versions.Begin(since)
+	for _, version := range listed {
 		versions.Replace(nil, &origin.Replica{Service: "s", Version: version}, time.Now())
 	}
-	n.registry = origin.NewRegistry(versions, n, func(time.Time) time.Duration { return 0 }, n.metrics)
+	n.registry = origin.NewRegistry(versions, n, currentView{since}, n.metrics)
 	n.SetOrigins(n.registry, n.metrics)
 	go n.Run(ctx, conn)
 	for n.conn.Load() == nil {
@@ -50,6 +56,22 @@
 	return n
 }
 
+// currentView is a view that is always new.
+type currentView struct{ since time.Time }
+
+// Age implements origin.View.
+func (currentView) Age(time.Time) time.Duration { return 0 }
+
+// Complete implements origin.View.
+func (v currentView) Complete() (since, until time.Time) { return v.since, time.Now() }
+
+// Renew implements origin.View.
+func (currentView) Renew() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
 // Holders implements origin.Peers.
 func (n *originInstance) Holders(origin.Key) origin.Holders {
 	holders := origin.Holders{}
@@ -87,6 +109,30 @@
 	is.Equal(asks.registry.Resolve(t.Context(), originStream("never")).Source, origin.Unknown)
 }
 
+// Guards against spans of views that are lost in their encoding: a holder has seen what the instance that asks has not.
+func TestSpanOfAViewTravelsBetweenInstances(t *testing.T) {
+	is := is.New(t)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	defer socket.Close()
+	n, to := newOriginInstanceAt(t, time.Now().Add(-time.Hour), "v1"), socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	for _, span := range []time.Duration{0, time.Second} {
+		n.AskOrigin(to, origin.Question{Key: 1, Service: "s", Life: 10 * time.Second, ViewSpan: span})
+		question := receiveLoad(t, socket)
+		n.receiveOrigins(question, to)
+		is.Equal(receiveLoad(t, socket).OriginAnswer.Covers, span > 0)
+	}
+}
+
+func receiveLoad(t *testing.T, socket *net.UDPConn) *peerloadpb.Load {
+	is, load := is.New(t), &peerloadpb.Load{}
+	buffer := make([]byte, maxDatagramBytes)
+	size, _, err := socket.ReadFromUDPAddrPort(buffer)
+	is.NoErr(err)
+	is.NoErr(proto.Unmarshal(buffer[:size], load))
+	return load
+}
+
 // Guards against a datagram about streams that an instance of an earlier version takes for a load report, by
 // which a data centre without a name would count as heard.
 func TestOlderInstancesIgnoreOrigins(t *testing.T) {
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -46,6 +46,43 @@
 	}
 }
 
+// monotonic is the clock behind time.Since.
+func monotonic() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic("wake: reading CLOCK_MONOTONIC failed: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
+// maxDrift is the most by which the two clocks may drift apart between two readings without a suspension.
+const maxDrift = 50 * time.Millisecond
+
+// Suspensions detects that the machine was suspended, before the first decision by times from before it. It is safe for
+// concurrent use.
+type Suspensions struct {
+	boot, monotonic Clock
+
+	mu     sync.Mutex
+	offset time.Duration
+}
+
+// NewSuspensions returns a detector of suspensions from now on.
+func NewSuspensions() *Suspensions { return newSuspensions(BootTime, monotonic) }
+
+func newSuspensions(boot, monotonic Clock) *Suspensions {
+	return &Suspensions{boot: boot, monotonic: monotonic, offset: boot() - monotonic()}
+}
+
+// Detected reports whether the machine was suspended since the last call.
+func (s *Suspensions) Detected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.offset
+	s.offset = s.boot() - s.monotonic()
+	return s.offset-before > maxDrift
+}
+
 // Detector detects a pause of this process before the first decision after it. After a pause, timers
 // fire before the sockets are read, so that all others seem to have been silent as long as the pause
 // took; Watch may report it too late. It is safe for concurrent use.
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -61,3 +61,16 @@
 	is.Equal(d.ResumedAt(now.Add(100*time.Millisecond)), now)
 	is.Equal(d.ResumedAt(now.Add(-time.Second)), now) // a time taken before the pause ended
 }
+
+// Guards against information from before a suspension that counts as recent in the first decision after it.
+func TestSuspensionIsDetectedByTheFirstDecisionAfterIt(t *testing.T) {
+	is := is.New(t)
+	var ran, suspended time.Duration
+	s := newSuspensions(func() time.Duration { return ran + suspended }, func() time.Duration { return ran })
+	ran += time.Hour
+	is.True(!s.Detected())
+	suspended += time.Second
+	is.True(s.Detected())
+	is.True(!s.Detected())
+	is.True(!NewSuspensions().Detected())
+}
