An instance logs when it did not run

Pauses were noticed above 0.5 s, for their effect on what the process knows.

New line "process ran late" with late_ms, above 150 ms, and the counter process.late_ms.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -284,6 +284,7 @@
 		wake.Watch(serving, wake.BootTime, pauseCheckInterval, maxHarmlessPause, n.afterPause(serving))
 		return nil
 	})
+	group.Go(func() error { watchLateness(serving, wake.BootTime, n.logger, n.registry); return nil })
 	group.Go(func() error { return n.fleet.register(serving) })
 	if n.settings.CallersAddress != "" {
 		// Keepers receive no load datagrams and can't detect unresponsive instances.
