A sole holder that is not certain of its role confirms no turn as absent

What callers may see: 404 for a turn that is retained.

Cause: a turn is absent if the primary of each shard says so. A primary asks its backups before it says so, and one without backups has nobody to ask. For reservations, settlements and draws such a keeper first makes sure that the loss of all others is confirmed at the present; the look-up didn't, so that after a pause in which the others may have taken its shards over it confirmed the absence of any turn that it doesn't have.

Change: the look-up asks the same as the three others, in one place.

TestSoleHolderConfirmsNoAbsenceAfterPause before:

alone_test.go:57: err: 32 shards confirmed by evidence from before the pause

--- a/internal/history/alone.go
+++ b/internal/history/alone.go
@@ -44,6 +44,12 @@
 	return s.role.Primary == k.settings.Name && len(s.role.Backups) == 0
 }
 
+// isUncertainSoleHolder reports whether this keeper is the shard's sole holder without being certain of it: the
+// others may have taken the shard over. The lock is held.
+func (k *Keeper) isUncertainSoleHolder(s *shard, now time.Time) bool {
+	return k.isSoleHolder(s) && k.servingVerdict(s, now) != historypb.Verdict_DONE
+}
+
 // recentlyReturned reports whether contact with the keeper was restored less than rejoinGrace ago.
 func (v *peerView) recentlyReturned(now time.Time) bool {
 	return now.Sub(v.lastContact) < suspectTimeout && now.Sub(v.loss.contactSince) < rejoinGrace
--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -173,6 +173,28 @@
 	})
 }
 
+// Guards against a turn that is answered as unknown. A sole holder was paused; the other keepers may have taken
+// its shards over meanwhile and retained the turn.
+func TestSoleHolderConfirmsNoAbsenceAfterPause(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		cl.setDataCentreIsolated(east, true)
+		time.Sleep(soleHolderTime)
+		k := cl.machine("c").process.keeper
+		confirmed := func() int {
+			response, err := k.Find(context.Background(), &historypb.FindRequest{Turn: "unknown"})
+			fail(err)
+			return len(response.Absent)
+		}
+		if n := confirmed(); n != ShardCount {
+			fail(errors.Errorf("%d shards confirmed by the sole holder before the pause, want all", n))
+		}
+		k.ResetAfterPause()
+		if n := confirmed(); n != 0 {
+			fail(errors.Errorf("%d shards confirmed by evidence from before the pause", n))
+		}
+	})
+}
+
 // Guards against the loss of an acknowledged turn. A sole holder has contact with the other keepers
 // again but can't reach the store, so that no reassignment makes them backups. Once they have
 // returned for good, its own disk may fail, so it must stop acknowledging turns.
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -77,7 +77,7 @@
 		defer k.mu.Unlock()
 		return &historypb.SettleResponse{Verdict: historypb.Verdict_MOVED, Role: k.encodeRole(s)}, nil
 	}
-	if k.isSoleHolder(s) && k.servingVerdict(s, time.Now()) != historypb.Verdict_DONE {
+	if k.isUncertainSoleHolder(s, time.Now()) {
 		defer k.mu.Unlock()
 		return &historypb.SettleResponse{Verdict: historypb.Verdict_NOT_NOW}, nil
 	}
@@ -94,7 +94,7 @@
 		defer k.mu.Unlock()
 		return &historypb.DrawResponse{Verdict: historypb.Verdict_MOVED, Role: k.encodeRole(s)}, nil
 	}
-	if k.isSoleHolder(s) && k.servingVerdict(s, time.Now()) != historypb.Verdict_DONE {
+	if k.isUncertainSoleHolder(s, time.Now()) {
 		defer k.mu.Unlock()
 		return &historypb.DrawResponse{Verdict: historypb.Verdict_NOT_NOW}, nil
 	}
@@ -110,6 +110,7 @@
 	k.mu.Lock()
 	pending := map[uint32]*pendingCommit{}
 	response := &historypb.FindResponse{}
+	now := time.Now()
 	for _, s := range k.shards {
 		chain, gap := s.state.walkChain(r.Customer, r.Turn)
 		if gap == nil {
@@ -120,7 +121,7 @@
 			gap.Slice = s.id
 			response.Gaps = append(response.Gaps, gap)
 		}
-		if k.isPrimary(s) {
+		if k.isPrimary(s) && !k.isUncertainSoleHolder(s, now) {
 			pending[s.id] = k.replicate(s, nil)
 		}
 	}
