A stream to an HTTP/1.0 caller that breaks off is reset

Cause: such a caller gets no chunks, so that the end of its connection is the end of its stream. To break off, the connection was closed in order too.

Ruled out: HTTP/1.1, where the last chunk is missing; responses that are not streams, which have a length.

Change: the connection is reset. What remains: an entry that is killed closes its connections in order, so that its streams to callers of HTTP/1.0 look complete.

--- a/internal/node/callerclose_test.go
+++ b/internal/node/callerclose_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/routing"
@@ -47,3 +49,17 @@
 	is.NoErr(err)
 	is.Equal(n, int64(size/2))
 }
+
+// Guards against a response that breaks off and ends in order: a connection that is to be reset must not wait for
+// its caller.
+func TestConnectionIsReset(t *testing.T) {
+	is := is.New(t)
+	caller, c := newTCPCallerConn(t)
+	_, err := io.WriteString(caller, "unread")
+	is.NoErr(err)
+	waitUntilArrived(t, c)
+	is.NoErr(c.SetLinger(0))
+	is.NoErr(c.Close())
+	_, err = caller.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -207,6 +207,8 @@
 	headerBegan time.Time
 	// inHeader is set from then until the end of the header was read. mu guards it.
 	inHeader bool
+	// resets is set if Close resets the connection.
+	resets atomic.Bool
 
 	mu           sync.Mutex
 	phase        connPhase
@@ -386,8 +388,21 @@
 	return n, err
 }
 
+// SetLinger sets what Close does with bytes that are not sent, see net.TCPConn. At 0, Close resets the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return nil
+	}
+	c.resets.Store(seconds == 0)
+	return tcp.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.resets.Load() {
+		return c.Conn.Close()
+	}
 	if hasUnreadBytes(c.Conn) {
 		if since, waiting := c.waiting(); waiting {
 			c.conns.ends.record(endUnread, c.RemoteAddr(), time.Since(since), c.readError())
