serve: a reset is not the end of a tool's answer without a length

What callers saw: a step whose result is a part of its tool's answer, where the service reset the connection while the body of the call was still being sent. The same cause as in httpconn: the error of the reset goes to the writing of the body, in net/http's transport too.

Ruled out: engines, whose answers are JSON or end with [DONE]; lookups and the store, JSON; peers, whose answers have a length.

Change: netdial.ReportResets returns a connection whose reading fails after a reset; the tool client dials such ones, and httpconn reads through one in place of its check at the end of a body. So a reset is logged as one there.

--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -8,8 +8,6 @@
 	"slices"
 
 	"github.com/pkg/errors"
-
-	"foxhall/internal/netdial"
 )
 
 // errSecondStatusLine indicates a header in which another response begins: its server stopped within a line.
@@ -156,9 +154,3 @@
 	}
 	return c.withCut(cut, err)
 }
-
-// provesEnd reports whether the end that the reading of a body has met is the body's own. net/http has checked
-// lengths and chunks.
-func (c *conn) provesEnd(f framing) bool {
-	return f != framedByClose || netdial.EndedInOrder(c.netConn)
-}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -320,9 +320,6 @@
 	c := b.response.conn
 	before := c.limited.total
 	n, err := b.reader.Read(p)
-	if err == io.EOF && !c.provesEnd(b.framing) {
-		err = errors.Wrap(ErrBroken, "reset within a body without a length")
-	}
 	switch {
 	case err == io.EOF:
 		b.ended = true
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -178,7 +178,7 @@
 }
 
 func newConn(p *Pool, n net.Conn) *conn {
-	limited := &limitedReader{reader: n}
+	limited := &limitedReader{reader: netdial.ReportResets(n)}
 	return &conn{pool: p, netConn: n, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}
 }
 
--- a/internal/netdial/end.go
+++ b/internal/netdial/end.go
@@ -1,6 +1,7 @@
 package netdial
 
 import (
+	"io"
 	"net"
 	"syscall"
 
@@ -10,17 +11,30 @@
 // stateCloseWait is TCP_CLOSE_WAIT: the peer has closed its side in order, and this one is open.
 const stateCloseWait = 8
 
-// EndedInOrder reports whether a connection whose reading met its end was closed in order, so that all that its
-// peer sent has arrived. Other than TCP connections count as closed in order.
-//
-// The kernel reports a reset once, to the read or write that comes first. A read that comes later meets the same
-// end as after an orderly close.
-func EndedInOrder(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return true
+// ReportResets returns a connection whose reading fails after a reset instead of meeting an end. The kernel reports
+// a reset once, to the read or write that comes first, and a read that comes later meets the same end as after an
+// orderly close. Other than TCP connections are returned as they are.
+func ReportResets(c net.Conn) net.Conn {
+	if _, ok := c.(syscall.Conn); !ok {
+		return c
 	}
-	rc, err := raw.SyscallConn()
+	return &resetReportingConn{Conn: c}
+}
+
+type resetReportingConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c *resetReportingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && !endedInOrder(c.Conn) {
+		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+	}
+	return n, err
+}
+
+// endedInOrder reports whether a connection whose reading met its end was closed in order by its peer.
+func endedInOrder(c net.Conn) bool {
+	rc, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/httpconn"
+	"foxhall/internal/netdial"
 	"foxhall/internal/step"
 )
 
@@ -78,11 +79,12 @@
 // maxBodyBytes.
 func NewClient(dialTimeout time.Duration, maxBodyBytes int64) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	dial := reportingResets(dialer.DialContext)
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
 	// When a reused connection breaks, net/http resends a request that has an idempotency key: the
 	// service would get a charge twice and no error would be reported. A transport that never reuses
 	// a connection never resends.
-	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true}
 	return &Client{
 		pooled:       &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
 		unpooled:     &http.Client{Transport: unpooled, CheckRedirect: returnRedirect},
@@ -92,9 +94,22 @@
 
 // SetDialer replaces the client's dial function. It must be called before the first call. Tests
 // use it to run the client on a simulated network with faults.
-func (c *Client) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.pooled.Transport.(*http.Transport).DialContext = dial
-	c.unpooled.Transport.(*http.Transport).DialContext = dial
+func (c *Client) SetDialer(dial dialFunc) {
+	c.pooled.Transport.(*http.Transport).DialContext = reportingResets(dial)
+	c.unpooled.Transport.(*http.Transport).DialContext = reportingResets(dial)
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// reportingResets returns a dial function with which a reset is not taken for the end of an answer without a length.
+func reportingResets(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return netdial.ReportResets(c), nil
+	}
 }
 
 // Close closes the idle connections.
