One odd object of the store no longer stops the list

What callers saw: calls to replicas that had left, none to replicas that joined, while another writer had left one entry that is nested deeply or is no JSON; entries that started beside it knew no replica at all.

Cause: a response of the store was decoded as a whole by encoding/json, which gives up at 10,000 levels of nesting and at the first byte that is no JSON. An event that could be split off but not read was skipped, so that the value before it stayed in force. Ruled out: the relay and the replica set, which keep other entries beside one that can't be decoded (TestUndecodableEntryCountsAsRemoved).

One that can't be read is listed without a value, so that it replaces what was there; where its name can't be read, the kind is listed again, at most every 0.1 to 0.7 s while the store's position does not advance (without pause before). A listing that could not be read to its end removes nothing and is read again within 3 s. The next page is asked for by the last name, readable or not. An unreadable order to empty a keeper is none. Page returns the name of the next page, since an empty page may be followed by others.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -29,6 +29,8 @@
 	// retryInitialDelay and retryMaxDelay bound the backoff between failed calls.
 	retryInitialDelay = 100 * time.Millisecond
 	retryMaxDelay     = 700 * time.Millisecond
+	// relistInterval is how often a kind is listed whose last listing lacked objects that could not be found.
+	relistInterval = 3 * time.Second
 	// registrationTime is how long live replicas need to register again after a store outage.
 	registrationTime = 2500 * time.Millisecond
 )
@@ -49,6 +51,9 @@
 	// sampleAfter is the name after which the sample of the replicas begins. Only the goroutine that
 	// samples uses it.
 	sampleAfter string
+	// partialSince is, for each kind, the time in Unix nanoseconds of its last listing if that lacked objects
+	// that could not be found, or else 0.
+	partialSince map[Kind]*atomic.Int64
 	// listedAt is when the replicas were last listed, in Unix nanoseconds.
 	listedAt atomic.Int64
 	// standby is true while other followers poll for changes and relay them to this one.
@@ -57,7 +62,11 @@
 
 // NewFollower returns a follower that is not yet active.
 func NewFollower(m *Mirror, s store.Poller, logger log.Interface) *Follower {
-	return &Follower{mirror: m, store: s, logger: logger, unavailableSince: make([]atomic.Int64, len(Kinds))}
+	f := &Follower{mirror: m, store: s, logger: logger, unavailableSince: make([]atomic.Int64, len(Kinds)), partialSince: map[Kind]*atomic.Int64{}}
+	for _, k := range Kinds {
+		f.partialSince[k] = &atomic.Int64{}
+	}
+	return f
 }
 
 // Active reports whether the follower is running.
@@ -224,6 +233,7 @@
 
 func (f *Follower) followKind(ctx context.Context, i int, k Kind) {
 	delays := newBackOff()
+	relisted := false
 	for ctx.Err() == nil {
 		if f.standby.Load() || f.isProbedByFirstKind(i) {
 			sleep(ctx, retryInitialDelay)
@@ -233,18 +243,30 @@
 		if f.unavailableSince[i].Load() != 0 {
 			// A poll without waiting shows at once when the store is available again.
 			wait = 0
+		} else if f.partialSince[k].Load() != 0 {
+			wait = relistInterval
 		}
 		err := f.poll(ctx, k, wait)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil || errors.Is(err, store.ErrGone) {
+		if err == nil && f.isRelistDue(k) {
+			err = store.ErrGone
+		}
+		if err == nil {
 			f.markAvailable(i, k)
 			delays.Reset()
-			if err == nil {
-				continue
+			relisted = false
+			continue
+		}
+		if errors.Is(err, store.ErrGone) {
+			f.markAvailable(i, k)
+			if relisted {
+				// The store's position has not moved since the last listing.
+				sleep(ctx, delays.NextBackOff())
 			}
 			f.relist(ctx, i, k)
+			relisted = true
 			continue
 		}
 		f.markUnavailable(i, k, err)
@@ -314,10 +336,34 @@
 	if k == Replicas {
 		f.listedAt.Store(requestedAt.UnixNano())
 	}
-	f.mirror.Apply(Delta{Kind: k, Full: true, AsOf: listing.AsOf, Entries: entriesOf(listing)})
+	f.applyListing(k, listing)
 	return nil
 }
 
+// applyListing applies a listing. One that lacks objects that could not be found removes none.
+func (f *Follower) applyListing(k Kind, listing store.Listing) {
+	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf, Entries: entriesOf(listing)}
+	at := int64(0)
+	if listing.Partial {
+		at = time.Now().UnixNano()
+	}
+	if before := f.partialSince[k].Swap(at); listing.Partial != (before != 0) {
+		f.logger.WithField("kind", string(k)).WithField("complete", !listing.Partial).WithField("objects", len(d.Entries)).
+			Warn("completeness of the store's listing changed")
+	}
+	if listing.Partial {
+		if asOf, known := f.mirror.AsOf(k); known {
+			d.Full, d.From = false, asOf
+		}
+	}
+	f.mirror.Apply(d)
+}
+
+func (f *Follower) isRelistDue(k Kind) bool {
+	at := f.partialSince[k].Load()
+	return at != 0 && time.Since(time.Unix(0, at)) >= relistInterval
+}
+
 // relist reads all entries of a kind after the store has dropped its history, and retries until it
 // succeeds.
 func (f *Follower) relist(ctx context.Context, i int, k Kind) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -266,6 +266,9 @@
 	if !c.known {
 		c.removeUnlisted(d.Entries)
 		for _, e := range d.Entries {
+			if e.Revision < c.entries[e.Name].Revision {
+				continue // listed twice
+			}
 			c.entries[e.Name] = e
 			c.notify(e.Name)
 			if e.Revision > d.AsOf {
--- a/internal/mirror/sample.go
+++ b/internal/mirror/sample.go
@@ -60,7 +60,7 @@
 	}
 	if f.sampleAfter == "" && !more {
 		f.mirror.Confirm(Replicas, requestedAt)
-		f.mirror.Apply(Delta{Kind: Replicas, Full: true, AsOf: page.AsOf, Entries: entriesOf(page)})
+		f.applyListing(Replicas, page)
 		return nil
 	}
 	if f.sampleAfter == "" {
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -46,6 +46,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if page.Partial {
+			// A copy that is left out would lose what only it holds.
+			return nil, errors.Errorf("copies %s: the listing is incomplete", prefix)
+		}
 		for _, object := range page.Objects {
 			if !strings.HasPrefix(object.Key.Name, prefix) {
 				more = more && object.Key.Name < prefix
@@ -60,7 +64,7 @@
 		if !more {
 			return copies, nil
 		}
-		after = page.Objects[len(page.Objects)-1].Key.Name
+		after = page.Next
 	}
 }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -442,8 +442,8 @@
 
 // isJoined reports whether this instance is registered as far as it knows.
 func (f *fleet) isJoined() bool {
-	_, exists := f.mirror.Get(mirror.Fleet, instancePrefix+f.settings.Instance)
-	return exists
+	e, exists := f.mirror.Get(mirror.Fleet, instancePrefix+f.settings.Instance)
+	return exists && len(e.Value) > 0
 }
 
 func (f *fleet) isRegistered(self member, name string) bool {
--- a/internal/node/retire.go
+++ b/internal/node/retire.go
@@ -11,10 +11,11 @@
 // retirementInterval is how often this instance checks for an order to drain it.
 const retirementInterval = 200 * time.Millisecond
 
-// isRetiring reports whether operators have ordered an instance drained.
+// isRetiring reports whether operators have ordered an instance drained. An order that can't be read is none:
+// the instance's disk would be removed.
 func (n *Node) isRetiring(instance string) bool {
-	_, ordered := n.mirror.Get(mirror.Retirements, instance)
-	return ordered
+	order, exists := n.mirror.Get(mirror.Retirements, instance)
+	return exists && len(order.Value) > 0
 }
 
 // runRetirement carries out an order to drain this instance. It reports the start, and completion
