--- a/internal/mirror/sample.go
+++ b/internal/mirror/sample.go
@@ -59,9 +59,9 @@
 		return err
 	}
 	if f.sampleAfter == "" && !more {
-		f.mirror.Apply(Delta{Kind: Replicas, Full: true, AsOf: page.AsOf, Entries: entriesOf(page)})
+		f.applyListing(Replicas, page)
 		f.mirror.Confirm(Replicas, requestedAt)
-		f.mirror.prove(Replicas, requestedAt, page.AsOf)
+		f.prove(Replicas, requestedAt, page.AsOf)
 		return nil
 	}
 	if f.sampleAfter == "" {
