A stopping entry releases the reservations that it gives up

What callers may see: a program that is refused with 402 before its budget is spent. Since the waits for keepers end with a call's acceptance, a stop gives reservations up; their release ran in the background, and the process could end before. That held before for reservations that timed out shortly before the end. Found by reading; not seen in a run.

Change: the process waits for releases as it does for settlements, until the same moment before the end of the grace period.

TestStopReleasesReservations without the wait:

release_test.go:58: <nil> != []string([given up]) --- FAIL: TestStopReleasesReservations (0.00s)

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -47,6 +47,8 @@
 	assignment func() (Assignment, bool)
 	allowances *allowances
 	logger     log.Interface
+	// releases are the unused reservations that are being released.
+	releases sync.WaitGroup
 
 	mu sync.Mutex
 	// observedRoles are the roles from responses of keepers, which may be newer than the
@@ -309,12 +311,25 @@
 // response arrived. The turn was not sent to any replica.
 func (c *Client) releaseReservation(r *historypb.ReserveRequest) {
 	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Customer: r.Customer, Turn: r.Turn}
-	go func() {
+	c.releases.Go(func() {
 		if err := c.settle(context.Background(), settle, releaseTimeout); err != nil {
 			// The tokens stay counted as spent, which affects only this program.
 			c.logger.WithError(err).WithField("request", r.Turn).WithField("program", r.Program).Warn("reservation not released; its tokens count as spent")
 		}
+	})
+}
+
+// Drain waits until all unused reservations are released, or ctx ends. No turn may begin any more.
+func (c *Client) Drain(ctx context.Context) {
+	released := make(chan struct{})
+	go func() {
+		c.releases.Wait()
+		close(released)
 	}()
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
 }
 
 // Settle implements gateway.Turns.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -418,6 +418,7 @@
 		settleCtx, cancel := context.WithDeadline(context.Background(), plan.settled)
 		defer cancel()
 		n.gateway.Drain(settleCtx)
+		n.turns.Drain(settleCtx)
 		_ = ready.Close()
 		return errors.Wrap(err, "end of the grace period")
 	})
