--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -423,6 +423,7 @@
 		settleCtx, cancel := context.WithDeadline(context.Background(), plan.settled)
 		defer cancel()
 		n.gateway.Drain(settleCtx)
+		n.turns.Drain(settleCtx)
 		stopAnswering()
 		_ = ready.Close()
 		return errors.Wrap(err, "end of the grace period")
