A stream without a length is not whole if its replica has ended

Connections of a killed process are closed in order, so that the framing can't tell this from the end of the stream.

Ruled out: streams in chunks or with a length; streams that were cut within an event.

Change: at the end of such a stream a new connection is opened to the replica, which serves its next call. If the address refuses it, the stream counts as cut short: it is resumed after its last event where its route allows that, and breaks off elsewhere; its turn isn't kept. The caller has all events by then, so that nothing is delayed but the end.

TestStreamThatEndsWithItsReplicaIsNotWhole before: 3 of 6 rows red (answered in place of broken-off, twice; the rest not resumed). After: green.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,50 @@
 		})
 	}
 }
+
+// endsByClose sends events of a stream whose end is that of its connection, and whose replica ends or goes on.
+func endsByClose(replicaEnds bool, events ...string) script {
+	return func(context.Context, *Attempt) (*Response, error) {
+		var body io.Reader = strings.NewReader(strings.Join(events, ""))
+		if replicaEnds {
+			body = endingBody{body}
+		}
+		return NewResponse(Response{Status: 200, Verified: true, Executed: true, Length: -1, FramedByClose: true, Body: body}, func() {}), nil
+	}
+}
+
+// Guards against a stream without a length that is taken for whole, and whose turn is kept, though its replica has
+// ended: the connections of a process that is killed are closed in order.
+func TestStreamThatEndsWithItsReplicaIsNotWhole(t *testing.T) {
+	resumable := routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}
+	for name, c := range map[string]struct {
+		route       routing.Route
+		replicaEnds bool
+		outcome     Outcome
+		body        string
+		kept        bool
+	}{
+		"replica goes on":            {routing.Route{Kind: routing.Stream, Attempts: 1}, false, Completed, event(1), false},
+		"replica ends":               {routing.Route{Kind: routing.Stream, Attempts: 1}, true, Truncated, event(1), false},
+		"turn, replica goes on":      {turnRoute, false, Completed, event(1), true},
+		"turn, replica ends":         {turnRoute, true, Truncated, event(1), false},
+		"resumable, replica goes on": {resumable, false, Completed, event(1), false},
+		"resumable, replica ends":    {resumable, true, Completed, event(1) + event(2), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			turns := &fakeTurns{}
+			got := serve(t, c.route, turnCall(), turns, endsByClose(c.replicaEnds, event(1)), streams(nil, event(2)))
+			is.Equal(got.result.Outcome, c.outcome)
+			is.Equal(got.body, c.body)
+			kept := false
+			for _, s := range turns.settlements {
+				kept = kept || s.RetainedTurn != nil
+			}
+			is.Equal(kept, c.kept)
+			if c.replicaEnds {
+				is.Equal(metrics.GetOrRegisterCounter("gateway.cuts.close", got.registry).Count(), int64(1))
+			}
+		})
+	}
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -197,7 +197,10 @@
 		return cutInEvent
 	}
 	cut, ok := httpconn.CutOf(err)
-	if !ok {
+	switch {
+	case errors.Is(err, errReplicaEnded):
+		cut = httpconn.CutClose
+	case !ok:
 		return ""
 	}
 	c.cuts[cut].Inc(1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/buffer"
+	"foxhall/internal/httpconn"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
 )
@@ -171,6 +172,9 @@
 		if next != nil {
 			return f.supersededVerdict(a, err), Result{}, next
 		}
+		if err == io.EOF && f.endsWithItsReplica(a) {
+			err = errReplicaEnded
+		}
 		if len(events) > 0 {
 			if firstEventTime == 0 {
 				firstEventTime = time.Since(a.began)
@@ -207,6 +211,20 @@
 	}
 }
 
+// errReplicaEnded indicates a stream of which only the end of its connection showed the end, and whose replica has
+// ended.
+var errReplicaEnded = errors.Wrap(httpconn.ErrBroken, "stream ended with its replica")
+
+// endsWithItsReplica reports whether a stream that has come to its end ended because its replica did: the
+// connections of a process that is killed are closed in order, too.
+func (f *inFlightCall) endsWithItsReplica(a *attemptState) bool {
+	if !a.response.FramedByClose {
+		return false
+	}
+	f.probe(a)
+	return a.liveness == httpconn.Refused
+}
+
 // nextEvents returns the events that arrive next, or the hedge that has taken over meanwhile. Those that
 // a hedge received before it took over come first.
 func (f *inFlightCall) nextEvents(a *attemptState, h *hedger) (events []Event, next *attemptState, err error) {
