Operators see which entry of the replicas is odd, since when, and what of it

Until now an entry that yields no replica left no trace. Each instance logs each change of such an entry ("entry of a replica is unusable": replica, revision, problem, bytes, unusable_ms) and its end, and reports their number as replicas.unusable. foxhall explain --id ID prints these lines and those of the store for the entry of one replica.

--- a/command/explain.go
+++ b/command/explain.go
@@ -17,13 +17,14 @@
 		Usage: "show from log lines how calls ended",
 		Description: `Reads the log lines of any number of instances from files, or from the standard
 input, and prints for each second and data centre how calls ended and where they
-waited. With --id it prints everything the lines tell about one request or program.
+waited. With --id it prints everything the lines tell about one request or program, or
+about the list entry of one replica.
 
    foxhall explain entry-1.log entry-2.log keeper-1.log
    foxhall explain --id 9c41d07be2a35f68 *.log`,
 		ArgsUsage: "[FILE...]",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "id", Usage: "the `ID` of a request or program"},
+			&cli.StringFlag{Name: "id", Usage: "the `ID` of a request, a program or a replica"},
 			&cli.DurationFlag{Name: "span", Value: time.Second, Usage: "the time that one row of the table covers"},
 		},
 		Action: runExplain,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -89,7 +90,8 @@
 	return centres
 }
 
-// Trace returns all lines that name the request or program with this ID, in order of time. If upstreams
+// Trace returns all lines that name the request or program with this ID, or that tell of the list entry of a
+// replica or of another object of the store with this ID, in order of time. If upstreams
 // ended under its content, or it was rejected for that, they include what became of other calls with the
 // same content.
 func (l *Log) Trace(id string) []Line {
@@ -101,7 +103,7 @@
 	}
 	var lines []Line
 	for _, line := range l.Lines {
-		if line.names(id) || line.isAboutContent() && contents[line.Text("content")] {
+		if line.names(id) || line.isAboutEntry(id) || line.isAboutContent() && contents[line.Text("content")] {
 			lines = append(lines, line)
 		}
 	}
@@ -121,3 +123,18 @@
 }
 
 func (l *Line) isAboutContent() bool { return slices.Contains(contentMessages, l.Message) }
+
+// entryMessages are the messages about entries of replicas and other objects of the store.
+var entryMessages = []string{
+	"entry of a replica is unusable", "entry of a replica no longer unusable",
+	"object of the store can't be read; left out", "object of the store no longer unreadable",
+	"replica added", "replica draining", "replica removed",
+}
+
+func (l *Line) isAboutEntry(id string) bool {
+	if !slices.Contains(entryMessages, l.Message) {
+		return false
+	}
+	replica, _, _ := strings.Cut(l.Text("replica"), "@")
+	return replica == id || l.Text("name") == id
+}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -115,3 +115,16 @@
 	is.True(strings.Contains(rows[1], "reason=version_unknown") && strings.Contains(rows[1], "version_found=unanswered"))
 	is.True(strings.Contains(rows[2], "began_at=v1") && strings.Contains(rows[2], "version_found=told"))
 }
+
+// Guards against an odd entry among those of the replicas whose story can't be printed, and against one mixed
+// with calls at that replica.
+func TestStoryOfAReplicasEntry(t *testing.T) {
+	is := is.New(t)
+	l, err := Read(strings.NewReader(`{"time":"2026-03-02T21:07:05.1Z","message":"replica added","fields":{"replica":"i-1@7"}}
+{"time":"2026-03-02T21:07:06.1Z","message":"object of the store can't be read; left out","fields":{"name":"i-1","problem":"no JSON"}}
+{"time":"2026-03-02T21:07:06.2Z","message":"entry of a replica is unusable","fields":{"replica":"i-1","problem":"p"}}
+{"time":"2026-03-02T21:07:06.3Z","message":"attempt failed","fields":{"replica":"i-1@7"}}
+{"time":"2026-03-02T21:07:06.4Z","message":"entry of a replica is unusable","fields":{"replica":"i-11","problem":"p"}}`))
+	is.NoErr(err)
+	is.Equal(len(l.Trace("i-1")), 3)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,8 @@
 	// Table and Replica decode the objects that operators and replicas write to the store.
 	Table   func(data []byte) (*routing.Table, error)
 	Replica func(id string, data []byte) (routing.Replica, bool)
+	// Problem returns why an entry of a replica can't be decoded.
+	Problem func(id string, data []byte) error
 	// RetirementStatus encodes the status of an operators' order to drain an instance.
 	RetirementStatus func(done bool) []byte
 	// Callers returns the handler that serves callers through the gateway. While divert returns
@@ -140,6 +142,8 @@
 	// assigned is the newest assignment of shards, assignedRevision its store revision.
 	assigned         atomic.Pointer[history.Assignment]
 	assignedRevision store.Version
+	// unusable are the entries that yield no replica.
+	unusable *unusableEntries
 	// replicaFeed reports the changes that replicas has yet to apply. appliedTable is the table by
 	// which the upstreams were made from the replicas. Only the refreshing goroutine uses them.
 	replicaFeed  *mirror.Feed
@@ -169,6 +173,7 @@
 	}
 	n.mirror.SetTiming(mirror.NewTiming(s.ChangeDeadline, s.Heartbeat))
 	n.replicaFeed, n.replicas = n.mirror.NewFeed(mirror.Replicas), newReplicaSet(d.Replica)
+	n.unusable = newUnusableEntries(d.Problem, n.logger, registry)
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger, registry)
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,6 +50,7 @@
 			r := routing.Replica{ID: id}
 			return r, json.Unmarshal(data, &r) == nil
 		},
+		Problem: func(_ string, data []byte) error { return json.Unmarshal(data, &routing.Replica{}) },
 		Callers: func(*gateway.Gateway, func() bool) http.Handler { return http.NotFoundHandler() },
 	}
 	s := Settings{Instance: "me", IP: "10.0.0.1", DataCentre: "a", CallersAddress: "10.0.0.1:1", PeerPort: 7}
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -44,6 +44,7 @@
 	}
 	changed, removed := n.replicaFeed.Take()
 	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
+	n.unusable.observe(changed, n.replicas.undecoded, removed, time.Now())
 	asOf, known := n.mirror.AsOf(mirror.Replicas)
 	if known {
 		n.replicas.versions.Begin(time.Now())
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -23,6 +23,8 @@
 	// versions counts the replicas by version. transitions are those of the latest update.
 	versions    *origin.Versions
 	transitions []origin.Transition
+	// undecoded are the entries of the latest update that yield no replica.
+	undecoded []mirror.Entry
 }
 
 func newReplicaSet(decode func(id string, data []byte) (routing.Replica, bool)) *replicaSet {
@@ -36,10 +38,11 @@
 // register again; until then it stays in use, unless it was draining.
 func (s *replicaSet) update(changed []mirror.Entry, removed []string, grace time.Duration) []replicaChange {
 	var changes []replicaChange
-	s.transitions = s.transitions[:0]
+	s.transitions, s.undecoded = s.transitions[:0], nil
 	for _, e := range changed {
 		r, ok := s.decode(e.Name, e.Value)
 		if !ok {
+			s.undecoded = append(s.undecoded, e)
 			removed = append(removed, e.Name)
 			continue
 		}
