An entry that has become unusable is no end of its replica

What callers saw: nothing yet; found beside the odd entries. A replica whose entry is replaced by an odd one leaves the replicas in use, which counted as the end of a replica that had not drained: a content whose connection there had broken was held responsible for an end, and after three of them rejected at all entries.

Change: an end counts only if the list no longer has the entry. On the code before TestUnusableEntryIsNoEndOfItsReplica: '{1 0} != {0 1}', one end instead of one doubt; green now.

--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -102,7 +102,9 @@
 			continue
 		}
 		replaced := c.after != nil && c.after.Name() != c.before.Name()
-		removed := c.after == nil && !c.before.Draining
+		// An entry that has become unusable tells nothing of its replica.
+		_, listed := n.mirror.Get(mirror.Replicas, c.before.ID)
+		removed := c.after == nil && !c.before.Draining && !listed
 		if !replaced && !removed {
 			continue
 		}
