--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -47,6 +47,8 @@
 	// defaultIdleTimeout is the idle timeout of a connection whose server states none in a
 	// Keep-Alive header. It is shorter than the idle timeouts observed on replicas.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is the longest idle timeout that a server may state.
+	maxIdleTimeout = time.Hour
 	// idleMargin is subtracted from the idle timeout that a server states: a call sent while the
 	// server closes the connection is lost.
 	idleMargin = 700 * time.Millisecond
@@ -295,6 +297,7 @@
 	for part := range strings.SplitSeq(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			seconds = max(0, min(seconds, int(maxIdleTimeout/time.Second)))
 			c.idleTimeout = max(0, time.Duration(seconds)*time.Second-idleMargin)
 		}
 	}
