--- a/internal/node/unusable_ends_test.go
+++ b/internal/node/unusable_ends_test.go
@@ -28,3 +28,14 @@
 	is.Equal(len(n.replicas.byID), 0)
 	is.Equal(n.quarantine.Standing(content, time.Now()), doubted)
 }
+
+// Guards against calls to a replica whose entry has become odd shortly after a store outage: the delay for entries
+// that expired is not for one that is there.
+func TestUnusableEntryIsNotHeldAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	s := newTestReplicaSet(new(int), replica("a", 1, false), replica("b", 1, false))
+	changes := s.update([]mirror.Entry{{Name: "a", Value: []byte("{")}}, []string{"b"}, time.Second)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].before.ID, "a")
+	is.Equal(len(s.byID), 1)
+}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -43,7 +43,9 @@
 		r, ok := s.decode(e.Name, e.Value)
 		if !ok {
 			s.undecoded = append(s.undecoded, e)
-			removed = append(removed, e.Name)
+			if _, known := s.byID[e.Name]; known {
+				changes = append(changes, s.remove(e.Name))
+			}
 			continue
 		}
 		delete(s.held, e.Name)
