--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -45,6 +45,7 @@
 	changed, removed := n.replicaFeed.Take()
 	n.replicas.pass(n.replicaFeed.TakePassed())
 	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
+	n.unusable.observe(changed, n.replicas.undecoded, removed, time.Now())
 	asOf, known := n.mirror.AsOf(mirror.Replicas)
 	if known {
 		n.replicas.versions.Begin(time.Now())
@@ -103,7 +104,9 @@
 			continue
 		}
 		replaced := c.after != nil && c.after.Name() != c.before.Name()
-		removed := c.after == nil && !c.before.Draining
+		// An entry that has become unusable tells nothing of its replica.
+		_, listed := n.mirror.Get(mirror.Replicas, c.before.ID)
+		removed := c.after == nil && !c.before.Draining && !listed
 		if !replaced && !removed {
 			continue
 		}
