The machine of streams and versions meets the sole version more often

Half of the plays are calm now, and a step lets a version join out of most instances' sight, with streams begun and taken up at once.

--- a/internal/origin/machine_test.go
+++ b/internal/origin/machine_test.go
@@ -22,6 +22,8 @@
 	// told are the instances, by their incarnations, that received the record of a stream.
 	told map[Key]map[*testInstance]int
 	seed uint64
+	// calm is set if versions seldom change, so that one serves for longer than a stream lives.
+	calm bool
 }
 
 // watchRecords notes which instances receive or make which records.
@@ -98,6 +100,9 @@
 }
 
 func (m *machine) changeVersions() {
+	if m.calm && m.steps.IntN(30) > 0 {
+		return
+	}
 	before, after := "", m.versions[m.steps.IntN(len(m.versions))]
 	if m.steps.IntN(2) == 0 {
 		before, after = after, ""
@@ -119,7 +124,7 @@
 }
 
 func (m *machine) disturb(n *testInstance) {
-	switch m.steps.IntN(9) {
+	switch m.steps.IntN(10) {
 	case 0:
 		m.set(func() { n.down = true })
 	case 1:
@@ -147,6 +152,8 @@
 				}
 			}
 		})
+	case 7:
+		m.joinOutOfSight(n)
 	default:
 		if n.pausedSince.IsZero() {
 			n.pause()
@@ -159,6 +166,36 @@
 	}
 }
 
+// joinOutOfSight lets a version join while most instances do not follow the list, and begins and takes up streams then.
+func (m *machine) joinOutOfSight(sees *testInstance) {
+	if sees.number >= len(m.instances) {
+		return
+	}
+	m.set(func() {
+		for _, other := range m.all() {
+			if other != sees && m.steps.IntN(4) > 0 {
+				other.stopFollowing()
+			}
+		}
+		m.cutSome(sees)
+	})
+	m.change("", m.versions[m.steps.IntN(len(m.versions))])
+	time.Sleep(time.Duration(m.steps.Int64N(int64(2 * worldViewLag))))
+	for range 4 {
+		m.beginStream(sees)
+	}
+	for range 4 {
+		m.resumeStream(m.instances[m.steps.IntN(len(m.instances))])
+	}
+	m.set(func() {
+		for _, other := range m.all() {
+			if m.steps.IntN(4) > 0 {
+				other.followAgain()
+			}
+		}
+	})
+}
+
 // cutSome cuts an instance from some of the others, one way or both ways, or connects all again.
 func (m *machine) cutSome(n *testInstance) {
 	if m.steps.IntN(2) == 0 {
@@ -187,7 +224,7 @@
 		steps := rand.New(rand.NewPCG(seed, 0))
 		m := &machine{
 			world: newWorld(t, rand.New(rand.NewPCG(seed, 1)), 3+steps.IntN(8), map[string]int{"v1": 1 + steps.IntN(4)}),
-			steps: steps, seed: seed, versions: []string{"v1", "v2", "v3"}, told: map[Key]map[*testInstance]int{},
+			steps: steps, seed: seed, calm: steps.IntN(2) == 0, versions: []string{"v1", "v2", "v3"}, told: map[Key]map[*testInstance]int{},
 		}
 		m.addKeepers(steps.IntN(5))
 		m.watchRecords()
