A version that the view lacks is not gone before the view is newer than the call

Callers whose stream began at a version listed moments before were refused for good (version_gone, no Retry-After) by an entry whose list of replicas lacked it yet, although its record was found.

The feed counts as applied once the upstreams are, too.

origin.TestVersionThatTheViewLacksIsNotGoneYet failed before: the version was told, and not served by the view. The machine allows `unproven` for a recorded stream only where the instance's view has no replica of its version: placement refused these before.

--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -43,13 +43,13 @@
 		return
 	}
 	changed, removed := n.replicaFeed.Take()
+	defer n.replicaFeed.Applied()
 	n.replicas.pass(n.replicaFeed.TakePassed())
 	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
 	asOf, known := n.mirror.AsOf(mirror.Replicas)
 	if known {
 		n.replicas.versions.Begin(time.Now())
 	}
-	n.replicaFeed.Applied()
 	n.followVersions()
 	n.logReplicas(changes, uint64(asOf))
 	n.confirmEnds(changes)
--- a/internal/origin/machine_test.go
+++ b/internal/origin/machine_test.go
@@ -79,6 +79,8 @@
 	switch {
 	case got.Found() && got.Version != s.version:
 		m.t.Fatalf("seed %d, loss %v: %s began at %s and goes on at %s (%s, %d answers)", m.seed, m.loss, s.call, s.version, got.Version, got.Source, got.Answers)
+	case got.Source == Unproven && !n.versions.Serves(worldService, s.version):
+		// Whether its version has replicas is not known here.
 	case !got.Found() && known && m.loss == 0:
 		m.t.Fatalf("seed %d, loss %v: %s is refused (%s) although its record is in reach", m.seed, m.loss, s.call, got.Source)
 	}
--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -134,3 +134,27 @@
 		is.Equal(other.resume(s).Source, Sole)
 	})
 }
+
+// Guards against a stream that is refused for good since its version is gone, as an instance sees it whose view is older
+// than the version: its replicas joined a moment ago.
+func TestVersionThatTheViewLacksIsNotGoneYet(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		sees := w.instances[0]
+		other := w.other(sees, testStream{call: "s"})
+		w.set(other.stopFollowing)
+		w.change("", "v2")
+		time.Sleep(worldViewLag)
+		s := sees.begin("s", "v2")
+		time.Sleep(2 * worldDelay)
+		is.Equal(other.resume(s).Source, Unproven) // it can't read the list
+		w.set(other.followAgain)
+		is.True(!other.versions.Serves(worldService, "v2"))
+		time.Sleep(worldResumption)
+		is.Equal(other.resume(s).Source, Told)
+		is.True(other.versions.Serves(worldService, "v2"))
+		w.change("v2", "")
+		time.Sleep(worldViewLag)
+		is.Equal(other.resume(s).Source, Told) // gone indeed
+	})
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -266,7 +266,12 @@
 
 // Resolve finds out at which version a stream began.
 func (r *Registry) Resolve(ctx context.Context, s Stream) Resolution {
-	result := r.resolve(ctx, s)
+	asked, result := time.Now(), r.resolve(ctx, s)
+	serves := func() bool { return r.versions.Serves(s.Service, result.Version) }
+	if result.Found() && !serves() && !r.awaitView(ctx, asked) && !serves() {
+		// The version may have joined lately: that it is gone is not known.
+		result = Resolution{Source: Unproven, Answers: result.Answers}
+	}
 	r.found[result.Source].Inc(1)
 	return result
 }
@@ -291,23 +296,39 @@
 
 // resolveUnnamed resolves a stream of which the caller does not name the first call.
 func (r *Registry) resolveUnnamed(ctx context.Context, service string, life time.Duration) Resolution {
-	asked := time.Now()
-	timeout := time.NewTimer(renewalWait)
-	defer timeout.Stop()
+	asked, q := time.Now(), Question{Service: service, Life: life}
+	if own := r.ownAnswer(q, asked); !own.Only || !own.Covers {
+		return Resolution{Source: Unknown}
+	}
+	if !r.awaitView(ctx, asked) {
+		return Resolution{Source: Unproven}
+	}
+	if own := r.ownAnswer(q, asked); own.Only && own.Covers {
+		return Resolution{Source: Sole, Version: own.Version}
+	}
+	return Resolution{Source: Unknown}
+}
+
+// awaitView waits for a view that is newer than a time, and reports whether it came.
+func (r *Registry) awaitView(ctx context.Context, asked time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, renewalWait)
+	defer cancel()
 	for {
-		own := r.ownAnswer(Question{Service: service, Life: life}, asked)
-		switch {
-		case !own.Only || !own.Covers:
-			return Resolution{Source: Unknown}
-		case own.Current:
-			return Resolution{Source: Sole, Version: own.Version}
+		if _, until := r.view.Complete(); until.After(asked) {
+			return true
 		}
 		select {
 		case <-r.view.Renew():
-		case <-timeout.C:
-			return Resolution{Source: Unproven}
 		case <-ctx.Done():
-			return Resolution{Source: Unproven}
+			return false
+		}
+		if _, until := r.view.Complete(); until.After(asked) {
+			return true
+		}
+		select {
+		case <-time.After(askInterval): // what was read is not in use yet
+		case <-ctx.Done():
+			return false
 		}
 	}
 }
