Streams that need a newer view are refused sooner while the store does not answer

Callers whose stream had no record waited for 1 s at an entry that the store does not answer, before another entry could serve them.

--- a/internal/mirror/renew.go
+++ b/internal/mirror/renew.go
@@ -29,6 +29,36 @@
 	// next is closed after the next read; nil while nobody waits for it.
 	next    chan struct{}
 	running bool
+	// unansweredSince is when the first read began after the last one that succeeded; zero if none did.
+	unansweredSince time.Time
+}
+
+// begin and end record when a read begins, and whether it succeeded.
+func (r *renewals) begin(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
+}
+
+func (r *renewals) end(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.unansweredSince = time.Time{}
+	}
+}
+
+// UnansweredFor returns for how long reads on demand have had no answer; 0 if the last one had.
+func (f *Follower) UnansweredFor(now time.Time) time.Duration {
+	r := &f.renewals
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.unansweredSince)
 }
 
 // Renew has the replicas' changes read from the store. The returned channel is closed after a read that began after the
@@ -75,10 +105,12 @@
 	if _, known := f.mirror.AsOf(Replicas); !known {
 		return
 	}
+	f.renewals.begin(time.Now())
 	_, err := f.readChanges(ctx, Replicas, 0)
 	if errors.Is(err, store.ErrGone) {
 		err = f.snapshot(ctx, Replicas)
 	}
+	f.renewals.end(err)
 	if err != nil {
 		f.logger.WithError(err).Debug("replicas not read on demand; what needs a newer list is refused")
 	}
--- a/internal/mirror/renew_test.go
+++ b/internal/mirror/renew_test.go
@@ -175,6 +175,21 @@
 	})
 }
 
+// Guards against callers who wait long for a store that does not respond, and that no read has reached for a while.
+func TestReadsWithoutAnAnswerAreKnown(t *testing.T) {
+	runRenewTest(t, func(r *renewTest) {
+		unanswered := func() time.Duration { return r.follower.UnansweredFor(time.Now()) }
+		<-r.follower.Renew()
+		r.Equal(unanswered(), time.Duration(0))
+		r.store.delay = time.Minute
+		done := r.follower.Renew()
+		time.Sleep(time.Second)
+		r.True(unanswered() > 0)
+		<-done
+		r.Equal(unanswered(), time.Duration(0))
+	})
+}
+
 // Guards against a call of the store for each stream that is taken up, and against a read that began before the call for
 // which it is made.
 func TestReadsOnDemandAreShared(t *testing.T) {
--- a/internal/node/ring.go
+++ b/internal/node/ring.go
@@ -167,6 +167,9 @@
 // Renew implements origin.View.
 func (v replicaView) Renew() <-chan struct{} { return v.follower.Renew() }
 
+// UnansweredFor implements origin.View.
+func (v replicaView) UnansweredFor(now time.Time) time.Duration { return v.follower.UnansweredFor(now) }
+
 // originPeers reaches the instances that hold the records of streams.
 type originPeers struct{ node *Node }
 
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -21,7 +21,8 @@
 	// listenedFor is how long an instance must have received records without a pause to have those of streams
 	// whose versions views of MaxViewAge may lack.
 	listenedFor = MaxViewAge + time.Second
-	// renewalWait bounds the wait for a view that is newer than the question, in place of answerWait.
+	// renewalWait bounds the wait for a view that is newer than the question, in place of answerWait while the reads for
+	// it are answered.
 	renewalWait = time.Second
 )
 
@@ -34,6 +35,8 @@
 	Complete() (since, until time.Time)
 	// Renew has the view read again. The channel is closed after a read that began after the call, successful or not.
 	Renew() <-chan struct{}
+	// UnansweredFor returns for how long such reads have had no answer; 0 if the last one had.
+	UnansweredFor(now time.Time) time.Duration
 }
 
 // Peers reaches the instances that hold the records of streams, each by its datagram address.
@@ -311,22 +314,27 @@
 
 // awaitView waits for a view that is newer than a time, and reports whether it came.
 func (r *Registry) awaitView(ctx context.Context, asked time.Time) bool {
+	if _, until := r.view.Complete(); until.After(asked) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, renewalWait)
 	defer cancel()
-	for {
-		if _, until := r.view.Complete(); until.After(asked) {
-			return true
-		}
-		select {
-		case <-r.view.Renew():
-		case <-ctx.Done():
-			return false
-		}
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for renewal := r.view.Renew(); ; {
 		if _, until := r.view.Complete(); until.After(asked) {
 			return true
 		}
 		select {
-		case <-time.After(askInterval): // what was read is not in use yet
+		case <-renewal:
+			renewal = nil
+		case <-ticker.C:
+			if time.Since(asked) >= answerWait && r.view.UnansweredFor(time.Now()) >= answerWait {
+				return false
+			}
+			if again := r.view.Renew(); renewal == nil {
+				renewal = again
+			}
 		case <-ctx.Done():
 			return false
 		}
@@ -376,7 +384,7 @@
 				renewal = again
 			}
 		case <-timeout.C:
-			if result.Source != Unproven {
+			if result.Source != Unproven || r.view.UnansweredFor(time.Now()) >= answerWait {
 				return result
 			}
 		case <-renewed.C:
--- a/internal/origin/world_test.go
+++ b/internal/origin/world_test.go
@@ -152,6 +152,9 @@
 	return n.since, n.until
 }
 
+// UnansweredFor implements View.
+func (n *testInstance) UnansweredFor(now time.Time) time.Duration { return n.Age(now) }
+
 // Renew implements View. The response tells of the changes up to a moment between call and arrival.
 func (n *testInstance) Renew() <-chan struct{} {
 	n.world.mu.Lock()
--- a/internal/peerload/origins_test.go
+++ b/internal/peerload/origins_test.go
@@ -65,6 +65,9 @@
 // Complete implements origin.View.
 func (v currentView) Complete() (since, until time.Time) { return v.since, time.Now() }
 
+// UnansweredFor implements origin.View.
+func (currentView) UnansweredFor(time.Time) time.Duration { return 0 }
+
 // Renew implements origin.View.
 func (currentView) Renew() <-chan struct{} {
 	done := make(chan struct{})
