A stream whose record is told while a view is awaited is not refused for good

Seen in a play with processes on a loaded machine (1 of 183 resumptions, TestStreamsOfAVersionThatJoinsWhileAnEntryIsCutOffFromTheStore): the holders had answered that they know no record, the view that was waited for showed a second version, and the call was refused without Retry-After (version_found=unknown, 4 answers, 241 ms), while the entry that began the stream told its record.

The answers are older than the view: the call is refused as unanswered, with Retry-After, and the next one finds the record. origin.TestRecordsThatAreToldWhileAViewIsAwaited failed before.

--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -158,3 +158,25 @@
 		is.Equal(other.resume(s).Source, Told) // gone indeed
 	})
 }
+
+// Guards against a stream that is refused for good although its record is on its way: it began while one version served, and
+// those that hold its record answered before a second one came, which the view shows that is waited for.
+func TestRecordsThatAreToldWhileAViewIsAwaited(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		s := w.instances[0].begin("s", "v1")
+		other := w.other(w.instances[0], s)
+		w.set(func() {
+			for _, n := range w.all() {
+				n.stopFollowing()
+			}
+		})
+		w.change("", "v2")
+		time.Sleep(worldViewLag)
+		time.AfterFunc(3*worldDelay, func() { w.set(other.followAgain) })
+		is.Equal(other.resume(s).Source, Unanswered)
+		w.set(w.instances[0].followAgain)
+		time.Sleep(2 * worldResumption)
+		is.Equal(other.resume(s).Source, Told)
+	})
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -368,9 +368,13 @@
 	defer renewed.Stop()
 	settled := time.NewTimer(settleWait)
 	defer settled.Stop()
-	renewal := r.ask(s)
+	renewal, awaited := r.ask(s), false
 	for {
 		result, complete := r.decide(s)
+		awaited = awaited || result.Source == Unproven
+		if awaited && result.Source == Unknown {
+			result.Source = Unanswered // a version came meanwhile: its records are told now
+		}
 		if complete || result.Source == Sole && time.Since(s.began) >= settleWait {
 			return result
 		}
--- a/internal/origin/resolve.go
+++ b/internal/origin/resolve.go
@@ -12,7 +12,7 @@
 const (
 	// Unknown: nobody told the version, and several may have begun the stream.
 	Unknown Source = iota
-	// Unanswered: too few of the instances that would know have answered.
+	// Unanswered: too few of the instances that would know have answered, or they did before a version came.
 	Unanswered
 	// Unproven: the view of this instance is older than the question, and the store did not renew it.
 	Unproven
