--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -43,6 +43,7 @@
 		return
 	}
 	changed, removed := n.replicaFeed.Take()
+	defer n.replicaFeed.Applied()
 	n.replicas.pass(n.replicaFeed.TakePassed())
 	changes := n.replicas.update(changed, removed, n.mirror.RegistrationGrace(time.Now()))
 	n.unusable.observe(changed, n.replicas.undecoded, removed, time.Now())
@@ -50,7 +51,6 @@
 	if known {
 		n.replicas.versions.Begin(time.Now())
 	}
-	n.replicaFeed.Applied()
 	n.followVersions()
 	n.logReplicas(changes, uint64(asOf))
 	n.confirmEnds(changes)
--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -134,3 +134,49 @@
 		is.Equal(other.resume(s).Source, Sole)
 	})
 }
+
+// Guards against a stream that is refused for good since its version is gone, as an instance sees it whose view is older
+// than the version: its replicas joined a moment ago.
+func TestVersionThatTheViewLacksIsNotGoneYet(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		sees := w.instances[0]
+		other := w.other(sees, testStream{call: "s"})
+		w.set(other.stopFollowing)
+		w.change("", "v2")
+		time.Sleep(worldViewLag)
+		s := sees.begin("s", "v2")
+		time.Sleep(2 * worldDelay)
+		is.Equal(other.resume(s).Source, Unproven) // it can't read the list
+		w.set(other.followAgain)
+		is.True(!other.versions.Serves(worldService, "v2"))
+		time.Sleep(worldResumption)
+		is.Equal(other.resume(s).Source, Told)
+		is.True(other.versions.Serves(worldService, "v2"))
+		w.change("v2", "")
+		time.Sleep(worldViewLag)
+		is.Equal(other.resume(s).Source, Told) // gone indeed
+	})
+}
+
+// Guards against a stream that is refused for good although its record is on its way: it began while one version served, and
+// those that hold its record answered before a second one came, which the view shows that is waited for.
+func TestRecordsThatAreToldWhileAViewIsAwaited(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		s := w.instances[0].begin("s", "v1")
+		other := w.other(w.instances[0], s)
+		w.set(func() {
+			for _, n := range w.all() {
+				n.stopFollowing()
+			}
+		})
+		w.change("", "v2")
+		time.Sleep(worldViewLag)
+		time.AfterFunc(3*worldDelay, func() { w.set(other.followAgain) })
+		is.Equal(other.resume(s).Source, Unanswered)
+		w.set(w.instances[0].followAgain)
+		time.Sleep(2 * worldResumption)
+		is.Equal(other.resume(s).Source, Told)
+	})
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -21,7 +21,8 @@
 	// listenedFor is how long an instance must have received records without a pause to have those of streams
 	// whose versions views of MaxViewAge may lack.
 	listenedFor = MaxViewAge + time.Second
-	// renewalWait bounds the wait for a view that is newer than the question, in place of answerWait.
+	// renewalWait bounds the wait for a view that is newer than the question, in place of answerWait while the reads for
+	// it are answered.
 	renewalWait = time.Second
 )
 
@@ -34,6 +35,8 @@
 	Complete() (since, until time.Time)
 	// Renew has the view read again. The channel is closed after a read that began after the call, successful or not.
 	Renew() <-chan struct{}
+	// UnansweredFor returns for how long such reads have had no answer; 0 if the last one had.
+	UnansweredFor(now time.Time) time.Duration
 }
 
 // Peers reaches the instances that hold the records of streams, each by its datagram address.
@@ -266,7 +269,12 @@
 
 // Resolve finds out at which version a stream began.
 func (r *Registry) Resolve(ctx context.Context, s Stream) Resolution {
-	result := r.resolve(ctx, s)
+	asked, result := time.Now(), r.resolve(ctx, s)
+	serves := func() bool { return r.versions.Serves(s.Service, result.Version) }
+	if result.Found() && !serves() && !r.awaitView(ctx, asked) && !serves() {
+		// The version may have joined lately: that it is gone is not known.
+		result = Resolution{Source: Unproven, Answers: result.Answers}
+	}
 	r.found[result.Source].Inc(1)
 	return result
 }
@@ -291,23 +299,44 @@
 
 // resolveUnnamed resolves a stream of which the caller does not name the first call.
 func (r *Registry) resolveUnnamed(ctx context.Context, service string, life time.Duration) Resolution {
-	asked := time.Now()
-	timeout := time.NewTimer(renewalWait)
-	defer timeout.Stop()
-	for {
-		own := r.ownAnswer(Question{Service: service, Life: life}, asked)
-		switch {
-		case !own.Only || !own.Covers:
-			return Resolution{Source: Unknown}
-		case own.Current:
-			return Resolution{Source: Sole, Version: own.Version}
+	asked, q := time.Now(), Question{Service: service, Life: life}
+	if own := r.ownAnswer(q, asked); !own.Only || !own.Covers {
+		return Resolution{Source: Unknown}
+	}
+	if !r.awaitView(ctx, asked) {
+		return Resolution{Source: Unproven}
+	}
+	if own := r.ownAnswer(q, asked); own.Only && own.Covers {
+		return Resolution{Source: Sole, Version: own.Version}
+	}
+	return Resolution{Source: Unknown}
+}
+
+// awaitView waits for a view that is newer than a time, and reports whether it came.
+func (r *Registry) awaitView(ctx context.Context, asked time.Time) bool {
+	if _, until := r.view.Complete(); until.After(asked) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewalWait)
+	defer cancel()
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for renewal := r.view.Renew(); ; {
+		if _, until := r.view.Complete(); until.After(asked) {
+			return true
 		}
 		select {
-		case <-r.view.Renew():
-		case <-timeout.C:
-			return Resolution{Source: Unproven}
+		case <-renewal:
+			renewal = nil
+		case <-ticker.C:
+			if time.Since(asked) >= answerWait && r.view.UnansweredFor(time.Now()) >= answerWait {
+				return false
+			}
+			if again := r.view.Renew(); renewal == nil {
+				renewal = again
+			}
 		case <-ctx.Done():
-			return Resolution{Source: Unproven}
+			return false
 		}
 	}
 }
@@ -339,9 +368,13 @@
 	defer renewed.Stop()
 	settled := time.NewTimer(settleWait)
 	defer settled.Stop()
-	renewal := r.ask(s)
+	renewal, awaited := r.ask(s), false
 	for {
 		result, complete := r.decide(s)
+		awaited = awaited || result.Source == Unproven
+		if awaited && result.Source == Unknown {
+			result.Source = Unanswered // a version came meanwhile: its records are told now
+		}
 		if complete || result.Source == Sole && time.Since(s.began) >= settleWait {
 			return result
 		}
@@ -355,7 +388,7 @@
 				renewal = again
 			}
 		case <-timeout.C:
-			if result.Source != Unproven {
+			if result.Source != Unproven || r.view.UnansweredFor(time.Now()) >= answerWait {
 				return result
 			}
 		case <-renewed.C:
