A stop of a late process resets no connections in its queue

What callers saw: calls on connections just opened to a stopping entry ended with a reset 0.2 s after their last byte, 3.1 to 3.4 s after the order; they had not run and were never accepted.

Cause: the listener of a stopping entry accepts what is queued until a deadline of 50 ms. A call of Accept that begins after the deadline fails at once and does not look at the queue. Only a failure that came late counted as such; one that came at once was taken for an empty queue, and the close of the listener reset the rest. A process that gets no processor for 25 to 50 ms between two connections, as under a quota of 0.4 cores, is enough. Class: a deadline that has passed is taken for an answer.

Change: a stop waits again unless Accept began in the first half of the wait and ended in time; the number of waits in a row is bounded as before. Ruled out: a longer wait, which only moves the border.

The test before: TestQueuedConnectionsAreServedAtAStopOfALateProcess, drain_test.go:205: 0 != 200.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -30,10 +30,12 @@
 	limits  func() routing.Limits
 	conns   *callerConns
 	buffers *buffer.Budget
-	// stopping is set by stop, and closed once no further connection will be accepted. drains counts
-	// how often the stopping listener has waited for one more; only Accept uses it.
+	// stopping is set by stop, and closed once no further connection will be accepted. drains counts how
+	// often in a row the stopping listener has waited for one more; only Accept uses it.
 	stopping, closed atomic.Bool
 	drains           int
+	// drainDeadline is until when the stopping listener waits for one more connection, in Unix nanoseconds.
+	drainDeadline atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -41,7 +43,7 @@
 	for {
 		began := time.Now()
 		c, err := l.Listener.Accept()
-		if err != nil && l.acceptStopped(err, time.Since(began)) {
+		if err != nil && l.acceptStopped(err, began) {
 			continue
 		}
 		if err != nil && l.isClosed() {
@@ -50,6 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.drains = 0
 		netdial.LimitReceiveBuffer(c, callerReceiveBuffer)
 		caller := newCallerConn(c, l)
 		if l.conns.open(caller) {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -31,7 +31,7 @@
 	// caller that has just connected, or received an answer, may be about to send.
 	drainIdleTime = 500 * time.Millisecond
 	// acceptDrainTime is how long a stopping listener waits for one more connection in its queue, and
-	// maxAcceptDrains how often it does so while the process runs late.
+	// maxAcceptDrains how often in a row it does so while the process runs late.
 	acceptDrainTime = 50 * time.Millisecond
 	maxAcceptDrains = 10
 	// closeTimeout bounds the wait for calls whose connections were closed, closeCheckInterval is the time
@@ -110,19 +110,23 @@
 
 // allowAccept lets Accept wait for one more connection.
 func (l *callerListener) allowAccept() {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptDrainTime)) == nil {
+	deadline := time.Now().Add(acceptDrainTime)
+	l.drainDeadline.Store(deadline.UnixNano())
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(deadline) == nil {
 		return
 	}
 	l.Close()
 }
 
-// acceptStopped handles an error of Accept. It returns true if the stopping listener is to try again:
-// a process that runs late finds the deadline passed before it has looked at the queue.
-func (l *callerListener) acceptStopped(err error, waited time.Duration) bool {
+// acceptStopped handles an error of a call of Accept that began at a time. It returns true if the stopping
+// listener is to try again: a process that runs late finds the deadline passed before it has looked at the queue,
+// either while it waits, or before it has begun to, since the connection before took it long.
+func (l *callerListener) acceptStopped(err error, began time.Time) bool {
 	if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	if l.drains++; l.drains <= maxAcceptDrains && waited > 2*acceptDrainTime {
+	isLate := time.Since(began) > 2*acceptDrainTime || began.Add(acceptDrainTime/2).UnixNano() > l.drainDeadline.Load()
+	if l.drains++; l.drains <= maxAcceptDrains && isLate {
 		l.allowAccept()
 		return true
 	}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,9 @@
 type gatedListener struct {
 	net.Listener
 	gate *gate
+	// isLate is set while the process takes longer over each connection than a stop waits for the next one;
+	// nil for never.
+	isLate *atomic.Bool
 }
 
 // gate holds reads back while it is closed.
@@ -60,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.isLate != nil && l.isLate.Load() {
+		time.Sleep(2 * acceptDrainTime)
+	}
 	return &gatedConn{TCPConn: c.(*net.TCPConn), gate: l.gate}, nil
 }
 
@@ -85,6 +92,7 @@
 type drainServer struct {
 	address string
 	gate    *gate
+	isLate  atomic.Bool
 	stop    func(context.Context) error
 	close   func()
 }
@@ -99,7 +107,7 @@
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState,
 	}
 	callers := &callerListener{
-		Listener: &gatedListener{Listener: l, gate: s.gate}, limits: func() routing.Limits { return routing.Limits{} },
+		Listener: &gatedListener{Listener: l, gate: s.gate, isLate: &s.isLate}, limits: func() routing.Limits { return routing.Limits{} },
 		conns: newCallerConns(0, discardLogger, metrics.NewRegistry()), buffers: unboundedBuffers(),
 	}
 	served := make(chan struct{})
@@ -169,11 +177,22 @@
 // Guards against connections that are reset in the queue of the listener: those that were opened
 // before a stop closes it are served.
 func TestQueuedConnectionsAreServedAtAStop(t *testing.T) {
+	checkQueueAtAStop(t, false, 50) // fewer than the listener's queue holds
+}
+
+// Guards against the same if the process runs late, so that each time the deadline has passed before it looks
+// at the queue.
+func TestQueuedConnectionsAreServedAtAStopOfALateProcess(t *testing.T) {
+	checkQueueAtAStop(t, true, 2*maxAcceptDrains)
+}
+
+func checkQueueAtAStop(t *testing.T, isLate bool, queued int) {
 	is := is.New(t)
 	s := startDrainServer(t)
 	defer s.close()
+	s.isLate.Store(isLate)
 	var conns []net.Conn
-	for range 50 { // fewer than the listener's queue holds
+	for range queued {
 		c := s.dial(t)
 		defer c.Close()
 		is.NoErr(call(c))
