A stream that names no call goes on at an entry that has started since

The fix before refused resumptions without `Resumes` at entries that had not seen a stream's whole life: nobody else can be asked for them, so that each start, or gap of a view, would refuse all of them for a life.

--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -297,16 +297,17 @@
 	return r.search(ctx, s.Service, key, life)
 }
 
-// resolveUnnamed resolves a stream of which the caller does not name the first call.
+// resolveUnnamed resolves a stream of which the caller does not name the first call. No other instance can tell of it, and
+// one that has started would refuse all of them for a stream's life, so that a gap of the view does not count.
 func (r *Registry) resolveUnnamed(ctx context.Context, service string, life time.Duration) Resolution {
 	asked, q := time.Now(), Question{Service: service, Life: life}
-	if own := r.ownAnswer(q, asked); !own.Only || !own.Covers {
+	if own := r.ownAnswer(q, asked); !own.Only {
 		return Resolution{Source: Unknown}
 	}
 	if !r.awaitView(ctx, asked) {
 		return Resolution{Source: Unproven}
 	}
-	if own := r.ownAnswer(q, asked); own.Only && own.Covers {
+	if own := r.ownAnswer(q, asked); own.Only {
 		return Resolution{Source: Sole, Version: own.Version}
 	}
 	return Resolution{Source: Unknown}
