A keeper reads the time of its start under its lock

What it may cause: a time that is read half, and an assignment that is made too early or too late.

TestPauseDuringBootstrap before, with the race detector:

WARNING: DATA RACE foxhall/internal/history.(*Keeper).ResetAfterPause() foxhall/internal/history.(*Keeper).bootstrap() --- FAIL: TestPauseDuringBootstrap (0.09s)

All other readers of that time hold the lock.

--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -444,3 +444,18 @@
 		fail(retainTurn(c, "p", "second", "first"))
 	})
 }
+
+// Guards against a pause that is noticed while the first assignment is being made, and read half: run with the
+// race detector.
+func TestPauseDuringBootstrap(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		cl.stopAll()
+		cl.startAll()
+		for range 50 {
+			for _, m := range cl.machines {
+				m.process.keeper.ResetAfterPause()
+			}
+			time.Sleep(reconcileInterval / 4)
+		}
+	})
+}
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -215,7 +215,9 @@
 // bootstrap makes the first assignment. The keeper with the lowest name among the live ones does
 // it; if two do, the store accepts one.
 func (k *Keeper) bootstrap(ctx context.Context) {
+	k.mu.Lock()
 	age := time.Since(k.started)
+	k.mu.Unlock()
 	if age < startupGrace {
 		return
 	}
