--- a/internal/jsonitems/scanner.go
+++ b/internal/jsonitems/scanner.go
@@ -1,6 +1,10 @@
 package jsonitems
 
-import "encoding/json"
+import (
+	"bytes"
+	"encoding/json"
+	"unicode/utf8"
+)
 
 const whitespace = " \t\r\n"
 
@@ -55,7 +59,12 @@
 		return "", at, false
 	}
 	end, ok := s.str(at)
-	if !ok || json.Unmarshal(s.data[at:end], &key) != nil {
+	if !ok {
+		return "", end, false
+	}
+	if inner := s.data[at+1 : end-1]; bytes.IndexByte(inner, '\\') < 0 && utf8.Valid(inner) {
+		key = string(inner)
+	} else if json.Unmarshal(s.data[at:end], &key) != nil {
 		return "", end, false
 	}
 	colon := s.space(end)
