A resumed stream that has a record needs no read of the store

The view was renewed beside the question to the holders, so that each resumption cost a read while one version was seen, also those whose record was found. It is renewed once the answers need it.

--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -195,3 +195,19 @@
 		is.Equal(other.resume(s).Source, Told)
 	})
 }
+
+// Guards against reads of the store for streams that have a record.
+func TestRecordedStreamsNeedNoRead(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 6, map[string]int{"v1": 3}, func(w *world) {
+		w.instances[0].start() // tells its records
+		for i := range 20 {
+			s := w.instances[0].begin(callNumber(i), "v1")
+			time.Sleep(2 * worldDelay)
+			other := w.other(w.instances[0], s)
+			before := other.renewals
+			is.Equal(other.resume(s).Source, Told)
+			is.Equal(other.renewals, before)
+		}
+	})
+}
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -369,7 +369,9 @@
 	defer renewed.Stop()
 	settled := time.NewTimer(settleWait)
 	defer settled.Stop()
-	renewal, awaited := r.ask(s), false
+	r.ask(s)
+	var renewal <-chan struct{}
+	awaited, renews := false, true
 	for {
 		result, complete := r.decide(s)
 		awaited = awaited || result.Source == Unproven
@@ -379,15 +381,17 @@
 		if complete || result.Source == Sole && time.Since(s.began) >= settleWait {
 			return result
 		}
+		if result.Source == Unproven && renews {
+			renewal, renews = r.renew(s), false
+		}
 		select {
 		case <-s.changed:
 		case <-settled.C:
 		case <-renewal:
 			renewal = nil
 		case <-ticker.C:
-			if again := r.ask(s); renewal == nil {
-				renewal = again
-			}
+			r.ask(s)
+			renews = renewal == nil
 		case <-timeout.C:
 			if result.Source != Unproven || r.view.UnansweredFor(time.Now()) >= answerWait {
 				return result
@@ -436,9 +440,16 @@
 	}
 }
 
-// ask sends the question to the holders that have not answered, or that may have seen since what this instance has not. It
-// has the own view renewed if that is too old, and returns a channel that is closed after this.
-func (r *Registry) ask(s *search) (renewal <-chan struct{}) {
+// renew has the own view renewed if that is too old, and returns a channel that is closed after this.
+func (r *Registry) renew(s *search) (renewal <-chan struct{}) {
+	if r.ownAnswer(s.question, s.began).Current {
+		return nil
+	}
+	return r.view.Renew()
+}
+
+// ask sends the question to the holders that have not answered, or that may have seen since what this instance has not.
+func (r *Registry) ask(s *search) {
 	own := r.ownAnswer(s.question, s.began)
 	q := s.question
 	if !own.Covers {
@@ -453,8 +464,4 @@
 			r.peers.Ask(holder.Address, q)
 		}
 	}
-	if own.Only && !own.Current {
-		return r.view.Renew()
-	}
-	return nil
 }
--- a/internal/origin/world_test.go
+++ b/internal/origin/world_test.go
@@ -68,6 +68,8 @@
 	// pausedSince is since when the process stands still; zero if it runs. unread is what it will find then.
 	pausedSince time.Time
 	unread      []func()
+	// renewals counts the reads on demand.
+	renewals int
 	// applied is the number of changes of the replicas that the instance has seen.
 	applied int
 	// since and until are the interval of which the view lacks no change.
@@ -160,6 +162,7 @@
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 	done, began := make(chan struct{}), time.Now()
+	n.renewals++
 	if !n.staleSince.IsZero() {
 		time.AfterFunc(renewalWait, func() { close(done) })
 		return done
