The connection of a cancelled call is not reused once its body is written

What callers may see: a call that was sent and whose connection this side closes at once, so that its outcome is unknown, or a stream that is cut.

Cause: the end of a call notes in bodyUnwritten that the call was cancelled and its connection is about to be closed. The writer of the rest of a large request body clears the same flag when it is done. If it is done between the note and the look at it, the connection goes back to the idle ones and is closed under the next call.

Ruled out: the other order, in which the note stays; calls whose body is written at once, which have no writer.

Change: a flag of its own, which nothing clears.

TestConnectionOfACancelledCallIsNotReusedOnceItsBodyIsWritten before:

cancel_reuse_test.go:44: not true: !c.prepareForIdle() // the connection is about to be closed --- FAIL: TestConnectionOfACancelledCallIsNotReusedOnceItsBodyIsWritten (0.00s)

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -125,9 +125,11 @@
 	// call, which must not be affected.
 	callCount int
 	// bodyUnwritten is set while the rest of a large request body is being written, and stays set if
-	// that fails or the call is cancelled. The connection is not reused while it is set.
+	// that fails. The connection is not reused while it is set.
 	bodyUnwritten bool
-	callEnded     bool
+	// closing is set once a call was cancelled, so that the connection is closed or about to be.
+	closing   bool
+	callEnded bool
 	// stopCancelWatch stops closing the connection when the call's context ends. It returns false
 	// if that has already begun.
 	stopCancelWatch func() bool
@@ -367,9 +369,9 @@
 // server would take the next call for a part of that body.
 func (c *conn) prepareForIdle() bool {
 	c.mu.Lock()
-	unwritten := c.bodyUnwritten
+	unusable := c.bodyUnwritten || c.closing
 	c.mu.Unlock()
-	return !unwritten && c.reader.Buffered() == 0 && netdial.BoundSilence(c.netConn) == nil
+	return !unusable && c.reader.Buffered() == 0 && netdial.BoundSilence(c.netConn) == nil
 }
 
 func (c *conn) discard(callNumber int) {
@@ -387,9 +389,8 @@
 		return false
 	}
 	c.callEnded = true
-	// After a cancelled call the connection is closed, or about to be, and must not be reused.
 	if !c.stopCancelWatch() {
-		c.bodyUnwritten = true
+		c.closing = true
 	}
 	return true
 }
