A test of a keeper's loss beside another one's drain, red

Trace of one: keeper-1 drains from 24.66 s on; keeper-3 takes 21 of 32 shards over at 24.7 with keeper-2 as its backup, which is killed at 24.77; from 25.2 on keeper-3 logs "no eligible backup", keeper-1 being out and keeper-2 lost, until keeper-1 ends at 31.17; at 31.5 keeper-3 goes on as the sole holder.

Cause: a draining keeper counts as no backup although it answers until it ends, and the one that is left isn't the last keeper while the draining one answers.

alone_test.go:57: err: served only after 10.8s --- FAIL: TestLossBesideDrainingKeeperIsServed (0.38s)

--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -173,6 +173,38 @@
 	})
 }
 
+// Guards against turns that are refused, and settlements that fail, for as long as a keeper drains: another one is
+// lost meanwhile, so that the third has no backup but the draining one.
+func TestLossBesideDrainingKeeperIsServed(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		fail(retainTurn(cl.client(entryIn(north)), "p", "first", ""))
+		role := cl.roleOf("p")
+		lost, draining := role.Primary, role.Backups[0]
+		drain, end := context.WithTimeout(context.Background(), 10*time.Second)
+		defer end()
+		go cl.machine(draining).process.keeper.HandOff(drain)
+		time.Sleep(100 * time.Millisecond)
+		cl.machine(lost).powerOff(0)
+		start := time.Now()
+		for retainTurn(cl.client(entryIn(north)), "p", "second", "first") != nil {
+			if time.Since(start) > 10*time.Second {
+				break
+			}
+		}
+		if took := time.Since(start); took > soleHolderTime {
+			fail(errors.Errorf("served only after %v", took))
+		}
+		end()
+		cl.machine(draining).stop()
+		time.Sleep(soleHolderTime)
+		fail(retainTurn(cl.client(entryIn(north)), "p", "third", "second"))
+		cl.machine(lost).restart()
+		cl.machine(draining).start()
+		time.Sleep(convergenceTime)
+		fail(findTurn(cl, "third"))
+	})
+}
+
 // Guards against a turn that is answered as unknown. A sole holder was paused; the other keepers may have taken
 // its shards over meanwhile and retained the turn.
 func TestSoleHolderConfirmsNoAbsenceAfterPause(t *testing.T) {
