A listing that could not be read to its end removes nothing at other instances

What callers may see: no calls go to a sound replica, at all entries of a data centre.

Cause: a listing that lacks objects which could not be found removes none where a list was known before. An instance that has just started knows none, takes what was found as its list, and hands that to peers with an older version as the whole list: they remove the rest. And an entry that is found later, at an old revision, was handed to nobody who had a newer version.

Ruled out: the instances that read such a listing themselves; they keep what they have and read it again.

Change: what such an instance has goes to peers that know a list as changes, which remove nothing. Once its listing is complete, peers with an older version get it whole. What remains: an instance that knows no list at all takes an incomplete one from a peer as whole, since nothing on the wire tells.

Both tests of partial_relay_test.go before:

partial_relay_test.go:43: not true: exists --- FAIL: TestPartialListOfANewInstanceRemovesNothingElsewhere (0.00s) partial_relay_test.go:60: [{a 8 [123 125]}] != [{a 8 [123 125]} {late 7 [123 125]}] --- FAIL: TestListThatIsCompleteAgainIsHandedOnWhole (0.00s)

go test ./internal/mirror after: ok, 129 s beside other load.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -367,7 +367,7 @@
 
 // applyListing applies a listing. One that lacks objects that could not be found removes none.
 func (f *Follower) applyListing(k Kind, listing store.Listing) {
-	d := Delta{Kind: k, Full: true, AsOf: listing.AsOf, Entries: entriesOf(listing)}
+	d := Delta{Kind: k, Full: true, Partial: listing.Partial, AsOf: listing.AsOf, Entries: entriesOf(listing)}
 	at := int64(0)
 	if listing.Partial {
 		at = time.Now().UnixNano()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -51,7 +51,9 @@
 type Delta struct {
 	Kind Kind
 	// Full is true if Entries are all entries of the kind, whatever From is.
-	Full       bool
+	Full bool
+	// Partial is true for a listing that lacks entries that could not be found.
+	Partial    bool
 	From, AsOf store.Version
 	Entries    []Entry
 	Removed    []Entry
@@ -79,6 +81,8 @@
 	// A response that arrives late proves nothing of the time since. unbrokenSince is since when no entry can have
 	// come and gone unseen.
 	provenAt, unbrokenSince time.Time
+	// partial is set while entries may be missing that could not be found.
+	partial bool
 }
 
 // Mirror is the local copy of all kinds. It is safe for concurrent use.
@@ -207,12 +211,16 @@
 		return Delta{}, false
 	}
 	d := Delta{Kind: k, From: from, AsOf: c.asOf}
-	if !known || from < c.tombstonesSince {
-		d.Full = true
+	whole := !known || from < c.tombstonesSince
+	if whole {
 		d.Entries = c.sortedEntries()
+	} else {
+		d.Entries = c.changedSince(from)
+	}
+	// Entries that could not be found must not be removed elsewhere.
+	if d.Full = whole && !(known && c.partial); d.Full {
 		return d, true
 	}
-	d.Entries = c.changedSince(from)
 	for _, e := range c.tombstones {
 		if e.Revision > from {
 			d.Removed = append(d.Removed, e)
@@ -284,6 +292,10 @@
 			c.unbrokenSince = now
 		}
 		changed = c.applyListing(d)
+		if c.partial && !d.Partial {
+			c.tombstonesSince = d.AsOf // others may lack entries that were found late, at old revisions
+		}
+		c.partial = d.Partial
 	case !c.known || d.From > c.asOf:
 		return false, false
 	default:
@@ -291,6 +303,7 @@
 			c.unbrokenSince = now
 		}
 		changed = c.applyChanges(d)
+		c.partial = c.partial || d.Partial
 	}
 	becameKnown = !c.known
 	c.known, c.asOf = true, d.AsOf
