Values that were replaced within a response are not kept for feeds that never take them

What operators may see: memory that grows with the changes of the fleet's objects. Found by reading; not seen in a run.

Cause: entries that came and went within one response are kept for each feed of the kind until its user takes them. That of the fleet never does, and its objects, such as the assignment of shards, may be written several times between two polls.

Change: such entries are noted for the replicas alone, whose user takes them at each refresh.

TestReplacedEntriesAreKeptOnlyForWhoAsks before:

feed_growth_test.go:25: 100 != 0 --- FAIL: TestReplacedEntriesAreKeptOnlyForWhoAsks (0.00s)

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -328,7 +328,7 @@
 	d := Delta{Kind: k, From: from, AsOf: changes.AsOf}
 	for _, e := range changes.Events {
 		name := e.Object.Key.Name
-		if before, ok := last[name]; ok && !before.Deleted {
+		if before, ok := last[name]; ok && !before.Deleted && k == Replicas {
 			d.Passed = append(d.Passed, Entry{Name: name, Revision: before.Object.Version, Value: before.Object.Value})
 		}
 		last[name] = e
