A stop closes its listener although callers go on connecting

What callers may see: refusals from a stopping entry up to the end of its grace period, where a refused connection would send them elsewhere at once, and connections that the end of the grace period cuts.

Ruled out: the queue of a late process, for which there are as many waits in a row as before.

Change: the waits are bounded in all as well, at 30 (1.5 s in time).

drain_test.go:229: err: context deadline exceeded --- FAIL: TestStopEndsWhileCallersConnect (20.00s)

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -31,9 +31,10 @@
 	conns   *callerConns
 	buffers *buffer.Budget
 	// stopping is set by stop, and closed once no further connection will be accepted. drains counts how
-	// often in a row the stopping listener has waited for one more; only Accept uses it.
-	stopping, closed atomic.Bool
-	drains           int
+	// often in a row the stopping listener has waited for one more, and drainTotal how often in all; only Accept
+	// uses them.
+	stopping, closed   atomic.Bool
+	drains, drainTotal int
 	// drainDeadline is until when the stopping listener waits for one more connection, in Unix nanoseconds.
 	drainDeadline atomic.Int64
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -30,10 +30,12 @@
 	// drainIdleTime is how long a connection must have waited for a call before a stop closes it. A
 	// caller that has just connected, or received an answer, may be about to send.
 	drainIdleTime = 500 * time.Millisecond
-	// acceptDrainTime is how long a stopping listener waits for one more connection in its queue, and
-	// maxAcceptDrains how often in a row it does so while the process runs late.
-	acceptDrainTime = 50 * time.Millisecond
-	maxAcceptDrains = 10
+	// acceptDrainTime is how long a stopping listener waits for one more connection in its queue,
+	// maxAcceptDrains how often in a row it does so while the process runs late, and maxAcceptDrainTotal how often
+	// in all: callers may go on connecting.
+	acceptDrainTime     = 50 * time.Millisecond
+	maxAcceptDrains     = 10
+	maxAcceptDrainTotal = 3 * maxAcceptDrains
 	// closeTimeout bounds the wait for calls whose connections were closed, closeCheckInterval is the time
 	// between two looks at them.
 	closeTimeout       = 150 * time.Millisecond
@@ -126,7 +128,9 @@
 		return false
 	}
 	isLate := time.Since(began) > 2*acceptDrainTime || began.Add(acceptDrainTime/2).UnixNano() > l.drainDeadline.Load()
-	if l.drains++; l.drains <= maxAcceptDrains && isLate {
+	l.drains++
+	l.drainTotal++
+	if isLate && l.drains <= maxAcceptDrains && l.drainTotal <= maxAcceptDrainTotal {
 		l.allowAccept()
 		return true
 	}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -210,6 +210,25 @@
 	is.True(err != nil)
 }
 
+// Guards against a stop that goes on accepting while callers go on connecting, to the end of its time.
+func TestStopEndsWhileCallersConnect(t *testing.T) {
+	is := is.New(t)
+	s := startDrainServer(t)
+	defer s.close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for range 4 {
+		go func() {
+			for c, err := net.Dial("tcp", s.address); err == nil; c, err = net.Dial("tcp", s.address) {
+				c.Close()
+				time.Sleep(acceptDrainTime / 20)
+			}
+		}()
+	}
+	is.NoErr(s.stop(ctx))
+	is.NoErr(ctx.Err())
+}
+
 // Guards against a stop that waits for idle connections, or never ends for one call. Idle ones are
 // closed; a call in flight at the deadline is cut.
 func TestStopEndsIdleConnectionsAndAtItsDeadline(t *testing.T) {
