Whether a stream ended with its replica is judged as its end is read

What callers see: a whole stream without a length that breaks off, and a turn that is not kept, where the caller reads slowly and the replica leaves before the caller has all of it; and a stream that ends as complete before its last event, where a replica that was killed within it has started again by then.

Cause: the look at the replica came when the caller had been given all events. A stream whose caller is slow is read ahead, so that its end may have been read many seconds before.

Ruled out: callers that keep up, for whom both are the same moment.

Change: the reader of such a stream looks as it meets the end, in the background, too. A hedge that runs by then may take over.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -112,3 +113,37 @@
 		})
 	}
 }
+
+// Guards against a stream that is judged by what its replica does after its end: its caller reads slowly, and meanwhile
+// a replica that has sent all of it leaves, or one that was killed within it starts again.
+func TestStreamIsJudgedAtItsEndThoughItsCallerIsSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		endsWithin bool
+		outcome    Outcome
+	}{
+		"replica leaves later":        {false, Completed},
+		"killed replica starts again": {true, Truncated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+				stream := endsByClose(c.endsWithin, event(1), event(2), event(3))
+				w := newTestGateway(service, nil, Settings{}, routing.Route{Kind: routing.Stream, Attempts: 1}, nil, stream)
+				time.AfterFunc(2*time.Second, func() { w.replicas.setRefusing(!c.endsWithin) })
+				got := w.serve(&fakeCaller{writeDelay: time.Second}, Call{ID: "r", Host: "h", Path: "/x", Arrived: time.Now()})
+				is.Equal(got.result.Outcome, c.outcome)
+				is.Equal(got.body, event(1)+event(2)+event(3))
+			})
+		})
+	}
+}
+
+// setRefusing sets whether the replicas refuse connections.
+func (f *fakeReplicas) setRefusing(refuse bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range testReplicas {
+		f.refusing[name] = refuse
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -255,15 +255,19 @@
 		!a.lastReceived().After(silentFrom) && !a.grant.HasBeenHeard(silentFrom)
 }
 
-// probe finds out whether the replica of a broken connection still accepts connections. Once the
-// attempt's time is up, nothing is found out; see probeLater.
-func (f *inFlightCall) probe(state *attemptState) {
+// probe finds out whether the replica of a broken connection still accepts connections.
+func (f *inFlightCall) probe(state *attemptState) { state.liveness = f.look(state) }
+
+// look returns whether an attempt's replica accepts connections. Once the attempt's time is up, nothing is found out;
+// see probeLater.
+func (f *inFlightCall) look(state *attemptState) httpconn.Liveness {
 	if state.ctx.Err() != nil {
-		return
+		return httpconn.LivenessUnknown
 	}
 	target := Target{ID: state.grant.Upstream, Address: state.grant.Address}
-	state.liveness = f.gateway.replicas.Probe(state.ctx, target, f.connectionLimit())
-	f.gateway.attempts.probes[state.liveness].Inc(1)
+	liveness := f.gateway.replicas.Probe(state.ctx, target, f.connectionLimit())
+	f.gateway.attempts.probes[liveness].Inc(1)
+	return liveness
 }
 
 // probeLater finds out, without keeping the caller waiting, whether the replica of a connection that broke
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,7 +104,7 @@
 	if v := f.receiveHeader(a); v != complete || a.response.Status >= 300 {
 		return v
 	}
-	a.startReading()
+	f.startReading(a)
 	a.events, a.eventsErr = a.readEvents()
 	if len(a.events) == 0 && a.eventsErr != io.EOF {
 		return a.classifyReadError(a.eventsErr)
@@ -119,7 +119,7 @@
 	}
 	if a.source == nil {
 		h.recordProgress(f.timeToFirstEvent(a))
-		a.startReading()
+		f.startReading(a)
 	}
 	return f.relayEvents(a, rec, h)
 }
@@ -172,9 +172,6 @@
 		if next != nil {
 			return f.supersededVerdict(a, err), Result{}, next
 		}
-		if err == io.EOF && f.endsWithItsReplica(a) {
-			err = errReplicaEnded
-		}
 		if len(events) > 0 {
 			if firstEventTime == 0 {
 				firstEventTime = time.Since(a.began)
@@ -215,14 +212,22 @@
 // ended.
 var errReplicaEnded = errors.Wrap(httpconn.ErrBroken, "stream ended with its replica")
 
-// endsWithItsReplica reports whether a stream that has come to its end ended because its replica did: the
-// connections of a process that is killed are closed in order, too.
-func (f *inFlightCall) endsWithItsReplica(a *attemptState) bool {
-	if !a.response.FramedByClose {
-		return false
+// judgedBody is the body of a stream of which only the end of its connection shows the end. At the end it finds out
+// whether its replica has ended: the connections of a process that is killed are closed in order, too. It does so as
+// the end is read, since the caller may be slow, and the replica may leave or start again meanwhile.
+type judgedBody struct {
+	io.Reader
+	// look returns whether the replica accepts connections.
+	look func() httpconn.Liveness
+}
+
+// Read implements io.Reader.
+func (b *judgedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF && b.look() == httpconn.Refused {
+		err = errReplicaEnded
 	}
-	f.probe(a)
-	return a.liveness == httpconn.Refused
+	return n, err
 }
 
 // nextEvents returns the events that arrive next, or the hedge that has taken over meanwhile. Those that
@@ -248,9 +253,13 @@
 }
 
 // startReading prepares to read the attempt's stream.
-func (a *attemptState) startReading() {
+func (f *inFlightCall) startReading(a *attemptState) {
 	a.splitter.hold = a.hold
-	a.source = newReadAhead(a.ctx, a.response.Body, a.hold, a.recordProgress)
+	body := a.response.Body
+	if a.response.FramedByClose {
+		body = &judgedBody{body, func() httpconn.Liveness { return f.look(a) }}
+	}
+	a.source = newReadAhead(a.ctx, body, a.hold, a.recordProgress)
 	a.readBuffer = make([]byte, readBufferSize)
 }
 
