Reads on demand list the replicas once a second at most

What it may cost: a listing of all replicas, some pages long, up to 10 times a second and instance, 400 times for a fleet, while resumed streams need a newer list and the store tells no changes, as when another writer keeps changing an entry without a readable name. Found by the reviewer, by reading.

Cause: the read on demand lists anew at each answer that the changes are gone; the follower's own relists back off.

Change: not within a second of the last listing; the stream is refused as unproven then, with Retry-After, as without the store.

TestReadsOnDemandListAtABoundedRate before: red (not true: listings <= 11); now green.

--- a/internal/mirror/relist_test.go
+++ b/internal/mirror/relist_test.go
@@ -66,3 +66,18 @@
 		})
 	}
 }
+
+// Guards against reads on demand that list all replicas each time, while the store tells no changes.
+func TestReadsOnDemandListAtABoundedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const period = 10 * time.Second
+		s := &oddStore{gone: true, tooMany: func() {}}
+		f := NewFollower(New(), s, &log.Logger{Handler: discard.Default})
+		f.Refresh(t.Context())
+		before := s.listings.Load()
+		for began := time.Now(); time.Since(began) < period; {
+			<-f.Renew()
+		}
+		is.New(t).True(s.listings.Load()-before <= int64(period/renewalListInterval)+1)
+	})
+}
--- a/internal/mirror/renew.go
+++ b/internal/mirror/renew.go
@@ -19,6 +19,8 @@
 	maxFleetRenewals = 400
 	// renewalTimeout bounds one read.
 	renewalTimeout = time.Second
+	// renewalListInterval is the least time between the last listing of the replicas and one on demand.
+	renewalListInterval = time.Second
 )
 
 // renewals are reads of the replicas on demand. Those who ask while one runs share the next one.
@@ -107,7 +109,7 @@
 	}
 	f.renewals.begin(time.Now())
 	_, err := f.readChanges(ctx, Replicas, 0)
-	if errors.Is(err, store.ErrGone) {
+	if errors.Is(err, store.ErrGone) && time.Since(time.Unix(0, f.listedAt.Load())) >= renewalListInterval {
 		err = f.snapshot(ctx, Replicas)
 	}
 	f.renewals.end(err)
