A suspension is handled before any decision that looks for it

What callers may see: a stream that goes on at another version (ORDER), at an entry whose machine was suspended while replicas of a new version joined. Found by the reviewer, by reading; the window is a few instructions.

Cause: the first look after a suspension took note of it and marked the view as stale then; a second look in between found neither.

Change: wake.Suspensions calls the handler under its lock, so that others wait for it. TestSuspensionIsDetectedByTheFirstDecisionAfterIt checks that as well; the function that it tested is replaced by the new one.

--- a/internal/node/ring.go
+++ b/internal/node/ring.go
@@ -158,9 +158,7 @@
 
 // Complete implements origin.View.
 func (v replicaView) Complete() (since, until time.Time) {
-	if v.suspensions.Detected() {
-		v.mirror.MarkStale()
-	}
+	v.suspensions.Handle(v.mirror.MarkStale)
 	return v.feed.Complete()
 }
 
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -74,13 +74,16 @@
 	return &Suspensions{boot: boot, monotonic: monotonic, offset: boot() - monotonic()}
 }
 
-// Detected reports whether the machine was suspended since the last call.
-func (s *Suspensions) Detected() bool {
+// Handle calls onSuspension if the machine was suspended since the last call. Concurrent calls return only after
+// it, so that none decides by what it discards.
+func (s *Suspensions) Handle(onSuspension func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.offset
 	s.offset = s.boot() - s.monotonic()
-	return s.offset-before > maxDrift
+	if s.offset-before > maxDrift {
+		onSuspension()
+	}
 }
 
 // Detector detects a pause of this process before the first decision after it. After a pause, timers
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -67,10 +67,17 @@
 	is := is.New(t)
 	var ran, suspended time.Duration
 	s := newSuspensions(func() time.Duration { return ran + suspended }, func() time.Duration { return ran })
+	detected := func(s *Suspensions) (yes bool) {
+		s.Handle(func() {
+			yes = true
+			is.True(!s.mu.TryLock()) // another decision would be made before what is outdated is discarded
+		})
+		return yes
+	}
 	ran += time.Hour
-	is.True(!s.Detected())
+	is.True(!detected(s))
 	suspended += time.Second
-	is.True(s.Detected())
-	is.True(!s.Detected())
-	is.True(!NewSuspensions().Detected())
+	is.True(detected(s))
+	is.True(!detected(s))
+	is.True(!detected(NewSuspensions()))
 }
