--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -17,7 +17,8 @@
 }
 
 // unansweredRetryAfter is the retry delay given to callers whose stream began at a version that other
-// instances may know, which don't answer, or at a version that a newer view would show: another instance may reach them, or the store.
+// instances may know, which don't answer, or at one that a newer view would show: another instance may reach
+// them, or the store.
 const unansweredRetryAfter = 200 * time.Millisecond
 
 // streamVersion is the software version at which a call's stream must go on.
