--- a/command/lists_test.go
+++ b/command/lists_test.go
@@ -173,3 +173,20 @@
 	s.is.Equal(code, ExitOK)
 	s.is.True(strings.Contains(out, "in force on all 1 instances"))
 }
+
+// Guards against a timeout that hides which instance is outdated, since it ends a status request.
+func TestTimeoutOfApplyNamesTheOutdatedInstance(t *testing.T) {
+	s := newListCLI(t, standin.NewStore())
+	requests := 0
+	status := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests++; requests > 1 {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, `{"instances":[{"instance":"i1","data_centre":"brest","incarnation":"x","config_version":0}]}`)
+	}))
+	defer status.Close()
+	out, code := s.run("plans", "apply", "--operator", "ana", "--wait", "--wait-timeout", "1s", "--instance", status.URL, s.file("plans.toml", plansFile))
+	s.is.Equal(code, ExitFailure)
+	s.is.True(strings.Contains(out, "not yet in force on i1 in brest at version 0"))
+}
--- a/command/wait.go
+++ b/command/wait.go
@@ -38,7 +38,8 @@
 	var lastErr error
 	count, err := backoff.Retry(ctx, func() (int, error) {
 		count, err := countInForce(ctx, c.String("instance"), c.String("key"), version)
-		if err != nil {
+		if err != nil && (lastErr == nil || ctx.Err() == nil) {
+			// The end of the wait is no reason: the last status tells why it went on.
 			lastErr = err
 		}
 		return count, err
