Routes and keys are refused for good only by a configuration that is known to be current

What callers saw: a call whose route or key was added while its entry was cut off from the store and its peers, or stood still, got a final 404 or 401, although another entry would have served it.

Cause: the entry concluded from what the configuration in force lacks, whatever its age. It knew of the last confirmation, but only to schedule its reads, and that confirmation may be too young: the arrival of a response, or of a peer's message, counted, however long it had been held up.

Ruled out: that peers alone would do. In a fleet they keep the configuration current, but not for an entry that hears of nobody.

Change: the configuration is current if a read of the store is known that began at most the time ago in which changes have to be in force. It was made by this entry, or told by a peer in response to a question, from which the age counts. Messages that peers send unasked, and responses to questions from before a suspension, prove nothing. Else the configuration is read once for all calls that wait, for 250 ms at most, two times at once and then about once a second; failing that the call is refused as not run: 503, configuration_unconfirmed, Retry-After 0.2. While it is current, a call without a route costs a look at the times; calls with a route and key cost nothing. Suspensions are noticed by the mirror itself.

Tests: platform.TestRoutesAndKeysThatAnOutdatedEntryLacksAreNotRefusedForGood, on processes, before: "outdated_test.go:45: 404 != 503"; without its first cut (trials), after standing still "52: 404 != 200" in 1 of 2 runs, and at the second cut "57: 401 != 503" in the other.

Green with the race detector: internal/mirror, node, gateway, origin. Green: platform's TestPath, TestSystemServes, TestStreamsOfAVersionThatJoins.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,9 @@
 	// notReadyRetryAfter is the retry delay given to callers while the instance has no
 	// configuration; reading it takes about that long.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// unconfirmedRetryAfter is the retry delay given to callers whose route or key a newer configuration may have: another
+	// instance may reach the store.
+	unconfirmedRetryAfter = 200 * time.Millisecond
 	// buffersFullRetryAfter is the retry delay given to callers while the memory for calls is in use:
 	// a call of usual size ends in about that time.
 	buffersFullRetryAfter = 500 * time.Millisecond
@@ -55,6 +58,9 @@
 type Settings struct {
 	// Table returns the configuration in force, or nil before the first.
 	Table func() *routing.Table
+	// TableIsCurrent reports whether the configuration in force lacks no change that has to be, and has it confirmed for a
+	// short time if need be; nil if it always is current.
+	TableIsCurrent func(ctx context.Context) bool
 	// ConnectionShare returns this instance's share of the connections that a replica accepts from all
 	// instances together.
 	ConnectionShare func(maxConnections int) int
@@ -186,16 +192,8 @@
 }
 
 func (f *inFlightCall) serve(ctx context.Context) Result {
-	f.table = f.gateway.settings.Table()
-	if f.table == nil {
-		return refused(NoConfiguration, notReadyRetryAfter)
-	}
-	f.route = f.table.Match(f.call.Host, f.call.Path)
-	if f.route == nil {
-		return refused(NoRoute, 0)
-	}
-	if !f.authenticate() {
-		return refused(UnknownKey, 0)
+	if refusal := f.match(ctx); refusal != nil {
+		return *refusal
 	}
 	f.service = f.table.Service(f.route.Choose(f.serviceKey()))
 	if f.service == nil {
@@ -308,6 +306,52 @@
 	}
 }
 
+// match finds the call's route and customer. It returns the call's refusal if there is none.
+//
+// It prevents the following failure: an instance that is cut off from the store and its peers refuses calls for good whose
+// route or key was added meanwhile.
+func (f *inFlightCall) match(ctx context.Context) *Result {
+	refusal := f.matchInForce()
+	if refusal == nil || refusal.Reason == NoConfiguration || f.gateway.settings.TableIsCurrent == nil {
+		return refusal
+	}
+	if !f.tableIsCurrent(ctx) {
+		result := refused(ConfigurationUnconfirmed, unconfirmedRetryAfter)
+		return &result
+	}
+	return f.matchInForce()
+}
+
+// matchInForce is match by the configuration in force.
+func (f *inFlightCall) matchInForce() *Result {
+	var result Result
+	if f.table = f.gateway.settings.Table(); f.table == nil {
+		result = refused(NoConfiguration, notReadyRetryAfter)
+		return &result
+	}
+	if f.route = f.table.Match(f.call.Host, f.call.Path); f.route == nil {
+		result = refused(NoRoute, 0)
+		return &result
+	}
+	if !f.authenticate() {
+		result = refused(UnknownKey, 0)
+		return &result
+	}
+	return nil
+}
+
+// tableIsCurrent has the configuration confirmed, for at most half of the time that the call has.
+func (f *inFlightCall) tableIsCurrent(ctx context.Context) bool {
+	ctx, release := f.gateway.shutdown.untilEnded(ctx)
+	defer release()
+	if !f.call.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(f.call.Deadline)/2)
+		defer cancel()
+	}
+	return f.gateway.settings.TableIsCurrent(ctx)
+}
+
 // authenticate sets the call's customer from its key. It returns false if the route requires a
 // key and the call has no valid one. On a public route a valid key still sets the customer.
 func (f *inFlightCall) authenticate() bool {
--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -71,6 +71,7 @@
 // Complete returns the interval of which no change is missing in what the feed's user applied. It ends when the last
 // read of the store by this instance began, and is empty if there was none.
 func (f *Feed) Complete() (since, until time.Time) {
+	f.mirror.handleSuspension()
 	f.mirror.mu.Lock()
 	defer f.mirror.mu.Unlock()
 	if len(f.pending) == 0 && len(f.passed) == 0 && !f.applying {
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -59,15 +59,17 @@
 	listedAt atomic.Int64
 	// standby is true while other followers poll for changes and relay them to this one.
 	standby atomic.Bool
-	// renewals reads the replicas on demand.
-	renewals renewals
+	// renewals reads the replicas on demand, configRenewal the configuration.
+	renewals      renewals
+	configRenewal configRenewal
 }
 
 // NewFollower returns a follower that is not yet active.
 func NewFollower(m *Mirror, s store.Poller, logger log.Interface) *Follower {
 	f := &Follower{
 		mirror: m, store: s, logger: logger, unavailableSince: make([]atomic.Int64, len(Kinds)), partialSince: map[Kind]*atomic.Int64{},
-		renewals: renewals{limiter: rate.NewLimiter(maxRenewalRate, renewalBurst)},
+		renewals:      renewals{limiter: rate.NewLimiter(maxRenewalRate, renewalBurst)},
+		configRenewal: configRenewal{limiter: rate.NewLimiter(rate.Every(configRenewalInterval), configRenewalBurst)},
 	}
 	for _, k := range Kinds {
 		f.partialSince[k] = &atomic.Int64{}
@@ -229,11 +231,11 @@
 		return err
 	}
 	f.mirror.Confirm(Config, requestedAt)
-	if object.Version <= asOf {
-		return nil
+	if object.Version > asOf {
+		entry := Entry{Name: ConfigName, Revision: object.Version, Value: object.Value}
+		f.mirror.Apply(Delta{Kind: Config, From: asOf, AsOf: object.Version, Entries: []Entry{entry}})
 	}
-	entry := Entry{Name: ConfigName, Revision: object.Version, Value: object.Value}
-	f.mirror.Apply(Delta{Kind: Config, From: asOf, AsOf: object.Version, Entries: []Entry{entry}})
+	f.mirror.prove(Config, requestedAt, 0, object.Version)
 	return nil
 }
 
@@ -388,7 +390,7 @@
 // lacks objects that could not be found, nothing is proven.
 func (f *Follower) prove(k Kind, at time.Time, asOf store.Version) {
 	if f.partialSince[k].Load() == 0 {
-		f.mirror.prove(k, at, asOf)
+		f.mirror.prove(k, at, 0, asOf)
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxhall/internal/store"
+	"foxhall/internal/wake"
 )
 
 // Kind is a kind of mirrored object.
@@ -77,9 +78,9 @@
 	// none or the state is stale. returnedAt is the time of the first response after the latest
 	// outage.
 	confirmedAt, returnedAt time.Time
-	// provenAt is when a read of the store began in this process after which the state lacks no change; zero if there is none.
-	// A response that arrives late proves nothing of the time since. unbrokenSince is since when no entry can have
-	// come and gone unseen.
+	// provenAt is when a read of the store began after which the state lacks no change; zero if there is none. It was made by
+	// this process or, for the configuration, by another one that told it in response to a question. A response that
+	// arrives late proves nothing of the time since. unbrokenSince is since when no entry can have come and gone unseen.
 	provenAt, unbrokenSince time.Time
 	// partial is set while entries may be missing that could not be found.
 	partial bool
@@ -87,18 +88,22 @@
 
 // Mirror is the local copy of all kinds. It is safe for concurrent use.
 type Mirror struct {
-	timing    Timing
+	timing      Timing
+	suspensions *wake.Suspensions
+
 	mu        sync.Mutex
 	kinds     map[Kind]*kindCopy
 	listeners []func(Kind)
 	// graceUntil is the time until which a removed replica may still be alive and about to register
 	// again.
 	graceUntil time.Time
+	// staleAt is when the state was last marked stale.
+	staleAt time.Time
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
-	m := &Mirror{timing: NewTiming(0, 0), kinds: map[Kind]*kindCopy{}}
+	m := &Mirror{timing: NewTiming(0, 0), suspensions: wake.NewSuspensions(), kinds: map[Kind]*kindCopy{}}
 	for _, k := range Kinds {
 		m.kinds[k] = &kindCopy{entries: map[string]Entry{}}
 	}
@@ -154,20 +159,48 @@
 func (m *Mirror) MarkStale() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.staleAt = time.Now()
 	for _, c := range m.kinds {
 		c.confirmedAt, c.provenAt = time.Time{}, time.Time{}
 	}
 }
 
-// prove records that a read of the store, begun at a time, found a version of a kind.
-func (m *Mirror) prove(k Kind, at time.Time, asOf store.Version) {
+// handleSuspension marks the state as stale if the machine was suspended: the clock of the times here excludes that.
+func (m *Mirror) handleSuspension() { m.suspensions.Handle(m.MarkStale) }
+
+// prove records that a read of the store found a version of a kind. It began the given age before a question of this
+// process, or with it. A question from before the state was marked stale proves nothing: how long ago it was is unknown.
+func (m *Mirror) prove(k Kind, asked time.Time, age time.Duration, asOf store.Version) {
+	m.handleSuspension()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c := m.kinds[k]; c.known && c.asOf >= asOf && at.After(c.provenAt) {
+	at := asked.Add(-age)
+	if c := m.kinds[k]; c.known && c.asOf >= asOf && at.After(c.provenAt) && !asked.Before(m.staleAt) {
 		c.provenAt = at
 	}
 }
 
+// IsCurrent reports whether the mirror lacks no change of the kind that has to be in force by now.
+func (m *Mirror) IsCurrent(k Kind, now time.Time) bool {
+	m.handleSuspension()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.kinds[k].provenAt) <= m.timing.changeDeadline
+}
+
+// version returns the version of a kind and the age that peers are told of it.
+func (m *Mirror) version(k Kind, now time.Time) (asOf store.Version, age time.Duration, known bool) {
+	m.handleSuspension()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[k]
+	confirmedAt := c.confirmedAt
+	if k == Config {
+		confirmedAt = c.provenAt
+	}
+	return c.asOf, now.Sub(confirmedAt), c.known
+}
+
 // unseenFor returns the time since the last known response about the kind.
 func (m *Mirror) unseenFor(k Kind, now time.Time) time.Duration {
 	m.mu.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -266,6 +266,7 @@
 		Versions:    versions,
 		UnsettledMs: r.mirror.RegistrationGrace(time.Now()).Milliseconds(),
 	}
+	asked := time.Now()
 	response, err := p.Relay.Exchange(ctx, request)
 	if err != nil {
 		r.logger.WithError(err).WithField("peer", p.Name).Debug("exchange with a peer failed; a later round repeats it")
@@ -274,6 +275,7 @@
 	}
 	r.applyDeltas(response.Deltas, response.UnsettledMs)
 	r.applyConfirmations(response.Versions)
+	r.proveConfig(response.Versions, asked)
 	r.recordFollowing(p, response.Following, response.Watching)
 	if p.DataCentre == r.dataCentre {
 		r.recordNamedFollower(response.Follower)
@@ -320,6 +322,16 @@
 	}
 }
 
+// proveConfig applies what a peer responded about the age of the configuration to a question of this instance. A request
+// of a peer proves nothing, since it may have been on the way, or unread, for any time.
+func (r *Relay) proveConfig(versions []*mirrorpb.Version, asked time.Time) {
+	for _, v := range versions {
+		if Kind(v.Kind) == Config {
+			r.mirror.prove(Config, asked, time.Duration(v.AgeMs)*time.Millisecond, store.Version(v.AsOf))
+		}
+	}
+}
+
 // chooseExchangePeer returns the additional peer of a round. Followers prefer each other, so that
 // they need not repeat each other's store calls. A standby follower alternates between the watchers
 // that it relies on, to detect their failure soon.
@@ -370,9 +382,8 @@
 	var versions []*mirrorpb.Version
 	now := time.Now()
 	for _, k := range Kinds {
-		if asOf, known := r.mirror.AsOf(k); known {
-			age := r.mirror.Age(k, now).Milliseconds()
-			versions = append(versions, &mirrorpb.Version{Kind: string(k), AsOf: uint64(asOf), AgeMs: age})
+		if asOf, age, known := r.mirror.version(k, now); known {
+			versions = append(versions, &mirrorpb.Version{Kind: string(k), AsOf: uint64(asOf), AgeMs: age.Milliseconds()})
 		}
 	}
 	return versions
--- a/internal/mirror/timing.go
+++ b/internal/mirror/timing.go
@@ -5,6 +5,8 @@
 // Timing holds the intervals that follow from what operators require: how often the store is asked
 // is a price that they pay for each deployment.
 type Timing struct {
+	// changeDeadline is the time within which a change has to be in force.
+	changeDeadline time.Duration
 	// checkInterval is how often the configuration and the replicas are read in addition to polls,
 	// which the store may leave unanswered for seconds while it drops its history. It is about half of
 	// the time within which a change has to be in force, with the rest for relaying it.
@@ -40,6 +42,7 @@
 	}
 	check := min(time.Duration(checkShare*float64(changeDeadline)), time.Duration(heartbeatShare*float64(heartbeat)))
 	return Timing{
+		changeDeadline:  changeDeadline,
 		checkInterval:   check,
 		outageThreshold: time.Duration(checksPerOutage * float64(check)),
 		debounceDelay:   changeDeadline / debounceFraction,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,8 +137,9 @@
 
 	refreshRequested chan struct{}
 	// configRevision is the store revision of the configuration decoded last, so that a large one
-	// is not decoded again at each change of a replica.
-	configRevision store.Version
+	// is not decoded again at each change of a replica. The table in force is no older.
+	configRevision atomic.Uint64
+	configView     configView
 	// assigned is the newest assignment of shards, assignedRevision its store revision.
 	assigned         atomic.Pointer[history.Assignment]
 	assignedRevision store.Version
@@ -177,6 +178,7 @@
 	n.fleet = newFleet(&n.settings, n.mirror, d.Objects, n.logger, registry)
 	n.mirror.OnChange(func(mirror.Kind) { n.requestRefresh() })
 	follower := mirror.NewFollower(n.mirror, d.Objects, n.logger)
+	n.configView = configView{n.mirror, follower, &n.configRevision}
 	n.relay = mirror.NewRelay(s.Instance, s.DataCentre, n.mirror, follower, n.fleet.peers, n.logger)
 	n.relay.SetJoined(n.fleet.isJoined)
 	if s.DataFolder != "" {
@@ -189,7 +191,7 @@
 		fanout = peerload.KeeperFanout
 	}
 	n.load = peerload.New(s.Instance, s.DataCentre, fanout, n.upstream, n.fleet.entryAddresses, n.logger)
-	n.origins = origin.NewRegistry(n.replicas.versions, originPeers{n}, replicaView{n.mirror, n.replicaFeed, follower, wake.NewSuspensions()}, registry)
+	n.origins = origin.NewRegistry(n.replicas.versions, originPeers{n}, replicaView{n.mirror, n.replicaFeed, follower}, registry)
 	n.fleet.broadcast = n.load.BroadcastKeeperStatus
 	if n.keeper != nil {
 		n.load.OnKeeperStatus(n.receiveKeeperStatus)
@@ -228,6 +230,7 @@
 	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:           n.table.Load,
+		TableIsCurrent:  n.configView.IsCurrent,
 		ConnectionShare: n.fleet.connectionShare,
 		IsolatedFor:     n.isolatedFor,
 		Quotas:          n.quotas,
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -131,10 +131,10 @@
 
 func (n *Node) refreshTable() {
 	e, ok := n.mirror.Get(mirror.Config, mirror.ConfigName)
-	if !ok || e.Revision == n.configRevision {
+	if !ok || uint64(e.Revision) == n.configRevision.Load() {
 		return
 	}
-	n.configRevision = e.Revision
+	defer n.configRevision.Store(uint64(e.Revision))
 	table, err := n.adapter.Table(e.Value)
 	if err != nil {
 		n.logger.WithError(err).WithField("revision", uint64(e.Revision)).Warn("configuration can't be decoded; the previous one stays in force")
--- a/internal/node/ring.go
+++ b/internal/node/ring.go
@@ -11,7 +11,6 @@
 
 	"foxhall/internal/mirror"
 	"foxhall/internal/origin"
-	"foxhall/internal/wake"
 )
 
 const (
@@ -147,20 +146,16 @@
 
 // replicaView is this instance's view of the replicas.
 type replicaView struct {
-	mirror      *mirror.Mirror
-	feed        *mirror.Feed
-	follower    *mirror.Follower
-	suspensions *wake.Suspensions
+	mirror   *mirror.Mirror
+	feed     *mirror.Feed
+	follower *mirror.Follower
 }
 
 // Age implements origin.View.
 func (v replicaView) Age(now time.Time) time.Duration { return v.mirror.Age(mirror.Replicas, now) }
 
 // Complete implements origin.View.
-func (v replicaView) Complete() (since, until time.Time) {
-	v.suspensions.Handle(v.mirror.MarkStale)
-	return v.feed.Complete()
-}
+func (v replicaView) Complete() (since, until time.Time) { return v.feed.Complete() }
 
 // Renew implements origin.View.
 func (v replicaView) Renew() <-chan struct{} { return v.follower.Renew() }
