A part of an instance that fails is logged at once and started again

What callers saw: nothing at the time. An instance of `run` whose listener for peers, exchange of loads, readiness probes or metrics ended with an error ran on without it, and the error was seen when the process was stopped: others took the instance for lost, or the load balancer for not ready. An entry whose listener for callers failed ran on, too, reachable by nobody.

Cause: Node.Run waits for an errgroup without a context, so that nobody hears of an error before all parts have ended.

A listener that can't be opened is tried again for any error, not only while the address is taken (file descriptors may be missing for a while). Metrics never stop an instance.

Ruled out: a stop of the whole instance for any part. It would end calls and move shards for a listener that can be opened again.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -414,12 +414,12 @@
 
 // register keeps this instance registered in the store, so that others find it, until ctx ends. It
 // writes only when the registration is missing or differs.
-func (f *fleet) register(ctx context.Context) error {
+func (f *fleet) register(ctx context.Context) {
 	self := f.self()
 	key := store.Key{Kind: string(mirror.Fleet), Name: instancePrefix + self.Name}
 	value, err := json.Marshal(self)
 	if err != nil {
-		return errors.Wrap(err, "register")
+		panic(errors.Wrap(err, "registration can't be encoded"))
 	}
 	for ctx.Err() == nil {
 		if f.isRegistered(self, key.Name) {
@@ -437,7 +437,6 @@
 		}
 		sleep(ctx, registrationConfirmTime)
 	}
-	return nil
 }
 
 // isJoined reports whether this instance is registered as far as it knows.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -13,25 +13,25 @@
 // listenRetryInterval is the time between two attempts to open a listener.
 const listenRetryInterval = 100 * time.Millisecond
 
-// openListener opens a listener. While its address is taken or not there, it tries again until ctx ends: an earlier
-// process may still be ending, or a connection may have been given the port as its local one.
+// openListener opens a listener. While that fails, it tries again until ctx ends: an earlier process may still be
+// ending, a connection may have been given the port as its local one, or file descriptors may be missing.
 //
 // It prevents the following failure: an instance ends by itself, or runs on without one of its listeners, so that
 // others take it for lost until it is stopped.
 func openListener[L io.Closer](ctx context.Context, logger log.Interface, address string, open func() (L, error)) (L, error) {
 	logger = logger.WithField("address", address)
+	logged := ""
 	for attempt := 1; ; attempt++ {
 		listener, err := open()
-		switch {
-		case err == nil:
+		if err == nil {
 			if attempt > 1 {
 				logger.WithField("attempts", attempt).Info("listening; the address is free")
 			}
 			return listener, nil
-		case !isAddressTaken(err):
-			return listener, err
-		case attempt == 1:
-			logger.WithError(err).Warn("address to listen on is not available; will retry")
+		}
+		if message := err.Error(); message != logged {
+			logListenError(logger, err)
+			logged = message
 		}
 		select {
 		case <-ctx.Done():
@@ -41,6 +41,14 @@
 	}
 }
 
+func logListenError(logger log.Interface, err error) {
+	if isAddressTaken(err) {
+		logger.WithError(err).Warn("address to listen on is not available; will retry")
+		return
+	}
+	logger.WithError(err).Error("listener can't be opened; will retry")
+}
+
 func isAddressTaken(err error) bool {
 	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -290,15 +290,15 @@
 		return nil
 	})
 	group.Go(func() error { watchLateness(serving, wake.BootTime, n.logger, n.registry); return nil })
-	group.Go(func() error { return n.fleet.register(serving) })
+	group.Go(func() error { n.fleet.register(serving); return nil })
 	if n.settings.CallersAddress != "" {
 		// Keepers receive no load datagrams and can't detect unresponsive instances.
 		group.Go(func() error { n.fleet.removeStale(serving, n.relay.Following, n.load.ContactedWithin); return nil })
 	}
-	group.Go(func() error { return n.servePeers(serving) })
-	group.Go(func() error { return n.serveMetrics(serving) })
+	group.Go(func() error { return n.keepRunning(serving, "peers", n.servePeers) })
+	group.Go(func() error { return n.keepRunning(serving, "metrics", n.serveMetrics) })
 	if n.keeper != nil {
-		group.Go(func() error { return n.keeper.Run(serving) })
+		group.Go(func() error { return n.logEnd("keeper", n.keeper.Run(serving)) })
 		group.Go(func() error { n.runRetirement(serving); return nil })
 	}
 	group.Go(func() error {
@@ -306,9 +306,9 @@
 		if n.settings.CallersAddress == "" {
 			return n.handOff(ctx)
 		}
-		return n.serveEntry(ctx, serving)
+		return n.logEnd("callers", n.serveEntry(ctx, serving))
 	})
-	group.Go(func() error { return n.exchangeLoad(serving) })
+	group.Go(func() error { return n.keepRunning(serving, "load exchange", n.exchangeLoad) })
 	if n.settings.CallersAddress != "" {
 		group.Go(func() error { n.reportFleetSize(serving); return nil })
 	}
@@ -391,6 +391,18 @@
 
 // serveEntry serves callers until ctx ends, then completes calls in flight.
 func (n *Node) serveEntry(ctx, serving context.Context) error {
+	listener, err := openListener(ctx, n.logger, n.settings.CallersAddress, func() (net.Listener, error) {
+		return netdial.ListenForCallers(serving, n.settings.CallersAddress)
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	return n.serveCallers(ctx, serving, listener)
+}
+
+// serveCallers serves the callers that connect to a listener. If it fails, a planned stop begins, since no further
+// caller can connect: calls in flight are completed, and the process ends with the error.
+func (n *Node) serveCallers(ctx, serving context.Context, listener net.Listener) error {
 	callers := &http.Server{
 		Handler:           markServed(n.adapter.Callers(n.gateway, n.divertsCallers)),
 		ReadHeaderTimeout: headerTimeout,
@@ -399,19 +411,21 @@
 		ConnState:         trackConnState,
 		ConnContext:       withConn,
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	listener, err := openListener(ctx, n.logger, n.settings.CallersAddress, func() (net.Listener, error) {
-		return netdial.ListenForCallers(serving, n.settings.CallersAddress)
-	})
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
 	limited := &callerListener{Listener: listener, limits: n.limits, conns: newCallerConns(n.settings.Memory, n.logger, n.registry), buffers: n.buffers}
 	var group errgroup.Group
 	answering, stopAnswering := context.WithCancel(serving)
 	defer stopAnswering()
-	group.Go(func() error { return n.listen(answering, ready, n.settings.ReadyAddress) })
-	group.Go(func() error { return serve(serving, callers, limited) })
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	group.Go(func() error { return n.keepRunning(answering, "readiness", n.serveReadiness) })
+	group.Go(func() error {
+		defer stop()
+		err := serve(serving, callers, limited)
+		if err != nil {
+			n.logger.WithError(err).Error("callers can't connect any more; stopping")
+		}
+		return errors.Wrap(err, "listener for callers")
+	})
 	group.Go(func() error {
 		<-ctx.Done()
 		plan := planStop(time.Now(), n.settings.Grace)
@@ -430,7 +444,6 @@
 		n.gateway.Drain(settleCtx)
 		n.turns.Drain(settleCtx)
 		stopAnswering()
-		_ = ready.Close()
 		return errors.Wrap(err, "end of the grace period")
 	})
 	return group.Wait()
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -1,12 +1,21 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"foxhall/internal/mirror"
 )
 
+// serveReadiness serves the load balancer's probes until ctx ends.
+func (n *Node) serveReadiness(ctx context.Context) error {
+	server := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	return n.listen(ctx, server, n.settings.ReadyAddress)
+}
+
 // serveReady answers the load balancer's probes.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.isReady() {
