serve: calls in flight are completed when a part of the instance fails

What callers saw: when one part of an instance of `serve` failed (in practice a listener), all connections were closed at once: calls in flight were cut, and programs were not handed over. The error was printed, not logged, once everything had ended.

Cause: the failure cancelled the errgroup's context, which ended the parts that a planned stop needs, and Run closed the listeners' servers.

Change: a part that fails is logged at once with its name and ends no other part; the instance stops as if it had been ordered to and returns the error (exit code 1).

TestFailedPartStopsInstanceInOrder (virtual time) on the code before: "err: EOF", the call was cut.

--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"foxhall/internal/control"
 )
@@ -24,41 +24,61 @@
 
 // Run serves until ctx ends and then stops gracefully: it reports not ready, waits for the steps in
 // flight, and hands the programs over. It returns ErrFenced if a successor sealed this
-// incarnation's log.
+// incarnation's log. If a part fails, it stops in the same way and returns the error.
 func (i *Instance) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	group, groupCtx := errgroup.WithContext(workCtx)
-	i.startBackground(groupCtx, group)
+	parts := newParts()
+	i.startBackground(workCtx, parts)
 	log.WithFields(log.Fields{
 		"instance": i.settings.Instance, "data_centre": i.settings.DataCentre, "cohort": i.cohort,
 		"callers": i.callerListener.address(), "peers": i.peerListener.address(),
 	}).Info("instance started")
-	fenced := false
+	var err error
 	select {
 	case <-ctx.Done():
 		i.shutdown()
-	case <-i.watchFence(groupCtx):
-		fenced = true
+	case <-i.watchFence(workCtx):
 		i.retire()
-	case <-groupCtx.Done():
-		// A part has failed permanently. The listeners do not observe the context and would keep
-		// the process running without a working instance.
-		_ = i.callerListener.server.Close()
-		_ = i.peerListener.server.Close()
+		if ctx.Err() == nil {
+			err = ErrFenced
+		}
+	case err = <-parts.failed:
+		i.shutdown()
 	}
 	stopWork()
-	err := group.Wait()
+	_ = i.callerListener.server.Close()
+	_ = i.peerListener.server.Close()
+	parts.group.Wait()
 	i.close()
-	switch {
-	case ctx.Err() != nil:
-		return nil
-	case fenced:
-		return ErrFenced
-	}
 	return err
 }
 
+// parts are the background tasks of a running instance. The failure of one ends no other, so that the instance
+// can stop in order.
+type parts struct {
+	group sync.WaitGroup
+	// failed receives the error of the first part that fails.
+	failed chan error
+}
+
+func newParts() *parts { return &parts{failed: make(chan error, 1)} }
+
+// run runs a part that may fail.
+func (p *parts) run(ctx context.Context, name string, part func(context.Context) error) {
+	p.group.Go(func() {
+		err := part(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		log.WithField("part", name).WithError(err).Error("part of this instance failed; stopping")
+		select {
+		case p.failed <- errors.Wrap(err, name):
+		default:
+		}
+	})
+}
+
 // ErrFenced is returned by Run when another instance has taken over this incarnation's programs,
 // because it was paused or isolated for too long. This incarnation can't write to its log, so the
 // process must continue as a new incarnation.
@@ -120,39 +140,30 @@
 	return nil
 }
 
-// startBackground starts the listeners and the background tasks in group.
-func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group) {
-	group.Go(i.callerListener.serve)
-	group.Go(i.peerListener.serve)
-	group.Go(func() error { return ignoreAfterCancel(ctx, i.control.Run(ctx)) })
-	group.Go(func() error { return ignoreAfterCancel(ctx, i.config.Run(ctx)) })
-	group.Go(func() error { return ignoreAfterCancel(ctx, i.members.Run(ctx)) })
-	group.Go(func() error { i.owner.Run(ctx); return nil })
-	group.Go(func() error { i.ownership.Run(ctx); return nil })
-	group.Go(func() error { return ignoreAfterCancel(ctx, i.gate.Run(ctx)) })
-	group.Go(func() error { return i.budget.Run(ctx) })
-	group.Go(func() error { i.followConfig(ctx); return nil })
-	group.Go(func() error { i.scheduler.Run(ctx, i.engines); return nil })
-	group.Go(func() error { i.refreshReport(ctx); return nil })
-	group.Go(func() error { i.pauses.run(ctx); return nil })
-	group.Go(func() error { i.copies.run(ctx); return nil })
-	group.Go(func() error { i.remote.run(ctx); return nil })
-	group.Go(func() error { return ignoreAfterCancel(ctx, i.duties.lease.Run(ctx)) })
-	group.Go(func() error { i.duties.engines.Run(ctx); return nil })
-	group.Go(func() error { i.duties.releases.Run(ctx); return nil })
-	group.Go(func() error { i.duties.collectDemand(ctx); return nil })
-	group.Go(func() error { i.duties.collectChunks(ctx); return nil })
-	group.Go(func() error { i.broadcastSignals(ctx); return nil })
-	group.Go(func() error { i.followEndpoints(ctx); return nil })
-}
-
-// ignoreAfterCancel returns nil if ctx has ended, because the task was stopped on purpose, and err
-// otherwise.
-func ignoreAfterCancel(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+// startBackground starts the listeners and the background tasks.
+func (i *Instance) startBackground(ctx context.Context, p *parts) {
+	p.run(ctx, "callers", func(context.Context) error { return i.callerListener.serve() })
+	p.run(ctx, "peers", func(context.Context) error { return i.peerListener.serve() })
+	p.run(ctx, "control", i.control.Run)
+	p.run(ctx, "configuration", i.config.Run)
+	p.run(ctx, "membership", i.members.Run)
+	p.run(ctx, "limits", i.gate.Run)
+	p.run(ctx, "budgets", i.budget.Run)
+	p.run(ctx, "leases", i.duties.lease.Run)
+	p.group.Go(func() { i.owner.Run(ctx) })
+	p.group.Go(func() { i.ownership.Run(ctx) })
+	p.group.Go(func() { i.followConfig(ctx) })
+	p.group.Go(func() { i.scheduler.Run(ctx, i.engines) })
+	p.group.Go(func() { i.refreshReport(ctx) })
+	p.group.Go(func() { i.pauses.run(ctx) })
+	p.group.Go(func() { i.copies.run(ctx) })
+	p.group.Go(func() { i.remote.run(ctx) })
+	p.group.Go(func() { i.duties.engines.Run(ctx) })
+	p.group.Go(func() { i.duties.releases.Run(ctx) })
+	p.group.Go(func() { i.duties.collectDemand(ctx) })
+	p.group.Go(func() { i.duties.collectChunks(ctx) })
+	p.group.Go(func() { i.broadcastSignals(ctx) })
+	p.group.Go(func() { i.followEndpoints(ctx) })
 }
 
 // followConfig announces the version of each new configuration.
