An instance registers once the others can connect to it

What callers saw: a keeper whose port for other instances was taken as it started was known to the others all the same. An entry in the same state was taken for lost.

Besides, a keeper makes assignments, which name it as primary, as soon as it sees the others.

Change: an instance registers once its listeners for other instances' connections and datagrams are open, and logs that it waits for them. Until then a keeper makes no assignment, but during a planned stop, when it may have to replicate shards of which it is the only holder. A registration of an earlier start stays: it isn't rewritten, and shards that a restarted keeper holds are taken over as before. The wait ends with a stop.

--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -74,6 +74,9 @@
 	Keepers func() []Candidate
 	// IsRetiring reports whether operators want a keeper drained.
 	IsRetiring func(name string) bool
+	// CanBeReached reports whether this keeper listens for other instances; nil for always. Until then it makes no
+	// assignment, since that would name it as a holder.
+	CanBeReached func() bool
 	// Copies stores what this keeper acknowledges as a sole holder.
 	Copies Copies
 	Logger log.Interface
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -195,7 +195,7 @@
 	}
 	assessments := k.assessPeers(time.Now())
 	next, changed := k.proposeAssignment(assessments, time.Now())
-	changed = changed && time.Now().After(k.storeRetryAt)
+	changed = changed && time.Now().After(k.storeRetryAt) && (k.canBeReached() || k.isDraining())
 	base := k.version
 	for _, s := range k.shards {
 		if !k.isPrimary(s) {
@@ -223,7 +223,7 @@
 	}
 	keepers := k.liveKeepers()
 	complete := len(keepers) == len(k.settings.Keepers())
-	if len(keepers) == 0 || keepers[0].Name != k.settings.Name || !complete && age < 2*startupGrace {
+	if len(keepers) == 0 || keepers[0].Name != k.settings.Name || !complete && age < 2*startupGrace || !k.canBeReached() {
 		if time.Since(k.bootstrapReadAt) >= bootstrapReadInterval {
 			k.bootstrapReadAt = time.Now()
 			notify(k.wakeReader)
@@ -244,6 +244,10 @@
 	}
 }
 
+func (k *Keeper) canBeReached() bool {
+	return k.settings.CanBeReached == nil || k.settings.CanBeReached()
+}
+
 // liveKeepers returns the live keepers, including this one, with their disks.
 func (k *Keeper) liveKeepers() []Candidate {
 	k.mu.Lock()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -97,6 +97,8 @@
 	current atomic.Pointer[membership]
 	// standing is what the others know of this instance.
 	standing standing
+	// listens and receives are set once this instance has listened for other instances' connections and datagrams.
+	listens, receives *latch
 
 	mu            sync.Mutex
 	keeperClients map[string]historypb.Keeper
@@ -127,6 +129,8 @@
 		members:       map[string]member{s.Instance: selfOf(s)},
 		keeperClients: map[string]historypb.Keeper{},
 		relayClients:  map[string]mirrorpb.Relay{},
+		listens:       newLatch(),
+		receives:      newLatch(),
 	}
 	f.current.Store(f.newMembership())
 	return f
@@ -412,8 +416,33 @@
 	return latest.assignment, latest.revision, latest.ok
 }
 
+// canBeReached reports whether other instances can reach this one, as far as it depends on its listeners.
+func (f *fleet) canBeReached() bool { return f.listens.isSet() && f.receives.isSet() }
+
+// awaitReachability waits until other instances can reach this one, or ctx ends.
+func (f *fleet) awaitReachability(ctx context.Context) {
+	timer := time.NewTimer(registrationDelay)
+	defer timer.Stop()
+	for _, l := range []*latch{f.listens, f.receives} {
+		select {
+		case <-l.c:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		f.logger.Warn("not registered with the other instances until they can connect to this one")
+		select {
+		case <-l.c:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // register keeps this instance registered in the store, so that others find it, until ctx ends. It
-// writes only when the registration is missing or differs.
+// writes only when the registration is missing or differs, and once other instances can reach this one: they would
+// count it as one that is lost.
 func (f *fleet) register(ctx context.Context) {
 	self := f.self()
 	key := store.Key{Kind: string(mirror.Fleet), Name: instancePrefix + self.Name}
@@ -421,6 +450,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "registration can't be encoded"))
 	}
+	f.awaitReachability(ctx)
 	for ctx.Err() == nil {
 		if f.isRegistered(self, key.Name) {
 			sleep(ctx, registrationInterval)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
-
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -71,3 +74,43 @@
 	_, _, ok := f.assignment()
 	is.True(!ok)
 }
+
+// countedWrites counts the writes to a store.
+type countedWrites struct {
+	Objects
+	count int
+}
+
+func (o *countedWrites) Put(context.Context, store.Key, []byte, store.Version) (store.Version, error) {
+	o.count++
+	return 10, nil
+}
+
+// Guards against an instance that others count as lost, since it registers while they can't connect to it yet, and
+// against one that can't be stopped while it waits for that.
+func TestRegistrationWaitsForListeners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, _ := newTestFleet(t)
+		objects := &countedWrites{}
+		f.objects = objects
+		ctx, stop := context.WithCancel(t.Context())
+		var registering sync.WaitGroup
+		registering.Go(func() { f.register(ctx) })
+		registering.Go(func() {
+			stopped, cancel := context.WithCancel(t.Context())
+			cancel()
+			f.register(stopped)
+		})
+		f.receives.set()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(objects.count, 0)
+		f.listens.set()
+		time.Sleep(2 * registrationDelay)
+		synctest.Wait()
+		is.Equal(objects.count, 1)
+		stop()
+		registering.Wait()
+	})
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"syscall"
 	"time"
 
@@ -52,3 +53,22 @@
 func isAddressTaken(err error) bool {
 	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
+
+// latch is set once and stays so.
+type latch struct {
+	once sync.Once
+	c    chan struct{}
+}
+
+func newLatch() *latch { return &latch{c: make(chan struct{})} }
+
+func (l *latch) set() { l.once.Do(func() { close(l.c) }) }
+
+func (l *latch) isSet() bool {
+	select {
+	case <-l.c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,6 +254,7 @@
 		MaxDiskFailures: n.settings.MaxDiskFailures,
 		Keepers:         n.fleet.candidates,
 		IsRetiring:      n.isRetiring,
+		CanBeReached:    n.fleet.canBeReached,
 		Copies:          n.fleet,
 		Logger:          n.logger,
 	}, n.fleet, n.fleet)
@@ -351,6 +352,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load exchange")
 	}
+	n.fleet.receives.set()
 	n.load.Run(ctx, conn)
 	return nil
 }
@@ -468,13 +470,18 @@
 }
 
 func (n *Node) listen(ctx context.Context, server *http.Server, address string) error {
-	listener, err := openListener(ctx, n.logger, address, func() (net.Listener, error) { return netdial.Listen(ctx, address) })
+	listener, err := n.openTCP(ctx, address)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
 	return serve(ctx, server, listener)
 }
 
+func (n *Node) openTCP(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := openListener(ctx, n.logger, address, func() (net.Listener, error) { return netdial.Listen(ctx, address) })
+	return listener, errors.Wrap(err, "listen")
+}
+
 // serve serves the connections of a listener until it is closed.
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -26,7 +26,12 @@
 	server := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	return n.listen(ctx, server, n.settings.peerAddress(n.settings.IP))
+	listener, err := n.openTCP(ctx, n.settings.peerAddress(n.settings.IP))
+	if err != nil {
+		return err
+	}
+	n.fleet.listens.set()
+	return serve(ctx, server, listener)
 }
 
 func (n *Node) peerHandler() http.Handler {
