A damaged record in a keeper's log hides no intact ones

What callers saw: nothing at once. If a byte of a record of a keeper's log was altered on the disk, the keeper started without this record and all behind it in the segment, up to 48 MB, without a log line; its start then rewrote the log and removed the segment.

Cause: each record has its size and a checksum, but a record that doesn't match ends its segment, as one does that was written in part.

Change: reading goes on behind the size that the record states. Each damaged part is logged with its place; one with intact records behind it as an error. The damaged record is never read as a whole one (the checksum was checked before). Epoch states behind it are left out, as before: they may state that shards are complete for which records are missing. If the size itself is altered, the rest of the segment is lost as before, with a line. The format is unchanged.

Open: an epoch state before the damage still holds, so that the keeper counts as complete in a shard of which it lost a record, and may confirm that the turn is absent. A start writes each shard's state before its records, so that this is the usual order. Ruled out here: to count the disk as a new one. After a loss of power the last write may have holes, too, whose records nobody acknowledged; all keepers at once would then give up their disks. To tell the two apart, the format needs marks of the writes that were synced.

TestReplayEndsAtATornRecord: only a second return value.

--- a/internal/history/disk.go
+++ b/internal/history/disk.go
@@ -45,6 +45,18 @@
 	// torn means that a write failed, so that the segment may end within a record. What follows there
 	// would not be read again.
 	torn bool
+	// damages are the parts of segments that could not be read at the start.
+	damages []damage
+}
+
+// damage is a part of a segment that is not a record as it was written.
+type damage struct {
+	path string
+	// at is where in the segment it begins, and bytes its length.
+	at, bytes int64
+	// following is the number of records behind it in its segment. Without any it may be a record that was written
+	// in part, and never acknowledged.
+	following int
 }
 
 // logFile is the file of a segment.
@@ -58,7 +70,8 @@
 }
 
 // openLog calls visit for every record of all segments, and opens a new segment for writing. A
-// record that was written in part ends its segment: nothing after it was ever acknowledged.
+// record that was written in part ends its segment: nothing after it was ever acknowledged. A damaged record is left
+// out, as are the epoch states behind it, since they may state that what is lost with it is there.
 func openLog(dir string, visit func(*historypb.Record)) (*diskLog, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "history")
@@ -69,10 +82,11 @@
 	}
 	l := &diskLog{dir: dir, open: createSegment}
 	for _, n := range numbers {
-		if err := readSegment(l.segmentPath(n), visit); err != nil {
+		damages, err := readSegment(l.segmentPath(n), visit)
+		if err != nil {
 			return nil, err
 		}
-		l.segment = n
+		l.segment, l.damages = n, append(l.damages, damages...)
 	}
 	return l, l.startSegment()
 }
@@ -113,27 +127,38 @@
 
 // readSegment calls visit for every record of a segment. It holds one record at a time: the keeper's
 // memory is sized for what it retains, not for its log beside it.
-func readSegment(path string, visit func(*historypb.Record)) error {
+func readSegment(path string, visit func(*historypb.Record)) ([]damage, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return errors.Wrap(err, "history")
+		return nil, errors.Wrap(err, "history")
 	}
 	defer file.Close()
 	info, err := file.Stat()
 	if err != nil {
-		return errors.Wrap(err, "history")
+		return nil, errors.Wrap(err, "history")
 	}
 	frames := &frameReader{reader: bufio.NewReaderSize(file, replayBufferSize), remaining: info.Size()}
-	for {
+	var damages []damage
+	for frames.remaining > 0 {
+		at := info.Size() - frames.remaining
 		r, err := frames.next()
-		if err != nil {
-			return errors.Wrap(err, "history")
+		switch {
+		case err != nil:
+			return nil, errors.Wrap(err, "history")
+		case r == nil:
+			if last := len(damages) - 1; last >= 0 && damages[last].following == 0 {
+				at, damages = damages[last].at, damages[:last]
+			}
+			damages = append(damages, damage{path: path, at: at, bytes: info.Size() - frames.remaining - at})
+			continue
+		case len(damages) > 0:
+			damages[len(damages)-1].following++
 		}
-		if r == nil {
-			return nil
+		if len(damages) == 0 || r.GetMark() == nil {
+			visit(r)
 		}
-		visit(r)
 	}
+	return damages, nil
 }
 
 // frameReader reads the records of a segment.
@@ -145,10 +170,11 @@
 	body      []byte
 }
 
-// next returns the next record; nil at the end of the segment, which is before a record that was
-// written in part.
+// next returns the next record; nil if it is not as it was written. The next one begins after the size that it states.
+// If that can't be, nothing remains to be read.
 func (f *frameReader) next() (*historypb.Record, error) {
 	if f.remaining < frameHeaderSize {
+		f.remaining = 0
 		return nil, nil
 	}
 	if _, err := io.ReadFull(f.reader, f.header[:]); err != nil {
@@ -156,10 +182,12 @@
 	}
 	size := int64(binary.LittleEndian.Uint32(f.header[:]))
 	checksum := binary.LittleEndian.Uint64(f.header[4:])
-	f.remaining -= frameHeaderSize + size
-	if size > maxRecordSize || f.remaining < 0 {
+	f.remaining -= frameHeaderSize
+	if size == 0 || size > maxRecordSize || size > f.remaining {
+		f.remaining = 0
 		return nil, nil
 	}
+	f.remaining -= size
 	f.body = slices.Grow(f.body[:0], int(size))[:size]
 	if _, err := io.ReadFull(f.reader, f.body); err != nil {
 		return nil, err
--- a/internal/history/disk_test.go
+++ b/internal/history/disk_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
@@ -88,12 +89,52 @@
 			is := is.New(t)
 			is.NoErr(os.WriteFile(path, torn, 0o600))
 			visited := 0
-			is.NoErr(readSegment(path, func(*historypb.Record) { visited++ }))
+			_, err := readSegment(path, func(*historypb.Record) { visited++ })
+			is.NoErr(err)
 			is.Equal(visited, 2)
 		})
 	}
 }
 
+// Guards against a damaged record that hides the intact ones behind it, or that is read as a whole one, and against
+// shards that count as complete by what was written after the loss.
+func TestReplayPassesOverADamagedRecord(t *testing.T) {
+	is := is.New(t)
+	var framed []byte
+	var ends []int
+	state := epochStateRecord(1, epochState{promised: 4, base: 4})
+	turn := func(id string) *historypb.Record {
+		return turnRecord(1, &historypb.Turn{Id: id, EndedUnixMs: time.Now().UnixMilli()})
+	}
+	for _, r := range []*historypb.Record{turn("a"), turn("b"), turn("c"), state, turn("d")} {
+		var err error
+		framed, err = appendFrame(framed, r)
+		is.NoErr(err)
+		ends = append(ends, len(framed))
+	}
+	framed[ends[1]-1] ^= 1 // the end of b
+	dir := t.TempDir()
+	path := filepath.Join(dir, fmt.Sprintf(segmentNameFormat, 1))
+	is.NoErr(os.WriteFile(path, framed, 0o600))
+
+	logs := memory.New()
+	k, err := Open(Settings{Name: "k", LogDir: dir, Logger: &log.Logger{Handler: logs}}, nil, nil)
+	is.NoErr(err)
+	is.NoErr(k.log.close())
+	var held []string
+	for _, id := range []string{"a", "b", "c", "d"} {
+		if _, ok := k.shards[1].state.turns[recordKey(nil, id)]; ok {
+			held = append(held, id)
+		}
+	}
+	is.Equal(held, []string{"a", "c", "d"})
+	is.Equal(k.shards[1].epochState, epochState{})
+	is.Equal(len(logs.Entries), 1)
+	is.Equal(logs.Entries[0].Level, log.ErrorLevel)
+	is.Equal(logs.Entries[0].Fields["at"], int64(ends[0]))
+	is.Equal(logs.Entries[0].Fields["following"], 3)
+}
+
 var errDisk = errors.New("disk refuses the write")
 
 // faultyFile takes a number of bytes, and then fails each write in the middle.
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -209,6 +209,7 @@
 		return nil, err
 	}
 	k.log = l
+	k.logDamages()
 	if k.disk == "" {
 		k.disk = strconv.FormatUint(rand.Uint64(), 36)
 	}
@@ -222,6 +223,18 @@
 	return k, nil
 }
 
+// logDamages logs the parts of the log that could not be read.
+func (k *Keeper) logDamages() {
+	for _, d := range k.log.damages {
+		line := k.settings.Logger.WithField("path", d.path).WithField("at", d.at).WithField("bytes", d.bytes).WithField("following", d.following)
+		if d.following == 0 {
+			line.Warn("log ends in a record that can't be read")
+			continue
+		}
+		line.Error("damaged record in the log; what it held is lost on this disk")
+	}
+}
+
 // replay applies a record from the disk.
 func (k *Keeper) replay(r *historypb.Record) {
 	if name := r.GetDisk(); name != "" {
