Instances of another fleet are refused, with a setting

What callers saw: 404 for a route of their own. A process of another system at an address that this system uses (one left over, or two systems on one set of addresses) exchanges its lists with this system's instances, and the lists with the higher revisions win. Soaks that met another one's processes also saw turns lost with "more disks lost than tolerated".

Cause: messages between instances name the sender, but not its system. By reading, nothing that both sides know identifies it: the store's address differs between instances that reach it by different ways (the soak gives each a proxy), disks have names only for keepers that hold shards, and an object of the store would come through the lists that are spoiled.

Change: an optional setting `fleet`, stated in a header of all HTTP requests between instances (lists, keepers, witnesses). The one that is asked refuses with 503, as if it could not be reached, if it has the setting and the request states another fleet. Absent on either side means accepted, as today, so that versions and settings may be changed instance by instance.

Not covered: datagrams (loads, quotas, keepers' broadcast status), requests to a process of an earlier version or without the setting.

No run shows that turns are lost without the setting or kept with it.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -119,12 +119,13 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     peerIdleTimeout,
 	}
+	bounded := httpconn.NewBoundedTransport(transport, maxPeerBytes, oversizedPeerBodies(registry))
 	f := &fleet{
 		settings:      s,
 		mirror:        m,
 		objects:       o,
 		logger:        logger,
-		client:        &http.Client{Transport: httpconn.NewBoundedTransport(transport, maxPeerBytes, oversizedPeerBodies(registry))},
+		client:        &http.Client{Transport: fleetTransport{bounded, s.Fleet}},
 		feed:          m.NewFeed(mirror.Fleet),
 		members:       map[string]member{s.Instance: selfOf(s)},
 		keeperClients: map[string]historypb.Keeper{},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -47,7 +47,7 @@
 		keeper := historypb.NewKeeperServer(n.keeper)
 		mux.Handle(keeper.PathPrefix(), keeper)
 	}
-	return boundRequests(mux, oversizedPeerBodies(n.registry))
+	return refuseForeign(boundRequests(mux, oversizedPeerBodies(n.registry)), n.settings.Fleet, n.logger, n.registry)
 }
 
 // boundRequests bounds the bodies of requests to maxPeerBytes.
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/mirror/mirrorpb"
 )
 
 // zeros reads as zero bytes without end, and counts them.
@@ -36,3 +38,22 @@
 		is.Equal(metrics.GetOrRegisterCounter("peers.oversized", n.registry).Count(), int64(1))
 	}
 }
+
+// Guards against a process of another system that answers at an address of this one: what it is sent is lost with it,
+// and its lists spoil those of others. Instances that state no fleet are accepted, as of an earlier version.
+func TestInstancesOfAnotherFleetAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		own, sender string
+		served      bool
+	}{{"a", "a", true}, {"a", "", true}, {"", "b", true}, {"", "", true}, {"a", "b", false}} {
+		is := is.New(t)
+		n := newTestNodeWith(t, func(s *Settings) { s.Fleet = c.own })
+		sender := newTestNodeWith(t, func(s *Settings) { s.Fleet = c.sender })
+		server := httptest.NewServer(n.peerHandler())
+		defer server.Close()
+		relay := mirrorpb.NewRelayProtobufClient(server.URL, sender.fleet.client)
+		_, err := relay.Exchange(t.Context(), &mirrorpb.ExchangeRequest{From: "sender"})
+		is.Equal(err == nil, c.served)
+		is.Equal(metrics.GetOrRegisterCounter("peers.foreign", n.registry).Count() == 0, c.served)
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -19,6 +19,8 @@
 	// DataCentre is the instance's own data centre, DataCentres are all of them.
 	DataCentre  string
 	DataCentres []string
+	// Fleet names the system that this instance belongs to, the same on all its instances; empty for any.
+	Fleet string
 	// CallersAddress and ReadyAddress are the listening addresses of an entry for callers and for readiness
 	// probes.
 	CallersAddress, ReadyAddress string
