A keeper beside a sole holder isn't drained for its removal

What callers see: nothing yet. Operators order a keeper drained while another one is lost and the third is the sole holder of its shards: the order is reported as carried out, the machine is removed with its disk, and the turns of before are on one disk (and on the lost one's, if that comes back). One more disk then loses acknowledged turns.

Cause: Drained asks that this keeper holds no shards and that all holders of each are complete. Of a sole holder's shards all holders are one. The order's report promises two.

Ruled out: the copies in the store, which have only what was acknowledged alone; and to ask for as many backups as disks may be lost, since the drain of one of three keepers would then never end where two may be lost.

Change: a retiring keeper isn't drained while a shard has no backup. A planned stop still ends there: its disk comes back.

--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -349,6 +349,30 @@
 	})
 }
 
+// Guards against turns that are left on one disk. The order to drain a keeper counts as carried out, upon which its disk
+// is removed, while another one is lost and the third is the sole holder.
+func TestRetiringKeeperIsNotDrainedBesideSoleHolder(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		fail(retainTurn(cl.client(entryIn(north)), "p", "first", ""))
+		cl.setDataCentreIsolated(east, true)
+		time.Sleep(soleHolderTime)
+		cl.setRetiring("a")
+		cl.machine("b").stop()
+		cl.setDataCentreIsolated(east, false)
+		time.Sleep(convergenceTime)
+		if cl.machine("a").process.keeper.Drained() {
+			fail(errors.Errorf("keeper a drained; shard assigned to %v", cl.roleOf("p")))
+		}
+		cl.machine("b").start()
+		time.Sleep(convergenceTime)
+		if !cl.machine("a").process.keeper.Drained() {
+			fail(errors.Errorf("keeper a not drained; shard assigned to %v", cl.roleOf("p")))
+		}
+		cl.machine("a").wipe()
+		fail(findTurn(cl, "first"))
+	})
+}
+
 // Guards against a shard that is never served again. Its sole holder lost its disk as well, so that
 // more disks are lost than may fail at once. The keeper that had all of the shard before must take
 // it over.
--- a/internal/history/leave.go
+++ b/internal/history/leave.go
@@ -21,16 +21,18 @@
 	}
 }
 
-// Drained reports whether this keeper holds no shards and all holders of each shard are complete.
+// Drained reports whether this keeper holds no shards and all holders of each shard are complete. A
+// retiring keeper is removed with its disk, so that a sole holder doesn't suffice; one that only
+// stops returns with its disk.
 func (k *Keeper) Drained() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.version == 0 {
 		return false
 	}
-	assessments := k.assessPeers(time.Now())
+	assessments, retiring := k.assessPeers(time.Now()), k.settings.IsRetiring(k.settings.Name)
 	for id, r := range k.known.Shards {
-		if r.Epoch == 0 || r.Primary == k.settings.Name || r.hasBackup(k.settings.Name) {
+		if r.Epoch == 0 || r.hasHolder(k.settings.Name) || retiring && len(r.Backups) == 0 {
 			return false
 		}
 		for _, name := range r.holders() {
