A loss beside a keeper's drain refuses turns no longer than any other loss

What callers see: turns are refused with 503, and settlements fail, for as long as one of three keepers drains, if another one is lost meanwhile: up to 6.5 s at a grace period of 8 s, and as long as the order lasts if a keeper is to be removed.

Cause: a draining keeper counts as no backup, and the third keeper isn't the last one while the draining one answers.

Ruled out: the draining keeper as a backup of last resort. Each stop then lasts its whole grace period, the shards change hands again at its end, and a keeper whose disk is to be removed gets new turns. Going alone at each drain that leaves no backup: where the present holders still commit, they have two disks without the store.

Change: where a shard's holders don't suffice, a draining keeper that is heard counts as gone; the last keeper serves alone, with copies in the store, as it did anyway once the draining one had ended. It goes on while the others are lost or drain.

--- a/internal/history/alone.go
+++ b/internal/history/alone.go
@@ -1,33 +1,50 @@
 package history
 
 import (
+	"slices"
 	"time"
 
 	"foxhall/internal/history/historypb"
 )
 
-// When every other keeper is lost, the last keeper becomes the sole holder of its shards; otherwise
+// When every other keeper is lost or drains, the last keeper becomes the sole holder of its shards; otherwise
 // no retained turn could be served until another keeper returned. What a sole holder acknowledges
 // is on its disk and, as copies, in the platform's store. Silence does not show that the disks of the
 // others are lost, so its own disk may be the one that fails. A keeper that is itself isolated is no sole
-// holder: it is one only while witnesses confirm the loss of all others.
+// holder: it is one only while witnesses confirm the loss of all others that it has no contact with.
 
 // rejoinGrace is how long a keeper still counts as lost after contact is restored: it becomes a
 // backup only by a reassignment, and its disk is behind until then.
 const rejoinGrace = 3 * time.Second
 
-// isLastKeeper reports whether the loss of all other keepers is confirmed and they number at least
-// maxDiskFailures; the lock is held.
-func (k *Keeper) isLastKeeper(now time.Time) bool {
-	others := k.otherKeepers()
+// isLastKeeper reports whether this is the last keeper for a shard: the loss of all other keepers is
+// confirmed, or they drain where the shard's present holders can't commit any more. They number at
+// least maxDiskFailures. The lock is held.
+//
+// A draining keeper is no backup even then: it ends within its grace period whatever happens, or is
+// removed with its disk. Holders that drain but still commit stay, since their disks are more than one.
+func (k *Keeper) isLastKeeper(s *shard, assessments map[string]assessment, now time.Time) bool {
+	others, stuck := k.otherKeepers(), !k.canCommit(s, assessments)
 	for _, name := range others {
-		if v := k.views[name]; v == nil || !v.loss.isCurrent(now) {
+		if v := k.views[name]; v == nil || !v.loss.isCurrent(now) && !(stuck && k.drains(name, now)) {
 			return false
 		}
 	}
 	return len(others) >= k.maxDiskFailures()
 }
 
+// canCommit reports whether enough of the shard's holders are live to commit changes; the lock is held.
+func (k *Keeper) canCommit(s *shard, assessments map[string]assessment) bool {
+	intact := k.intactHolders(s, &s.role.Ensemble, assessments)
+	return slices.Contains(intact, s.role.Primary) && len(intact) > s.role.requiredAcks()
+}
+
+// drains reports whether another keeper is responsive and draining; the lock is held.
+func (k *Keeper) drains(name string, now time.Time) bool {
+	v := k.views[name]
+	return v != nil && v.status != nil && !v.unresponsive(now) && (v.status.Leaving || k.settings.IsRetiring(name))
+}
+
 // otherKeepers returns the names of the other registered keepers.
 func (k *Keeper) otherKeepers() []string {
 	var names []string
@@ -60,7 +77,7 @@
 //
 // A sole holder may have been isolated since it became one, and the other keepers may have recovered
 // without what it acknowledges since. It therefore acknowledges only while each other keeper is confirmed
-// lost or recently returned.
+// lost, recently returned or draining: none of these takes a shard over that this keeper serves.
 func (k *Keeper) servingVerdict(s *shard, now time.Time) historypb.Verdict {
 	if !k.isSoleHolder(s) {
 		if k.isIsolated() {
@@ -69,7 +86,7 @@
 		return historypb.Verdict_DONE
 	}
 	for _, name := range k.otherKeepers() {
-		if v := k.views[name]; v == nil || !v.loss.isCurrent(now) && !v.recentlyReturned(now) {
+		if v := k.views[name]; v == nil || !v.loss.isCurrent(now) && !v.recentlyReturned(now) && !k.drains(name, now) {
 			return k.soleHolderRefusal(now)
 		}
 	}
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -53,7 +53,7 @@
 func (k *Keeper) nextAssignment(selector *backupSelector, s *shard, assessments map[string]assessment, now time.Time) (ShardAssignment, bool) {
 	self := Candidate{Name: k.settings.Name, DataCentre: k.settings.DataCentre, Disk: k.disk}
 	backups := selector.selectBackups(int(s.id), self)
-	if len(backups) == 0 && !k.isLastKeeper(now) {
+	if len(backups) == 0 && !k.isLastKeeper(s, assessments, now) {
 		return ShardAssignment{}, false
 	}
 	backups = k.withCurrentBackups(s, backups, selector.keepers, assessments)
