A keeper that no other instance can connect to counts as lost

What callers see: turns of a keeper's shards are refused while its listener for other instances isn't open, after a restart with an earlier registration or a failure at run time. Its status still goes out by datagram, so that the others take it for live, leave it its shards and may give it some.

Cause: only the registration and the making of assignments depended on the listener, by a latch that a failure doesn't clear.

Change: a flag is set while the listener is open. Without it no status is broadcast and no assignment made. The registration stays.

The loss at run time was not played with processes.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -99,6 +99,8 @@
 	standing standing
 	// listens and receives are set once this instance has listened for other instances' connections and datagrams.
 	listens, receives *latch
+	// listening is true while the listener for other instances' connections is open.
+	listening atomic.Bool
 
 	mu            sync.Mutex
 	keeperClients map[string]historypb.Keeper
@@ -334,8 +336,12 @@
 	return k.Status(ctx, r)
 }
 
-// BroadcastStatus implements history.Peers.
+// BroadcastStatus implements history.Peers. A keeper to which no other can connect sends none: it would count as live,
+// and its shards' turns would be refused.
 func (f *fleet) BroadcastStatus(status *historypb.StatusResponse) {
+	if !f.listening.Load() {
+		return
+	}
 	data, err := proto.Marshal(status)
 	if err != nil {
 		f.logger.WithError(err).Warn("keeper status can't be encoded; not broadcast")
@@ -418,7 +424,10 @@
 }
 
 // canBeReached reports whether other instances can reach this one, as far as it depends on its listeners.
-func (f *fleet) canBeReached() bool { return f.listens.isSet() && f.receives.isSet() }
+func (f *fleet) canBeReached() bool { return f.listening.Load() && f.receives.isSet() }
+
+// couldBeReached reports whether other instances could reach this one at any time since it started.
+func (f *fleet) couldBeReached() bool { return f.listens.isSet() && f.receives.isSet() }
 
 // awaitReachability waits until other instances can reach this one, or ctx ends.
 func (f *fleet) awaitReachability(ctx context.Context) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,14 +24,21 @@
 
 // servePeers serves other instances.
 func (n *Node) servePeers(ctx context.Context) error {
-	server := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
 	listener, err := n.openTCP(ctx, n.settings.peerAddress(n.settings.IP))
 	if err != nil {
 		return err
 	}
+	return n.servePeersOn(ctx, listener)
+}
+
+// servePeersOn serves the instances that connect to a listener, until it fails or ctx ends.
+func (n *Node) servePeersOn(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
 	n.fleet.listens.set()
+	n.fleet.listening.Store(true)
+	defer n.fleet.listening.Store(false)
 	return serve(ctx, server, listener)
 }
 
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/history/historypb"
 	"foxhall/internal/mirror/mirrorpb"
 )
 
@@ -57,3 +61,31 @@
 		is.Equal(metrics.GetOrRegisterCounter("peers.foreign", n.registry).Count() == 0, c.served)
 	}
 }
+
+// Guards against a keeper that counts as live while no other instance can connect to it: it would keep its shards, or be
+// given some, and their turns would be refused. An entry stays ready, since callers reach it.
+func TestKeeperBroadcastsItsStatusWhileItListens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newTestNode(t)
+		n.fleet.receives.set()
+		broadcasts := 0
+		n.fleet.broadcast = func([]byte, []*net.UDPAddr) { broadcasts++ }
+		expect := func(canBeReached bool, count int) {
+			t.Helper()
+			n.fleet.BroadcastStatus(&historypb.StatusResponse{Name: "me"})
+			is.Equal(n.fleet.canBeReached(), canBeReached)
+			is.Equal(broadcasts, count)
+		}
+		expect(false, 0)
+		listener, ended := newPipeListener(), make(chan error, 1)
+		go func() { ended <- n.servePeersOn(t.Context(), listener) }()
+		synctest.Wait()
+		expect(true, 1)
+		listener.failed.Store(true)
+		listener.Close()
+		is.True(errors.Is(<-ended, errAcceptFailed))
+		expect(false, 1)
+		is.True(n.fleet.couldBeReached())
+	})
+}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -26,7 +26,7 @@
 func (n *Node) isReady() bool {
 	_, known := n.mirror.AsOf(mirror.Replicas)
 	known = known || n.mirror.Len(mirror.Replicas) > 0 // a sample serves, too
-	return known && n.fleet.canBeReached() && n.table.Load() != nil && n.load.KnowsContents() && !n.divertsCallers()
+	return known && n.fleet.couldBeReached() && n.table.Load() != nil && n.load.KnowsContents() && !n.divertsCallers()
 }
 
 // divertsCallers reports whether callers are better served by other instances: this one is stopping
