A broken socket for datagrams is reported and opened again

What callers see: an instance that receives no datagrams any more runs on, deaf to the others, with a processor busy and without a line.

Cause: the receiving goroutine read again at once after any error, and the exchange ended at the stop only, so that it was not started again. Found by reading.

Ruled out: ending at the first error.

It closes its socket as it ends.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -356,8 +356,7 @@
 		return errors.Wrap(err, "load exchange")
 	}
 	n.fleet.receives.set()
-	n.load.Run(ctx, conn)
-	return nil
+	return errors.Wrap(n.load.Run(ctx, conn), "load exchange")
 }
 
 // receiveKeeperStatus handles the broadcast status of another keeper.
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -202,12 +202,15 @@
 	x.listeningSince = time.Now()
 }
 
-// Run exchanges datagrams over the socket until ctx ends.
-func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
+// Run exchanges datagrams over the socket until ctx ends, or until none can be received any more, which is an error.
+// It closes the socket.
+func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) error {
 	x.conn.Store(conn)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	go x.receive(ctx, conn)
+	defer conn.Close()
+	received := make(chan error, 1)
+	go func() { received <- x.receive(ctx, conn) }()
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	var sent time.Time
@@ -218,8 +221,10 @@
 		case <-x.newsOfContents():
 			x.sendNews(conn, time.Now())
 			continue
+		case err := <-received:
+			return err
 		case <-ctx.Done():
-			return
+			return nil
 		}
 		x.pauses.Read(time.Now())
 		x.maintainContents(conn, time.Now())
@@ -409,41 +414,54 @@
 	}
 }
 
-func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) {
+// receive receives datagrams until ctx ends or reads fail for good.
+func (x *Exchange) receive(ctx context.Context, conn datagramReader) error {
 	buffer := make([]byte, maxDatagramBytes)
-	for ctx.Err() == nil {
+	failures := readFailures{logger: x.logger}
+	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			continue
+		if ctx.Err() != nil {
+			return nil
 		}
-		load := &peerloadpb.Load{}
-		if proto.Unmarshal(buffer[:n], load) != nil || !isConsistent(load) {
-			continue
-		}
-		if len(load.Standing) > 0 {
-			if x.onKeeperStatus != nil {
-				x.onKeeperStatus(load.Standing)
+		if err != nil {
+			if err := failures.add(err); err != nil {
+				return err
 			}
 			continue
 		}
-		now, from := time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		if hasOrigins(load) {
-			x.receiveOrigins(load, from)
-			continue
-		}
-		if hasContents(load) {
-			x.receiveContents(load, from, now)
-			continue
-		}
-		if len(load.Counted) > 0 {
-			x.mergeCounts(load, now)
-			continue
-		}
-		x.RecordLoad(load, now)
-		x.recordAddress(load.From, from)
-		if x.quotas != nil {
-			x.quotas.Merge(decodeQuotaReport(load), now)
+		failures.count = 0
+		x.receiveDatagram(buffer[:n], from)
+	}
+}
+
+func (x *Exchange) receiveDatagram(data []byte, from netip.AddrPort) {
+	load := &peerloadpb.Load{}
+	if proto.Unmarshal(data, load) != nil || !isConsistent(load) {
+		return
+	}
+	if len(load.Standing) > 0 {
+		if x.onKeeperStatus != nil {
+			x.onKeeperStatus(load.Standing)
 		}
+		return
+	}
+	now, from := time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if hasOrigins(load) {
+		x.receiveOrigins(load, from)
+		return
+	}
+	if hasContents(load) {
+		x.receiveContents(load, from, now)
+		return
+	}
+	if len(load.Counted) > 0 {
+		x.mergeCounts(load, now)
+		return
+	}
+	x.RecordLoad(load, now)
+	x.recordAddress(load.From, from)
+	if x.quotas != nil {
+		x.quotas.Merge(decodeQuotaReport(load), now)
 	}
 }
 
