A listener that may not be opened ends the start with its error

What operators see: with an address that is invalid, or a port that the process may not listen on, `run` tries for ever, and the process manager hears of no error.

Cause: any error was taken for one that may pass.

Change: only an address that is taken or not there, and lack of resources (EMFILE, ENFILE, ENOMEM, ENOBUFS), are waited for.

Before, node.TestListenerThatCannotBeOpenedIsAnError: part_test.go:54: err: context deadline exceeded

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -14,8 +14,9 @@
 // listenRetryInterval is the time between two attempts to open a listener.
 const listenRetryInterval = 100 * time.Millisecond
 
-// openListener opens a listener. While that fails, it tries again until ctx ends: an earlier process may still be
-// ending, a connection may have been given the port as its local one, or file descriptors may be missing.
+// openListener opens a listener. While that fails for a reason that may pass, it tries again until ctx ends: an earlier
+// process may still be ending, a connection may have been given the port as its local one, or file descriptors may be
+// missing. Other errors are returned.
 //
 // It prevents the following failure: an instance ends by itself, or runs on without one of its listeners, so that
 // others take it for lost until it is stopped.
@@ -30,6 +31,9 @@
 			}
 			return listener, nil
 		}
+		if !isAddressTaken(err) && !isLackOfResources(err) {
+			return listener, err
+		}
 		if message := err.Error(); message != logged {
 			logListenError(logger, err)
 			logged = message
@@ -54,6 +58,11 @@
 	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
+func isLackOfResources(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
+
 // latch is set once and stays so.
 type latch struct {
 	once sync.Once
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -39,6 +39,23 @@
 	})
 }
 
+// Guards against an instance that tries for ever to open a listener that it may not open, or whose address is invalid, so
+// that its process manager hears of it at no time.
+func TestListenerThatCannotBeOpenedIsAnError(t *testing.T) {
+	for _, cause := range []error{syscall.EACCES, &net.AddrError{Err: "invalid port", Addr: "a:-1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+			defer stop()
+			_, err := openListener(ctx, &log.Logger{Handler: memory.New()}, "a:1", func() (net.Listener, error) {
+				return nil, &net.OpError{Op: "listen", Err: cause}
+			})
+			is.True(errors.Is(err, cause))
+			is.NoErr(ctx.Err()) // at once
+		})
+	}
+}
+
 // Guards against a part that ends unheard while the instance runs on without it.
 func TestFailedPartIsLoggedAndStartedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
