An entry whose callers' listener is closed before a stop ends with an error

What operators see: the process ends in order, with exit code 0 and without an error line, though no one stopped it.

Cause: the end of serving by a closed listener is no error, which holds for a stop only. Found by reading.

Change: before the stop it is the end of a part, with the line and exit code of other failures of this listener.

Before, node.TestClosedCallersListenerIsAnError: part_test.go:139: not true: errors.Is(n.serveCallers(...), errPartEnded)

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -425,6 +425,9 @@
 	group.Go(func() error {
 		defer stop()
 		err := serve(serving, callers, limited)
+		if err == nil && ctx.Err() == nil {
+			err = errPartEnded
+		}
 		if err != nil {
 			n.logger.WithError(err).Error("callers can't connect any more; stopping")
 		}
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -125,6 +126,36 @@
 	})
 }
 
+// Guards against an entry whose callers' listener was closed before a stop, and that ends with exit code 0 and no line.
+func TestClosedCallersListenerIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logs := memory.New()
+		// No socket is opened for probes: the address is invalid.
+		n := newTestNodeWith(t, func(s *Settings) { s.Grace, s.ReadyAddress = time.Second, "127.0.0.1:-1" })
+		n.logger = &log.Logger{Handler: logs}
+		listener := newPipeListener()
+		listener.Close()
+		is.True(errors.Is(n.serveCallers(t.Context(), t.Context(), listener), errPartEnded))
+		isHeardOf := func(e *log.Entry) bool { return e.Message == "callers can't connect any more; stopping" }
+		is.True(slices.ContainsFunc(logs.Entries, isHeardOf))
+	})
+}
+
+// Guards against a planned stop that counts as a failure of the callers' listener.
+func TestPlannedStopOfCallersIsNoError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newTestNodeWith(t, func(s *Settings) { s.Grace, s.ReadyAddress = time.Second, "127.0.0.1:-1" })
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- n.serveCallers(ctx, t.Context(), newPipeListener()) }()
+		synctest.Wait()
+		stop()
+		is.True(!errors.Is(<-ended, errPartEnded))
+	})
+}
+
 var errAcceptFailed = errors.New("accept failed")
 
 // pipeListener returns the connections that it is given.
