--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -356,8 +356,7 @@
 		return errors.Wrap(err, "load exchange")
 	}
 	n.fleet.receives.set()
-	n.load.Run(ctx, conn)
-	return nil
+	return errors.Wrap(n.load.Run(ctx, conn), "load exchange")
 }
 
 // receiveKeeperStatus handles the broadcast status of another keeper.
@@ -426,6 +425,9 @@
 	group.Go(func() error {
 		defer stop()
 		err := serve(serving, callers, limited)
+		if err == nil && ctx.Err() == nil {
+			err = errPartEnded
+		}
 		if err != nil {
 			n.logger.WithError(err).Error("callers can't connect any more; stopping")
 		}
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -39,6 +40,23 @@
 	})
 }
 
+// Guards against an instance that tries for ever to open a listener that it may not open, or whose address is invalid, so
+// that its process manager hears of it at no time.
+func TestListenerThatCannotBeOpenedIsAnError(t *testing.T) {
+	for _, cause := range []error{syscall.EACCES, &net.AddrError{Err: "invalid port", Addr: "a:-1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+			defer stop()
+			_, err := openListener(ctx, &log.Logger{Handler: memory.New()}, "a:1", func() (net.Listener, error) {
+				return nil, &net.OpError{Op: "listen", Err: cause}
+			})
+			is.True(errors.Is(err, cause))
+			is.NoErr(ctx.Err()) // at once
+		})
+	}
+}
+
 // Guards against a part that ends unheard while the instance runs on without it.
 func TestFailedPartIsLoggedAndStartedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -108,6 +126,36 @@
 	})
 }
 
+// Guards against an entry whose callers' listener was closed before a stop, and that ends with exit code 0 and no line.
+func TestClosedCallersListenerIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logs := memory.New()
+		// No socket is opened for probes: the address is invalid.
+		n := newTestNodeWith(t, func(s *Settings) { s.Grace, s.ReadyAddress = time.Second, "127.0.0.1:-1" })
+		n.logger = &log.Logger{Handler: logs}
+		listener := newPipeListener()
+		listener.Close()
+		is.True(errors.Is(n.serveCallers(t.Context(), t.Context(), listener), errPartEnded))
+		isHeardOf := func(e *log.Entry) bool { return e.Message == "callers can't connect any more; stopping" }
+		is.True(slices.ContainsFunc(logs.Entries, isHeardOf))
+	})
+}
+
+// Guards against a planned stop that counts as a failure of the callers' listener.
+func TestPlannedStopOfCallersIsNoError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newTestNodeWith(t, func(s *Settings) { s.Grace, s.ReadyAddress = time.Second, "127.0.0.1:-1" })
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- n.serveCallers(ctx, t.Context(), newPipeListener()) }()
+		synctest.Wait()
+		stop()
+		is.True(!errors.Is(<-ended, errPartEnded))
+	})
+}
+
 var errAcceptFailed = errors.New("accept failed")
 
 // pipeListener returns the connections that it is given.
