A sole holder trusts no status of a draining keeper from before a pause

What callers see: after the suspension of a sole holder whose other keepers were all draining when last heard, a turn may be acknowledged that no successor has, or an unknown turn confirmed as absent though the others have it.

Cause: ResetAfterPause discards the evidence of losses, but a keeper counts as draining by its last status. The clock doesn't count a suspension, so that the status seems to have arrived just now.

Ruled out: the discarding of statuses themselves, since assessments need the epoch states until the next ones arrive.

Change: a keeper counts as draining only if it was heard since this one started or was paused.

--- a/internal/history/alone.go
+++ b/internal/history/alone.go
@@ -39,10 +39,12 @@
 	return slices.Contains(intact, s.role.Primary) && len(intact) > s.role.requiredAcks()
 }
 
-// drains reports whether another keeper is responsive and draining; the lock is held.
+// drains reports whether another keeper is responsive and draining; the lock is held. A status from before a pause of
+// this process doesn't count, since the keeper may have returned and taken shards over.
 func (k *Keeper) drains(name string, now time.Time) bool {
 	v := k.views[name]
-	return v != nil && v.status != nil && !v.unresponsive(now) && (v.status.Leaving || k.settings.IsRetiring(name))
+	heard := v != nil && v.status != nil && v.lastContact.After(k.started) && !v.unresponsive(now)
+	return heard && (v.status.Leaving || k.settings.IsRetiring(name))
 }
 
 // otherKeepers returns the names of the other registered keepers.
--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -227,6 +227,43 @@
 	})
 }
 
+// Guards against the same beside keepers that were all draining when last heard: the time of a suspension is not
+// counted, so that they seem to have been heard just now.
+func TestSoleHolderBesideDrainingKeepersServesNothingByEvidenceFromBeforePause(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		cl.setDataCentreIsolated(east, true)
+		time.Sleep(soleHolderTime)
+		drain, end := context.WithCancel(context.Background())
+		defer end()
+		go cl.machine("a").process.keeper.HandOff(drain)
+		go cl.machine("b").process.keeper.HandOff(drain)
+		cl.setDataCentreIsolated(east, false)
+		time.Sleep(rejoinGrace + suspectTimeout)
+		k := cl.machine("c").process.keeper
+		verdict := func() historypb.Verdict {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			return k.servingVerdict(k.shards[ShardOf("p")], time.Now())
+		}
+		if v := verdict(); v != historypb.Verdict_DONE {
+			fail(errors.Errorf("verdict %v beside draining keepers before the pause, want DONE", v))
+		}
+		k.ResetAfterPause()
+		if v := verdict(); v == historypb.Verdict_DONE {
+			fail(errors.New("the sole holder serves by statuses from before its pause"))
+		}
+		response, err := k.Find(context.Background(), &historypb.FindRequest{Turn: "unknown"})
+		fail(err)
+		if n := len(response.Absent); n != 0 {
+			fail(errors.Errorf("%d shards confirmed by statuses from before the pause", n))
+		}
+		time.Sleep(suspectTimeout)
+		if v := verdict(); v != historypb.Verdict_DONE {
+			fail(errors.Errorf("verdict %v once the draining keepers are heard again, want DONE", v))
+		}
+	})
+}
+
 // Guards against the loss of an acknowledged turn. A sole holder has contact with the other keepers
 // again but can't reach the store, so that no reassignment makes them backups. Once they have
 // returned for good, its own disk may fail, so it must stop acknowledging turns.
