--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -210,6 +210,8 @@
 	}
 	k.log = l
 	k.logDamages()
+	// A promise may be among what is lost.
+	k.verified = k.verified && !l.lostRecords()
 	if k.disk == "" {
 		k.disk = strconv.FormatUint(rand.Uint64(), 36)
 	}
