An assignment keeps earlier holders until as many backups are complete as disks may be lost

What callers see: a retained turn is answered as not found after the loss of one disk. The primary of a shard is killed, its disk intact; the other holder goes on as the sole holder, gets a backup again and loses its disk before that one is filled.

Cause: for a sole ensemble "as many backups as disks may fail, or all if fewer, are complete" is true with no backup. The assignment with the first backup then lists the sole ensemble as the only earlier one. The copies in the store have only what was acknowledged alone, and the killed primary, which has the rest, is in no ensemble any more.

Ruled out: the sole holder's copies as a remedy; they would have to hold the whole shard.

Change: the earlier ensembles are dropped only once as many backups are complete as disks may be lost. At most 8 are kept, as before.

--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -482,3 +482,39 @@
 		}
 	})
 }
+
+// Guards against the loss of an acknowledged turn with one disk: that of a sole holder which got a backup again, but
+// didn't fill it yet. The holder before it comes back with its disk, which has the turn.
+func TestDiskLossOfSoleHolderBeforeItsBackupIsFilledLosesNoTurn(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100, 300} {
+		t.Run((delay * messageDelay).String(), func(t *testing.T) {
+			testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+				fail(retainTurn(cl.client(entryIn(north)), "p", "first", ""))
+				role := cl.roleOf("p")
+				earlier, sole, other := role.Primary, role.Backups[0], ""
+				for _, m := range cl.machines {
+					if !role.hasHolder(m.name) {
+						other = m.name
+					}
+				}
+				cl.machine(other).stop()
+				cl.machine(earlier).stop()
+				time.Sleep(soleHolderTime)
+				fail(retainTurn(cl.client(entryIn(north)), "p", "second", "first"))
+				cl.machine(other).start()
+				for len(cl.roleOf("p").Backups) == 0 {
+					time.Sleep(messageDelay)
+				}
+				cl.setLinkDown(sole, other, true) // the transfer fails
+				time.Sleep(delay * messageDelay)
+				cl.machine(sole).wipe()
+				cl.setLinkDown(sole, other, false)
+				cl.machine(earlier).start()
+				cl.machine(sole).start()
+				time.Sleep(defaultRetention / 2)
+				fail(findTurn(cl, "first"))
+				fail(findTurn(cl, "second"))
+			})
+		})
+	}
+}
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -72,8 +72,8 @@
 const maxPreviousEnsembles = 8
 
 // earlierEpochsReplicated reports whether this keeper is the shard's primary and at least
-// maxDiskFailures backups (or all, if fewer) have all changes committed before its epoch. A
-// successor then needs none of the earlier ensembles.
+// maxDiskFailures backups have all changes committed before its epoch. A successor then needs none of
+// the earlier ensembles. With fewer backups it may: the disks of all present holders may fail at once.
 func (k *Keeper) earlierEpochsReplicated(s *shard, assessments map[string]assessment) bool {
 	if !k.isPrimary(s) {
 		return false
@@ -84,7 +84,7 @@
 			have++
 		}
 	}
-	return have >= min(k.maxDiskFailures(), len(s.role.Backups))
+	return have >= k.maxDiskFailures()
 }
 
 // logUnplaceable logs that shards which need other holders keep theirs, because no keeper is eligible
