--- a/internal/history/alone_test.go
+++ b/internal/history/alone_test.go
@@ -227,6 +227,43 @@
 	})
 }
 
+// Guards against the same beside keepers that were all draining when last heard: the time of a suspension is not
+// counted, so that they seem to have been heard just now.
+func TestSoleHolderBesideDrainingKeepersServesNothingByEvidenceFromBeforePause(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		cl.setDataCentreIsolated(east, true)
+		time.Sleep(soleHolderTime)
+		drain, end := context.WithCancel(context.Background())
+		defer end()
+		go cl.machine("a").process.keeper.HandOff(drain)
+		go cl.machine("b").process.keeper.HandOff(drain)
+		cl.setDataCentreIsolated(east, false)
+		time.Sleep(rejoinGrace + suspectTimeout)
+		k := cl.machine("c").process.keeper
+		verdict := func() historypb.Verdict {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			return k.servingVerdict(k.shards[ShardOf("p")], time.Now())
+		}
+		if v := verdict(); v != historypb.Verdict_DONE {
+			fail(errors.Errorf("verdict %v beside draining keepers before the pause, want DONE", v))
+		}
+		k.ResetAfterPause()
+		if v := verdict(); v == historypb.Verdict_DONE {
+			fail(errors.New("the sole holder serves by statuses from before its pause"))
+		}
+		response, err := k.Find(context.Background(), &historypb.FindRequest{Turn: "unknown"})
+		fail(err)
+		if n := len(response.Absent); n != 0 {
+			fail(errors.Errorf("%d shards confirmed by statuses from before the pause", n))
+		}
+		time.Sleep(suspectTimeout)
+		if v := verdict(); v != historypb.Verdict_DONE {
+			fail(errors.Errorf("verdict %v once the draining keepers are heard again, want DONE", v))
+		}
+	})
+}
+
 // Guards against the loss of an acknowledged turn. A sole holder has contact with the other keepers
 // again but can't reach the store, so that no reassignment makes them backups. Once they have
 // returned for good, its own disk may fail, so it must stop acknowledging turns.
@@ -445,3 +482,39 @@
 		}
 	})
 }
+
+// Guards against the loss of an acknowledged turn with one disk: that of a sole holder which got a backup again, but
+// didn't fill it yet. The holder before it comes back with its disk, which has the turn.
+func TestDiskLossOfSoleHolderBeforeItsBackupIsFilledLosesNoTurn(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100, 300} {
+		t.Run((delay * messageDelay).String(), func(t *testing.T) {
+			testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+				fail(retainTurn(cl.client(entryIn(north)), "p", "first", ""))
+				role := cl.roleOf("p")
+				earlier, sole, other := role.Primary, role.Backups[0], ""
+				for _, m := range cl.machines {
+					if !role.hasHolder(m.name) {
+						other = m.name
+					}
+				}
+				cl.machine(other).stop()
+				cl.machine(earlier).stop()
+				time.Sleep(soleHolderTime)
+				fail(retainTurn(cl.client(entryIn(north)), "p", "second", "first"))
+				cl.machine(other).start()
+				for len(cl.roleOf("p").Backups) == 0 {
+					time.Sleep(messageDelay)
+				}
+				cl.setLinkDown(sole, other, true) // the transfer fails
+				time.Sleep(delay * messageDelay)
+				cl.machine(sole).wipe()
+				cl.setLinkDown(sole, other, false)
+				cl.machine(earlier).start()
+				cl.machine(sole).start()
+				time.Sleep(defaultRetention / 2)
+				fail(findTurn(cl, "first"))
+				fail(findTurn(cl, "second"))
+			})
+		})
+	}
+}
