An interrupted reading of the clocks is no suspension of the machine

What callers saw: nothing was reported; found by reading. Under load, calls for unknown routes and keys could get a short 503 (configuration_unconfirmed), and the store extra reads.

Cause: the boot clock and the monotonic one are read one after the other. If the process is descheduled for more than 50 ms in between, the difference is too low, and the next reading shows a suspension: all that the mirror knows is marked stale. A real suspension in that moment was detected only by the next call, after the decision that it should have preceded.

Ruled out: the same in wake.Watch and wake.Detector, which read one clock once for each decision.

Change: the boot clock is read on both sides of the monotonic one, and both again if more than 5 ms passed, ten times at most. Failing that the offset of before is kept, so that a suspension is seen by the next call.

Test: wake.TestInterruptedReadingIsNoSuspension, with clocks of its own, before: "wake_test.go:115: not true: !detected()". How often a process is descheduled there under load was not measured.

--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -55,8 +55,14 @@
 	return time.Duration(t.Nano())
 }
 
-// maxDrift is the most by which the two clocks may drift apart between two readings without a suspension.
-const maxDrift = 50 * time.Millisecond
+const (
+	// maxDrift is the most by which the two clocks may drift apart between two readings without a suspension.
+	maxDrift = 50 * time.Millisecond
+	// maxReadingTime is the most that reading both clocks may take for the difference to be usable, maxReadings how often
+	// they are read for a usable one.
+	maxReadingTime = 5 * time.Millisecond
+	maxReadings    = 10
+)
 
 // Suspensions detects that the machine was suspended, before the first decision by times from before it. It is safe for
 // concurrent use.
@@ -71,7 +77,9 @@
 func NewSuspensions() *Suspensions { return newSuspensions(BootTime, monotonic) }
 
 func newSuspensions(boot, monotonic Clock) *Suspensions {
-	return &Suspensions{boot: boot, monotonic: monotonic, offset: boot() - monotonic()}
+	s := &Suspensions{boot: boot, monotonic: monotonic}
+	s.offset, _ = s.readOffset() // without a usable reading, the first call reports a suspension
+	return s
 }
 
 // Handle calls onSuspension if the machine was suspended since the last call. Concurrent calls return only after
@@ -79,13 +87,30 @@
 func (s *Suspensions) Handle(onSuspension func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	offset, ok := s.readOffset()
+	if !ok {
+		return // the next call compares with the same offset
+	}
 	before := s.offset
-	s.offset = s.boot() - s.monotonic()
-	if s.offset-before > maxDrift {
+	s.offset = offset
+	if offset-before > maxDrift {
 		onSuspension()
 	}
 }
 
+// readOffset returns the time by which the boot clock is ahead of the monotonic one. A reading during which the process
+// did not run shows too low an offset, so that the next one would look like a suspension.
+func (s *Suspensions) readOffset() (offset time.Duration, ok bool) {
+	for range maxReadings {
+		began := s.boot()
+		offset = began - s.monotonic()
+		if s.boot()-began <= maxReadingTime {
+			return offset, true
+		}
+	}
+	return 0, false
+}
+
 // Detector detects a pause of this process before the first decision after it. After a pause, timers
 // fire before the sockets are read, so that all others seem to have been silent as long as the pause
 // took; Watch may report it too late. It is safe for concurrent use.
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -81,3 +81,46 @@
 	is.True(!detected(s))
 	is.True(!detected(NewSuspensions()))
 }
+
+// Guards against a process that was descheduled between the readings of the two clocks and takes that for a suspension, and
+// against a suspension in that moment that is detected only after the decision, or never.
+func TestInterruptedReadingIsNoSuspension(t *testing.T) {
+	is := is.New(t)
+	const long = time.Second
+	var ran, suspended time.Duration
+	// beforeMonotonic and afterMonotonic happen around the next reading of the monotonic clock, or around all.
+	var beforeMonotonic, afterMonotonic func()
+	always := false
+	run := func(f *func()) {
+		if *f != nil {
+			(*f)()
+		}
+		if !always {
+			*f = nil
+		}
+	}
+	s := newSuspensions(func() time.Duration { return ran + suspended }, func() time.Duration {
+		run(&beforeMonotonic)
+		defer run(&afterMonotonic)
+		return ran
+	})
+	detected := func() (yes bool) {
+		s.Handle(func() { yes = true })
+		return yes
+	}
+	deschedule, suspend := func() { ran += long }, func() { suspended += long }
+	for _, interrupted := range []*func(){&beforeMonotonic, &afterMonotonic} {
+		*interrupted = deschedule
+		is.True(!detected())
+		is.True(!detected())
+		*interrupted = suspend
+		is.True(detected())
+		is.True(!detected())
+	}
+	suspend()
+	always, beforeMonotonic = true, deschedule
+	is.True(!detected())
+	always, beforeMonotonic = false, nil
+	is.True(detected())
+	is.True(!detected())
+}
