Name and comment of the configuration's reads say what they are

The constant and the method configRenewalInterval had one name; the method is fleetConfigRenewalInterval now. The comment of Feed.Complete said that the last read was by this instance, while one of the configuration may be a peer's. No behaviour changes. Green with the race detector: internal/mirror.

--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -69,7 +69,8 @@
 }
 
 // Complete returns the interval of which no change is missing in what the feed's user applied. It ends when the last
-// read of the store by this instance began, and is empty if there was none.
+// read of the store began, and is empty if there was none. The read was made by this instance; one of the configuration
+// may have been made by a peer.
 func (f *Feed) Complete() (since, until time.Time) {
 	f.mirror.handleSuspension()
 	f.mirror.mu.Lock()
--- a/internal/mirror/renewconfig.go
+++ b/internal/mirror/renewconfig.go
@@ -39,7 +39,7 @@
 		}
 		return r.done
 	}
-	r.limiter.SetLimitAt(now, rate.Every(f.configRenewalInterval()))
+	r.limiter.SetLimitAt(now, rate.Every(f.fleetConfigRenewalInterval()))
 	if !r.limiter.AllowN(now, 1) {
 		return nil
 	}
@@ -60,8 +60,8 @@
 	close(done)
 }
 
-// configRenewalInterval returns an interval at which all instances together stay below maxFleetRenewals.
-func (f *Follower) configRenewalInterval() time.Duration {
+// fleetConfigRenewalInterval returns an interval at which all instances together stay below maxFleetRenewals.
+func (f *Follower) fleetConfigRenewalInterval() time.Duration {
 	interval := min(configRenewalInterval, f.mirror.timing.changeDeadline/2)
 	return max(interval, time.Duration(f.mirror.Len(Fleet))*time.Second/maxFleetRenewals)
 }
