--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -16,7 +16,6 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"google.golang.org/protobuf/proto"
 
 	"foxhall/internal/history"
 	"foxhall/internal/history/historypb"
@@ -336,20 +335,6 @@
 	return k.Status(ctx, r)
 }
 
-// BroadcastStatus implements history.Peers. A keeper to which no other can connect sends none: it would count as live,
-// and its shards' turns would be refused.
-func (f *fleet) BroadcastStatus(status *historypb.StatusResponse) {
-	if !f.listening.Load() {
-		return
-	}
-	data, err := proto.Marshal(status)
-	if err != nil {
-		f.logger.WithError(err).Warn("keeper status can't be encoded; not broadcast")
-		return
-	}
-	f.broadcast(data, f.current.Load().keeperAddresses)
-}
-
 // Fetch implements history.Peers.
 func (f *fleet) Fetch(ctx context.Context, name string, r *historypb.FetchRequest) (*historypb.FetchResponse, error) {
 	k, ok := f.keeperClient(name)
@@ -423,33 +408,6 @@
 	return latest.assignment, latest.revision, latest.ok
 }
 
-// canBeReached reports whether other instances can reach this one, as far as it depends on its listeners.
-func (f *fleet) canBeReached() bool { return f.listening.Load() && f.receives.isSet() }
-
-// couldBeReached reports whether other instances could reach this one at any time since it started.
-func (f *fleet) couldBeReached() bool { return f.listens.isSet() && f.receives.isSet() }
-
-// awaitReachability waits until other instances can reach this one, or ctx ends.
-func (f *fleet) awaitReachability(ctx context.Context) {
-	timer := time.NewTimer(registrationDelay)
-	defer timer.Stop()
-	for _, l := range []*latch{f.listens, f.receives} {
-		select {
-		case <-l.c:
-			continue
-		case <-timer.C:
-		case <-ctx.Done():
-			return
-		}
-		f.logger.Warn("not registered with the other instances until they can connect to this one")
-		select {
-		case <-l.c:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // register keeps this instance registered in the store, so that others find it, until ctx ends. It
 // writes only when the registration is missing or differs, and once other instances can reach this one: they would
 // count it as one that is lost.
