State transfers to one backup are limited to four shards at a time

Cause: a primary sends all shards that a backup lacks at the same time, 256 KB of each. The changes that callers wait for come behind them on the backup's link and disk, and an append that takes longer than 600 ms is sent again from its start. Where the backup's acknowledgement is needed, nothing is committed until nearly all shards are there.

Change: four shards at a time to one backup; the next one begins as one ends.

--- a/internal/history/fill.go
+++ b/internal/history/fill.go
@@ -9,6 +9,10 @@
 	"foxhall/internal/history/historypb"
 )
 
+// maxTransfersPerBackup is the number of shards that are transferred to one backup at the same time. The changes that
+// callers wait for share the backup's link and its disk with them.
+const maxTransfersPerBackup = 4
+
 // transferIfNeeded starts a state transfer to a backup that is not known to be complete, or
 // declares the backup complete if all records were sent already; the lock is held.
 func (k *Keeper) transferIfNeeded(ctx context.Context, s *shard, name string, backup assessment) {
@@ -24,6 +28,10 @@
 		}
 		return
 	}
+	if k.transfers[name] >= maxTransfersPerBackup {
+		return
+	}
+	k.transfers[name]++
 	l.transferring = true
 	l.overflowed = false
 	f := &transfer{shard: s, stream: l, epoch: s.role.Epoch, backup: name, disk: backup.disk}
@@ -45,7 +53,9 @@
 	defer func() {
 		k.mu.Lock()
 		f.stream.transferring = false
+		k.transfers[f.backup]--
 		k.mu.Unlock()
+		notify(k.wakeReconciler)
 	}()
 	have := k.fetchInventory(ctx, f)
 	k.mu.Lock()
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -118,7 +118,9 @@
 	pendingWrites []diskWrite
 	writingSince  time.Time
 	senders       map[string]chan struct{}
-	ctx           context.Context
+	// transfers counts the state transfers in progress, by backup.
+	transfers map[string]int
+	ctx       context.Context
 	// storeBackoff is the backoff after a failed store call, and storeRetryAt the time of the next
 	// permitted call.
 	storeBackoff *backoff.ExponentialBackOff
@@ -194,6 +196,7 @@
 		started:        time.Now(),
 		views:          map[string]*peerView{},
 		senders:        map[string]chan struct{}{},
+		transfers:      map[string]int{},
 		wakeWriter:     make(chan struct{}, 1),
 		wakeReconciler: make(chan struct{}, 1),
 		wakeReader:     make(chan struct{}, 1),
