Calls that certainly have not run draw on no retry budget; upstreams that refuse count as full

No keeper was involved and no line told the cause.

Cause: a turn that continues another goes to the replica that holds its prompt's start, and so do its siblings at the same moment, from several entries that know the load of a moment ago. The replica refuses it, unrun, and the next placement draws on the entry's retry budget: one for all services, a tenth of the first attempts, used up by the calls of tools that full replicas refuse. Without it the call is refused at once although other replicas have room. Nothing was learnt from the refusal: the next turn went to the same replica.

Change: a call that no replica may have run is placed again without the budget, within the four attempts that a call has anyway. So that it doesn't multiply the load, an upstream that refuses a call counts as full: until it accepts a later one it gets no more calls of this instance than it had, and one more each 100 ms. The cause of a placement's refusal is in the line `call`.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -138,7 +138,7 @@
 	Status   int
 	Replica  string
 	Attempts int
-	// Cause is the error for which a turn was refused; nil otherwise.
+	// Cause is the error for which a turn was refused, or its placement; nil otherwise.
 	Cause error
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
@@ -356,6 +357,7 @@
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
 		MaxConnections:     f.placementLimit(),
+		NotRun:             len(f.possibleRuns) == 0,
 		Again:              f.placeAgain,
 		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
@@ -414,7 +416,7 @@
 		reason = VersionGone
 	}
 	result := refused(reason, r.RetryAfter)
-	result.Attempts, result.Replica = f.attempts, f.lastReplica
+	result.Attempts, result.Replica, result.Cause = f.attempts, f.lastReplica, errors.New(r.Message)
 	return result
 }
 
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -206,6 +206,7 @@
 // RecordFirstToken records that the response has begun.
 func (g *Grant) RecordFirstToken() {
 	g.RecordProgress()
+	g.endpoint.Upstream.RecordAccepted(g.sentAt)
 	if g.prefillDone.CompareAndSwap(false, true) {
 		g.endpoint.Upstream.RecordPrefilled(g.uncachedTokens())
 	}
@@ -235,6 +236,7 @@
 		g.markModelUnloaded(f.Failure)
 	default:
 		u.RecordSuccess(now)
+		u.RecordAccepted(g.sentAt)
 		s.learn(g, f, now)
 	}
 	u.ReleaseTrial(g.trial)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,6 +111,9 @@
 	Resent             bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
+	// NotRun is set if all upstreams in Tried refused the step or could not be reached. It then draws on no retry
+	// budget: an upstream that refuses steps counts as full, so that they do not multiply its load.
+	NotRun bool
 	// MaxConnections is the number of connections that this instance may have to one upstream; 0 for no
 	// limit. An upstream to which so many are in use is full.
 	MaxConnections int
@@ -233,6 +236,8 @@
 		return true
 	case r.Hedge:
 		return s.hedges.TryTake(now)
+	case r.NotRun && len(r.Tried) > 0:
+		return true
 	case len(r.Tried) > 0:
 		return s.retries.TryTake(now)
 	}
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -87,13 +87,17 @@
 	return u.breaker.failures > 0
 }
 
-// RecordFailure records a failed call. A drain signal marks the upstream as draining. Refusals,
-// such as those for a full queue, and invalid requests do not count against the upstream's health.
+// RecordFailure records a failed call, which is no longer in flight. A drain signal marks the upstream as draining.
+// Refusals, such as those for a full queue, and invalid requests do not count against the upstream's health.
 func (u *Upstream) RecordFailure(now time.Time, f Failure) {
 	if f.Draining {
 		u.MarkDraining(now)
 	}
-	if f.Kind == Refused || f.Kind == Invalid {
+	switch f.Kind {
+	case Refused:
+		u.refusals.record(now.UnixNano(), u.inFlight.Load())
+		return
+	case Invalid:
 		return
 	}
 	u.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -45,6 +45,7 @@
 
 	errorRate errorRate
 	silence   silence
+	refusals  refusals
 
 	draining atomic.Bool
 	// probedAt, openUntil and rampFrom are in Unix nanoseconds; 0 stands for never probed, for a
@@ -128,7 +129,8 @@
 const (
 	// Usable is the condition of an upstream that may get new work.
 	Usable Condition = iota
-	// Full is the condition of an upstream with as many calls in flight as its present limit.
+	// Full is the condition of an upstream with as many calls in flight as its present limit, or as it had when it
+	// refused one.
 	Full
 	// Stalled is the condition of an upstream whose calls make no progress.
 	Stalled
@@ -185,7 +187,7 @@
 		return CircuitOpen
 	case u.stalled(now, l.Own):
 		return Stalled
-	case l.Own >= l.Limit:
+	case l.Own >= l.Limit || u.refusals.expected(now, l.Own):
 		return Full
 	default:
 		return Usable
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -300,3 +300,27 @@
 	u.RecordFailure(now, Failure{Kind: NotSent})
 	is.Equal(u.Load(now.UnixNano()).Condition, CircuitOpen)
 }
+
+// Guards against calls that go on to an upstream that refuses them, as one does whose places other instances have taken,
+// and against an upstream that gets none any more.
+func TestUpstreamThatRefusesCallsCountsAsFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	_, u := oneEngine(now)
+	condition := func(after time.Duration) Condition { return u.Load(now.Add(after).UnixNano()).Condition }
+	u.Begin(now.UnixNano(), 0, time.Second)
+	u.RecordFailure(now, Failure{Kind: Refused})
+	is.Equal(condition(0), Full)
+	is.Equal(condition(refusalPause), Usable) // one more is tried
+	u.Begin(now.Add(refusalPause).UnixNano(), 0, time.Second)
+	is.Equal(condition(refusalPause), Full)
+	u.RecordAccepted(now) // the call that it had
+	is.Equal(condition(refusalPause), Full)
+	u.RecordAccepted(now.Add(refusalPause))
+	is.Equal(condition(refusalPause), Usable)
+
+	u.RecordFailure(now.Add(time.Second), Failure{Kind: Refused})
+	is.Equal(condition(time.Second), Full)
+	u.Finish(now.Add(time.Second).UnixNano())
+	is.Equal(condition(time.Second), Usable) // in the place of one that has ended
+}
