Refused turns tell the keepers' answers and how long a turn was out of reach

What operators saw: `turns_unreached` with "no keeper of the shard gave a result in time" tells neither what each keeper answered, nor whether the turn was looked for in all shards, nor for how long a retained turn could not be continued.

Added, without a change of logic: history.RefusedError records for each keeper its last answer, the number of calls and their time, for the shard and for the look-up in all shards; the gateway writes its fields to the line `call`, and `previous` for each call that continues a turn. `foxhall explain --id` adds the lines of the shard's keepers from 5 s before a refusal and sums up, over all entries, for how long each turn that is continued was out of reach.

Tests: history.TestRefusalTellsTheAnswersOfTheKeepers, gateway.TestTimeOutOfReachOfAContinuedTurn, gateway.TestTurnsOutOfReachAreBounded, explain.TestStoryOfATurnOutOfReach.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -93,7 +93,7 @@
 // Trace returns all lines that name the request or program with this ID, or that tell of the list entry of a
 // replica or of another object of the store with this ID, in order of time. If upstreams
 // ended under its content, or it was rejected for that, they include what became of other calls with the
-// same content.
+// same content. If a call was refused by the keepers of its shard, they include what happened to these.
 func (l *Log) Trace(id string) []Line {
 	contents := map[string]bool{}
 	for i := range l.Lines {
@@ -101,9 +101,17 @@
 			contents[line.Text("content")] = true
 		}
 	}
+	var named []Line
+	for _, line := range l.Lines {
+		if line.names(id) {
+			named = append(named, line)
+		}
+	}
+	refusals := refusalsBy(named)
 	var lines []Line
 	for _, line := range l.Lines {
-		if line.names(id) || line.isAboutEntry(id) || line.isAboutContent() && contents[line.Text("content")] {
+		if line.names(id) || line.isAboutEntry(id) || line.isAboutContent() && contents[line.Text("content")] ||
+			slices.ContainsFunc(refusals, func(r shardRefusal) bool { return r.concerns(&line) }) {
 			lines = append(lines, line)
 		}
 	}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -8,7 +8,7 @@
 )
 
 // WriteTrace prints the lines about a request or a program, each with the time in seconds
-// since the first line.
+// since the first line, and then for how long the turns that they continue were out of reach.
 func WriteTrace(w io.Writer, lines []Line) error {
 	for i := range lines {
 		line := &lines[i]
@@ -18,6 +18,11 @@
 			return err
 		}
 	}
+	for _, r := range reachOf(lines) {
+		if err := r.writeTo(w); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	outcomes [CallerGone + 1]metrics.Counter
 	reasons  *reasonCounters
 	attempts *attemptCounters
+	// outOfReach measures how long retained turns can't be continued.
+	outOfReach *outOfReach
 }
 
 // Settings connect a gateway to the instance that it runs in.
@@ -108,7 +110,7 @@
 	if s.Quarantine == nil {
 		s.Quarantine = quarantine.NewTable(registry)
 	}
-	g := &Gateway{settings: s, isolation: quarantine.NewIsolation(), shutdown: newShutdownState(), scheduler: sched, replicas: replicas, turns: turns, logger: logger, reasons: newReasonCounters(registry), attempts: newAttemptCounters(registry)}
+	g := &Gateway{settings: s, isolation: quarantine.NewIsolation(), shutdown: newShutdownState(), scheduler: sched, replicas: replicas, turns: turns, logger: logger, reasons: newReasonCounters(registry), attempts: newAttemptCounters(registry), outOfReach: newOutOfReach(registry)}
 	g.latency = metrics.GetOrRegisterHistogram("gateway.call.us", registry, metrics.NewUniformSample(latencySampleSize))
 	for o := range g.outcomes {
 		g.outcomes[o] = metrics.GetOrRegisterCounter("gateway.calls."+Outcome(o).String(), registry)
@@ -135,6 +137,7 @@
 	if result.Reason != "" {
 		g.reasons.count(result.Reason, f.customerName())
 	}
+	f.recordRefusal(&result)
 	f.logResult(&result)
 	return result
 }
@@ -189,6 +192,10 @@
 	// firstEventAt is when the first event, or the complete response, was forwarded.
 	firstEventAt time.Time
 	stageTimes   stageTimes
+	// reachedReplica is set once the call was sent to a replica.
+	reachedReplica bool
+	// outOfReach is how long the turn that the call continues has been, or was, out of reach.
+	outOfReach time.Duration
 }
 
 func (f *inFlightCall) serve(ctx context.Context) Result {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 )
 
 // stageTimes is the time that a call spent in each stage.
@@ -60,10 +62,7 @@
 	}
 	f.stageTimes.addTo(fields)
 	f.gateway.shutdown.addTo(fields)
-	if r.Cause != nil {
-		fields["cause"] = r.Cause
-		fields["previous"] = f.call.Previous
-	}
+	f.addContinuation(fields, r)
 	if r.Reason != "" {
 		fields["reason"] = string(r.Reason)
 		fields["retry_ms"] = r.RetryAfter.Milliseconds()
@@ -74,6 +73,25 @@
 	f.gateway.logger.WithFields(fields).Info("call")
 }
 
+// addContinuation adds which turn the call continues, how long that turn has been out of reach, and for what the
+// call was refused.
+func (f *inFlightCall) addContinuation(fields log.Fields, r *Result) {
+	if f.call.Previous != "" {
+		fields["previous"] = boundedID(f.call.Previous)
+	}
+	if f.outOfReach > 0 {
+		fields["out_of_reach_ms"] = f.outOfReach.Milliseconds()
+	}
+	if r.Cause == nil {
+		return
+	}
+	fields["cause"] = r.Cause
+	var details log.Fielder
+	if errors.As(r.Cause, &details) {
+		maps.Copy(fields, details.Fields())
+	}
+}
+
 // maxLoggedID bounds the IDs of other calls in a log line, in bytes: callers choose them.
 const maxLoggedID = 64
 
--- /dev/null
+++ b/internal/gateway/outofreach_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"foxhall/internal/routing"
+)
+
+// detailedError is an error with fields for the log.
+type detailedError struct{}
+
+func (detailedError) Error() string      { return "refused" }
+func (detailedError) Fields() log.Fields { return log.Fields{"slice": 3} }
+
+// Guards against a retained turn that calls continue in vain for seconds, without a figure or a line that tells.
+func TestTimeOutOfReachOfAContinuedTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		turns := &fakeTurns{reserveErr: errors.WithStack(detailedError{})}
+		service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+		w := newTestGateway(service, nil, Settings{}, turnRoute, turns, succeedsWith("a"), succeedsWith("b"))
+		call := turnCall()
+		call.Previous = "t"
+		got := w.serve(&fakeCaller{}, call)
+		is.Equal(got.logFields("call")["previous"], "t")
+		is.Equal(got.logFields("call")["slice"], 3)
+		turns.reserveErr = nil
+		got = w.serve(&fakeCaller{}, call)
+		is.Equal(got.logFields("call")["out_of_reach_ms"], settleTimeout.Milliseconds())
+		got = w.serve(&fakeCaller{}, call)
+		is.Equal(got.logFields("call")["out_of_reach_ms"], nil)
+		is.Equal(metrics.GetOrRegisterCounter("gateway.out_of_reach.turns", w.registry).Count(), int64(1))
+		is.Equal(metrics.GetOrRegisterCounter("gateway.continued.reasons."+string(TurnsUnavailable), w.registry).Count(), int64(1))
+		h := w.gateway.outOfReach.duration
+		is.Equal(h.Count(), int64(1))
+		is.Equal(h.Max(), settleTimeout.Milliseconds())
+	})
+}
+
+// Guards against memory that grows with the turns that nobody continues any more, and against turns that stay in it.
+func TestTurnsOutOfReachAreBounded(t *testing.T) {
+	is := is.New(t)
+	o := newOutOfReach(metrics.NewRegistry())
+	now := time.Now()
+	for i := range maxTurnsOutOfReach + 1 {
+		o.refuse(continuedTurn{turn: strconv.Itoa(i)}, now, now)
+	}
+	is.Equal(len(o.open), maxTurnsOutOfReach)
+	is.Equal(o.untracked.Count(), int64(1))
+	now = now.Add(outOfReachExpiry + time.Millisecond)
+	o.refuse(continuedTurn{customer: "other", turn: "1"}, now, now)
+	is.Equal(len(o.open), 1)
+	is.Equal(o.expired.Count(), int64(maxTurnsOutOfReach))
+	is.Equal(o.reach(continuedTurn{turn: "1"}, now), time.Duration(0))
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -133,6 +133,9 @@
 	if v.mayHaveRun() {
 		f.recordPossibleRun(a.grant.Upstream)
 	}
+	if v != notSent && v != noFreeConnection {
+		f.recordReach(a.began)
+	}
 	if a.wasAbandoned() {
 		f.gateway.attempts.hedgesAbandoned.Inc(1)
 		return
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -64,7 +64,7 @@
 	shard  uint32
 	keeper string
 	epoch  uint64
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 var _ gateway.Turns = (*Client)(nil)
@@ -96,17 +96,6 @@
 	}
 }
 
-// callOutcome is the outcome of one call to a keeper.
-type callOutcome uint8
-
-const (
-	// outcomeRetry means that another keeper, or this one later, may give a result.
-	outcomeRetry callOutcome = iota
-	outcomeDone
-	// outcomeIsolated means that the keeper reaches no other keeper.
-	outcomeIsolated
-)
-
 // callShard calls the shard's primary, and then its backups, until one of them gives a result or
 // the timeout passes. With failFast it fails at once if each of them is unreachable or isolated: a
 // keeper that is isolated by itself is replaced by its backup, but a keeper that is isolated
@@ -114,46 +103,75 @@
 func (c *Client) callShard(ctx context.Context, shardID uint32, timeout time.Duration, failFast bool, call func(context.Context, historypb.Keeper) callOutcome) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	var trail callTrail
 	for ctx.Err() == nil {
 		role := c.roleOf(shardID)
 		retryable := false
 		for _, name := range role.holders() {
 			keeper, ok := c.keepers.Keeper(name)
 			if !ok {
+				trail.record(name, outcomeUnreachable, 0)
 				continue
 			}
-			switch c.callKeeper(ctx, &pendingCall{shard: shardID, keeper: name, epoch: role.Epoch}, keeper, call) {
-			case outcomeDone:
+			began := time.Now()
+			outcome := c.callKeeper(ctx, &pendingCall{shard: shardID, keeper: name, epoch: role.Epoch}, keeper, call)
+			if outcome == outcomeDone {
 				return nil
-			case outcomeRetry:
-				retryable = true
 			}
+			trail.record(name, outcome, time.Since(began))
+			retryable = retryable || outcome != outcomeIsolated
 		}
 		if failFast && (!retryable || c.keepers.Isolated()) {
-			return gateway.ErrIsolated
+			return c.refusedError(gateway.ErrIsolated, shardID, trail)
 		}
 		sleep(ctx, retryInterval)
 	}
-	role := c.roleOf(shardID)
-	return errors.Wrapf(ErrNoKeeperResult, "shard %d in epoch %d: primary %s, backups %v", shardID, role.Epoch, role.Primary, role.Backups)
+	return c.refusedError(ErrNoKeeperResult, shardID, trail)
 }
 
+func (c *Client) refusedError(cause error, shardID uint32, trail callTrail) *RefusedError {
+	return &RefusedError{cause: cause, shard: shardID, role: c.roleOf(shardID), calls: trail}
+}
+
+// The causes for which a call to a keeper is cancelled.
+var (
+	errKeeperSilent   = errors.New("history: the keeper became unresponsive")
+	errKeeperReplaced = errors.New("history: the keeper is not the primary of the shard any more")
+)
+
 // untilSilent returns the context of one call to a keeper. It is cancelled after callTimeout, and if the
 // keeper becomes unresponsive.
-func (c *Client) untilSilent(ctx context.Context, keeper string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	stop := c.keepers.OnSilence(keeper, cancel)
-	return ctx, func() {
+func (c *Client) untilSilent(ctx context.Context, keeper string) (context.Context, context.CancelCauseFunc) {
+	ctx, cancelTimeout := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := c.keepers.OnSilence(keeper, func() { cancel(errKeeperSilent) })
+	return ctx, func(cause error) {
 		stop()
-		cancel()
+		cancel(cause)
+		cancelTimeout()
+	}
+}
+
+// failureOutcome returns the outcome of a call that failed. parent is the context that the call's own, ctx, derives from.
+func failureOutcome(parent, ctx context.Context) callOutcome {
+	switch cause := context.Cause(ctx); {
+	case parent.Err() != nil:
+		return outcomeGivenUp
+	case errors.Is(cause, errKeeperSilent):
+		return outcomeSilent
+	case errors.Is(cause, errKeeperReplaced):
+		return outcomeReplaced
+	case cause != nil:
+		return outcomeTimedOut
 	}
+	return outcomeRetry
 }
 
 // callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive or is
 // replaced: the next holder shows sooner which keeper replaced it.
-func (c *Client) callKeeper(ctx context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
-	ctx, cancel := c.untilSilent(ctx, p.keeper)
-	defer cancel()
+func (c *Client) callKeeper(parent context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
+	ctx, cancel := c.untilSilent(parent, p.keeper)
+	defer cancel(nil)
 	p.cancel = cancel
 	c.mu.Lock()
 	c.pending[p] = struct{}{}
@@ -163,7 +181,11 @@
 		defer c.mu.Unlock()
 		delete(c.pending, p)
 	}()
-	return call(ctx, k)
+	outcome := call(ctx, k)
+	if outcome == outcomeRetry {
+		outcome = failureOutcome(parent, ctx)
+	}
+	return outcome
 }
 
 // AssignmentChanged cancels the calls to keepers that are no longer the primary of their shard.
@@ -177,7 +199,7 @@
 	defer c.mu.Unlock()
 	for p := range c.pending {
 		if role := &a.Shards[p.shard]; role.Epoch > p.epoch && role.Primary != p.keeper {
-			p.cancel()
+			p.cancel(errKeeperReplaced)
 		}
 	}
 }
@@ -231,14 +253,14 @@
 			Chain: decodeTurns(response.Chain), CarryChain: mayExpireBefore(response.Chain, r.Deadline), LastUpstream: response.Replica,
 		}, verdictError(response.Verdict)
 	}
-	chain, err := c.findChain(ctx, r.Customer, r.Previous)
+	chain, search, err := c.search(ctx, r.Customer, r.Previous)
 	if err != nil {
-		return gateway.Reserved{}, err
+		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	request.Foreign = true
 	response, err = c.reserve(ctx, request)
 	if err != nil {
-		return gateway.Reserved{}, err
+		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	reserved := gateway.Reserved{Chain: decodeTurns(chain), CarryChain: true, LastUpstream: response.Replica}
 	if last := chain[len(chain)-1]; last.Replica != "" {
@@ -291,14 +313,7 @@
 		}
 		c.observeRole(r.Slice, response.Role)
 		result = response
-		switch response.Verdict {
-		case historypb.Verdict_MOVED, historypb.Verdict_NOT_NOW:
-			return outcomeRetry
-		case historypb.Verdict_ISOLATED:
-			return outcomeIsolated
-		default:
-			return outcomeDone
-		}
+		return outcomeOf(response.Verdict)
 	})
 	if err != nil {
 		c.releaseReservation(r)
@@ -307,6 +322,20 @@
 	return result, nil
 }
 
+// outcomeOf returns the outcome of a call by the keeper's verdict.
+func outcomeOf(v historypb.Verdict) callOutcome {
+	switch v {
+	case historypb.Verdict_MOVED:
+		return outcomeMoved
+	case historypb.Verdict_NOT_NOW:
+		return outcomeNotNow
+	case historypb.Verdict_ISOLATED:
+		return outcomeIsolated
+	default:
+		return outcomeDone
+	}
+}
+
 // releaseReservation settles, in the background, a reservation that may have been made although no
 // response arrived. The turn was not sent to any replica.
 func (c *Client) releaseReservation(r *historypb.ReserveRequest) {
@@ -363,58 +392,15 @@
 			return outcomeRetry
 		}
 		c.observeRole(r.Slice, response.Role)
-		if response.Verdict != historypb.Verdict_DONE {
+		switch response.Verdict {
+		case historypb.Verdict_DONE, historypb.Verdict_MOVED, historypb.Verdict_NOT_NOW:
+			return outcomeOf(response.Verdict)
+		default:
 			return outcomeRetry
 		}
-		return outcomeDone
 	})
 }
 
-// findChain looks a turn up in all shards, since a program may continue a turn of another program.
-// The turn is certainly absent only if the primary of each shard has confirmed that.
-func (c *Client) findChain(ctx context.Context, customer, turn string) ([]*historypb.Turn, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	absent, gaps := map[uint32]bool{}, map[uint32]*historypb.Gap{}
-	for ctx.Err() == nil {
-		if c.keepers.Isolated() {
-			return nil, gateway.ErrIsolated
-		}
-		for _, name := range c.holdersToAsk(absent) {
-			keeper, ok := c.keepers.Keeper(name)
-			if !ok {
-				continue
-			}
-			response, err := c.find(ctx, name, keeper, &historypb.FindRequest{Turn: turn, Customer: &customer})
-			if err != nil {
-				c.logger.WithError(err).WithField("keeper", name).WithField("request", turn).Debug("keeper failed to look up a turn")
-				continue
-			}
-			if len(response.Chain) > 0 && ownsChain(response.Chain, &customer) {
-				return response.Chain, nil
-			}
-			for _, s := range response.Absent {
-				absent[s] = true
-			}
-			for _, g := range response.Gaps {
-				gaps[g.Slice] = g
-			}
-		}
-		if len(absent) == ShardCount {
-			return nil, newTurnNotFoundError(turn, gaps)
-		}
-		sleep(ctx, retryInterval)
-	}
-	return nil, ErrNoKeeperResult
-}
-
-// find asks one keeper for a turn. Another keeper may have it if this one is silent.
-func (c *Client) find(ctx context.Context, name string, k historypb.Keeper, r *historypb.FindRequest) (*historypb.FindResponse, error) {
-	ctx, cancel := c.untilSilent(ctx, name)
-	defer cancel()
-	return k.Find(ctx, r)
-}
-
 // holdersToAsk returns the keepers of the shards that are not in absent.
 func (c *Client) holdersToAsk(absent map[uint32]bool) []string {
 	var names []string
