Turns wait for a change of their keepers as long as their time allows

What callers saw: turns that continue a kept turn were refused within milliseconds, all tries of one within one change: as soon as each holder of the one shard was unreachable (or none was known yet, after a start of the entry) the entry answered that it was isolated, although it reached other keepers. Otherwise each was refused after 1.8 s, however much time its caller had (kept turns have 5 s).

With 5 s, two tries cover 2.5 + 0.4 + 1.8 = 4.7 s of a change instead of 4.0 s, and a first try alone 2.5 s. Retry-After stays 400 ms, the same at all entries.

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -16,9 +16,12 @@
 const (
 	// callTimeout bounds one call to a keeper, which waits for the commit of the change.
 	callTimeout = 900 * time.Millisecond
-	// reserveTimeout bounds all attempts of a reservation. A reassignment takes about a second, and
-	// a caller that is refused sooner would retry during it.
+	// reserveTimeout bounds all attempts of a reservation for a caller whose time is short or unknown. A
+	// reassignment takes about a second, and a caller that is refused sooner would retry during it.
 	reserveTimeout = 1800 * time.Millisecond
+	// maxReserveTimeout bounds them for any other caller, which waits here for up to half of its time: another
+	// entry may reach the keepers, and the turn is yet to run.
+	maxReserveTimeout = 5 * time.Second
 	// retryInterval is the pause between two attempts.
 	retryInterval = 60 * time.Millisecond
 	// releaseTimeout bounds the attempts to settle a turn or to release an unused reservation. A
@@ -96,114 +99,6 @@
 	}
 }
 
-// callShard calls the shard's primary, and then its backups, until one of them gives a result or
-// the timeout passes. With failFast it fails at once if each of them is unreachable or isolated: a
-// keeper that is isolated by itself is replaced by its backup, but a keeper that is isolated
-// together with the caller is not.
-func (c *Client) callShard(ctx context.Context, shardID uint32, timeout time.Duration, failFast bool, call func(context.Context, historypb.Keeper) callOutcome) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var trail callTrail
-	for ctx.Err() == nil {
-		role := c.roleOf(shardID)
-		retryable := false
-		for _, name := range role.holders() {
-			keeper, ok := c.keepers.Keeper(name)
-			if !ok {
-				trail.record(name, outcomeUnreachable, 0)
-				continue
-			}
-			began := time.Now()
-			outcome := c.callKeeper(ctx, &pendingCall{shard: shardID, keeper: name, epoch: role.Epoch}, keeper, call)
-			if outcome == outcomeDone {
-				return nil
-			}
-			trail.record(name, outcome, time.Since(began))
-			retryable = retryable || outcome != outcomeIsolated
-		}
-		if failFast && (!retryable || c.keepers.Isolated()) {
-			return c.refusedError(gateway.ErrIsolated, shardID, trail)
-		}
-		sleep(ctx, retryInterval)
-	}
-	return c.refusedError(ErrNoKeeperResult, shardID, trail)
-}
-
-func (c *Client) refusedError(cause error, shardID uint32, trail callTrail) *RefusedError {
-	return &RefusedError{cause: cause, shard: shardID, role: c.roleOf(shardID), calls: trail}
-}
-
-// The causes for which a call to a keeper is cancelled.
-var (
-	errKeeperSilent   = errors.New("history: the keeper became unresponsive")
-	errKeeperReplaced = errors.New("history: the keeper is not the primary of the shard any more")
-)
-
-// untilSilent returns the context of one call to a keeper. It is cancelled after callTimeout, and if the
-// keeper becomes unresponsive.
-func (c *Client) untilSilent(ctx context.Context, keeper string) (context.Context, context.CancelCauseFunc) {
-	ctx, cancelTimeout := context.WithTimeout(ctx, callTimeout)
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := c.keepers.OnSilence(keeper, func() { cancel(errKeeperSilent) })
-	return ctx, func(cause error) {
-		stop()
-		cancel(cause)
-		cancelTimeout()
-	}
-}
-
-// failureOutcome returns the outcome of a call that failed. parent is the context that the call's own, ctx, derives from.
-func failureOutcome(parent, ctx context.Context) callOutcome {
-	switch cause := context.Cause(ctx); {
-	case parent.Err() != nil:
-		return outcomeGivenUp
-	case errors.Is(cause, errKeeperSilent):
-		return outcomeSilent
-	case errors.Is(cause, errKeeperReplaced):
-		return outcomeReplaced
-	case cause != nil:
-		return outcomeTimedOut
-	}
-	return outcomeRetry
-}
-
-// callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive or is
-// replaced: the next holder shows sooner which keeper replaced it.
-func (c *Client) callKeeper(parent context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
-	ctx, cancel := c.untilSilent(parent, p.keeper)
-	defer cancel(nil)
-	p.cancel = cancel
-	c.mu.Lock()
-	c.pending[p] = struct{}{}
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.pending, p)
-	}()
-	outcome := call(ctx, k)
-	if outcome == outcomeRetry {
-		outcome = failureOutcome(parent, ctx)
-	}
-	return outcome
-}
-
-// AssignmentChanged cancels the calls to keepers that are no longer the primary of their shard.
-//
-// It prevents the following failure: a keeper fails, and calls to it wait for their timeout long
-// after its shards were assigned to others. In a fleet of a thousand instances the silence of one
-// keeper shows only after seconds.
-func (c *Client) AssignmentChanged() {
-	a, _ := c.assignment()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for p := range c.pending {
-		if role := &a.Shards[p.shard]; role.Epoch > p.epoch && role.Primary != p.keeper {
-			p.cancel(errKeeperReplaced)
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -240,7 +135,7 @@
 		Budget:      int64(r.Budget),
 		RetentionMs: accountRetention(r, time.Now()).Milliseconds(),
 	}
-	response, err := c.reserve(ctx, request)
+	response, err := c.reserve(ctx, request, reserveTimeoutFor(r.Deadline))
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
@@ -253,12 +148,12 @@
 			Chain: decodeTurns(response.Chain), CarryChain: mayExpireBefore(response.Chain, r.Deadline), LastUpstream: response.Replica,
 		}, verdictError(response.Verdict)
 	}
-	chain, search, err := c.search(ctx, r.Customer, r.Previous)
+	chain, search, err := c.search(ctx, r.Customer, r.Previous, reserveTimeoutFor(r.Deadline))
 	if err != nil {
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	request.Foreign = true
-	response, err = c.reserve(ctx, request)
+	response, err = c.reserve(ctx, request, reserveTimeoutFor(r.Deadline))
 	if err != nil {
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
@@ -304,9 +199,17 @@
 	}
 }
 
-func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
+// reserveTimeoutFor returns how long the keepers may be changing before a caller is refused.
+func reserveTimeoutFor(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return reserveTimeout
+	}
+	return min(max(reserveTimeout, time.Until(deadline)/2), maxReserveTimeout)
+}
+
+func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest, timeout time.Duration) (*historypb.ReserveResponse, error) {
 	var result *historypb.ReserveResponse
-	err := c.callShard(ctx, r.Slice, reserveTimeout, true, func(ctx context.Context, k historypb.Keeper) callOutcome {
+	err := c.callShard(ctx, r.Slice, timeout, true, func(ctx context.Context, k historypb.Keeper) callOutcome {
 		response, err := k.Reserve(ctx, r)
 		if err != nil {
 			return outcomeRetry
--- a/internal/history/failure_test.go
+++ b/internal/history/failure_test.go
@@ -21,8 +21,13 @@
 
 // retainTurn runs a turn that continues the previous one, if any, and retains it.
 func retainTurn(c *Client, program, turn, previous string) error {
+	return retainTurnBefore(c, program, turn, previous, time.Time{})
+}
+
+// retainTurnBefore is retainTurn for a caller that waits until the deadline.
+func retainTurnBefore(c *Client, program, turn, previous string, deadline time.Time) error {
 	ctx := context.Background()
-	_, err := c.Reserve(ctx, gateway.Reservation{Program: program, Turn: turn, Previous: previous, MaxOutputTokens: 1, Retention: time.Hour})
+	_, err := c.Reserve(ctx, gateway.Reservation{Program: program, Turn: turn, Previous: previous, MaxOutputTokens: 1, Retention: time.Hour, Deadline: deadline})
 	if err != nil {
 		return err
 	}
--- a/internal/history/find.go
+++ b/internal/history/find.go
@@ -28,7 +28,7 @@
 
 // findChain looks a turn up in all shards, since a program may continue a turn of another program.
 func (c *Client) findChain(ctx context.Context, customer, turn string) ([]*historypb.Turn, error) {
-	chain, _, err := c.search(ctx, customer, turn)
+	chain, _, err := c.search(ctx, customer, turn, reserveTimeout)
 	return chain, err
 }
 
@@ -36,8 +36,8 @@
 // until its shards are known to lack the turn: one that is slow delays no answer of another.
 //
 // The turn is certainly absent only if the primary of each shard has confirmed that.
-func (c *Client) search(ctx context.Context, customer, turn string) (chain []*historypb.Turn, trail searchTrail, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+func (c *Client) search(ctx context.Context, customer, turn string, timeout time.Duration) (chain []*historypb.Turn, trail searchTrail, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := &chainSearch{client: c, request: &historypb.FindRequest{Turn: turn, Customer: &customer}, absent: map[uint32]bool{}, gaps: map[uint32]*historypb.Gap{}, asked: map[string]time.Time{}, answers: make(chan findAnswer)}
 	began := time.Now()
--- a/internal/history/find_test.go
+++ b/internal/history/find_test.go
@@ -69,7 +69,7 @@
 		cl.machines[3].pause()
 		defer cl.machines[3].resume()
 		start := time.Now()
-		_, search, err := c.search(context.Background(), "", "absent")
+		_, search, err := c.search(context.Background(), "", "absent", reserveTimeout)
 		if !errors.Is(err, ErrNoKeeperResult) || time.Since(start) != reserveTimeout || search.absent >= ShardCount {
 			fail(errors.Errorf("got %v after %v with %d shards absent, want ErrNoKeeperResult after %v", err, time.Since(start), search.absent, reserveTimeout))
 		}
--- a/internal/history/refusal.go
+++ b/internal/history/refusal.go
@@ -40,6 +40,11 @@
 	return [...]string{"failed", "done", "isolated", "moved", "not-now", "unreachable", "silent", "replaced", "timed-out", "given-up", "unconfirmed", "absent"}[o]
 }
 
+// isAnswer reports whether the keeper answered the call.
+func (o callOutcome) isAnswer() bool {
+	return o == outcomeDone || o == outcomeIsolated || o == outcomeMoved || o == outcomeNotNow
+}
+
 // keeperCalls sums up the calls to one keeper.
 type keeperCalls struct {
 	keeper string
@@ -61,6 +66,16 @@
 	c.calls, c.took, c.last = c.calls+1, c.took+took, o
 }
 
+// last returns the outcome of the last call to a keeper; outcomeRetry if there was none.
+func (t callTrail) last(keeper string) callOutcome {
+	for _, c := range t {
+		if c.keeper == keeper {
+			return c.last
+		}
+	}
+	return outcomeRetry
+}
+
 // String lists for each keeper its last outcome, the number of calls and the time that they took.
 func (t callTrail) String() string {
 	var parts []string
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -534,6 +534,20 @@
 	onlyKeeper string
 	// isolated means that the entry reaches no other data centre.
 	isolated bool
+	// unreachable names the keepers that the entry knows to be unreachable; the cluster's lock guards it.
+	unreachable map[string]bool
+}
+
+func (e *entry) setUnreachable(name string, unreachable bool) {
+	e.cluster.mu.Lock()
+	defer e.cluster.mu.Unlock()
+	e.unreachable[name] = unreachable
+}
+
+func (e *entry) isUnreachable(name string) bool {
+	e.cluster.mu.Lock()
+	defer e.cluster.mu.Unlock()
+	return e.unreachable[name]
 }
 
 // OnSilence implements Keepers. It never calls f: in these tests, calls to an unresponsive keeper
@@ -552,7 +566,7 @@
 
 // Keeper implements Keepers.
 func (e *entry) Keeper(name string) (historypb.Keeper, bool) {
-	if e.cluster.machine(name) == nil || e.onlyKeeper != "" && e.onlyKeeper != name {
+	if e.cluster.machine(name) == nil || e.isUnreachable(name) || e.onlyKeeper != "" && e.onlyKeeper != name {
 		return nil, false
 	}
 	return &remoteKeeper{e: e, name: name}, true
