A second try is not refused for the tokens reserved for the first

What callers saw: a turn was refused with 503 while its keeper didn't answer in time, and its second try for good, with 402, although the program's budget held the turn: the first try's reservation had reached the keeper, only its response was lost, and its release was still under way.

Why it works: the client knows the settlements of a program that it has under way. Where only reservations stand against a turn, not spent tokens, it waits for them, within the time that it waits for keepers, and reserves once more. Where none is under way here, but the reservation itself met keepers that were changing, it reserves once more after two retry intervals: other entries release theirs as the keepers are back. A program beyond its budget is refused at once, as before.

Evidence: history.TestSecondTryIsNotRefusedForTheReservationOfTheFirst failed before: "the program's token budget is exhausted".

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -52,6 +52,8 @@
 	logger     log.Interface
 	// releases are the unused reservations that are being released.
 	releases sync.WaitGroup
+	// settlements are the settlements and releases under way.
+	settlements *settlements
 
 	mu sync.Mutex
 	// observedRoles are the roles from responses of keepers, which may be newer than the
@@ -74,7 +76,7 @@
 
 // NewClient returns a client.
 func NewClient(keepers Keepers, assignment func() (Assignment, bool), logger log.Interface) *Client {
-	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger, pending: map[*pendingCall]struct{}{}}
+	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger, settlements: newSettlements(), pending: map[*pendingCall]struct{}{}}
 }
 
 func (c *Client) roleOf(shardID uint32) ShardAssignment {
@@ -135,7 +137,7 @@
 		Budget:      int64(r.Budget),
 		RetentionMs: accountRetention(r, time.Now()).Milliseconds(),
 	}
-	response, err := c.reserve(ctx, request, reserveTimeoutFor(r.Deadline))
+	response, err := c.reserveAfterSettlements(ctx, request, r.Deadline)
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
@@ -153,7 +155,7 @@
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	request.Foreign = true
-	response, err = c.reserve(ctx, request, reserveTimeoutFor(r.Deadline))
+	response, err = c.reserveAfterSettlements(ctx, request, r.Deadline)
 	if err != nil {
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
@@ -243,7 +245,9 @@
 // response arrived. The turn was not sent to any replica.
 func (c *Client) releaseReservation(r *historypb.ReserveRequest) {
 	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Customer: r.Customer, Turn: r.Turn}
+	end := c.settlements.begin(recordKey(r.Customer, r.Program))
 	c.releases.Go(func() {
+		defer end()
 		if err := c.settle(context.Background(), settle, releaseTimeout); err != nil {
 			// The tokens stay counted as spent, which affects only this program.
 			c.logger.WithError(err).WithField("request", r.Turn).WithField("program", r.Program).Warn("reservation not released; its tokens count as spent")
@@ -285,7 +289,7 @@
 	for i := range e.Chain {
 		request.Chain = append(request.Chain, encodeTurn(&e.Chain[i], &e))
 	}
-	return c.settle(ctx, request, releaseTimeout)
+	return c.settleTurn(ctx, request)
 }
 
 func (c *Client) settle(ctx context.Context, r *historypb.SettleRequest, timeout time.Duration) error {
