A running turn holds its chain once in the memory for calls

What callers saw: turns that continue others are refused with 503 `buffers_full` on instances with little memory, while first turns with as large a prompt are served: a chain was counted twice for as long as its turn ran, as it came from the keeper and as it is sent, though the first copy is needed only until both are joined (or if the settlement carries the chain).

The first copy is given up and its room returned once the body is joined, and the body is allocated at its size instead of growing by doubling. The peak while both are there is counted as before.

Evidence: gateway.TestRunningTurnHoldsItsChainOnce failed before: 204,800 bytes held for a chain of 102,400.

--- a/internal/gateway/outofreach_test.go
+++ b/internal/gateway/outofreach_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/buffer"
 	"foxhall/internal/routing"
 )
 
@@ -61,3 +64,19 @@
 	is.Equal(o.expired.Count(), int64(maxTurnsOutOfReach))
 	is.Equal(o.reach(continuedTurn{turn: "1"}, now), time.Duration(0))
 }
+
+// Guards against turns refused for memory that a first turn with the same prompt doesn't take: while it runs, a turn
+// holds its chain once, as a part of its body, unless it is to be retained with the chain.
+func TestRunningTurnHoldsItsChainOnce(t *testing.T) {
+	is := is.New(t)
+	chain := []Turn{{ID: "t1", Input: bytes.Repeat([]byte("x"), 100<<10)}}
+	budget := buffer.NewBudget(4<<20, metrics.NewRegistry())
+	var held int64
+	got := serveWith(t, nil, Settings{Buffers: budget}, turnRoute, turnCall(), &fakeTurns{chain: chain}, func(ctx context.Context, s *Attempt) (*Response, error) {
+		held = budget.Used()
+		return streams(nil, event(1))(ctx, s)
+	})
+	is.Equal(got.result.Outcome, Completed)
+	is.Equal(held, int64(100<<10))
+	is.Equal(budget.Used(), int64(0))
+}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -52,6 +52,10 @@
 	var carriedChain []Turn
 	if reserved.CarryChain {
 		carriedChain = reserved.Chain
+	} else {
+		// From here on the chain is held as a part of the body alone.
+		f.hold.Shrink(buffer.Prompt, joinedSize(reserved.Chain))
+		reserved.Chain = nil
 	}
 	retained := false
 	if rec.retainData {
@@ -111,7 +115,10 @@
 }
 
 // chainSize returns the number of bytes of a chain, as it is held and as it is sent.
-func chainSize(chain []Turn) int {
+func chainSize(chain []Turn) int { return 2 * joinedSize(chain) }
+
+// joinedSize returns the number of bytes of a chain as it is sent.
+func joinedSize(chain []Turn) int {
 	size := 0
 	for i := range chain {
 		size += len(chain[i].Input)
@@ -119,13 +126,14 @@
 			size += len(data) + 1
 		}
 	}
-	return 2 * size
+	return size
 }
 
 // joinChain returns the request body of a turn: for each turn of the chain its input and the data
 // of its events, each followed by a line feed, then the new input.
 func joinChain(chain []Turn, input []byte) []byte {
 	var b bytes.Buffer
+	b.Grow(joinedSize(chain) + len(input))
 	for i := range chain {
 		b.Write(chain[i].Input)
 		for _, data := range chain[i].Events {
