--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -16,9 +16,12 @@
 const (
 	// callTimeout bounds one call to a keeper, which waits for the commit of the change.
 	callTimeout = 900 * time.Millisecond
-	// reserveTimeout bounds all attempts of a reservation. A reassignment takes about a second, and
-	// a caller that is refused sooner would retry during it.
+	// reserveTimeout bounds all attempts of a reservation for a caller whose time is short or unknown. A
+	// reassignment takes about a second, and a caller that is refused sooner would retry during it.
 	reserveTimeout = 1800 * time.Millisecond
+	// maxReserveTimeout bounds them for any other caller, which waits here for up to half of its time: another
+	// entry may reach the keepers, and the turn is yet to run.
+	maxReserveTimeout = 5 * time.Second
 	// retryInterval is the pause between two attempts.
 	retryInterval = 60 * time.Millisecond
 	// releaseTimeout bounds the attempts to settle a turn or to release an unused reservation. A
@@ -49,6 +52,8 @@
 	logger     log.Interface
 	// releases are the unused reservations that are being released.
 	releases sync.WaitGroup
+	// settlements are the settlements and releases under way.
+	settlements *settlements
 
 	mu sync.Mutex
 	// observedRoles are the roles from responses of keepers, which may be newer than the
@@ -64,14 +69,14 @@
 	shard  uint32
 	keeper string
 	epoch  uint64
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 var _ gateway.Turns = (*Client)(nil)
 
 // NewClient returns a client.
 func NewClient(keepers Keepers, assignment func() (Assignment, bool), logger log.Interface) *Client {
-	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger, pending: map[*pendingCall]struct{}{}}
+	return &Client{keepers: keepers, assignment: assignment, allowances: newAllowances(), logger: logger, settlements: newSettlements(), pending: map[*pendingCall]struct{}{}}
 }
 
 func (c *Client) roleOf(shardID uint32) ShardAssignment {
@@ -96,92 +101,6 @@
 	}
 }
 
-// callOutcome is the outcome of one call to a keeper.
-type callOutcome uint8
-
-const (
-	// outcomeRetry means that another keeper, or this one later, may give a result.
-	outcomeRetry callOutcome = iota
-	outcomeDone
-	// outcomeIsolated means that the keeper reaches no other keeper.
-	outcomeIsolated
-)
-
-// callShard calls the shard's primary, and then its backups, until one of them gives a result or
-// the timeout passes. With failFast it fails at once if each of them is unreachable or isolated: a
-// keeper that is isolated by itself is replaced by its backup, but a keeper that is isolated
-// together with the caller is not.
-func (c *Client) callShard(ctx context.Context, shardID uint32, timeout time.Duration, failFast bool, call func(context.Context, historypb.Keeper) callOutcome) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		role := c.roleOf(shardID)
-		retryable := false
-		for _, name := range role.holders() {
-			keeper, ok := c.keepers.Keeper(name)
-			if !ok {
-				continue
-			}
-			switch c.callKeeper(ctx, &pendingCall{shard: shardID, keeper: name, epoch: role.Epoch}, keeper, call) {
-			case outcomeDone:
-				return nil
-			case outcomeRetry:
-				retryable = true
-			}
-		}
-		if failFast && (!retryable || c.keepers.Isolated()) {
-			return gateway.ErrIsolated
-		}
-		sleep(ctx, retryInterval)
-	}
-	role := c.roleOf(shardID)
-	return errors.Wrapf(ErrNoKeeperResult, "shard %d in epoch %d: primary %s, backups %v", shardID, role.Epoch, role.Primary, role.Backups)
-}
-
-// untilSilent returns the context of one call to a keeper. It is cancelled after callTimeout, and if the
-// keeper becomes unresponsive.
-func (c *Client) untilSilent(ctx context.Context, keeper string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	stop := c.keepers.OnSilence(keeper, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
-// callKeeper calls one keeper. The call is cancelled if the keeper becomes unresponsive or is
-// replaced: the next holder shows sooner which keeper replaced it.
-func (c *Client) callKeeper(ctx context.Context, p *pendingCall, k historypb.Keeper, call func(context.Context, historypb.Keeper) callOutcome) callOutcome {
-	ctx, cancel := c.untilSilent(ctx, p.keeper)
-	defer cancel()
-	p.cancel = cancel
-	c.mu.Lock()
-	c.pending[p] = struct{}{}
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.pending, p)
-	}()
-	return call(ctx, k)
-}
-
-// AssignmentChanged cancels the calls to keepers that are no longer the primary of their shard.
-//
-// It prevents the following failure: a keeper fails, and calls to it wait for their timeout long
-// after its shards were assigned to others. In a fleet of a thousand instances the silence of one
-// keeper shows only after seconds.
-func (c *Client) AssignmentChanged() {
-	a, _ := c.assignment()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for p := range c.pending {
-		if role := &a.Shards[p.shard]; role.Epoch > p.epoch && role.Primary != p.keeper {
-			p.cancel()
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -218,7 +137,7 @@
 		Budget:      int64(r.Budget),
 		RetentionMs: accountRetention(r, time.Now()).Milliseconds(),
 	}
-	response, err := c.reserve(ctx, request)
+	response, err := c.reserveAfterSettlements(ctx, request, r.Deadline)
 	if err != nil {
 		return gateway.Reserved{}, err
 	}
@@ -231,14 +150,14 @@
 			Chain: decodeTurns(response.Chain), CarryChain: mayExpireBefore(response.Chain, r.Deadline), LastUpstream: response.Replica,
 		}, verdictError(response.Verdict)
 	}
-	chain, err := c.findChain(ctx, r.Customer, r.Previous)
+	chain, search, err := c.search(ctx, r.Customer, r.Previous, reserveTimeoutFor(r.Deadline))
 	if err != nil {
-		return gateway.Reserved{}, err
+		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	request.Foreign = true
-	response, err = c.reserve(ctx, request)
+	response, err = c.reserveAfterSettlements(ctx, request, r.Deadline)
 	if err != nil {
-		return gateway.Reserved{}, err
+		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
 	reserved := gateway.Reserved{Chain: decodeTurns(chain), CarryChain: true, LastUpstream: response.Replica}
 	if last := chain[len(chain)-1]; last.Replica != "" {
@@ -282,23 +201,24 @@
 	}
 }
 
-func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest) (*historypb.ReserveResponse, error) {
+// reserveTimeoutFor returns how long the keepers may be changing before a caller is refused.
+func reserveTimeoutFor(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return reserveTimeout
+	}
+	return min(max(reserveTimeout, time.Until(deadline)/2), maxReserveTimeout)
+}
+
+func (c *Client) reserve(ctx context.Context, r *historypb.ReserveRequest, timeout time.Duration) (*historypb.ReserveResponse, error) {
 	var result *historypb.ReserveResponse
-	err := c.callShard(ctx, r.Slice, reserveTimeout, true, func(ctx context.Context, k historypb.Keeper) callOutcome {
+	err := c.callShard(ctx, r.Slice, timeout, true, func(ctx context.Context, k historypb.Keeper) callOutcome {
 		response, err := k.Reserve(ctx, r)
 		if err != nil {
 			return outcomeRetry
 		}
 		c.observeRole(r.Slice, response.Role)
 		result = response
-		switch response.Verdict {
-		case historypb.Verdict_MOVED, historypb.Verdict_NOT_NOW:
-			return outcomeRetry
-		case historypb.Verdict_ISOLATED:
-			return outcomeIsolated
-		default:
-			return outcomeDone
-		}
+		return outcomeOf(response.Verdict)
 	})
 	if err != nil {
 		c.releaseReservation(r)
@@ -307,11 +227,27 @@
 	return result, nil
 }
 
+// outcomeOf returns the outcome of a call by the keeper's verdict.
+func outcomeOf(v historypb.Verdict) callOutcome {
+	switch v {
+	case historypb.Verdict_MOVED:
+		return outcomeMoved
+	case historypb.Verdict_NOT_NOW:
+		return outcomeNotNow
+	case historypb.Verdict_ISOLATED:
+		return outcomeIsolated
+	default:
+		return outcomeDone
+	}
+}
+
 // releaseReservation settles, in the background, a reservation that may have been made although no
 // response arrived. The turn was not sent to any replica.
 func (c *Client) releaseReservation(r *historypb.ReserveRequest) {
 	settle := &historypb.SettleRequest{Slice: r.Slice, Program: r.Program, Customer: r.Customer, Turn: r.Turn}
+	end := c.settlements.begin(recordKey(r.Customer, r.Program))
 	c.releases.Go(func() {
+		defer end()
 		if err := c.settle(context.Background(), settle, releaseTimeout); err != nil {
 			// The tokens stay counted as spent, which affects only this program.
 			c.logger.WithError(err).WithField("request", r.Turn).WithField("program", r.Program).Warn("reservation not released; its tokens count as spent")
@@ -353,7 +289,7 @@
 	for i := range e.Chain {
 		request.Chain = append(request.Chain, encodeTurn(&e.Chain[i], &e))
 	}
-	return c.settle(ctx, request, releaseTimeout)
+	return c.settleTurn(ctx, request)
 }
 
 func (c *Client) settle(ctx context.Context, r *historypb.SettleRequest, timeout time.Duration) error {
@@ -363,58 +299,15 @@
 			return outcomeRetry
 		}
 		c.observeRole(r.Slice, response.Role)
-		if response.Verdict != historypb.Verdict_DONE {
+		switch response.Verdict {
+		case historypb.Verdict_DONE, historypb.Verdict_MOVED, historypb.Verdict_NOT_NOW:
+			return outcomeOf(response.Verdict)
+		default:
 			return outcomeRetry
 		}
-		return outcomeDone
 	})
 }
 
-// findChain looks a turn up in all shards, since a program may continue a turn of another program.
-// The turn is certainly absent only if the primary of each shard has confirmed that.
-func (c *Client) findChain(ctx context.Context, customer, turn string) ([]*historypb.Turn, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	absent, gaps := map[uint32]bool{}, map[uint32]*historypb.Gap{}
-	for ctx.Err() == nil {
-		if c.keepers.Isolated() {
-			return nil, gateway.ErrIsolated
-		}
-		for _, name := range c.holdersToAsk(absent) {
-			keeper, ok := c.keepers.Keeper(name)
-			if !ok {
-				continue
-			}
-			response, err := c.find(ctx, name, keeper, &historypb.FindRequest{Turn: turn, Customer: &customer})
-			if err != nil {
-				c.logger.WithError(err).WithField("keeper", name).WithField("request", turn).Debug("keeper failed to look up a turn")
-				continue
-			}
-			if len(response.Chain) > 0 && ownsChain(response.Chain, &customer) {
-				return response.Chain, nil
-			}
-			for _, s := range response.Absent {
-				absent[s] = true
-			}
-			for _, g := range response.Gaps {
-				gaps[g.Slice] = g
-			}
-		}
-		if len(absent) == ShardCount {
-			return nil, newTurnNotFoundError(turn, gaps)
-		}
-		sleep(ctx, retryInterval)
-	}
-	return nil, ErrNoKeeperResult
-}
-
-// find asks one keeper for a turn. Another keeper may have it if this one is silent.
-func (c *Client) find(ctx context.Context, name string, k historypb.Keeper, r *historypb.FindRequest) (*historypb.FindResponse, error) {
-	ctx, cancel := c.untilSilent(ctx, name)
-	defer cancel()
-	return k.Find(ctx, r)
-}
-
 // holdersToAsk returns the keepers of the shards that are not in absent.
 func (c *Client) holdersToAsk(absent map[uint32]bool) []string {
 	var names []string
