A refusal by the replica that has a turn's prompt costs no retry

Cause: a refused call is placed again only within the retry budget, a tenth of the first attempts and one a second, for all calls of the entry. Turns that continue others go to the replica that has their prompt; once that one is full, each of them needs a retry, and from the second on they were refused. First turns are spread over all replicas.

Why it works: the first placement after a refusal by LastUpstream draws on no retry budget, as a call that found no connection. That is once a call at most, only if the replica has not run it; any further one is within the budget.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -363,7 +363,7 @@
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
 		MaxConnections:     f.placementLimit(),
-		Again:              f.placeAgain,
+		Again:              f.placeAgain || !hedges && f.refusedByLastUpstream(),
 		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
 		OutputHint:         min(f.call.OutputHint, f.call.MaxOutputTokens),
@@ -397,6 +397,14 @@
 	return f.gateway.scheduler.Acquire(ctx, r)
 }
 
+// refusedByLastUpstream reports whether the replica that has the turn's prompt cached refused the call's only attempt.
+//
+// It prevents the following failure: calls that continue the same turn all go to that replica first, and once it is
+// full they use up the retry budget, while calls that begin go to any other.
+func (f *inFlightCall) refusedByLastUpstream() bool {
+	return f.attempts == 1 && len(f.possibleRuns) == 0 && len(f.triedReplicas) == 1 && f.triedReplicas[0] == f.lastUpstream
+}
+
 // sharedBlocks returns the number of the prompt's blocks before its last part. Only that part is
 // new in this call.
 func (f *inFlightCall) sharedBlocks() int {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -141,11 +141,13 @@
 
 // fakeTurns grants or refuses reservations, and records settlements.
 type fakeTurns struct {
-	mu          sync.Mutex
-	reserveErr  error
-	chain       []Turn
-	settleErr   error
-	settlements []Settlement
+	mu         sync.Mutex
+	reserveErr error
+	chain      []Turn
+	// lastUpstream is the engine that has the prompt cached.
+	lastUpstream string
+	settleErr    error
+	settlements  []Settlement
 	// reserveDelay and settleDelay are how long a reservation and a settlement take.
 	reserveDelay, settleDelay time.Duration
 }
@@ -154,7 +156,7 @@
 	if !sleep(ctx, f.reserveDelay) {
 		return Reserved{}, ctx.Err()
 	}
-	return Reserved{Chain: f.chain}, f.reserveErr
+	return Reserved{Chain: f.chain, LastUpstream: f.lastUpstream}, f.reserveErr
 }
 
 func (f *fakeTurns) Settle(ctx context.Context, e Settlement) error {
