Waiting calls share the question for a shard's new holders

An outage of one shard would have loaded the keepers of all others with its number of waiting calls. What one call learns, all others of the entry know, so that one question in each retry interval is enough.

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -59,6 +59,8 @@
 	// observedRoles are the roles from responses of keepers, which may be newer than the
 	// assignment.
 	observedRoles [ShardCount]ShardAssignment
+	// othersAsked is when keepers that do not hold a shard were last asked for its holders.
+	othersAsked [ShardCount]time.Time
 	// pending are the calls to keepers in flight.
 	pending map[*pendingCall]struct{}
 }
--- a/internal/history/shardcall.go
+++ b/internal/history/shardcall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,8 +19,6 @@
 	shardID uint32
 	call    func(context.Context, historypb.Keeper) callOutcome
 	trail   callTrail
-	// rounds counts the rounds in which no holder answered, so that each asks another keeper first.
-	rounds int
 }
 
 // callShard calls the shard's primary, and then its backups, until one of them gives a result or
@@ -62,15 +61,13 @@
 	if hasAnswer(outcomes) {
 		return outcomes
 	}
-	others := s.client.otherKeepers(role)
-	for i := range others {
-		o := s.callOne(ctx, others[(s.rounds+i)%len(others)], role.Epoch)
+	for _, name := range s.client.othersToAsk(s.shardID, role) {
+		o := s.callOne(ctx, name, role.Epoch)
 		outcomes[o] = true
 		if o.isAnswer() {
 			break
 		}
 	}
-	s.rounds++
 	return outcomes
 }
 
@@ -97,10 +94,27 @@
 	return false
 }
 
-// otherKeepers returns the known keepers that do not hold a shard in the role, sorted by name.
-func (c *Client) otherKeepers(role *ShardAssignment) []string {
+// othersToAsk returns the known keepers that do not hold a shard in the role, in another order each time, or none if
+// they were asked for the shard's holders within the retry interval: what one call learns, all others know.
+func (c *Client) othersToAsk(shardID uint32, role *ShardAssignment) []string {
+	if !c.mayAskOthers(shardID, time.Now()) {
+		return nil
+	}
 	a, _ := c.assignment()
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(a.Holders())), role.hasHolder)
+	others := slices.DeleteFunc(slices.Collect(maps.Keys(a.Holders())), role.hasHolder)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+// mayAskOthers reports whether the retry interval has passed since the last time that it did, and begins a new one.
+func (c *Client) mayAskOthers(shardID uint32, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.othersAsked[shardID]) < retryInterval {
+		return false
+	}
+	c.othersAsked[shardID] = now
+	return true
 }
 
 // isCutOff reports whether this instance can't reach a keeper that is in touch with others: it reaches no other data
--- a/internal/history/shardcall_test.go
+++ b/internal/history/shardcall_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -95,6 +97,36 @@
 	is.True(took < 5*messageDelay)
 }
 
+// Guards against an outage of one shard that all its waiting calls bring to the other keepers.
+func TestWaitingCallsShareTheQuestionForTheHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		asked := 0
+		var mu sync.Mutex
+		other := answers(historypb.Verdict_MOVED, nil)
+		other.answer = func() (*historypb.ReserveResponse, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			return &historypb.ReserveResponse{Verdict: historypb.Verdict_MOVED}, nil
+		}
+		a, _ := (&ShardAssignment{Ensemble: Ensemble{Epoch: 1, Primary: "a"}}).forAllShards()
+		a.Shards[0].Primary = "c"
+		c := NewClient(scriptedKeepers{"a": ended, "c": other}, func() (Assignment, bool) { return a, true }, &log.Logger{Handler: discard.Default})
+		var calls sync.WaitGroup
+		for n := range 100 {
+			calls.Go(func() {
+				_, err := c.Reserve(context.Background(), gateway.Reservation{Program: "p", Turn: strconv.Itoa(n), MaxOutputTokens: 1, Retain: true})
+				is.True(errors.Is(err, ErrNoKeeperResult))
+			})
+		}
+		calls.Wait()
+		c.Drain(context.Background())
+		is.True(asked > 1)
+		is.True(asked <= int(reserveTimeout/retryInterval)+1)
+	})
+}
+
 // Guards against tries that are all spent within one change of holders: the caller's time allows to wait for its end.
 func TestCallWaitsAsLongAsItsTimeAllows(t *testing.T) {
 	is := is.New(t)
