Holders that drain together hand their shards to one that stays

What callers saw: kept turns of a shard that no later turn could continue, while first turns were served, from the end of two or three keepers that stopped at the same time until one of them was back.

Cause: a draining keeper left a shard as soon as any other holder had all of it, whether that one drained or not. So holders that all drained, and a primary that drained beside one keeper that stayed, changed nothing. The one that stayed was at most the spare backup, which may lack decisions: after the others had ended it had no quorum to recover from. With ten keepers no holder was left at all.

Why it works: a primary that drains serves until a keeper that stays has all of the shard and a backup that stays. Meanwhile it makes those that stay its only backups, so that they have each decision and none is the spare. A keeper that drains takes nothing from a primary that drains, so that two do not take shards from one another.

--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -15,9 +15,7 @@
 	draining := k.isDraining()
 	selector := k.newBackupSelector(&next, assessments)
 	for _, s := range k.shards {
-		// A draining keeper leaves its shards to other complete holders. A shard of which it is the
-		// only complete holder it must replicate first.
-		if draining && k.otherHolderComplete(s, assessments) || !k.mustReassign(s, assessments, now) {
+		if draining && k.leavesToOthers(s, assessments) || !k.mustReassign(s, assessments, now) {
 			continue
 		}
 		role, found := k.nextAssignment(selector, s, assessments, now)
@@ -125,16 +123,6 @@
 	return usable > len(s.role.Backups)
 }
 
-// otherHolderComplete reports whether another holder is live and has all of the shard.
-func (k *Keeper) otherHolderComplete(s *shard, assessments map[string]assessment) bool {
-	for _, name := range s.role.holders() {
-		if name != k.settings.Name && assessments[name].isComplete(int(s.id), s.role.Epoch) {
-			return true
-		}
-	}
-	return false
-}
-
 // withCurrentBackups returns the backups chosen for a shard, and in addition its present complete
 // ones until the chosen are complete. Without them, the primary would be the only complete holder
 // during the state transfers, and its loss would lose committed changes.
--- a/internal/history/leave.go
+++ b/internal/history/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -43,3 +44,26 @@
 	}
 	return true
 }
+
+// leavesToOthers reports whether this keeper, which drains, leaves the holders of a shard to others: to a keeper that stays and
+// can take it over, or to a primary that drains as well. The lock is held.
+//
+// A successor needs all of the shard and a backup. Until there are both, a primary that drains serves its shard, and
+// makes those that stay its only backups: they have all of it when it ends.
+func (k *Keeper) leavesToOthers(s *shard, assessments map[string]assessment) bool {
+	staying := 0
+	for _, o := range assessments {
+		if o.live && !o.ineligible {
+			staying++
+		}
+	}
+	successor := slices.ContainsFunc(s.role.holders(), func(name string) bool {
+		o := assessments[name]
+		return name != k.settings.Name && !o.ineligible && o.isComplete(int(s.id), s.role.Epoch)
+	})
+	if k.isPrimary(s) {
+		return successor && staying > 1
+	}
+	primary := assessments[s.role.Primary]
+	return successor || primary.live && !s.primaryIncomplete(primary)
+}
--- /dev/null
+++ b/internal/history/planned_test.go
@@ -0,0 +1,334 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"foxhall/internal/gateway"
+)
+
+const (
+	// outOfReachLimit bounds how long a retained turn may be out of reach beside planned changes while keepers run: a
+	// caller with two attempts 400 ms apart bears it.
+	outOfReachLimit = time.Second
+	// reachInterval is the time between two turns of a program, randomReachInterval that in random plans, of which there are many.
+	reachInterval       = 100 * time.Millisecond
+	randomReachInterval = 300 * time.Millisecond
+	// fanWidth is the number of turns that continue one turn at once when a change begins.
+	fanWidth = 6
+	// retireLimit bounds the time from an order to retire a keeper until its machine is removed.
+	retireLimit = 20 * time.Second
+)
+
+// plannedChange is a change that operators make to several keepers.
+type plannedChange struct {
+	// Kind is "stop", "retire" or "add".
+	Kind string
+	// First is the first of the keepers, Count their number.
+	First, Count int
+	// Gap is the time between the changes of two keepers, Away that from a keeper's end to its start.
+	Gap, Away time.Duration
+}
+
+// reachRun continues a retained turn of each shard all the time.
+type reachRun struct {
+	*cluster
+	client *Client
+	// interval is the time between two turns of a program.
+	interval time.Duration
+
+	mu       sync.Mutex
+	failures []string
+	// worst is the longest time for which a turn was out of reach while keepers ran.
+	worst time.Duration
+	// tips are the last acknowledged turns, by shard.
+	tips [ShardCount]acknowledgedTurn
+	// noneSince is when the last keeper ended, zero once two run again. noneFor is the time for which that was so before.
+	noneSince time.Time
+	noneFor   time.Duration
+	turnCount int
+	probes    sync.WaitGroup
+}
+
+// programIn returns a program of the shard.
+func programIn(shardID uint32) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprintf("p%d", i); ShardOf(name) == shardID {
+			return name
+		}
+	}
+}
+
+func (r *reachRun) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = append(r.failures, fmt.Sprintf(format, args...))
+}
+
+// countRunning records whether no keeper runs.
+func (r *reachRun) countRunning() {
+	running := 0
+	for _, m := range r.machines {
+		if r.isRunning(m.name) {
+			running++
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case running == 0 && r.noneSince.IsZero():
+		r.noneSince = time.Now()
+	case running >= 2 && !r.noneSince.IsZero():
+		r.noneFor += time.Since(r.noneSince)
+		r.noneSince = time.Time{}
+	}
+}
+
+// servable returns for how long keepers have run since the start of the run.
+func (r *reachRun) servable(began time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	none := r.noneFor
+	if !r.noneSince.IsZero() {
+		none += time.Since(r.noneSince)
+	}
+	return time.Since(began) - none
+}
+
+func (r *reachRun) newTurn() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turnCount++
+	return fmt.Sprintf("turn-%d", r.turnCount)
+}
+
+// continueTurn continues the program's last turn until a reservation succeeds, and bounds the time.
+func (r *reachRun) continueTurn(began time.Time, shardID uint32, previous acknowledgedTurn) (turn string) {
+	for start := r.servable(began); ; time.Sleep(retryInterval) {
+		turn = r.newTurn()
+		reserved, err := r.client.Reserve(context.Background(), gateway.Reservation{
+			Program: programIn(shardID), Turn: turn, Previous: previous.id, MaxOutputTokens: 1, Retention: longRetention, Retain: true,
+		})
+		took := r.servable(began) - start
+		r.mu.Lock()
+		if took > r.worst {
+			r.worst = took
+			r.trace.printf("shard %d: turn out of reach for %v: %v", shardID, took, err)
+		}
+		r.mu.Unlock()
+		switch {
+		case errors.Is(err, gateway.ErrNoSuchTurn):
+			r.fail("acknowledged turn %s reported as missing", previous.id)
+			return turn
+		case err == nil:
+			if took > outOfReachLimit {
+				r.fail("shard %d: turn %q out of reach for %v", shardID, previous.id, took)
+			}
+			if n := len(reserved.Chain); n != len(previous.chain) {
+				r.fail("chain of %d turns, want %d", n, len(previous.chain))
+			}
+			return turn
+		}
+	}
+}
+
+// retainTurns retains turns of a shard one after the other until ctx ends.
+func (r *reachRun) retainTurns(ctx context.Context, shardID uint32) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		previous := r.tips[shardID]
+		r.mu.Unlock()
+		turn := r.continueTurn(began, shardID, previous)
+		retained := &gateway.Turn{ID: turn, Previous: previous.id, Input: []byte(turn), Ended: time.Now()}
+		if len(previous.chain) == chainLength {
+			retained.Previous, previous = "", acknowledgedTurn{}
+		}
+		r.probes.Go(func() {
+			if r.client.Settle(context.Background(), gateway.Settlement{Program: programIn(shardID), Turn: turn, RetainedTurn: retained, Retention: longRetention}) != nil {
+				return
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.tips[shardID] = acknowledgedTurn{id: turn, chain: append(slices.Clone(previous.chain), turn)}
+		})
+		time.Sleep(r.interval)
+	}
+}
+
+// fan continues the last turn of each shard several times at once.
+func (r *reachRun) fan() {
+	began := time.Now()
+	for id := range uint32(ShardCount) {
+		r.mu.Lock()
+		previous := r.tips[id]
+		r.mu.Unlock()
+		for range fanWidth {
+			r.probes.Go(func() {
+				turn := r.continueTurn(began, id, previous)
+				_ = r.client.Settle(context.Background(), gateway.Settlement{Program: programIn(id), Turn: turn, Retention: longRetention})
+			})
+		}
+	}
+}
+
+// change makes a planned change of one keeper and returns when the keeper is back.
+func (r *reachRun) change(c plannedChange, m *machine) {
+	r.fan()
+	switch c.Kind {
+	case "add":
+		r.setRegistered(m.name, true)
+	case "retire":
+		r.setRetiringToo(m.name, true)
+		for start := time.Now(); !m.process.keeper.Drained(); time.Sleep(reconcileInterval) {
+			if time.Since(start) > retireLimit {
+				r.fail("%s not drained within %v", m.name, retireLimit)
+				break
+			}
+		}
+		m.exit()
+		m.wipe()
+		r.setRetiringToo(m.name, false)
+		time.Sleep(c.Away)
+	case "stop":
+		ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+		defer cancel()
+		m.process.keeper.HandOff(ctx)
+		m.exit()
+		r.trace.printf("%s ended", m.name)
+		time.Sleep(c.Away)
+	}
+	m.restart()
+}
+
+// runPlanned runs planned changes one after the other, each until it is complete.
+func runPlanned(cl *cluster, interval time.Duration, plan []plannedChange) *reachRun {
+	r := &reachRun{cluster: cl, interval: interval, client: cl.client(entryIn(north))}
+	for _, m := range cl.machines {
+		if cl.isRegistered(m.name) {
+			m.start()
+		}
+	}
+	time.Sleep(convergenceTime)
+	ctx, end := context.WithCancel(context.Background())
+	for id := range uint32(ShardCount) {
+		r.probes.Go(func() { r.retainTurns(ctx, id) })
+	}
+	r.probes.Go(func() {
+		for ; ctx.Err() == nil; sleep(ctx, messageDelay) {
+			r.countRunning()
+		}
+	})
+	r.probes.Go(func() {
+		for ; ctx.Err() == nil; sleep(ctx, mirrorDelay) {
+			r.client.AssignmentChanged()
+		}
+	})
+	time.Sleep(time.Second)
+	for _, c := range plan {
+		r.trace.printf("%+v", c)
+		var changes sync.WaitGroup
+		for n := range c.Count {
+			m := cl.machines[(c.First+n)%len(cl.machines)]
+			if n > 0 {
+				time.Sleep(c.Gap)
+			}
+			if !cl.isRunning(m.name) == (c.Kind == "add") {
+				changes.Go(func() { r.change(c, m) })
+			}
+		}
+		changes.Wait()
+		time.Sleep(convergenceTime)
+	}
+	end()
+	r.probes.Wait()
+	r.stopAll()
+	time.Sleep(releaseTimeout)
+	return r
+}
+
+// newPlannedCluster returns a cluster of keepers in three data centres, of which the last ones are added later.
+func newPlannedCluster(t *testing.T, keepers, added int) *cluster {
+	cl := newCluster(t, keepers+added, 1)
+	for i, m := range cl.machines {
+		m.dataCentre = []string{east, west, north}[i%3]
+		cl.setRegistered(m.name, i < keepers)
+	}
+	return cl
+}
+
+// plannedRows returns the planned changes of a system of keepers.
+func plannedRows(keepers int) []plannedChange {
+	const ms = time.Millisecond
+	rows := []plannedChange{
+		{Kind: "add", First: keepers, Count: 1}, {Kind: "retire", Count: keepers - 2, Gap: 250 * ms, Away: 300 * ms},
+		{Kind: "stop", Count: keepers, Gap: 1000 * ms, Away: 300 * ms}, {Kind: "stop", Count: keepers, Away: 300 * ms},
+	}
+	for count := 1; count <= min(keepers, 4); count++ {
+		rows = append(rows, plannedChange{Kind: "stop", Count: count, Away: 3000 * ms})
+		if count > 1 && keepers < 10 {
+			rows = append(rows, plannedChange{Kind: "stop", Count: count, Gap: 250 * ms, Away: 3000 * ms})
+		}
+	}
+	return rows
+}
+
+// Guards against retained turns that no turn can continue for a second and more while keepers drain, retire, return or are
+// added as planned.
+func TestPlannedChangesKeepTurnsInReach(t *testing.T) {
+	for _, keepers := range []int{3, 4, 10} {
+		for _, row := range plannedRows(keepers) {
+			t.Run(fmt.Sprintf("%d keepers %s %d gap %v away %v", keepers, row.Kind, row.Count, row.Gap, row.Away), func(t *testing.T) {
+				var r *reachRun
+				synctest.Test(t, func(t *testing.T) {
+					r = runPlanned(newPlannedCluster(t, keepers, 1), reachInterval, []plannedChange{row})
+				})
+				t.Logf("out of reach for %v at most, %d turns", r.worst, r.turnCount)
+				if len(r.failures) > 0 {
+					t.Log(strings.Join(r.trace.lines, "\n"))
+					t.Fatalf("%d failures: %v", len(r.failures), r.failures[:min(3, len(r.failures))])
+				}
+			})
+		}
+	}
+}
+
+func drawPlannedChange(rt *rapid.T) plannedChange {
+	ms := func(name string, from, to int) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(rt, name)) * time.Millisecond
+	}
+	return plannedChange{
+		Kind:  rapid.SampledFrom([]string{"stop", "stop", "stop", "retire", "add"}).Draw(rt, "kind"),
+		First: rapid.IntRange(0, 9).Draw(rt, "first"), Count: rapid.IntRange(1, 10).Draw(rt, "count"),
+		Gap: ms("gap", 0, 2000), Away: ms("away", 100, 4000),
+	}
+}
+
+// TestRandomPlannedChangesKeepTurnsInReach is the same with random changes, one beside the return from another.
+func TestRandomPlannedChangesKeepTurnsInReach(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		keepers := rapid.SampledFrom([]int{3, 4, 10}).Draw(rt, "keepers")
+		plan := rapid.SliceOfN(rapid.Custom(drawPlannedChange), 1, 2).Draw(rt, "plan")
+		for i := range plan {
+			plan[i].Count = min(plan[i].Count, keepers)
+			if plan[i].Kind == "retire" {
+				plan[i].Count = min(plan[i].Count, keepers-2)
+			}
+		}
+		var r *reachRun
+		synctest.Test(t, func(t *testing.T) { r = runPlanned(newPlannedCluster(t, keepers, 1), randomReachInterval, plan) })
+		if len(r.failures) > 0 {
+			t.Log(strings.Join(r.trace.lines, "\n"))
+			rt.Fatalf("%v", r.failures[:min(3, len(r.failures))])
+		}
+	})
+}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -84,8 +84,11 @@
 	// datagramLossRate is the share of datagrams that are lost, as drawn by random.
 	datagramLossRate float64
 	random           *rand.Rand
-	// retiringKeeper names the keeper that operators want drained.
+	// retiringKeeper names the keeper that operators want drained, alsoRetiring further ones.
 	retiringKeeper string
+	alsoRetiring   map[string]bool
+	// unregistered names the machines that aren't part of the system yet.
+	unregistered map[string]bool
 	// copies are the copies in the store, by name.
 	copies map[string][]byte
 }
@@ -111,10 +114,13 @@
 	ctx    context.Context
 	kill   context.CancelFunc
 	done   chan struct{}
+	// connections ends when the process exits and closes its connections.
+	connections      context.Context
+	closeConnections context.CancelFunc
 }
 
 func newCluster(t *testing.T, keepers, maxDiskFailures int) *cluster {
-	cl := &cluster{t: t, maxDiskFailures: maxDiskFailures, dir: t.TempDir(), linksDown: map[[2]string]bool{}, copies: map[string][]byte{}, unresponsiveEntries: map[string]bool{}, random: rand.New(rand.NewPCG(1, 2)), trace: &trace{start: time.Now()}}
+	cl := &cluster{t: t, maxDiskFailures: maxDiskFailures, dir: t.TempDir(), linksDown: map[[2]string]bool{}, copies: map[string][]byte{}, unresponsiveEntries: map[string]bool{}, alsoRetiring: map[string]bool{}, unregistered: map[string]bool{}, random: rand.New(rand.NewPCG(1, 2)), trace: &trace{start: time.Now()}}
 	for i := range keepers {
 		name := string(rune('a' + i))
 		m := &machine{cluster: cl, name: name, dataCentre: "dc-" + name, dir: filepath.Join(cl.dir, name)}
@@ -165,6 +171,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{keeper: k, ctx: ctx, kill: cancel, done: make(chan struct{})}
+	p.connections, p.closeConnections = context.WithCancel(context.Background())
 	cl.mu.Lock()
 	m.process = p
 	cl.mu.Unlock()
@@ -196,6 +203,17 @@
 	m.stopLocked()
 }
 
+// exit ends the process as a planned stop does: callers notice at once that their connections are closed.
+func (m *machine) exit() {
+	m.cluster.mu.Lock()
+	p := m.process
+	m.cluster.mu.Unlock()
+	if p != nil {
+		p.closeConnections()
+	}
+	m.stop()
+}
+
 func (m *machine) stopLocked() {
 	m.cluster.mu.Lock()
 	p := m.process
@@ -256,6 +274,9 @@
 func (cl *cluster) candidates() []Candidate {
 	var list []Candidate
 	for _, m := range cl.machines {
+		if !cl.isRegistered(m.name) {
+			continue
+		}
 		list = append(list, Candidate{Name: m.name, DataCentre: m.dataCentre})
 	}
 	return list
@@ -320,8 +341,14 @@
 	if p == nil {
 		return zero, syscall.ECONNREFUSED
 	}
-	response, err := f(ctx, p.keeper)
+	connected, disconnect := context.WithCancel(ctx)
+	defer disconnect()
+	defer context.AfterFunc(p.connections, disconnect)()
+	response, err := f(connected, p.keeper)
 	sleep(ctx, messageDelay)
+	if p.connections.Err() != nil {
+		return zero, syscall.ECONNRESET
+	}
 	if cl.isLinkDown(from, to) || p.ctx.Err() != nil || target.waitWhilePaused(ctx) != nil || ctx.Err() != nil {
 		return noResponse()
 	}
@@ -438,7 +465,27 @@
 func (cl *cluster) isRetiring(name string) bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	return cl.retiringKeeper == name
+	return cl.retiringKeeper == name || cl.alsoRetiring[name]
+}
+
+// setRetiringToo orders a keeper drained beside others, or ends that.
+func (cl *cluster) setRetiringToo(name string, retiring bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.alsoRetiring[name] = retiring
+}
+
+// setRegistered adds a machine to the system, or leaves it out.
+func (cl *cluster) setRegistered(name string, registered bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.unregistered[name] = !registered
+}
+
+func (cl *cluster) isRegistered(name string) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return !cl.unregistered[name]
 }
 
 func (cl *cluster) entriesUnresponsive(dataCentre string) bool {
