A replica's response without a proper status ends its attempt at once

Cause: http.ReadResponse takes any three characters that parse as a number and any HTTP version; the pool skipped all below 200 as interim responses and had no upper bound. Bytes that are no response and fewer than 8 were waited for by the look at the version.

The status line is now checked as soon as its beginning has arrived, in one place: HTTP/1.0 or 1.1, one space, three digits, a space or the end; 100 to 199 but 101 are interim (RFC 9110, 15.2; three at most, as before), 200 to 599 answers. Everything else, and what the parser refuses, is ErrMalformed: the connection is closed, the verdict is "spoiled" (the replica may have run the call, its headers count for nothing), the route's attempts decide on another one, the replica's error rate grows. A hedge with 600 took over before.

No check is changed.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -260,7 +260,12 @@
 	if c.slow {
 		unit, pause = c.kind.unit, slowPause
 	}
-	faulty, err := newScriptedServer(func(conn net.Conn) { sendEndlessly(conn, c.kind.prefix, unit, pause) })
+	return newFaultyTest(c.route, func(conn net.Conn) { sendEndlessly(conn, c.kind.prefix, unit, pause) }, upstreams...)
+}
+
+// newFaultyTest returns a gateway whose faulty replica runs script.
+func newFaultyTest(route routing.Route, script func(net.Conn), upstreams ...string) (*endlessTest, error) {
+	faulty, err := newScriptedServer(script)
 	if err != nil {
 		return nil, err
 	}
@@ -268,13 +273,13 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endlessTest{faulty: faulty, sound: sound, budget: buffer.NewBudget(endlessBudget, metrics.NewRegistry()), timeout: c.route.Timeout}
+	e := &endlessTest{faulty: faulty, sound: sound, budget: buffer.NewBudget(endlessBudget, metrics.NewRegistry()), timeout: route.Timeout}
 	e.replicas = &connectedReplicas{faulty: faulty.address(), sound: sound.address(), pools: map[Target]*httpconn.Pool{}}
 	service := routing.Service{Name: "s"}
-	if c.route.Kind == routing.Stream {
+	if route.Kind == routing.Stream {
 		service.Engine = &routing.Engine{TokensPerEvent: 2}
 	}
-	e.testGateway = newTestGateway(service, nil, Settings{Buffers: e.budget}, c.route, nil)
+	e.testGateway = newTestGateway(service, nil, Settings{Buffers: e.budget}, route, nil)
 	e.gateway.replicas = e.replicas
 	if len(upstreams) > 0 {
 		e.retain(upstreams)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"foxhall/internal/buffer"
+	"foxhall/internal/httpconn"
 	"foxhall/internal/routing"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
@@ -228,7 +229,7 @@
 // and gets ever more calls since nothing is held against it.
 func (f *inFlightCall) reportFailure(ctx context.Context, a *attemptState, v verdict) {
 	failure := failureOfVerdict(v)
-	if v == invalidResponse && a.response != nil && failureOf(a.response.Status) != nil {
+	if v == invalidResponse && (errors.Is(a.err, httpconn.ErrMalformed) || a.response != nil && failureOf(a.response.Status) != nil) {
 		failure.Kind = upstream.Errored
 	}
 	switch {
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -29,7 +29,8 @@
 	notSent
 	// responseLost: the call was sent and no response arrived; it may have run.
 	responseLost
-	// invalidResponse: the call ran and its response can't be used.
+	// invalidResponse: the call ran and its response can't be used, or it may have run and what the replica sent is no
+	// response.
 	invalidResponse
 	// oversizedResponse: the call ran and a part of its response exceeded a bound on memory.
 	oversizedResponse
@@ -68,6 +69,8 @@
 		return notSent
 	case errors.Is(err, httpconn.ErrHeaderTooLarge):
 		return oversizedResponse
+	case errors.Is(err, httpconn.ErrMalformed):
+		return invalidResponse
 	case a.supersededInDataCentreSilence(), errors.Is(err, httpconn.ErrUnresponsive), netdial.IsUnresponsive(err):
 		return unresponsive
 	default:
--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -42,6 +42,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	if err := c.peekStatusLine(); err != nil {
+		return nil, err
+	}
 	if c.holdsOldChunks() {
 		return nil, errOldChunks
 	}
@@ -55,7 +58,8 @@
 // holdsOldChunks reports whether the response that is read next is of HTTP/1.0 and states a Transfer-Encoding,
 // or has a header beyond the buffer. An error of the reading is left to the parser.
 func (c *conn) holdsOldChunks() bool {
-	if version, _ := c.reader.Peek(len(oldVersion)); !bytes.Equal(version, oldVersion) {
+	// The status line was looked at, so that its version is in the buffer.
+	if version, _ := c.reader.Peek(min(len(oldVersion), c.reader.Buffered())); !bytes.Equal(version, oldVersion) {
 		return false
 	}
 	for {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -206,10 +206,12 @@
 	defer c.limited.unlimit()
 	response, err := c.parseHeader(request)
 	switch {
-	case err == nil, errors.Is(err, errSecondStatusLine), errors.Is(err, errOldChunks):
+	case err == nil, errors.Is(err, ErrMalformed), errors.Is(err, errSecondStatusLine), errors.Is(err, errOldChunks):
 		return response, err
 	case errors.Is(c.limited.err, ErrHeaderTooLarge):
 		return nil, ErrHeaderTooLarge
+	case c.limited.err == nil: // the parser refuses what has arrived
+		return nil, errors.Wrap(ErrMalformed, err.Error())
 	case begun || c.limited.remaining < maxHeaderBytes:
 		return nil, c.withCut(CutHeader, c.strayLost(err))
 	default:
