Clients on net/http refuse responses without a proper status

Seen by the tests here: a tool's 000, 099, 101, 600 or 999 became the step's result, or a refusal by its header; an engine's 000 with "not run" proved a call not run, so that it may run twice; the store's 000 counted as success of a delete and of a status, since everything below 300 did.

Cause: net/http's transport returns any status of three digits, and any HTTP version, as the answer. httpconn.NewTransport applies the rule of the replicas' client to all of them: tools, engines, both clients of the store, peers, instances, relayed calls, load. The connection is closed: that of a response without a body is idle by then, so that the transport closes its idle ones.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/httpconn"
 )
 
 const (
@@ -27,7 +29,8 @@
 
 // Client calls engines over HTTP. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http      *http.Client
+	transport *http.Transport
 }
 
 // NewClient returns a client with its own connection pool.
@@ -38,13 +41,13 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: httpconn.NewTransport(transport)}, transport: transport}
 }
 
 // SetDialer replaces the client's dial function. It must be called before the first call. Tests
 // use it to run the client on a simulated network with faults.
 func (c *Client) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.http.Transport.(*http.Transport).DialContext = dial
+	c.transport.DialContext = dial
 }
 
 // Close closes the idle connections.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"github.com/labstack/echo/v4"
 
+	"foxhall/internal/httpconn"
 	"foxhall/internal/peer"
 	"foxhall/internal/program"
 	"foxhall/internal/step"
@@ -48,12 +49,12 @@
 		dial = (&net.Dialer{Timeout: relayDialTimeout}).DialContext
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpconn.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/httpconn/bounded.go
+++ b/internal/httpconn/bounded.go
@@ -16,18 +16,18 @@
 // counts the bodies that exceed the bound; reading them fails with ErrBodyTooLarge.
 func NewBoundedTransport(t *http.Transport, maxBody int64, oversized metrics.Counter) http.RoundTripper {
 	t.MaxResponseHeaderBytes = maxHeaderBytes
-	return &boundedTransport{base: t, maxBody: maxBody, oversized: oversized}
+	return &boundedTransport{strictTransport: strictTransport{t}, maxBody: maxBody, oversized: oversized}
 }
 
 type boundedTransport struct {
-	base      *http.Transport
+	strictTransport
 	maxBody   int64
 	oversized metrics.Counter
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(r)
+	response, err := t.strictTransport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
@@ -35,9 +35,6 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the connections that are not in use, see http.Client.
-func (t *boundedTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
-
 // BoundBody returns a body of which limit bytes can be read. If there are more, reading fails with
 // ErrBodyTooLarge, which oversized counts.
 func BoundBody(body io.ReadCloser, limit int64, oversized metrics.Counter) io.ReadCloser {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -20,6 +20,7 @@
 
 	"foxhall/internal/chat"
 	"foxhall/internal/entry"
+	"foxhall/internal/httpconn"
 	"foxhall/internal/step"
 )
 
@@ -37,7 +38,7 @@
 // NewClientWithDialer is like NewClient, with connections opened by dial; nil stands for TCP.
 func NewClientWithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error), targets []string, key string) *Client {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256}
-	return &Client{targets: targets, key: key, http: &http.Client{Transport: transport}}
+	return &Client{targets: targets, key: key, http: &http.Client{Transport: httpconn.NewTransport(transport)}}
 }
 
 // Close closes the idle connections.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"foxhall/internal/httpconn"
 	"foxhall/internal/peer/peerpb"
 )
 
@@ -26,12 +27,13 @@
 
 // Client calls other instances.
 type Client struct {
-	http     *http.Client
-	secret   string
-	timeout  time.Duration
-	stubs    *lru.Cache[string, peerpb.Peer]
-	registry metrics.Registry
-	failures metrics.Counter
+	http      *http.Client
+	transport *http.Transport
+	secret    string
+	timeout   time.Duration
+	stubs     *lru.Cache[string, peerpb.Peer]
+	registry  metrics.Registry
+	failures  metrics.Counter
 }
 
 // NewClient returns a client that authenticates with the secret. timeout applies to calls whose
@@ -50,19 +52,20 @@
 		panic(err) // the size is a positive constant
 	}
 	return &Client{
-		http:     &http.Client{Transport: transport},
-		secret:   secret,
-		timeout:  timeout,
-		stubs:    cache,
-		registry: registry,
-		failures: metrics.GetOrRegisterCounter("peer.client.failures", registry),
+		http:      &http.Client{Transport: httpconn.NewTransport(transport)},
+		transport: transport,
+		secret:    secret,
+		timeout:   timeout,
+		stubs:     cache,
+		registry:  registry,
+		failures:  metrics.GetOrRegisterCounter("peer.client.failures", registry),
 	}
 }
 
 // SetDialer replaces the function that opens connections. It must be called before the first
 // call. Tests use it to run the client on a network with injected faults.
 func (c *Client) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.http.Transport.(*http.Transport).DialContext = dial
+	c.transport.DialContext = dial
 }
 
 // Close closes the idle connections.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/httpconn"
 )
 
 // Headers and paths of the object API.
@@ -34,9 +36,10 @@
 
 // HTTP is a Client that calls the object API at one address over HTTP.
 type HTTP struct {
-	base    string
-	client  *http.Client
-	timeout time.Duration
+	base      string
+	client    *http.Client
+	transport *http.Transport
+	timeout   time.Duration
 }
 
 // NewHTTP returns a client of the object API at base, which is a URL without a path. The timeout
@@ -47,13 +50,13 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &HTTP{base: base, client: &http.Client{Transport: transport}, timeout: timeout}
+	return &HTTP{base: base, client: &http.Client{Transport: httpconn.NewTransport(transport)}, transport: transport, timeout: timeout}
 }
 
 // SetDialer replaces the function that dials connections. It must be called before the first call.
 // Tests use it to run the client over a simulated network with faults.
 func (h *HTTP) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	h.client.Transport.(*http.Transport).DialContext = dial
+	h.transport.DialContext = dial
 }
 
 // Close closes the idle connections.
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -72,6 +72,7 @@
 	// pooled reuses connections. unpooled does not, which calls that must not be repeated need.
 	pooled       *http.Client
 	unpooled     *http.Client
+	transports   []*http.Transport
 	maxBodyBytes int64
 }
 
@@ -86,8 +87,9 @@
 	// a connection never resends.
 	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true}
 	return &Client{
-		pooled:       &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
-		unpooled:     &http.Client{Transport: unpooled, CheckRedirect: returnRedirect},
+		pooled:       &http.Client{Transport: httpconn.NewTransport(pooled), CheckRedirect: returnRedirect},
+		unpooled:     &http.Client{Transport: httpconn.NewTransport(unpooled), CheckRedirect: returnRedirect},
+		transports:   []*http.Transport{pooled, unpooled},
 		maxBodyBytes: maxBodyBytes,
 	}
 }
@@ -95,8 +97,9 @@
 // SetDialer replaces the client's dial function. It must be called before the first call. Tests
 // use it to run the client on a simulated network with faults.
 func (c *Client) SetDialer(dial dialFunc) {
-	c.pooled.Transport.(*http.Transport).DialContext = reportingResets(dial)
-	c.unpooled.Transport.(*http.Transport).DialContext = reportingResets(dial)
+	for _, t := range c.transports {
+		t.DialContext = reportingResets(dial)
+	}
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
