A backup is sent what waits for it in parts that fit the time of a call

Callers saw: 503 "no keeper of the shard gave a result in time" after 1.8 s, first turns and continuing ones alike, while a burst of large turns is replicated over a link of a few MB/s.

Cause: a primary sent a backup all that was pending for it, of all shards, in one append, bounded by 600 ms whatever its size. What did not fit was sent again whole, with what had come since, until the commits were 10 s old and a state transfer replaced them; from 16 MB on the backup refuses the body.

It was not seen to occur on real processes.

An append now has 1 MB of records at the most, or one larger commit, so that each call makes progress. The shards that wait share it and take turns, so that none waits for all that others have pending. The order within a shard is as before. A backup is declared complete only with the last pending commit, as before.

--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"foxhall/internal/history/historypb"
 )
 
@@ -16,6 +18,10 @@
 // transfer, too: it may have removed the turn that a late one continues.
 const maxPendingAge = retentionMargin / 2
 
+// maxAppendBytes is the approximate size in bytes of the records in one append. An append that does not fit into
+// appendTimeout on the link would be sent again and again.
+const maxAppendBytes = 1 << 20
+
 // backupStream is the primary's replication stream to one backup of a shard.
 type backupStream struct {
 	// disk is the name of the backup's disk, if known.
@@ -76,6 +82,7 @@
 // runSender sends pending commits to one backup in batches. Commits that are not acknowledged are
 // sent again as long as this keeper is the primary.
 func (k *Keeper) runSender(ctx context.Context, backup string, wake chan struct{}) {
+	first := 0
 	for {
 		select {
 		case <-wake:
@@ -83,10 +90,11 @@
 			return
 		}
 		for ctx.Err() == nil {
-			request, sent := k.nextAppend(backup)
+			request, sent := k.nextAppend(backup, first)
 			if request == nil {
 				break
 			}
+			first = int(request.Slices[len(request.Slices)-1].Slice) + 1
 			if !k.sendAppend(ctx, backup, request, sent) {
 				time.Sleep(appendRetryInterval)
 			}
@@ -94,33 +102,65 @@
 	}
 }
 
-// nextAppend returns the request with all that is pending for a backup, and the commits of each
-// shard in it. The request is nil if nothing is pending.
-func (k *Keeper) nextAppend(backup string) (*historypb.AppendRequest, map[uint32][]*pendingCommit) {
+// nextAppend returns the request with what is pending for a backup, up to maxAppendBytes, and the commits of each shard
+// in it. The shards share the request, beginning with the shard first, so that none has to wait for what others have
+// pending. The request is nil if nothing is pending.
+func (k *Keeper) nextAppend(backup string, first int) (*historypb.AppendRequest, map[uint32][]*pendingCommit) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	request := &historypb.AppendRequest{From: k.settings.Name}
 	sent := map[uint32][]*pendingCommit{}
+	waiting := k.shardsToSend(backup, first)
+	size := 0
+	for _, s := range waiting {
+		if size >= maxAppendBytes {
+			break
+		}
+		l := s.streams[backup]
+		commits, records, bytes := l.next(maxAppendBytes / len(waiting))
+		size += bytes
+		sent[s.id] = commits
+		request.Slices = append(request.Slices, &historypb.SliceAppend{
+			Slice: s.id, Epoch: s.role.Epoch, Disk: l.disk, Records: records, Complete: l.declareComplete && len(commits) == len(l.pending),
+		})
+	}
+	if len(request.Slices) == 0 {
+		return nil, nil
+	}
+	return request, sent
+}
+
+// shardsToSend returns the shards that have something to send to a backup, in the order of their ids from first on; the
+// lock is held.
+func (k *Keeper) shardsToSend(backup string, first int) []*shard {
+	var waiting []*shard
 	now := time.Now()
-	for _, s := range k.shards {
+	for i := range ShardCount {
+		s := k.shards[(first+i)%ShardCount]
 		l := s.streams[backup]
 		if l != nil && l.isOverdue(now) {
 			l.discard()
 		}
-		if l == nil || len(l.pending) == 0 && !l.declareComplete || !k.isPrimary(s) {
-			continue
-		}
-		a := &historypb.SliceAppend{Slice: s.id, Epoch: s.role.Epoch, Disk: l.disk, Complete: l.declareComplete}
-		for _, e := range l.pending {
-			a.Records = append(a.Records, e.records...)
+		if l != nil && (len(l.pending) > 0 || l.declareComplete) && k.isPrimary(s) {
+			waiting = append(waiting, s)
 		}
-		sent[s.id] = slices.Clone(l.pending)
-		request.Slices = append(request.Slices, a)
 	}
-	if len(request.Slices) == 0 {
-		return nil, nil
+	return waiting
+}
+
+// next returns the oldest pending commits and their records, with the size of these in bytes: the first commit, and
+// more until the size reaches limit.
+func (l *backupStream) next(limit int) (commits []*pendingCommit, records []*historypb.Record, size int) {
+	for _, e := range l.pending {
+		if size >= limit {
+			break
+		}
+		for _, r := range e.records {
+			size += proto.Size(r)
+		}
+		commits, records = append(commits, e), append(records, e.records...)
 	}
-	return request, sent
+	return commits, records, size
 }
 
 func (k *Keeper) sendAppend(ctx context.Context, backup string, r *historypb.AppendRequest, sent map[uint32][]*pendingCommit) bool {
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -81,6 +81,8 @@
 	// transferredBytes counts the bytes of records and inventories that keepers send each other.
 	transferredBytes atomic.Int64
 	statusRequests   atomic.Int64
+	// linkBytesPerSecond is the rate of the link of each keeper to the others; 0 for no limit.
+	linkBytesPerSecond int64
 	// datagramLossRate is the share of datagrams that are lost, as drawn by random.
 	datagramLossRate float64
 	random           *rand.Rand
@@ -103,6 +105,10 @@
 	// process is paused, and is closed when it resumes.
 	process *process
 	paused  chan struct{}
+
+	// sendingMu guards linkFreeAt, when the link will have sent all messages.
+	sendingMu  sync.Mutex
+	linkFreeAt time.Time
 }
 
 // process is one incarnation of a keeper.
@@ -335,10 +341,39 @@
 	}
 	m.cluster.transferredBytes.Add(int64(proto.Size(r)))
 	return call(ctx, m.cluster, m.name, name, func(ctx context.Context, k *Keeper) (*historypb.AppendResponse, error) {
+		if err := m.transmit(ctx, proto.Size(r)); err != nil {
+			return nil, err
+		}
 		return k.Append(ctx, r)
 	})
 }
 
+// transmit waits for as long as the link takes for a message. Messages that are sent at once share the link.
+func (m *machine) transmit(ctx context.Context, size int) error {
+	if m.cluster.linkBytesPerSecond == 0 {
+		return nil
+	}
+	m.sendingMu.Lock()
+	took := time.Duration(size) * time.Second / time.Duration(m.cluster.linkBytesPerSecond)
+	now := time.Now()
+	if m.linkFreeAt.Before(now) {
+		m.linkFreeAt = now
+	}
+	sent := m.linkFreeAt.Add(took)
+	deadline, bounded := ctx.Deadline()
+	inTime := !bounded || sent.Before(deadline)
+	if !inTime {
+		sent = deadline // the rest is not sent
+	}
+	m.linkFreeAt = sent
+	m.sendingMu.Unlock()
+	sleep(ctx, time.Until(sent))
+	if !inTime {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
 // Status implements Peers.
 func (m *machine) Status(ctx context.Context, name string, r *historypb.StatusRequest) (*historypb.StatusResponse, error) {
 	m.cluster.statusRequests.Add(1)
