A keeper that starts leaves its log as it is

Callers saw: the longer the chains, the longer a keeper that stops as planned is away, and with it one holder of each of its shards.

Cause: each start read the log and then encoded, wrote and synced all that is retained before the keeper was there.

A start appends the record of its number, and rewrites the log only if a part of it could not be read, or if it has 16 segments. The writer compacts it later by the same rule as always. What was read is synced first: a process that was killed may have left records that are not durable, and inventories state that all are. No test cuts the power between such a kill and a sync.

TestStartLeavesALogAsItIs does not compile on the code before; go test -race ./internal/history without the random tests: all pass.

--- a/internal/history/compaction.go
+++ b/internal/history/compaction.go
@@ -14,6 +14,8 @@
 const (
 	// snapshotName is the name of a snapshot while it is written. It becomes a segment once it is durable.
 	snapshotName = "snapshot.tmp"
+	// maxSegmentsAtStart is the number of segments from which on a start compacts the log.
+	maxSegmentsAtStart = 16
 	// compactionRetryInterval is the pause after a failed compaction.
 	compactionRetryInterval = 5 * time.Second
 )
@@ -121,6 +123,23 @@
 	return l.snapshotSize+l.appended >= maxSegmentSize && l.appended >= min(l.snapshotSize, maxSegmentSize)
 }
 
+// beginLog makes this start of the keeper durable. It leaves the log as it is where it can, since what rewriting takes
+// grows with what is retained. The writer compacts it later.
+func (k *Keeper) beginLog() error {
+	if len(k.log.damages) > 0 || k.log.segments >= maxSegmentsAtStart {
+		return k.log.compact(k.snapshotRecords())
+	}
+	now := time.Now()
+	for _, s := range k.shards {
+		k.expireShard(s, now)
+	}
+	framed, err := appendFrame(nil, k.diskRecord())
+	if err != nil {
+		return err
+	}
+	return k.log.write(framed)
+}
+
 // compactIfLarge starts a compaction if the log is large and none is running. Only the writer calls it.
 func (k *Keeper) compactIfLarge(ctx context.Context) {
 	if k.compaction != nil {
--- a/internal/history/compaction_test.go
+++ b/internal/history/compaction_test.go
@@ -134,6 +134,34 @@
 	is.True(os.IsNotExist(err))
 }
 
+// Guards against starts that take the longer, the more is retained, and against a log of ever more segments.
+func TestStartLeavesALogAsItIs(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	writeTestSegment(t, dir, 100)
+	whole, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf(segmentNameFormat, 1)))
+	is.NoErr(err)
+	disk, starts := "", uint64(0)
+	for i := range 2 * maxSegmentsAtStart {
+		k, err := Open(Settings{Name: "k", LogDir: dir, Logger: &log.Logger{Handler: discard.Default}}, nil, nil)
+		is.NoErr(err)
+		if i == 0 {
+			disk = k.disk
+			kept, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf(segmentNameFormat, 1)))
+			is.NoErr(err)
+			is.Equal(len(kept), len(whole))
+			is.True(k.log.size < 1<<10)
+		}
+		is.Equal(k.disk, disk)
+		is.Equal(k.diskStarts, starts+1)
+		starts = k.diskStarts
+		segments, err := listSegments(dir)
+		is.NoErr(err)
+		is.True(len(segments) <= maxSegmentsAtStart)
+		is.NoErr(k.log.close())
+	}
+}
+
 // turnsOnDisk returns the ids of the turns of a log in order.
 func turnsOnDisk(t *testing.T, dir string) []string {
 	ids := map[string]bool{}
--- a/internal/history/disk.go
+++ b/internal/history/disk.go
@@ -48,8 +48,9 @@
 	// torn means that a write failed, so that the segment may end within a record. What follows there
 	// would not be read again.
 	torn bool
-	// damages are the parts of segments that could not be read at the start.
-	damages []damage
+	// damages are the parts of segments that could not be read at the start, segments is how many there were.
+	damages  []damage
+	segments int
 }
 
 // damage is a part of a segment that is not a record as it was written.
@@ -95,12 +96,14 @@
 	}
 	l := &diskLog{dir: dir, open: createSegment}
 	for _, n := range numbers {
-		damages, err := readSegment(l.segmentPath(n), len(l.damages) > 0, visit)
+		damages, size, err := readSegment(l.segmentPath(n), len(l.damages) > 0, visit)
 		if err != nil {
 			return nil, err
 		}
 		l.segment, l.damages = n, append(l.damages, damages...)
+		l.appended += size
 	}
+	l.segments = len(numbers)
 	return l, l.startSegment()
 }
 
@@ -138,26 +141,29 @@
 	return nil
 }
 
-// readSegment calls visit for every record of a segment; behindDamage tells that an earlier segment has damages. It
+// readSegment calls visit for every record of a segment, and returns its size; behindDamage tells that an earlier segment has damages. It
 // holds one record at a time: the keeper's memory is sized for what it retains, not for its log beside it.
-func readSegment(path string, behindDamage bool, visit func(*historypb.Record)) ([]damage, error) {
+func readSegment(path string, behindDamage bool, visit func(*historypb.Record)) (damages []damage, size int64, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "history")
+		return nil, 0, errors.Wrap(err, "history")
 	}
 	defer file.Close()
+	// A process that was killed may have left records that are not durable. They count as such from now on.
+	if err := file.Sync(); err != nil {
+		return nil, 0, errors.Wrap(err, "history")
+	}
 	info, err := file.Stat()
 	if err != nil {
-		return nil, errors.Wrap(err, "history")
+		return nil, 0, errors.Wrap(err, "history")
 	}
 	frames := &frameReader{reader: bufio.NewReaderSize(file, replayBufferSize), remaining: info.Size()}
-	var damages []damage
 	for frames.remaining > 0 {
 		at := info.Size() - frames.remaining
 		r, err := frames.next()
 		switch {
 		case err != nil:
-			return nil, errors.Wrap(err, "history")
+			return nil, 0, errors.Wrap(err, "history")
 		case r == nil:
 			if last := len(damages) - 1; last >= 0 && damages[last].following == 0 {
 				at, damages = damages[last].at, damages[:last]
@@ -172,7 +178,7 @@
 		}
 		visit(r)
 	}
-	return damages, nil
+	return damages, info.Size(), nil
 }
 
 // frameReader reads the records of a segment.
--- a/internal/history/disk_test.go
+++ b/internal/history/disk_test.go
@@ -89,7 +89,7 @@
 			is := is.New(t)
 			is.NoErr(os.WriteFile(path, torn, 0o600))
 			visited := 0
-			_, err := readSegment(path, false, func(*historypb.Record) { visited++ })
+			_, _, err := readSegment(path, false, func(*historypb.Record) { visited++ })
 			is.NoErr(err)
 			is.Equal(visited, 2)
 		})
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -223,7 +223,7 @@
 	for _, s := range k.shards {
 		s.state.diskStarts = k.diskStarts
 	}
-	if err := l.compact(k.snapshotRecords()); err != nil {
+	if err := k.beginLog(); err != nil {
 		return nil, err
 	}
 	return k, nil
