Keepers that start take over at refused connections sooner

What callers saw: after all keepers were killed or lost power, kept turns of the shards of a keeper that started later were out of reach for 1.24 s although two other holders were there with all of them; first turns began at the other shards.

Cause: a keeper that has just started counts no other one as lost for 1.2 s, however it is told. That is right for silence, which may be its own, but a refused connection shows that no process listens.

Evidence: TestRestartOfAllKeepersBringsBackAllShardsInTime: all keepers end by a kill, a loss of power, or that with one disk; they start at once, 0.3 s and 1.5 s apart, or one 3 s after the others.

Why it works: two refused connections in a row count 0.6 s after the start instead of 1.2 s. Keepers that start together listen by then.

--- a/internal/history/opinion.go
+++ b/internal/history/opinion.go
@@ -44,9 +44,8 @@
 	assessments := map[string]assessment{}
 	for name, v := range k.views {
 		o := assessment{}
-		pastStartupGrace := now.Sub(k.started) > startupGrace
-		refusing := v.refusedConnections >= minRefusedConnections && pastStartupGrace
-		unresponsive := refusing || v.unresponsive(now) && pastStartupGrace
+		refusing := v.refusedConnections >= minRefusedConnections && now.Sub(k.started) > refusalGrace
+		unresponsive := refusing || v.unresponsive(now) && now.Sub(k.started) > startupGrace
 		o.ineligible = refusing || unresponsive && k.witnessContact.isEstablished(now) || k.settings.IsRetiring(name)
 		if v.status != nil {
 			o.live, o.lastContact = !unresponsive, v.lastContact
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -33,6 +33,9 @@
 	diskStallTimeout = 500 * time.Millisecond
 	// startupGrace is how long after its start a keeper counts no other as unresponsive.
 	startupGrace = 1200 * time.Millisecond
+	// refusalGrace is how long after its start a keeper counts no other as ended by refused connections: keepers
+	// that start together listen within it. Silence takes longer to tell, since it may be this keeper's own.
+	refusalGrace = startupGrace / 2
 	// bootstrapReadInterval is the time between two reads of the assignment by a keeper that waits for
 	// the first one. Gossip delivers it sooner.
 	bootstrapReadInterval = time.Second
