A keeper that retires serves while all others stop

What callers saw: kept turns out of reach for as long as the keepers that had stopped were away (3.8 and 4.1 s), though the third, which was to be removed, ran all the while.

Cause: where all keepers drain, none was eligible, so that the holders stayed as they were. The one that retires runs until its shards are elsewhere, but as the spare backup it may lack decisions and had no quorum once the two others had ended.

Why it works: a primary that drains while no keeper stays makes those its backups that retire, not those that stop. They outlast it, and have each decision when it ends. A keeper that stays takes no retiring one as a backup, as before.

--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -34,9 +34,12 @@
 // newBackupSelector returns a selector among the live keepers; the lock is held.
 func (k *Keeper) newBackupSelector(next *Assignment, assessments map[string]assessment) *backupSelector {
 	c := &backupSelector{assignment: next, keepers: k.candidates(assessments), maxDiskFailures: k.maxDiskFailures(), shardsHeld: map[string]int{}}
+	// Where all keepers drain, those that retire outlast those that stop.
+	allDrain := k.isDraining() && countUsable(assessments) == 0
 	c.excluded = func(name string) bool {
 		o, known := assessments[name]
-		return !known || !o.live || o.ineligible
+		outlasts := allDrain && k.settings.IsRetiring(name) && !o.stopping
+		return !known || !o.live || o.ineligible && !outlasts
 	}
 	for i := range next.Shards {
 		if next.Shards[i].Epoch > 0 {
@@ -114,13 +117,18 @@
 	if len(s.role.Backups) > k.maxDiskFailures() {
 		return false
 	}
+	return countUsable(assessments) > len(s.role.Backups)
+}
+
+// countUsable counts the other keepers that may be given shards.
+func countUsable(assessments map[string]assessment) int {
 	usable := 0
 	for _, o := range assessments {
 		if o.live && !o.ineligible {
 			usable++
 		}
 	}
-	return usable > len(s.role.Backups)
+	return usable
 }
 
 // withCurrentBackups returns the backups chosen for a shard, and in addition its present complete
--- a/internal/history/leave.go
+++ b/internal/history/leave.go
@@ -51,18 +51,12 @@
 // A successor needs all of the shard and a backup. Until there are both, a primary that drains serves its shard, and
 // makes those that stay its only backups: they have all of it when it ends.
 func (k *Keeper) leavesToOthers(s *shard, assessments map[string]assessment) bool {
-	staying := 0
-	for _, o := range assessments {
-		if o.live && !o.ineligible {
-			staying++
-		}
-	}
 	successor := slices.ContainsFunc(s.role.holders(), func(name string) bool {
 		o := assessments[name]
 		return name != k.settings.Name && !o.ineligible && o.isComplete(int(s.id), s.role.Epoch)
 	})
 	if k.isPrimary(s) {
-		return successor && staying > 1
+		return successor && countUsable(assessments) > 1
 	}
 	primary := assessments[s.role.Primary]
 	return successor || primary.live && !s.primaryIncomplete(primary)
--- a/internal/history/opinion.go
+++ b/internal/history/opinion.go
@@ -20,6 +20,8 @@
 	// ineligible means that the keeper should hold no shards: it is unresponsive, stalled or
 	// draining.
 	ineligible bool
+	// stopping means that its process is about to end; a keeper that retires runs until its shards are elsewhere.
+	stopping bool
 	// live means that the keeper is responsive and its epoch states are known.
 	live bool
 	// lastContact is when the epoch states were received.
@@ -50,7 +52,8 @@
 		if v.status != nil {
 			o.live, o.lastContact = !unresponsive, v.lastContact
 			o.disk, o.supportsOptionalBackups = v.status.Disk, v.status.Spares
-			o.ineligible = o.ineligible || v.status.Leaving || v.status.StalledMs > diskStallTimeout.Milliseconds()
+			o.stopping = v.status.Leaving
+			o.ineligible = o.ineligible || o.stopping || v.status.StalledMs > diskStallTimeout.Milliseconds()
 			for _, m := range v.status.Slices {
 				if m.Slice < ShardCount {
 					o.epochStates[m.Slice] = decodeEpochState(m)
--- a/internal/history/planned_test.go
+++ b/internal/history/planned_test.go
@@ -37,6 +37,8 @@
 	First, Count int
 	// Gap is the time between the changes of two keepers, Away that from a keeper's end to its start.
 	Gap, Away time.Duration
+	// Delay is the time from the start of the change before.
+	Delay time.Duration
 }
 
 // reachRun continues a retained turn of each shard all the time.
@@ -56,6 +58,7 @@
 	noneSince time.Time
 	noneFor   time.Duration
 	turnCount int
+	changing  map[*machine]bool
 	probes    sync.WaitGroup
 }
 
@@ -210,9 +213,59 @@
 	m.restart()
 }
 
-// runPlanned runs planned changes one after the other, each until it is complete.
+// runPlanned runs planned changes, each beside those before that are not complete.
 func runPlanned(cl *cluster, interval time.Duration, plan []plannedChange) *reachRun {
-	r := &reachRun{cluster: cl, interval: interval, client: cl.client(entryIn(north))}
+	return runReach(cl, interval, func(r *reachRun) {
+		var changes sync.WaitGroup
+		for _, c := range plan {
+			time.Sleep(c.Delay)
+			changes.Go(func() { r.changeAll(c) })
+		}
+		changes.Wait()
+		time.Sleep(convergenceTime)
+	})
+}
+
+// changeAll makes a planned change of several keepers and returns when all are back.
+func (r *reachRun) changeAll(c plannedChange) {
+	r.trace.printf("%+v", c)
+	var changes sync.WaitGroup
+	for n := range c.Count {
+		m := r.machines[(c.First+n)%len(r.machines)]
+		if n > 0 {
+			time.Sleep(c.Gap)
+		}
+		if r.begin(c, m) {
+			changes.Go(func() {
+				r.change(c, m)
+				r.setChanging(m, false)
+			})
+		}
+	}
+	changes.Wait()
+}
+
+// begin reports whether the change of a keeper can begin: it is not changed already, and is to be added if it is not there.
+func (r *reachRun) begin(c plannedChange, m *machine) bool {
+	r.mu.Lock()
+	changing := r.changing[m]
+	r.mu.Unlock()
+	if changing || r.isRegistered(m.name) == (c.Kind == "add") {
+		return false
+	}
+	r.setChanging(m, true)
+	return true
+}
+
+func (r *reachRun) setChanging(m *machine, changing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changing[m] = changing
+}
+
+// runReach starts the keepers and has turns continued while f runs.
+func runReach(cl *cluster, interval time.Duration, f func(r *reachRun)) *reachRun {
+	r := &reachRun{cluster: cl, changing: map[*machine]bool{}, interval: interval, client: cl.client(entryIn(north))}
 	for _, m := range cl.machines {
 		if cl.isRegistered(m.name) {
 			m.start()
@@ -234,21 +287,7 @@
 		}
 	})
 	time.Sleep(time.Second)
-	for _, c := range plan {
-		r.trace.printf("%+v", c)
-		var changes sync.WaitGroup
-		for n := range c.Count {
-			m := cl.machines[(c.First+n)%len(cl.machines)]
-			if n > 0 {
-				time.Sleep(c.Gap)
-			}
-			if !cl.isRunning(m.name) == (c.Kind == "add") {
-				changes.Go(func() { r.change(c, m) })
-			}
-		}
-		changes.Wait()
-		time.Sleep(convergenceTime)
-	}
+	f(r)
 	end()
 	r.probes.Wait()
 	r.stopAll()
@@ -302,6 +341,19 @@
 	}
 }
 
+// Guards against turns that are out of reach while all keepers drain, one of them to be removed, and those that stop are away.
+func TestRetiringKeeperServesWhileAllOthersStop(t *testing.T) {
+	const ms = time.Millisecond
+	plan := []plannedChange{{Kind: "retire", First: 1, Count: 1, Away: 300 * ms}, {Kind: "stop", Count: 3, Away: 4000 * ms, Delay: 30 * ms}}
+	var r *reachRun
+	synctest.Test(t, func(t *testing.T) { r = runPlanned(newPlannedCluster(t, 3, 1), reachInterval, plan) })
+	t.Logf("out of reach for %v at most", r.worst)
+	if len(r.failures) > 0 {
+		t.Log(strings.Join(r.trace.lines, "\n"))
+		t.Fatalf("%d failures: %v", len(r.failures), r.failures[:min(3, len(r.failures))])
+	}
+}
+
 func drawPlannedChange(rt *rapid.T) plannedChange {
 	ms := func(name string, from, to int) time.Duration {
 		return time.Duration(rapid.IntRange(from, to).Draw(rt, name)) * time.Millisecond
@@ -309,15 +361,15 @@
 	return plannedChange{
 		Kind:  rapid.SampledFrom([]string{"stop", "stop", "stop", "retire", "add"}).Draw(rt, "kind"),
 		First: rapid.IntRange(0, 9).Draw(rt, "first"), Count: rapid.IntRange(1, 10).Draw(rt, "count"),
-		Gap: ms("gap", 0, 2000), Away: ms("away", 100, 4000),
+		Gap: ms("gap", 0, 2000), Away: ms("away", 100, 4000), Delay: ms("delay", 0, 8000),
 	}
 }
 
-// TestRandomPlannedChangesKeepTurnsInReach is the same with random changes, one beside the return from another.
+// TestRandomPlannedChangesKeepTurnsInReach is the same with random changes, each beside those before.
 func TestRandomPlannedChangesKeepTurnsInReach(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		keepers := rapid.SampledFrom([]int{3, 4, 10}).Draw(rt, "keepers")
-		plan := rapid.SliceOfN(rapid.Custom(drawPlannedChange), 1, 2).Draw(rt, "plan")
+		plan := rapid.SliceOfN(rapid.Custom(drawPlannedChange), 1, 3).Draw(rt, "plan")
 		for i := range plan {
 			plan[i].Count = min(plan[i].Count, keepers)
 			if plan[i].Kind == "retire" {
