Calls wait until an instance that has started has heard the others

What callers saw: an instance that had just started refused all calls of customers with a quota, at once, with 503 `quota_unknown` and "again in 50 ms", until it had heard a majority of the other instances, about 0.3 s. A caller with two or three tries spent them all within that time.

Why it works: limit.Quotas tells this case by a verdict of its own (AwaitsMajority); the gateway waits for up to a second and half of the caller's time, and names 400 ms where it refuses after all. An instance that has heard a majority before, and is cut off now, refuses at once as before (TestCallsOverQuotaAreRefusedImmediately).

Evidence: gateway.TestCallWaitsUntilAStartedInstanceHasHeardTheOthers fails without the wait: "not-run != answered".

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -166,3 +167,34 @@
 	is.Equal(r.overQuotaCounter("customer-0").Count(), int64(1))
 	is.Equal(r.overQuotaCounter("one more").Count(), int64(9*maxCustomerCounters))
 }
+
+// Guards against a caller that spends all its tries at instances that have just started: each refused it at once, and
+// told it to come back before the others can have been heard.
+func TestCallWaitsUntilAStartedInstanceHasHeardTheOthers(t *testing.T) {
+	for _, c := range []struct {
+		heardAfter time.Duration
+		outcome    Outcome
+	}{{300 * time.Millisecond, Completed}, {time.Minute, NotRun}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			quotas := limit.NewQuotas("a", 1, limit.Tolerance{Window: time.Second})
+			quotas.Set(map[string]limit.Quota{"one": {Rate: 100, Burst: 100}}, time.Now())
+			hear := func(entries int) { quotas.SetFleet(entries, 3, 0, time.Now()) }
+			hear(0)
+			time.AfterFunc(c.heardAfter, func() { hear(3); hear(3) })
+			customers := newCustomers(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*digestOf("k1")}})
+			route := routing.Route{Kind: routing.AtMostOnce, Attempts: 1}
+			w := newTestGateway(routing.Service{Name: "s"}, customers, Settings{Quotas: quotas}, route, nil, succeedsWith("done"))
+			got := w.serve(&fakeCaller{}, Call{ID: "r", Key: digestOf("k1")})
+			is.Equal(got.result.Outcome, c.outcome)
+			if c.outcome == Completed {
+				is.True(got.duration <= c.heardAfter+majorityPollInterval)
+				return
+			}
+			is.Equal(got.result.Reason, QuotaUndetermined)
+			is.Equal(got.duration, maxMajorityWait)
+			is.Equal(got.result.RetryAfter, 400*time.Millisecond)
+			time.Sleep(c.heardAfter)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,8 +236,16 @@
 // A round of reports, which takes 0.3 s in a fleet of 120, fits into it.
 const maxReportWait = 400 * time.Millisecond
 
+const (
+	// maxMajorityWait bounds how long a call waits until this instance, which has started, has heard a majority of
+	// the others.
+	maxMajorityWait      = time.Second
+	majorityPollInterval = 50 * time.Millisecond
+)
+
 // admit checks the call against its customer's quota. It returns nil if the call is admitted. A
-// call that the quota may still cover waits for the reports of other instances.
+// call that the quota may still cover waits for the reports of other instances, after a start until a majority of them
+// has been heard.
 //
 // It prevents the following failure: a customer below its quota whose calls arrive at one instance
 // at once is refused there, although the other instances use nothing of the quota.
@@ -258,9 +266,12 @@
 			return nil
 		case verdict == limit.AwaitsReports && time.Since(began)+after <= min(maxReportWait, time.Until(f.deadline)/2) && sleep(ctx, after):
 			continue
+		case verdict == limit.AwaitsMajority && time.Since(began) < min(maxMajorityWait, time.Until(f.deadline)/2) && sleep(ctx, majorityPollInterval):
+			continue
 		}
+		f.stageTimes.admitting = time.Since(began)
 		reason := OverQuota
-		if verdict == limit.Undetermined {
+		if verdict == limit.Undetermined || verdict == limit.AwaitsMajority {
 			reason = QuotaUndetermined
 		}
 		result := refused(reason, after)
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -48,6 +48,10 @@
 	settlingRounds = 3
 	// minRetryAfter is the shortest retry time; it keeps refused callers from retrying at once.
 	minRetryAfter = 50 * time.Millisecond
+	// startRetryAfter is the shortest retry time until a majority of the instances has been heard: the list of
+	// instances is read, and a round of reports received, within about that time. A caller that came back
+	// sooner would use up its tries.
+	startRetryAfter = 400 * time.Millisecond
 	// maxReturnDelay is how long after its admission a call may be returned.
 	maxReturnDelay = 500 * time.Millisecond
 	// peerUsageRetention is how long a peer's count for a customer is kept: far longer than a
@@ -146,6 +150,8 @@
 	// AwaitsReports means that this instance has used its share of the quota's rest, and that other
 	// instances may leave more of it. Their reports arrive within the returned delay.
 	AwaitsReports
+	// AwaitsMajority is Undetermined since the start: a majority of the instances has yet to be heard.
+	AwaitsMajority
 )
 
 // Call is a call to be admitted.
@@ -174,6 +180,8 @@
 	delay := m.reportDelay(now, q.reportRound)
 	full := m.recent.sum+1 > limit || m.bucket < 1 || starting && !m.canStartProgram(now, limit)
 	switch {
+	case full && q.fraction < majorityFraction && q.observedSince.IsZero():
+		return AwaitsMajority, startRetryAfter
 	case full && q.fraction < majorityFraction:
 		return Undetermined, m.retryAfter(q.fraction, observed)
 	case full:
