--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -233,6 +233,9 @@
 		failure.Kind = upstream.Errored
 	}
 	switch {
+	case v == noFreeConnection: // the limit is this instance's
+		a.grant.Done(scheduler.Feedback{Cancelled: true})
+		return
 	case ctx.Err() == nil:
 	case a.unfinished && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failure.Kind = upstream.Errored
--- a/internal/gateway/refusals_test.go
+++ b/internal/gateway/refusals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,38 @@
 		is.True(sendings <= turns/2) // full replicas are left alone for a while
 	})
 }
+
+// Guards against turns that wait for a replica that has refused one and has room since: until it sends its first event, a
+// turn is no evidence against more.
+func TestReplicasThatRefusedOneTurnGetOthersSoon(t *testing.T) {
+	const turns, firstEvent = 16, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var refusedBy sync.Map
+		var served atomic.Int64
+		service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+		w := newTestGateway(service, nil, Settings{}, turnRoute, &fakeTurns{}, func(ctx context.Context, a *Attempt) (*Response, error) {
+			if _, done := refusedBy.LoadOrStore(a.Target.ID, true); !done {
+				return refuses(ctx, a)
+			}
+			time.Sleep(firstEvent)
+			return streams(nil, event(1))(ctx, a)
+		})
+		serve := func(id string) {
+			call := turnCall()
+			call.ID, call.Host, call.Path, call.Arrived = id, "h", "/x", time.Now()
+			if w.gateway.Serve(t.Context(), &call, &fakeCaller{}).Outcome == Completed {
+				served.Add(1)
+			}
+		}
+		serve("first") // refused by all
+		is.Equal(served.Load(), int64(0))
+		var calls sync.WaitGroup
+		for i := range turns {
+			calls.Go(func() { serve(fmt.Sprint("turn-", i)) })
+		}
+		calls.Wait()
+		is.Equal(served.Load(), int64(turns))
+		time.Sleep(settleTimeout)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,11 @@
 		return a.classifyError(err)
 	}
 	a.response = response
-	return classifyResponse(response)
+	v := classifyResponse(response)
+	if v == complete {
+		a.grant.RecordAccepted()
+	}
+	return v
 }
 
 // receiveFirstEvents sends the attempt and receives its response up to its first events or its end.
--- a/internal/history/compaction.go
+++ b/internal/history/compaction.go
@@ -30,8 +30,10 @@
 	older       []string
 	framed      []byte
 	size        int64
-	began       time.Time
-	done        chan error
+	// replaced is the size in bytes of what was appended to the older segments since the last snapshot.
+	replaced int64
+	began    time.Time
+	done     chan error
 }
 
 // beginSnapshot begins a snapshot and a new segment behind it, to which records are appended meanwhile. The snapshot must
@@ -47,7 +49,7 @@
 		return nil, errors.Wrap(err, "history")
 	}
 	l.segment++
-	s := &snapshot{dir: l.dir, path: path, file: file, segmentPath: l.segmentPath(l.segment), began: time.Now(), done: make(chan error, 1)}
+	s := &snapshot{dir: l.dir, path: path, file: file, segmentPath: l.segmentPath(l.segment), began: time.Now(), replaced: l.appended, done: make(chan error, 1)}
 	for _, n := range older {
 		s.older = append(s.older, l.segmentPath(n))
 	}
@@ -164,6 +166,7 @@
 
 func (k *Keeper) endCompaction(err error) {
 	if err != nil {
+		k.log.appended += k.compaction.replaced
 		k.postponeCompaction(err)
 	} else {
 		k.log.snapshotSize = k.compaction.size
@@ -184,9 +187,20 @@
 	k.settings.Logger.WithError(err).Error("log compaction failed; older segments may remain")
 }
 
-// writeSnapshot writes what is retained, shard by shard. Calls get the lock between two shards.
+// writeSnapshot writes a snapshot. What a failed one has written is removed: the log may need the room.
 func (k *Keeper) writeSnapshot(ctx context.Context, s *snapshot) error {
-	defer s.file.Close()
+	err := k.writeRetained(ctx, s)
+	s.file.Close()
+	if err != nil {
+		if err := os.Remove(s.path); err != nil && !os.IsNotExist(err) {
+			k.settings.Logger.WithError(err).Error("failed snapshot not removed")
+		}
+	}
+	return err
+}
+
+// writeRetained writes what is retained, shard by shard. Calls get the lock between two shards.
+func (k *Keeper) writeRetained(ctx context.Context, s *snapshot) error {
 	records := []*historypb.Record{k.diskRecord()}
 	for _, shard := range k.shards {
 		k.mu.Lock()
--- a/internal/history/fill.go
+++ b/internal/history/fill.go
@@ -13,6 +13,9 @@
 // callers wait for share the backup's link and its disk with them.
 const maxTransfersPerBackup = 4
 
+// transferRetryInterval is the pause after a failed state transfer of a shard, in which others get its place.
+const transferRetryInterval = 200 * time.Millisecond
+
 // transferIfNeeded starts a state transfer to a backup that is not known to be complete, or
 // declares the backup complete if all records were sent already; the lock is held.
 func (k *Keeper) transferIfNeeded(ctx context.Context, s *shard, name string, backup assessment) {
@@ -28,7 +31,7 @@
 		}
 		return
 	}
-	if k.transfers[name] >= maxTransfersPerBackup {
+	if k.transfers[name] >= maxTransfersPerBackup || time.Now().Before(l.transferRetryAt) {
 		return
 	}
 	k.transfers[name]++
@@ -50,11 +53,16 @@
 // runTransfer sends the records that the backup lacks in parts; the last part declares the backup
 // complete. Changes made meanwhile reach the backup through its stream.
 func (k *Keeper) runTransfer(ctx context.Context, f *transfer) {
+	succeeded := false
 	defer func() {
 		k.mu.Lock()
+		defer k.mu.Unlock()
 		f.stream.transferring = false
 		k.transfers[f.backup]--
-		k.mu.Unlock()
+		if !succeeded {
+			f.stream.transferRetryAt = time.Now().Add(transferRetryInterval)
+			return
+		}
 		notify(k.wakeReconciler)
 	}()
 	have := k.fetchInventory(ctx, f)
@@ -78,6 +86,7 @@
 		}
 		records = records[n:]
 	}
+	succeeded = true
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f.stream.transferred = f.shard.streams[f.backup] == f.stream && !f.stream.overflowed
--- a/internal/history/planned_test.go
+++ b/internal/history/planned_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -79,6 +80,20 @@
 	r.failures = append(r.failures, fmt.Sprintf(format, args...))
 }
 
+// countStaying returns the number of keepers that run and aren't being changed.
+func (r *reachRun) countStaying() int {
+	r.mu.Lock()
+	changing := maps.Clone(r.changing)
+	r.mu.Unlock()
+	n := 0
+	for _, m := range r.machines {
+		if r.isRunning(m.name) && r.isRegistered(m.name) && !changing[m] {
+			n++
+		}
+	}
+	return n
+}
+
 // countRunning records whether no keeper runs.
 func (r *reachRun) countRunning() {
 	running := 0
@@ -194,9 +209,16 @@
 		r.setRegistered(m.name, true)
 	case "retire":
 		r.setRetiringToo(m.name, true)
+		enoughSince := time.Now()
 		for start := time.Now(); !m.process.keeper.Drained(); time.Sleep(reconcileInterval) {
+			if r.countStaying() <= r.maxDiskFailures {
+				enoughSince = time.Now()
+			}
 			if time.Since(start) > retireLimit {
-				// Too few keepers stay. The order is withdrawn; the disk of one that isn't drained is not removed.
+				// The order is withdrawn; the disk of one that isn't drained is not removed.
+				if stayed := time.Since(enoughSince); stayed > retireLimit/2 {
+					r.fail("%s is not drained although enough keepers have stayed for %v", m.name, stayed)
+				}
 				r.setRetiringToo(m.name, false)
 				r.mu.Lock()
 				r.withdrawn = append(r.withdrawn, m.name)
--- a/internal/history/sender.go
+++ b/internal/history/sender.go
@@ -29,6 +29,8 @@
 	// pending are the commits that the backup has not acknowledged, in order.
 	pending      []*pendingCommit
 	transferring bool
+	// transferRetryAt is when a state transfer may begin after one that failed.
+	transferRetryAt time.Time
 	// transferred means that this process has sent the backup all of the shard, and each commit
 	// since. A primary that was killed may have records on its disk that its backup never received,
 	// and would report them as committed to a repeated call.
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -81,6 +81,8 @@
 	// transferredBytes counts the bytes of records and inventories that keepers send each other.
 	transferredBytes atomic.Int64
 	statusRequests   atomic.Int64
+	// failsAppend reports whether an append is refused; nil for none. The cluster's lock guards it.
+	failsAppend func(*historypb.AppendRequest) bool
 	// linkBytesPerSecond is the rate of the link of each keeper to the others; 0 for no limit.
 	linkBytesPerSecond int64
 	// datagramLossRate is the share of datagrams that are lost, as drawn by random.
@@ -363,6 +365,13 @@
 
 // Append implements Peers.
 func (m *machine) Append(ctx context.Context, name string, r *historypb.AppendRequest) (*historypb.AppendResponse, error) {
+	m.cluster.mu.Lock()
+	fails := m.cluster.failsAppend
+	m.cluster.mu.Unlock()
+	if fails != nil && fails(r) {
+		sleep(ctx, messageDelay)
+		return nil, syscall.ECONNREFUSED
+	}
 	if err := m.waitWhilePaused(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -203,10 +203,13 @@
 	return g.endpoint.Upstream.HasBeenHeard(after.UnixNano())
 }
 
+// RecordAccepted records that the upstream runs the step.
+func (g *Grant) RecordAccepted() { g.endpoint.Upstream.RecordAccepted(g.sentAt) }
+
 // RecordFirstToken records that the response has begun.
 func (g *Grant) RecordFirstToken() {
 	g.RecordProgress()
-	g.endpoint.Upstream.RecordAccepted(g.sentAt)
+	g.RecordAccepted()
 	if g.prefillDone.CompareAndSwap(false, true) {
 		g.endpoint.Upstream.RecordPrefilled(g.uncachedTokens())
 	}
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -95,7 +95,9 @@
 	}
 	switch f.Kind {
 	case Refused:
-		u.refusals.record(now.UnixNano(), u.inFlight.Load())
+		if !f.Draining {
+			u.refusals.record(now.UnixNano(), u.inFlight.Load())
+		}
 		return
 	case Invalid:
 		return
--- a/internal/upstream/refusal.go
+++ b/internal/upstream/refusal.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// refusalPause is how long an upstream that has refused a call gets no further ones.
-const refusalPause = 100 * time.Millisecond
+const (
+	// refusalPause is how long an upstream that has refused a call gets no further ones.
+	refusalPause = 100 * time.Millisecond
+	// refusalMemory is how long a refusal counts.
+	refusalMemory = time.Second
+)
 
 // refusals is what the refusals of an upstream show of its load. Other instances' calls may take its places, of which
 // load reports tell late. Until it has accepted a call that was sent after a refusal, it gets as many calls of this
@@ -34,14 +38,8 @@
 // nanoseconds).
 func (r *refusals) expected(now int64, own int) bool {
 	last := r.last.Load()
-	if last == 0 {
-		return false
-	}
-	limit := int(r.inFlight.Load())
-	if now-last >= int64(refusalPause) {
-		limit++
-	}
-	return own >= limit
+	age := time.Duration(now - last)
+	return last != 0 && age < refusalMemory && own >= int(r.inFlight.Load())+int(age/refusalPause)
 }
 
 // RecordAccepted records that the upstream began to run a call that was sent at sentAt.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -324,3 +324,21 @@
 	u.Finish(now.Add(time.Second).UnixNano())
 	is.Equal(condition(time.Second), Usable) // in the place of one that has ended
 }
+
+// Guards against an upstream that gets one call at a time for long after it has refused one.
+func TestRefusalIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var r refusals
+	r.record(1, 0)
+	after := func(d time.Duration) int64 { return 1 + int64(d) }
+	is.True(r.expected(after(0), 0))
+	is.True(!r.expected(after(refusalPause), 0))
+	is.True(r.expected(after(refusalPause), 1))
+	is.True(!r.expected(after(5*refusalPause), 4))
+	is.True(!r.expected(after(refusalMemory), 1000))
+	r.record(after(0), 3)
+	r.accept(after(0)) // sent at the moment of the refusal
+	is.True(r.expected(after(0), 3))
+	r.accept(after(time.Millisecond))
+	is.True(!r.expected(after(0), 3))
+}
