--- a/internal/history/planned_test.go
+++ b/internal/history/planned_test.go
@@ -21,9 +21,8 @@
 	// outOfReachLimit bounds how long a retained turn may be out of reach beside planned changes while keepers run: a
 	// caller with two attempts 400 ms apart bears it.
 	outOfReachLimit = time.Second
-	// reachInterval is the time between two turns of a program, randomReachInterval that in random plans, of which there are many.
-	reachInterval       = 100 * time.Millisecond
-	randomReachInterval = 300 * time.Millisecond
+	// reachInterval is the time between two turns of a program. A turn that is refused is tried again until it isn't.
+	reachInterval = 300 * time.Millisecond
 	// fanWidth is the number of turns that continue one turn at once when a change begins.
 	fanWidth = 6
 	// retireLimit bounds the time from an order to retire a keeper until its machine is removed or the order withdrawn.
@@ -408,7 +407,7 @@
 			}
 		}
 		var r *reachRun
-		synctest.Test(t, func(t *testing.T) { r = runPlanned(newPlannedCluster(t, keepers, 1), randomReachInterval, plan) })
+		synctest.Test(t, func(t *testing.T) { r = runPlanned(newPlannedCluster(t, keepers, 1), reachInterval, plan) })
 		if len(r.failures) > 0 {
 			t.Log(strings.Join(r.trace.lines, "\n"))
 			rt.Fatalf("%v", r.failures[:min(3, len(r.failures))])
