A refused placement tells its rule and its estimate; refused attempts reach no replica

Cause: the lines refused and call named neither the call, the rule nor the estimate of a refusal, so that a refusal by the replicas that were left could not be told from one by an outdated estimate or by the mean of all calls. The time out of reach of a turn ended with the first attempt, also if the replica refused it.

Change: Refusal has a Cause and the Estimate by which a step counted as late, in the lines refused and call and in gateway.continued.placement.RULE. Only an attempt that a replica may have run ends the time out of reach; foxhall explain does the same. No decision changes.

--- a/internal/explain/reach.go
+++ b/internal/explain/reach.go
@@ -76,8 +76,8 @@
 type turnReach struct {
 	turn    string
 	refused []*Line
-	// since is when the first call arrived that was refused, until when the next one was sent to a replica;
-	// zero if none was.
+	// since is when the first call arrived that was refused, until when the next one was sent that a replica may have
+	// run; zero if there was none.
 	since, until time.Time
 }
 
@@ -90,10 +90,18 @@
 	return at
 }
 
-// wasSent reports whether a call was sent to a replica.
-func wasSent(line *Line) bool {
+// mayHaveRun reports whether a replica may have run a call: it was sent, and not refused by each replica.
+func mayHaveRun(line *Line) bool {
 	sends, _ := line.Fields["sends"].(float64)
-	return sends > 0
+	return sends > 0 && line.Text("outcome") != "not-run"
+}
+
+// refusalOf names the reason for which a call was refused, and the rule if its placement was.
+func refusalOf(line *Line) string {
+	if rule := line.Text("placement"); rule != "" {
+		return line.Text("reason") + " (" + rule + ")"
+	}
+	return line.Text("reason")
 }
 
 // reachOf returns, for each turn that a call continued in vain, how long it was out of reach over all instances.
@@ -104,7 +112,7 @@
 	for i := range lines {
 		line := &lines[i]
 		turn := line.Text("previous")
-		if line.Message != callMessage || turn == "" || wasSent(line) || line.Text("outcome") != "not-run" || line.Fields["out_of_reach_ms"] == nil {
+		if line.Message != callMessage || turn == "" || line.Text("outcome") != "not-run" || line.Fields["out_of_reach_ms"] == nil {
 			continue
 		}
 		r := byTurn[turn]
@@ -121,7 +129,7 @@
 	for i := range lines {
 		line := &lines[i]
 		r := byTurn[line.Text("previous")]
-		if r == nil || line.Message != callMessage || !wasSent(line) {
+		if r == nil || line.Message != callMessage || !mayHaveRun(line) {
 			continue
 		}
 		if at := sentAt(line); at.After(r.since) && (r.until.IsZero() || at.Before(r.until)) {
@@ -133,7 +141,7 @@
 
 // writeTo prints the turn's time out of reach and the calls that were refused meanwhile.
 func (r *turnReach) writeTo(w io.Writer) error {
-	state := "never sent to a replica in these lines"
+	state := "run by no replica in these lines"
 	if !r.until.IsZero() {
 		state = fmt.Sprintf("out of reach for %.3f s", r.until.Sub(r.since).Seconds())
 	}
@@ -144,7 +152,7 @@
 			continue
 		}
 		calls++
-		reasons[line.Text("reason")]++
+		reasons[refusalOf(line)]++
 		instances[line.Text("instance")] = true
 	}
 	var names []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"foxhall/internal/buffer"
@@ -193,7 +192,7 @@
 	// firstEventAt is when the first event, or the complete response, was forwarded.
 	firstEventAt time.Time
 	stageTimes   stageTimes
-	// reachedReplica is set once the call was sent to a replica.
+	// reachedReplica is set once a replica may have run the call.
 	reachedReplica bool
 	// outOfReach is how long the turn that the call continues has been, or was, out of reach.
 	outOfReach time.Duration
@@ -434,10 +433,19 @@
 		reason = VersionGone
 	}
 	result := refused(reason, r.RetryAfter)
-	result.Attempts, result.Replica, result.Cause = f.attempts, f.lastReplica, errors.New(r.Message)
+	result.Attempts, result.Replica, result.Cause = f.attempts, f.lastReplica, &placementError{r}
 	return result
 }
 
+// placementError is the refusal of a call's placement.
+type placementError struct{ refusal *scheduler.Refusal }
+
+// Error implements error.
+func (e *placementError) Error() string { return e.refusal.Message }
+
+// Fields implements log.Fielder.
+func (e *placementError) Fields() log.Fields { return e.refusal.Fields() }
+
 func (f *inFlightCall) result(outcome Outcome, reason Reason, status int) Result {
 	return Result{Outcome: outcome, Reason: reason, Status: status, Replica: f.lastReplica, Attempts: f.attempts}
 }
--- a/internal/gateway/outofreach.go
+++ b/internal/gateway/outofreach.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -21,11 +22,11 @@
 // call that continues the same turn may be served at the same moment.
 var unreachedReasons = map[Reason]bool{
 	NoConfiguration: true, ConfigurationUnconfirmed: true, QuotaUndetermined: true, BuffersFull: true, TurnsUnavailable: true,
-	NoReplica: true, Overloaded: true, TimedOut: true, Stopping: true,
+	NoReplica: true, Overloaded: true, ReplicaRefused: true, TimedOut: true, Stopping: true,
 }
 
 // outOfReach measures how long retained turns are out of reach: from the arrival of the first call that continues
-// the turn and is refused before it is sent to a replica, to the first one that is sent.
+// the turn and that no replica ran, to the first one that a replica may have run.
 type outOfReach struct {
 	// turns counts the turns, expired those of them that no later call to this instance reached.
 	turns, expired metrics.Counter
@@ -76,8 +77,8 @@
 	return now.Sub(u.since)
 }
 
-// reach records a call that was sent to a replica at the given time, and returns for how long the turn was out
-// of reach; 0 if it was not.
+// reach records a call that a replica may have run, which was sent at the given time, and returns for how long the
+// turn was out of reach; 0 if it was not.
 func (o *outOfReach) reach(t continuedTurn, at time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -110,19 +111,23 @@
 	return continuedTurn{customer: f.customerName(), turn: f.call.Previous}, f.call.Previous != ""
 }
 
-// recordRefusal records the call's result if it continues a turn and was refused before it reached a replica.
+// recordRefusal records the call's result if it continues a turn and no replica has run it.
 func (f *inFlightCall) recordRefusal(r *Result) {
 	t, ok := f.continuedTurn()
 	if !ok || r.Outcome != NotRun || f.reachedReplica {
 		return
 	}
 	metrics.GetOrRegisterCounter("gateway.continued.reasons."+string(r.Reason), f.gateway.reasons.registry).Inc(1)
+	var placement *placementError
+	if errors.As(r.Cause, &placement) {
+		metrics.GetOrRegisterCounter("gateway.continued.placement."+string(placement.refusal.Cause), f.gateway.reasons.registry).Inc(1)
+	}
 	if unreachedReasons[r.Reason] {
 		f.outOfReach = f.gateway.outOfReach.refuse(t, f.call.Arrived, time.Now())
 	}
 }
 
-// recordReach records that the call was sent to a replica at the given time.
+// recordReach records that a replica may have run the call, which was sent at the given time.
 func (f *inFlightCall) recordReach(at time.Time) {
 	if t, ok := f.continuedTurn(); ok && !f.reachedReplica {
 		f.outOfReach = f.gateway.outOfReach.reach(t, at)
--- a/internal/gateway/outofreach_test.go
+++ b/internal/gateway/outofreach_test.go
@@ -80,3 +80,32 @@
 	is.Equal(held, int64(100<<10))
 	is.Equal(budget.Used(), int64(0))
 }
+
+// Guards against a turn that counts as reached since replicas refused the calls that continue it, and against a
+// refused placement that does not tell its rule.
+func TestTurnThatReplicasRefuseIsOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+		isFull := true
+		w := newTestGateway(service, nil, Settings{}, turnRoute, &fakeTurns{}, func(ctx context.Context, a *Attempt) (*Response, error) {
+			if time.Sleep(time.Millisecond); isFull {
+				return refuses(ctx, a)
+			}
+			return streams(nil, event(1))(ctx, a)
+		})
+		call := turnCall()
+		call.Previous = "t"
+		got := w.serve(&fakeCaller{}, call)
+		is.Equal(got.result.Outcome, NotRun)
+		is.True(got.logFields("call")["out_of_reach_ms"] != nil)
+		is.Equal(metrics.GetOrRegisterCounter("gateway.out_of_reach.turns", w.registry).Count(), int64(1))
+		if placement := got.logFields("call")["placement"]; placement != nil {
+			is.Equal(metrics.GetOrRegisterCounter("gateway.continued.placement."+placement.(string), w.registry).Count(), int64(1))
+		}
+		isFull = false
+		got = w.serve(&fakeCaller{}, call)
+		is.Equal(got.result.Outcome, Completed)
+		is.Equal(w.gateway.outOfReach.duration.Count(), int64(1))
+	})
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -135,8 +135,6 @@
 	f.stageTimes.awaitingHeader += a.headerWait
 	if v.mayHaveRun() {
 		f.recordPossibleRun(a.grant.Upstream)
-	}
-	if v != notSent && v != noFreeConnection {
 		f.recordReach(a.began)
 	}
 	if a.wasAbandoned() {
--- a/internal/scheduler/log.go
+++ b/internal/scheduler/log.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -39,6 +40,7 @@
 		return
 	}
 	fields := s.fieldsOf(w, &r.decision)
+	maps.Copy(fields, r.Fields())
 	fields["code"] = string(r.Code)
 	fields["reason"] = r.Message
 	fields["retry_after_ms"] = r.RetryAfter.Milliseconds()
@@ -60,9 +62,15 @@
 	} else {
 		fields["service"] = w.request.Service
 	}
+	if w.request.CallID != "" {
+		fields["request"] = w.request.CallID
+	}
 	if w.byUrgency {
 		w.addUrgency(fields)
 	}
+	if w.urgent.waitsFor != "" {
+		fields["waited_for"] = w.urgent.waitsFor
+	}
 	for reason, n := range d.Rejections {
 		if n > 0 {
 			fields["out_"+placement.Reason(reason).String()] = n
@@ -76,12 +84,6 @@
 	fields["class"] = w.urgent.state.Class.String()
 	fields["rank"] = w.urgent.order.Rank
 	fields["full"] = w.urgent.full
-	if w.urgent.waitsFor != "" {
-		fields["waited_for"] = w.urgent.waitsFor
-	}
-	if w.request.CallID != "" {
-		fields["request"] = w.request.CallID
-	}
 }
 
 func millis(seconds float64) int64 { return int64(seconds * 1000) }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -218,10 +218,10 @@
 		return nil, refusal
 	case <-ctx.Done():
 		p.abandon(w)
-		return nil, refuse(step.CodeCancelled, 499, "the caller is gone", 0)
+		return nil, refuse(Cancelled, step.CodeCancelled, 499, "the caller is gone", 0)
 	case <-expired:
 		p.abandon(w)
-		return nil, refuse(step.CodeDeadline, 504, "the deadline passed in the queue; not run", time.Second)
+		return nil, refuse(DeadlinePassed, step.CodeDeadline, 504, "the deadline passed in the queue; not run", time.Second)
 	}
 }
 
@@ -328,9 +328,7 @@
 			return true, false
 		}
 	}
-	if p.byUrgency {
-		w.recordDecision(&d)
-	}
+	w.recordDecision(&d)
 	if !placement.AnyCapable(&d) && w.step.Waited >= noUpstreamWait {
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -106,7 +106,7 @@
 // shedOnArrival refuses a step if the queue is full or if the step cannot meet its deadline.
 func (p *pool) shedOnArrival(w *waiter) *Refusal {
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
-		return refuse(step.CodeOverloaded, 503, "too many steps wait", p.overloadRetryAfter())
+		return refuse(QueueFull, step.CodeOverloaded, 503, "too many steps wait", p.overloadRetryAfter())
 	}
 	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() || w.request.AtVersion {
 		// Estimates for all upstreams say nothing of those of one version.
@@ -117,7 +117,9 @@
 	if remaining >= need {
 		return nil
 	}
-	return refuse(step.CodeOverloaded, 503, "the step can't be done by its deadline", max(time.Second, need-remaining))
+	refusal := refuse(LateOnArrival, step.CodeOverloaded, 503, "the step can't be done by its deadline", max(time.Second, need-remaining))
+	refusal.Estimate = &Estimate{Need: need, Left: remaining, Age: p.newestAge(time.Now())}
+	return refusal
 }
 
 // certainFraction is the fraction of an estimate that a step almost certainly takes.
@@ -142,10 +144,14 @@
 	if !now.Add(need).After(w.request.Deadline) {
 		return nil
 	}
+	refusal := refuse(Late, step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
 	if p.byUrgency {
-		return p.refuseOverloaded(w, p.scan.ahead(w.urgent.allowance), now, "the deadline can't be met; not run")
+		refusal = p.refuseOverloaded(Late, w, p.scan.ahead(w.urgent.allowance), now, "the deadline can't be met; not run")
 	}
-	return refuse(step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
+	endpoint := p.scheduler.endpoints(p.key)[p.candidates[d.Chosen].Index]
+	refusal.decision = *d
+	refusal.Estimate = &Estimate{Upstream: endpoint.Upstream.Name, Need: need, Left: w.request.Deadline.Sub(now), Age: endpoint.SpeedAge(now)}
+	return refusal
 }
 
 func (p *pool) knowsOnlyDefaults(now time.Time) bool {
@@ -196,6 +202,17 @@
 	return time.Duration(sum / float64(n) * float64(time.Second))
 }
 
+// newestAge returns the time since the latest response that a speed was learned from; -1 if there was none.
+func (p *pool) newestAge(now time.Time) time.Duration {
+	newest := time.Duration(-1)
+	for _, endpoint := range p.scheduler.endpoints(p.key) {
+		if age := endpoint.SpeedAge(now); age >= 0 && (newest < 0 || age < newest) {
+			newest = age
+		}
+	}
+	return newest
+}
+
 func (p *pool) usableSlots() int {
 	now := time.Now().UnixNano()
 	n := 0
@@ -213,15 +230,15 @@
 	if !w.request.AtVersion || d.Rejections[placement.OtherVersion] < len(p.candidates) || len(p.candidates) == 0 {
 		return nil
 	}
-	refusal := refuse(step.CodeNoUpstream, 503, "no upstream has the version of the software that the step needs", 0)
+	refusal := refuse(NoVersion, step.CodeNoUpstream, 503, "no upstream has the version of the software that the step needs", 0)
 	refusal.VersionGone, refusal.decision = true, *d
 	return refusal
 }
 
 func noUpstreamRefusal(d *placement.Decision) *Refusal {
-	refusal := refuse(step.CodeNoUpstream, 503, "no upstream can take the step at present", noUpstreamWait)
+	refusal := refuse(NoUpstream, step.CodeNoUpstream, 503, "no upstream can take the step at present", noUpstreamWait)
 	if d.Rejections[placement.NotLoaded] > 0 {
-		refusal = refuse(step.CodeNoUpstream, 503, "the model is being loaded", modelLoadRetryAfter)
+		refusal = refuse(NotLoaded, step.CodeNoUpstream, 503, "the model is being loaded", modelLoadRetryAfter)
 	}
 	refusal.decision = *d
 	return refusal
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -134,19 +134,6 @@
 	Version   string
 }
 
-// Refusal is the reason why a step was not placed on an upstream, and so was not run.
-type Refusal struct {
-	Code       step.Code
-	Status     int
-	Message    string
-	RetryAfter time.Duration
-	// VersionGone is set if no upstream has the version that the step needs.
-	VersionGone bool
-
-	// decision is the last decision made for the step, if any.
-	decision placement.Decision
-}
-
 // Scheduler places steps. It is safe for concurrent use.
 type Scheduler struct {
 	settings         Settings
@@ -211,7 +198,7 @@
 		return nil, refusal
 	}
 	if !s.mayTry(&r, time.Now()) {
-		return nil, refuse(step.CodeOverloaded, 503, "the retry budget is used up", time.Second)
+		return nil, refuse(NoRetry, step.CodeOverloaded, 503, "the retry budget is used up", time.Second)
 	}
 	w := s.newWaiter(&r)
 	p := s.pool(&r)
@@ -251,22 +238,18 @@
 	members := s.table.Snapshot()
 	switch {
 	case r.Model != "" && r.Grant != nil && !r.Grant.AllowsModel(r.Model):
-		return refuse(step.CodeNotInPlan, 403, "the plan may not use the model", 0)
+		return refuse(NotPermitted, step.CodeNotInPlan, 403, "the plan may not use the model", 0)
 	case r.Service != "" && r.Grant != nil && !r.Grant.AllowsService(r.Service):
-		return refuse(step.CodeNotInPlan, 403, "the plan may not use the service", 0)
+		return refuse(NotPermitted, step.CodeNotInPlan, 403, "the plan may not use the service", 0)
 	case r.Model != "" && len(members.Model(r.Model)) == 0:
-		return refuse(step.CodeModelNotFound, 404, "no engine has the model", 0)
+		return refuse(NoUpstream, step.CodeModelNotFound, 404, "no engine has the model", 0)
 	case r.Service != "" && len(members.Service(r.Service)) == 0:
-		return refuse(step.CodeNoUpstream, 503, "no replica serves the service", 0)
+		return refuse(NoUpstream, step.CodeNoUpstream, 503, "no replica serves the service", 0)
 	default:
 		return nil
 	}
 }
 
-func refuse(code step.Code, status int, message string, after time.Duration) *Refusal {
-	return &Refusal{Code: code, Status: status, Message: message, RetryAfter: after}
-}
-
 func (s *Scheduler) pool(r *Request) *pool {
 	key := poolKey{name: r.Model}
 	if r.Service != "" {
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -37,11 +37,11 @@
 
 // The causes for which a step waits, as used in log lines.
 const (
-	// waitsForPlace: all engines that the step may use are full for it.
+	// waitsForPlace: all upstreams that the step may use are full for it.
 	waitsForPlace = "place"
-	// waitsForBetter: an engine has a place, but a full one is expected to complete the step earlier.
+	// waitsForBetter: an upstream has a place, but a full one is expected to complete the step earlier.
 	waitsForBetter = "better-engine"
-	// waitsForUpstream: no engine is usable.
+	// waitsForUpstream: no upstream is usable.
 	waitsForUpstream = "upstream"
 )
 
@@ -157,7 +157,7 @@
 func (p *pool) shedByUrgency(w *waiter, now time.Time) *Refusal {
 	ahead := p.aheadOnArrival(w, w.urgent.order.Key(now))
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
-		return p.refuseOverloaded(w, ahead, now, "too many steps wait")
+		return p.refuseOverloaded(QueueFull, w, ahead, now, "too many steps wait")
 	}
 	if ahead == 0 {
 		return nil
@@ -217,16 +217,20 @@
 	if !c.learned {
 		return nil
 	}
-	if urgency.CertainDuration(p.view(c, w.urgent.allowance, now).Wait(ahead), w.urgent.order.Expected) <= w.request.Deadline.Sub(now) {
+	need := urgency.CertainDuration(p.view(c, w.urgent.allowance, now).Wait(ahead), w.urgent.order.Expected)
+	left := w.request.Deadline.Sub(now)
+	if need <= left {
 		return nil
 	}
-	return p.refuseOverloaded(w, ahead, now, "the step can't be done by its deadline; not run")
+	refusal := p.refuseOverloaded(LateOnArrival, w, ahead, now, "the step can't be done by its deadline; not run")
+	refusal.Estimate = &Estimate{Need: need, Left: left, Age: p.newestAge(now)}
+	return refusal
 }
 
 // refuseOverloaded returns a refusal with the expected time until the steps ahead have been placed.
-func (p *pool) refuseOverloaded(w *waiter, ahead int, now time.Time, message string) *Refusal {
+func (p *pool) refuseOverloaded(cause Cause, w *waiter, ahead int, now time.Time, message string) *Refusal {
 	c := p.currentCapacity(now)
-	return refuse(step.CodeOverloaded, 503, message, max(minRetryAfter, p.view(c, w.urgent.allowance, now).Wait(ahead)))
+	return refuse(cause, step.CodeOverloaded, 503, message, max(minRetryAfter, p.view(c, w.urgent.allowance, now).Wait(ahead)))
 }
 
 // capacity sums up the engines of a pool, according to the loads that all instances report.
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -58,6 +58,8 @@
 type learnedSpeed struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Speed]
+	// learnedAt is when the latest response was learned from, in Unix nanoseconds; 0 for never.
+	learnedAt atomic.Int64
 	// left is set once the endpoint is removed from the table.
 	left bool
 	// Decaying sums of the linear regression of the time per token over the batch size; n is the sum
@@ -87,6 +89,16 @@
 		e.group.replace(e.speed.load(), next)
 	}
 	e.speed.current.Store(&next)
+	e.speed.learnedAt.Store(time.Now().UnixNano())
+}
+
+// SpeedAge returns the time since the latest response that the speed was learned from; -1 if there was none.
+func (e *Endpoint) SpeedAge(now time.Time) time.Duration {
+	at := e.speed.learnedAt.Load()
+	if at == 0 {
+		return -1
+	}
+	return max(0, time.Duration(now.UnixNano()-at))
 }
 
 func learnPrefill(next *Speed, s Sample) {
