Failing tests of calls that are refused beside replicas with room

- TestCallIsServedOnceAReplicaThatRefusedItHasRoom: refused after four refusals of a moment, with 5 s left; the replicas have places again after 0.7 s.
- TestCallIsNotRefusedForTheOneReplicaThatDidNotRefuseIt: the estimate of the slow replica that is left refuses the call.
- TestRetryAfterLeavesTimeForTheRetry: 1 s, with 0.8 s left.
- TestSlowUpstreamsDoNotRefuseWhatAFastOneServes: refused on arrival for the mean.
- TestOutdatedEstimateRefusesNothing: an estimate 10 s old still refuses.
- TestWaitForABetterUpstreamLeavesTimeForAFreeOne: refused after a wait of seconds beside an upstream with a place.

--- /dev/null
+++ b/internal/gateway/refusals_momentary_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxhall/internal/routing"
+)
+
+// busyReplicas are replicas that refuse calls until a moment, and then run them for a time of their own each.
+type busyReplicas struct {
+	busyUntil map[string]time.Time
+	takes     map[string]time.Duration
+}
+
+func (b *busyReplicas) send(ctx context.Context, a *Attempt) (*Response, error) {
+	time.Sleep(time.Millisecond)
+	if time.Now().Before(b.busyUntil[a.Target.ID]) {
+		return refuses(ctx, a)
+	}
+	body := &pacedEvents{left: pacedEventCount, pause: b.takes[a.Target.ID] / pacedEventCount}
+	return NewResponse(Response{Status: 200, Verified: true, Executed: true, Length: -1, Body: body}, func() {}), nil
+}
+
+// pacedEventCount is the number of events of a stream at the replicas.
+const pacedEventCount = 10
+
+// pacedEvents is the body of a stream with a pause before each event.
+type pacedEvents struct {
+	left  int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (e *pacedEvents) Read(p []byte) (int, error) {
+	if e.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(e.pause)
+	e.left--
+	return copy(p, event(pacedEventCount-e.left)), nil
+}
+
+// busyFor lets replicas refuse calls for some time from now on.
+func (b *busyReplicas) busyFor(d time.Duration, replicas ...string) {
+	for _, name := range replicas {
+		b.busyUntil[name] = time.Now().Add(d)
+	}
+}
+
+func newBusyReplicas() *busyReplicas {
+	return &busyReplicas{busyUntil: map[string]time.Time{}, takes: map[string]time.Duration{}}
+}
+
+// Guards against a call that is refused since each replica has refused it at one moment, although they have places
+// again long before its deadline.
+func TestCallIsServedOnceAReplicaThatRefusedItHasRoom(t *testing.T) {
+	for name, engine := range map[string]*routing.Engine{"model": {TokensPerEvent: 2}, "tool": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				replicas := newBusyReplicas()
+				route := routing.Route{Kind: routing.Stream, Attempts: 1}
+				w := newTestGateway(routing.Service{Name: "s", Engine: engine}, nil, Settings{}, route, &fakeTurns{}, replicas.send)
+				replicas.busyFor(700*time.Millisecond, testReplicas...)
+				got := w.serve(&fakeCaller{}, turnCall())
+				is.Equal(got.result.Outcome, Completed)
+				is.True(got.duration < 1100*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Guards against a call that is refused by the estimate of the slowest replica, since the others have refused it at one
+// moment and have places again soon after.
+func TestCallIsNotRefusedForTheOneReplicaThatDidNotRefuseIt(t *testing.T) {
+	const slow = "d"
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		replicas := newBusyReplicas()
+		for _, name := range testReplicas {
+			replicas.takes[name] = 200 * time.Millisecond
+		}
+		replicas.takes[slow] = 8 * time.Second
+		service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+		w := newTestGateway(service, nil, Settings{}, routing.Route{Kind: routing.Stream, Attempts: 1, Timeout: time.Minute}, &fakeTurns{}, replicas.send)
+		var calls sync.WaitGroup
+		for i := range 4 * len(testReplicas) {
+			calls.Go(func() {
+				call := Call{ID: fmt.Sprint("learn-", i), Host: "h", Path: "/x", Arrived: time.Now(), MaxOutputTokens: 20}
+				w.gateway.Serve(t.Context(), &call, &fakeCaller{})
+			})
+		}
+		calls.Wait()
+		replicas.busyFor(300*time.Millisecond, "a", "b", "c")
+		call := Call{ID: "hurried", MaxOutputTokens: 20, Deadline: time.Now().Add(5 * time.Second)}
+		got := w.serve(&fakeCaller{}, call)
+		is.Equal(got.result.Outcome, Completed)
+		is.True(got.result.Replica != slow)
+	})
+}
+
+// Guards against callers that are told to come back after the end of their own time.
+func TestRetryAfterLeavesTimeForTheRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		replicas := newBusyReplicas()
+		service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+		w := newTestGateway(service, nil, Settings{}, routing.Route{Kind: routing.Stream, Attempts: 1, Timeout: time.Minute}, &fakeTurns{}, replicas.send)
+		for _, name := range testReplicas {
+			replicas.takes[name] = 4 * time.Second
+		}
+		for i := range 4 * len(testReplicas) {
+			go func() {
+				call := Call{ID: fmt.Sprint("learn-", i), Host: "h", Path: "/x", Arrived: time.Now(), MaxOutputTokens: 20}
+				w.gateway.Serve(t.Context(), &call, &fakeCaller{})
+			}()
+		}
+		time.Sleep(4500 * time.Millisecond)
+		call := Call{ID: "hurried", MaxOutputTokens: 20, Deadline: time.Now().Add(800 * time.Millisecond)}
+		got := w.serve(&fakeCaller{}, call)
+		is.Equal(got.result.Outcome, NotRun)
+		is.True(got.result.RetryAfter <= 400*time.Millisecond)
+	})
+}
--- /dev/null
+++ b/internal/scheduler/late_test.go
@@ -0,0 +1,86 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxhall/internal/upstream"
+	"foxhall/internal/usage"
+)
+
+// tokensOut is the length of the output of the steps and samples below, in tokens.
+const tokensOut = 11
+
+// learnCalls lets an upstream have completed calls that took so long each.
+func learnCalls(table *upstream.Table, name string, call time.Duration) {
+	for range 20 {
+		table.Snapshot().Upstream(name).Endpoint(testModel).Learn(upstream.Sample{Uncached: 300, Output: tokensOut, Batch: 1, FirstToken: call / 4, Total: call})
+	}
+}
+
+// hurriedRequest returns a request for a step that has left until its deadline.
+func hurriedRequest(program string, left time.Duration) Request {
+	r := testRequest(program)
+	r.OutputHint, r.Deadline = tokensOut, time.Now().Add(left)
+	return r
+}
+
+// Guards against a step that is refused on its arrival, beside an idle upstream that is fast enough, for the mean
+// duration of the calls at all upstreams.
+func TestSlowUpstreamsDoNotRefuseWhatAFastOneServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{}, engineAt("fast", "a", 4), engineAt("slow", "a", 4))
+		learnCalls(table, "fast", 200*time.Millisecond)
+		learnCalls(table, "slow", 10*time.Second)
+		g, refusal := s.Acquire(t.Context(), hurriedRequest("p", 1500*time.Millisecond))
+		is.True(refusal == nil)
+		is.Equal(g.Upstream, "fast")
+	})
+}
+
+// Guards against an estimate that refuses for ever the steps that would correct it: it was learned from slow responses,
+// and none has come since.
+func TestOutdatedEstimateRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{}, engineAt("e", "a", 4))
+		learnCalls(table, "e", 3*time.Second)
+		_, refusal := s.Acquire(t.Context(), hurriedRequest("p", time.Second))
+		is.True(refusal != nil) // the estimate is new
+		time.Sleep(10 * time.Second)
+		g, refusal := s.Acquire(t.Context(), hurriedRequest("p", time.Second))
+		is.True(refusal == nil)
+		g.Done(Feedback{Cancelled: true})
+	})
+}
+
+// Guards against a step that waits for an upstream that is full and better, until its time suffices for none with a place.
+func TestWaitForABetterUpstreamLeavesTimeForAFreeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{}, engineAt("better", "a", 1), engineAt("free", "a", 4))
+		var running []*Grant
+		for range 2 {
+			r := hurriedRequest("filler", time.Hour)
+			r.Avoid = []string{"free"}
+			g, refusal := s.Acquire(t.Context(), r)
+			is.True(refusal == nil)
+			running = append(running, g)
+		}
+		learnCalls(table, "better", 500*time.Millisecond)
+		learnCalls(table, "free", 3*time.Second)
+		r := hurriedRequest("p", 4*time.Second)
+		// The caller's weights make a wait for the better one worthwhile for long.
+		r.Grant = &usage.Grant{Models: []string{testModel}, DataCentres: []string{"a"}, LatencyWeight: 1, CacheWeight: 5}
+		g, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal == nil)
+		is.Equal(g.Upstream, "free")
+		for _, g := range running {
+			g.Done(Feedback{Cancelled: true})
+		}
+	})
+}
