A replica that refuses a call for its load may get it again

Cause: a replica that refused a call once, for its load at that moment, was left out for the rest of the call. The upstream itself counts as full for a second at most; the call's own list outlived that.

Change: only attempts that failed otherwise leave a replica out. One that answered 503 or 429, not run, is full like any other and gets the call again once it does not count as full; the call waits in the queue meanwhile, as others do. It is not waited for while another one has a place. After four such refusals a call is placed again each 100 ms only; the bound of four attempts holds for all others.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -208,6 +208,9 @@
 		case next == nil && v == noFreeConnection && f.takeBack(a):
 		case v != complete:
 			f.reportFailure(ctx, a, v)
+			if a.refusedForLoad(v) {
+				f.allowAgain(a)
+			}
 		}
 		a.place.leave()
 		if next == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,7 +69,29 @@
 	if len(f.possibleRuns) > 0 && (!f.route.Repeatable() || len(f.possibleRuns) >= f.route.Attempts) {
 		return false
 	}
-	return f.attempts < maxAttempts && !f.isOutOfTime() && ctx.Err() == nil
+	return f.attempts-f.refusals < maxAttempts && !f.isOutOfTime() && ctx.Err() == nil
+}
+
+// refusedForLoad reports whether the replica refused the attempt for its load, and may accept the call in a moment.
+func (a *attemptState) refusedForLoad(v verdict) bool {
+	if v != notRun || a.response == nil || a.response.Misdirected || a.response.Draining {
+		return false
+	}
+	return a.response.Status == http.StatusServiceUnavailable || a.response.Status == http.StatusTooManyRequests
+}
+
+// allowAgain allows further attempts at a replica that refused one for its load. The scheduler keeps the call from it
+// until it may have a place.
+//
+// It prevents the following failure: all replicas refuse a call at one moment, or all but a slow one do, and the call
+// is refused for the rest of its time although they have places again milliseconds later.
+func (f *inFlightCall) allowAgain(a *attemptState) {
+	f.refusals++
+	replica := a.grant.Upstream
+	f.triedReplicas = slices.DeleteFunc(f.triedReplicas, func(tried string) bool { return tried == replica })
+	if !slices.Contains(f.refusedBy, replica) {
+		f.refusedBy = append(f.refusedBy, replica)
+	}
 }
 
 // mayFailOver reports whether the call may be sent to another replica although the granted one may
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,9 +29,12 @@
 	// buffersFullRetryAfter is the retry delay given to callers while the memory for calls is in use:
 	// a call of usual size ends in about that time.
 	buffersFullRetryAfter = 500 * time.Millisecond
-	// maxAttempts bounds the attempts of one call, refused ones included. These don't count against
-	// the route's attempts, since a replica that refuses a call has not run it.
+	// maxAttempts bounds the attempts of one call that were not refused for a replica's load.
 	maxAttempts = 4
+	// maxRapidRefusals is the number of attempts refused for replicas' load after which a call is placed again only
+	// each refusalBackoff: replicas have places again within a fraction of a call's duration.
+	maxRapidRefusals = 4
+	refusalBackoff   = 100 * time.Millisecond
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -162,8 +165,11 @@
 	body   []byte
 	blocks []uint64
 	// fingerprint identifies the content that replicas receive.
-	fingerprint   quarantine.Fingerprint
-	triedReplicas []string
+	fingerprint quarantine.Fingerprint
+	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load; refusals
+	// counts these attempts.
+	triedReplicas, refusedBy []string
+	refusals                 int
 	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
 	// use. repeatedPlacements counts how often that happened.
 	placeAgain         bool
@@ -373,6 +379,7 @@
 		Priority:           maxPriority - min(maxPriority, f.priority()),
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
+		RefusedBy:          f.refusedBy,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
 		Again:              f.placeAgain,
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -266,7 +266,7 @@
 // the silent attempt, which is shared then, since a response or a connection alone may be lost. nil means
 // that there is none.
 func (f *inFlightCall) placeHedge(ctx context.Context, silent *attemptState, cause error) (at *place, shared bool) {
-	if f.attempts >= maxAttempts || f.isOutOfTime() || f.mayEndTooMany() {
+	if f.attempts-f.refusals >= maxAttempts || f.isOutOfTime() || f.mayEndTooMany() {
 		return nil, false
 	}
 	if f.mayFailOver(silent.grant) {
@@ -350,6 +350,9 @@
 	if !takenBack {
 		f.reportFailure(ctx, a, v)
 	}
+	if a.refusedForLoad(v) {
+		f.allowAgain(a)
+	}
 	a.place.leave()
 }
 
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -118,18 +118,25 @@
 }
 
 func chooseCost(candidates []Candidate, s *Step, d *Decision) {
-	best, bestFull := -1, -1
+	best, bestFull, bestRefusing := -1, -1, -1
 	for i := range candidates {
 		c := &candidates[i]
-		switch c.Rejection {
-		case Allowed:
-			c.Estimate = EstimateCost(c, s, d.BestCached)
+		if c.Rejection != Allowed && !c.Rejection.isFull() {
+			continue
+		}
+		c.Estimate = EstimateCost(c, s, d.BestCached)
+		switch {
+		case c.Rejection == Allowed:
 			best = cheaper(candidates, best, i)
-		case Full, NoConnection:
-			c.Estimate = EstimateCost(c, s, d.BestCached)
+		case c.HasRefused:
+			bestRefusing = cheaper(candidates, bestRefusing, i)
+		default:
 			bestFull = cheaper(candidates, bestFull, i)
 		}
 	}
+	if best < 0 && bestRefusing >= 0 {
+		bestFull = cheaper(candidates, bestFull, bestRefusing)
+	}
 	switch {
 	case worthWaiting(candidates, best, bestFull, s):
 		d.Chosen, d.ShouldWait = bestFull, true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,9 @@
 	ConnectCost time.Duration
 	// NoConnection is set if no connection is idle and no further one may be opened.
 	NoConnection bool
+	// HasRefused is set if the upstream refused this step before, for its load. The step waits for it only if no other
+	// upstream has a place.
+	HasRefused bool
 	// Estimate is set by Decide.
 	Estimate Estimate
 	// Rejection is the reason why the candidate is rejected, or Allowed.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -189,3 +189,28 @@
 	is.Equal(Decide(Cost, []Candidate{withErrorRate(0.25), busy}, step).Chosen, 0)
 	is.Equal(Decide(Cost, []Candidate{withErrorRate(0.58), busy}, step).Chosen, 1)
 }
+
+// Guards against a step that waits again and again for an upstream that has refused it, beside one with a place.
+func TestUpstreamThatRefusedTheStepIsNotPreferredToOneWithAPlace(t *testing.T) {
+	is := is.New(t)
+	speed := upstream.Speed{Prefill: 1000, TokenBase: 0.01, CallSeconds: 1, Samples: 1}
+	step := Step{PromptTokens: 5000, OutputTokens: 10, LatencyWeight: 1, CacheWeight: 1}
+	load := upstream.Load{Limit: 5, Slowness: 1}
+	full := load
+	full.Condition = upstream.Full
+	candidates := func(refusing bool) []Candidate {
+		return []Candidate{
+			{Slots: 4, Load: full, Speed: speed, CachedTokens: 4900, HasRefused: refusing},
+			{Slots: 4, Load: load, Speed: speed},
+		}
+	}
+	d := Decide(Cost, candidates(false), &step)
+	is.Equal(d.Chosen, 0) // worth waiting for
+	is.True(d.ShouldWait)
+	d = Decide(Cost, candidates(true), &step)
+	is.Equal(d.Chosen, 1)
+	is.True(!d.ShouldWait)
+	d = Decide(Cost, candidates(true)[:1], &step)
+	is.Equal(d.Chosen, 0) // the only one
+	is.True(d.ShouldWait)
+}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -120,6 +120,7 @@
 		Load:         u.Load(now.UnixNano()),
 		Speed:        learnedOrMeanSpeed(endpoint),
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
+		HasRefused:   slices.Contains(w.request.RefusedBy, u.Name),
 	}
 	p.scheduler.setConnections(&c, u, w.request.MaxConnections)
 	if w.isFullFor(&c) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,6 +111,9 @@
 	Resent             bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
+	// RefusedBy is the names of the upstreams that refused the step for their load. They may get it again once they do
+	// not count as full any more; none is waited for while another upstream has a place.
+	RefusedBy []string
 	// NotRun is set if all upstreams in Tried refused the step or could not be reached. It then draws on no retry
 	// budget: an upstream that refuses steps counts as full, so that they do not multiply its load.
 	NotRun bool
@@ -223,9 +226,10 @@
 		return true
 	case r.Hedge:
 		return s.hedges.TryTake(now)
-	case r.NotRun && len(r.Tried) > 0:
+	case len(r.Tried)+len(r.RefusedBy) == 0:
+	case r.NotRun:
 		return true
-	case len(r.Tried) > 0:
+	default:
 		return s.retries.TryTake(now)
 	}
 	s.retries.RecordAttempt()
