An estimate refuses only what no upstream could serve in time

Cause: an estimate of what is left was taken for one of what there is. A step was judged by the upstream that it would be placed at; where the others were full, or had refused it, that was the slow one, 8 s for 4.5 s left. On arrival it was judged by the mean duration of all calls, without a margin, even beside an idle upstream: one slow upstream of a release refuses what the others do in 0.2 s. And an estimate had no end: slow responses that were learned once refuse the calls that would correct them.

Change: the decision takes the least time over all upstreams that have a place or may get one, with the margins that load control has (a quarter of the wait, seven tenths of the call). A step is late only if that exceeds its time left; one that is not goes to an upstream that can still be in time, or waits for it. An estimate that is older than what it tells, and than 1 s, counts for half if others of the pool responded of late, else for nothing. A step is refused on arrival only behind others, by their wait and its own least time. In a sample of a large pool, a late step is judged by all.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -125,7 +125,9 @@
 			continue
 		}
 		c.Estimate = EstimateCost(c, s, d.BestCached)
+		judgeLateness(candidates, i, s, d)
 		switch {
+		case c.Late:
 		case c.Rejection == Allowed:
 			best = cheaper(candidates, best, i)
 		case c.HasRefused:
@@ -138,6 +140,8 @@
 		bestFull = cheaper(candidates, bestFull, bestRefusing)
 	}
 	switch {
+	case best < 0 && bestFull < 0 && d.Soonest >= 0:
+		d.Late, d.Chosen, d.ShouldWait = true, d.Soonest, candidates[d.Soonest].Rejection != Allowed
 	case worthWaiting(candidates, best, bestFull, s):
 		d.Chosen, d.ShouldWait = bestFull, true
 	case best < 0:
@@ -198,7 +202,7 @@
 }
 
 func tied(c *Candidate, limit float64) bool {
-	return c.Rejection == Allowed && c.Estimate.Cost <= limit
+	return c.Rejection == Allowed && !c.Late && c.Estimate.Cost <= limit
 }
 
 // splitMix64 is the finalizer of SplitMix64 (Steele et al., 2014). It derives successive uniform
--- /dev/null
+++ b/internal/placement/late.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"time"
+
+	"foxhall/internal/urgency"
+)
+
+const (
+	// minEstimateLifetime is how long an estimate counts at least after the latest response that it was learned from. A
+	// longer one counts for the time that it tells.
+	minEstimateLifetime = time.Second
+	// otherFraction is the fraction of an estimate that a step takes at least at an upstream of which nothing recent is
+	// known, if others of the pool have responded of late.
+	otherFraction = 0.5
+)
+
+// leastTimes returns the least time that the step takes at the candidate, and the part of it that is the call's own.
+// They are 0 if what they would be estimated by is outdated: an estimate by which calls are refused gets no further
+// samples, and would refuse them for ever.
+func leastTimes(c *Candidate, s *Step) (all, own time.Duration) {
+	wait, call := seconds(c.Estimate.Wait), seconds(c.Estimate.Prefill+c.Estimate.Decode)
+	if s.MeanCall > 0 {
+		call = 0 // calls of services vary so widely that only the wait before them is certain
+	}
+	if lifetime := max(minEstimateLifetime, seconds(c.Estimate.Total())); c.SpeedAge < 0 || c.SpeedAge > lifetime {
+		if s.PoolAge < 0 || s.PoolAge > lifetime {
+			return 0, 0
+		}
+		fraction := otherFraction / max(1, c.Load.Slowness)
+		wait, call = time.Duration(fraction*float64(wait)), time.Duration(fraction*float64(call))
+	}
+	return urgency.CertainDuration(wait, call), urgency.CertainDuration(0, call)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// judgeLateness records whether the candidate can't complete the step by its deadline, and updates the least times over
+// all candidates.
+func judgeLateness(candidates []Candidate, i int, s *Step, d *Decision) {
+	if !s.HasDeadline {
+		return
+	}
+	c := &candidates[i]
+	all, own := leastTimes(c, s)
+	c.Late = all > s.Left
+	if d.Soonest < 0 || all < d.Least {
+		d.Soonest, d.Least = i, all
+	}
+	if d.LeastOwn < 0 || own < d.LeastOwn {
+		d.LeastOwn = own
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,8 +46,11 @@
 	// HasRefused is set if the upstream refused this step before, for its load. The step waits for it only if no other
 	// upstream has a place.
 	HasRefused bool
-	// Estimate is set by Decide.
+	// SpeedAge is the time since the latest response from which Speed was learned; -1 if there was none.
+	SpeedAge time.Duration
+	// Estimate is set by Decide, and Late if the step can't be completed there by its deadline.
 	Estimate Estimate
+	Late     bool
 	// Rejection is the reason why the candidate is rejected, or Allowed.
 	Rejection Reason
 }
@@ -97,6 +100,11 @@
 	Random uint64
 	// Waited is how long the step has waited in the queue.
 	Waited time.Duration
+	// Left is the time until the step's deadline, if HasDeadline is set.
+	Left        time.Duration
+	HasDeadline bool
+	// PoolAge is the time since the latest response of any upstream from which a speed was learned; -1 if there was none.
+	PoolAge time.Duration
 	// MoveTokensPerSecond is the rate at which the program's cache can be moved to another engine;
 	// 0 if it cannot be moved.
 	MoveTokensPerSecond float64
@@ -119,6 +127,12 @@
 	// ShouldWait reports whether the step should wait for the chosen candidate, which is full.
 	ShouldWait bool
 	Estimate   Estimate
+	// Late is set if no upstream can complete the step by its deadline, by the estimates of all candidates that have a
+	// place or may get one. Least is the least time that it takes, at the candidate with the index Soonest (-1 for
+	// none), and LeastOwn the least time of the call alone; -1 if unknown. They are set for steps with a deadline.
+	Late            bool
+	Soonest         int
+	Least, LeastOwn time.Duration
 	// Ties is the number of candidates among which the choice was random.
 	Ties int
 	// BestCached is the largest number of the prompt's tokens that an allowed or full candidate
@@ -207,7 +221,7 @@
 
 // Decide filters the candidates and chooses one according to the policy.
 func Decide(policy Policy, candidates []Candidate, s *Step) Decision {
-	d := Decision{Chosen: -1}
+	d := Decision{Chosen: -1, Soonest: -1, LeastOwn: -1}
 	Filter(candidates, s.MaxViewAge, &d)
 	switch policy {
 	case RoundRobin:
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -24,11 +24,15 @@
 )
 
 // decide makes one decision over a sample of the upstreams, or over all of them if none in the
-// sample can take the step.
+// sample can take the step or complete it by its deadline.
 func (p *pool) decide(endpoints []*upstream.Endpoint, w *waiter, now time.Time) placement.Decision {
 	if p.key.service {
 		w.step.MeanCall = meanSpeed(endpoints).CallSeconds
 	}
+	if !w.request.Deadline.IsZero() {
+		w.step.HasDeadline, w.step.Left = true, w.request.Deadline.Sub(now)
+	}
+	w.step.PoolAge = poolAge(endpoints, now)
 	p.scheduler.view.Lookup(w.blockHashes, &p.matches)
 	d := p.decideAmong(endpoints, w, now)
 	if len(w.request.Avoid) > 0 && !placement.AnyCapable(&d) {
@@ -47,7 +51,7 @@
 	if samples {
 		p.fillSample(endpoints, w, now)
 		d := placement.Decide(policy, p.candidates, &w.step)
-		if placement.AnyCapable(&d) {
+		if placement.AnyCapable(&d) && !d.Late {
 			return d
 		}
 	}
@@ -120,6 +124,7 @@
 		Load:         u.Load(now.UnixNano()),
 		Speed:        learnedOrMeanSpeed(endpoint),
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
+		SpeedAge:     endpoint.SpeedAge(now),
 		HasRefused:   slices.Contains(w.request.RefusedBy, u.Name),
 	}
 	p.scheduler.setConnections(&c, u, w.request.MaxConnections)
@@ -178,6 +183,15 @@
 	return endpoint.MeanSpeed()
 }
 
+// poolAge returns the time since the latest response of any of the endpoints, which belong to one pool, from which a
+// speed was learned; -1 if there was none.
+func poolAge(endpoints []*upstream.Endpoint, now time.Time) time.Duration {
+	if len(endpoints) == 0 {
+		return -1
+	}
+	return endpoints[0].MeanSpeedAge(now)
+}
+
 // meanSpeed returns the mean learned speed of the endpoints, which belong to one pool.
 func meanSpeed(endpoints []*upstream.Endpoint) upstream.Speed {
 	if len(endpoints) == 0 {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -304,7 +304,7 @@
 func (p *pool) tryPlace(endpoints []*upstream.Endpoint, w *waiter, now time.Time) (decided, allFull bool) {
 	w.step.Waited = now.Sub(w.enqueued)
 	d := p.decide(endpoints, w, now)
-	if refusal := p.refuseIfLate(w, &d, now); refusal != nil {
+	if refusal := p.refuseIfLate(endpoints, w, &d, now); refusal != nil {
 		w.urgent.full = d.Rejections[placement.Full]
 		w.refused <- refusal
 		return true, false
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -10,6 +10,7 @@
 	"foxhall/internal/placement"
 	"foxhall/internal/step"
 	"foxhall/internal/upstream"
+	"foxhall/internal/urgency"
 )
 
 const (
@@ -108,57 +109,53 @@
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return refuse(QueueFull, step.CodeOverloaded, 503, "too many steps wait", p.overloadRetryAfter())
 	}
-	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() || w.request.AtVersion {
-		// Estimates for all upstreams say nothing of those of one version.
+	wait := p.expectedWait()
+	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() || w.request.AtVersion || wait == 0 {
+		// Estimates for all upstreams say nothing of those of one version; a step that is next is left to the scan.
 		return nil
 	}
-	remaining := time.Until(w.request.Deadline)
-	need := p.expectedWait() + p.learnedCallTime()
-	if remaining >= need {
+	now := w.enqueued
+	endpoints := p.scheduler.endpoints(p.key)
+	if poolAge(endpoints, now) > max(minWaitLifetime, wait) {
 		return nil
 	}
-	refusal := refuse(LateOnArrival, step.CodeOverloaded, 503, "the step can't be done by its deadline", max(time.Second, need-remaining))
-	refusal.Estimate = &Estimate{Need: need, Left: remaining, Age: p.newestAge(time.Now())}
+	d := p.decide(endpoints, w, now)
+	need := max(d.Least, urgency.CertainDuration(wait, 0)+max(0, d.LeastOwn))
+	if need <= w.step.Left {
+		return nil
+	}
+	refusal := refuse(LateOnArrival, step.CodeOverloaded, 503, "the step can't be done by its deadline", max(time.Second, need-w.step.Left))
+	refusal.decision = d
+	refusal.Estimate = p.estimateOf(endpoints, &d, need, w.step.Left, now)
 	return refusal
 }
 
-// certainFraction is the fraction of an estimate that a step almost certainly takes.
-const certainFraction = 0.7
+// minWaitLifetime is how long the estimated wait of a queue counts at least after the latest response.
+const minWaitLifetime = time.Second
 
-// refuseIfLate refuses a step that cannot meet its deadline even on the best upstream. If sent, it
+// refuseIfLate refuses a step that no upstream can complete by its deadline, not even once it has a place. If sent, it
 // would take a slot from steps that can still meet theirs.
-func (p *pool) refuseIfLate(w *waiter, d *placement.Decision, now time.Time) *Refusal {
-	if d.Chosen < 0 || w.request.Deadline.IsZero() || p.scheduler.settings.Policy != placement.Cost {
-		return nil
-	}
-	if p.knowsOnlyDefaults(now) {
-		// Only default speeds are known, and no step may be refused because of a default.
-		return nil
-	}
-	expected := d.Estimate.Total()
-	if p.key.service {
-		// Service times vary so widely that only the wait before the call is certain.
-		expected = d.Estimate.Wait
-	}
-	need := time.Duration(certainFraction * expected * float64(time.Second))
-	if !now.Add(need).After(w.request.Deadline) {
+func (p *pool) refuseIfLate(endpoints []*upstream.Endpoint, w *waiter, d *placement.Decision, now time.Time) *Refusal {
+	if !d.Late {
 		return nil
 	}
 	refusal := refuse(Late, step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
 	if p.byUrgency {
 		refusal = p.refuseOverloaded(Late, w, p.scan.ahead(w.urgent.allowance), now, "the deadline can't be met; not run")
 	}
-	endpoint := p.scheduler.endpoints(p.key)[p.candidates[d.Chosen].Index]
 	refusal.decision = *d
-	refusal.Estimate = &Estimate{Upstream: endpoint.Upstream.Name, Need: need, Left: w.request.Deadline.Sub(now), Age: endpoint.SpeedAge(now)}
+	refusal.Estimate = p.estimateOf(endpoints, d, d.Least, w.step.Left, now)
 	return refusal
 }
 
-func (p *pool) knowsOnlyDefaults(now time.Time) bool {
-	if p.byUrgency {
-		return !p.currentCapacity(now).learned
+// estimateOf returns the estimate by which a step needs that long, by the latest decision.
+func (p *pool) estimateOf(endpoints []*upstream.Endpoint, d *placement.Decision, need, left time.Duration, now time.Time) *Estimate {
+	e := &Estimate{Need: need, Left: left, Age: poolAge(endpoints, now)}
+	if d.Soonest >= 0 {
+		endpoint := endpoints[p.candidates[d.Soonest].Index]
+		e.Upstream, e.Age = endpoint.Upstream.Name, endpoint.SpeedAge(now)
 	}
-	return p.learnedCallTime() == 0
+	return e
 }
 
 // expectedWait returns how long a step that arrives now is expected to wait in the queue.
@@ -202,17 +199,6 @@
 	return time.Duration(sum / float64(n) * float64(time.Second))
 }
 
-// newestAge returns the time since the latest response that a speed was learned from; -1 if there was none.
-func (p *pool) newestAge(now time.Time) time.Duration {
-	newest := time.Duration(-1)
-	for _, endpoint := range p.scheduler.endpoints(p.key) {
-		if age := endpoint.SpeedAge(now); age >= 0 && (newest < 0 || age < newest) {
-			newest = age
-		}
-	}
-	return newest
-}
-
 func (p *pool) usableSlots() int {
 	now := time.Now().UnixNano()
 	n := 0
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -223,7 +223,7 @@
 		return nil
 	}
 	refusal := p.refuseOverloaded(LateOnArrival, w, ahead, now, "the step can't be done by its deadline; not run")
-	refusal.Estimate = &Estimate{Need: need, Left: left, Age: p.newestAge(now)}
+	refusal.Estimate = &Estimate{Need: need, Left: left, Age: poolAge(p.scheduler.endpoints(p.key), now)}
 	return refusal
 }
 
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"foxhall/internal/usage"
 )
@@ -29,6 +30,9 @@
 type group struct {
 	key groupKey
 
+	// learnedAt is when the latest response of any endpoint was learned from, in Unix nanoseconds; 0 for never.
+	learnedAt atomic.Int64
+
 	mu sync.Mutex
 	// sum is the sum of the speeds of the learned endpoints that have samples.
 	sum     Speed
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -89,16 +89,25 @@
 		e.group.replace(e.speed.load(), next)
 	}
 	e.speed.current.Store(&next)
-	e.speed.learnedAt.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	e.speed.learnedAt.Store(now)
+	if e.group != nil {
+		e.group.learnedAt.Store(now)
+	}
 }
 
 // SpeedAge returns the time since the latest response that the speed was learned from; -1 if there was none.
-func (e *Endpoint) SpeedAge(now time.Time) time.Duration {
-	at := e.speed.learnedAt.Load()
-	if at == 0 {
+func (e *Endpoint) SpeedAge(now time.Time) time.Duration { return ageOf(&e.speed.learnedAt, now) }
+
+// MeanSpeedAge returns the time since the latest response of any endpoint of the same model or service that a speed was
+// learned from; -1 if there was none.
+func (e *Endpoint) MeanSpeedAge(now time.Time) time.Duration { return ageOf(&e.group.learnedAt, now) }
+
+func ageOf(at *atomic.Int64, now time.Time) time.Duration {
+	if at.Load() == 0 {
 		return -1
 	}
-	return max(0, time.Duration(now.UnixNano()-at))
+	return max(0, time.Duration(now.UnixNano()-at.Load()))
 }
 
 func learnPrefill(next *Speed, s Sample) {
