A wait for a better upstream leaves time for one with a place

Callers waited for seconds beside an upstream with a place and were then refused, or placed too late to be done there.

Cause: the wait for a full upstream is bounded by the cost that it saves, which counts errors and other calls' delays as seconds, not by the time that the step has left.

Change: a step stops waiting while it can still be done at the upstream with a place, two scans of the queue before the last moment; it goes on only if it would miss its deadline there anyway and not at the full one.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -172,7 +172,7 @@
 	}
 	full := &candidates[bestFull].Estimate
 	saved := (candidates[best].Estimate.Cost - full.Cost) / max(s.LatencyWeight, 0.01)
-	return saved > 0 && s.Waited.Seconds() < maxWaitPerSaving*(saved+full.Wait)
+	return saved > 0 && leavesTimeFor(&candidates[best], &candidates[bestFull], s) && s.Waited.Seconds() < maxWaitPerSaving*(saved+full.Wait)
 }
 
 // breakTie chooses at random among the candidates whose cost is within the tie margin of the best.
--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -13,6 +13,9 @@
 	// otherFraction is the fraction of an estimate that a step takes at least at an upstream of which nothing recent is
 	// known, if others of the pool have responded of late.
 	otherFraction = 0.5
+	// waitReserve is the time before the last moment for an upstream with a place at which a step stops waiting for a
+	// better one: that of two scans of the queue.
+	waitReserve = 100 * time.Millisecond
 )
 
 // leastTimes returns the least time that the step takes at the candidate, and the part of it that is the call's own.
@@ -51,3 +54,12 @@
 		d.LeastOwn = own
 	}
 }
+
+// leavesTimeFor reports whether a step that waits for a better candidate can still go to the free one later, or would
+// miss its deadline there anyway.
+func leavesTimeFor(free, better *Candidate, s *Step) bool {
+	if !s.HasDeadline || s.Left > seconds(free.Estimate.Total())+waitReserve {
+		return true
+	}
+	return seconds(free.Estimate.Total()) > s.Left && seconds(better.Estimate.Total()) <= s.Left
+}
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -79,6 +79,7 @@
 		g, refusal := s.Acquire(t.Context(), r)
 		is.True(refusal == nil)
 		is.Equal(g.Upstream, "free")
+		is.True(time.Until(r.Deadline) >= 3*time.Second) // what a call takes there
 		for _, g := range running {
 			g.Done(Feedback{Cancelled: true})
 		}
