Load control: the fastest engine decides whether a waiting call is hopeless

A call behind others was refused by the mean duration of a call over all engines, though the fastest one has a place in time: the same fault as in pools without load control. The least duration is the mean one times the fastest engine's share of it.

TestHopelessnessIsJudgedByTheFastestEngine failed before (refused on arrival with 3 s left; the fast engine has places after 0.3 s).

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -217,8 +217,9 @@
 	if !c.learned {
 		return nil
 	}
-	need := urgency.CertainDuration(p.view(c, w.urgent.allowance, now).Wait(ahead), w.urgent.order.Expected)
-	left := w.request.Deadline.Sub(now)
+	// The age of the estimate doesn't matter: steps with none ahead are sent without it, and correct it.
+	least := time.Duration(c.fastest * float64(w.urgent.order.Expected))
+	need, left := urgency.CertainDuration(p.view(c, w.urgent.allowance, now).Wait(ahead), least), w.request.Deadline.Sub(now)
 	if need <= left {
 		return nil
 	}
@@ -244,6 +245,9 @@
 	free [urgency.MaxAllowance + 1]int
 	// learned is set if some engine has completed a call.
 	learned bool
+	// shortest is the least of the engines' mean durations of a call, in seconds, and fastest its share of the mean over
+	// all of them, at most 1.
+	shortest, fastest float64
 }
 
 func (p *pool) view(c *capacity, allowance int, now time.Time) urgency.View {
@@ -285,6 +289,10 @@
 			p.capacity.add(endpoint, p.maxConnections, now.UnixNano())
 		}
 	}
+	p.capacity.fastest = 1
+	if p.capacity.learned {
+		p.capacity.fastest = min(1, p.capacity.shortest/meanSpeed(p.scheduler.endpoints(p.key)).CallSeconds)
+	}
 	return &p.capacity
 }
 
@@ -309,7 +317,9 @@
 	}
 	slots := max(1, endpoint.Upstream.Slots)
 	speed := learnedOrMeanSpeed(endpoint)
-	c.learned = c.learned || speed.Samples > 0
+	if speed.Samples > 0 && (!c.learned || speed.CallSeconds < c.shortest) {
+		c.learned, c.shortest = true, speed.CallSeconds
+	}
 	c.calls += l.Total
 	c.own += l.Own
 	c.rate += urgency.CallRate(l.Total, slots, speed.CallSeconds)
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -642,3 +642,35 @@
 		is.True(isPlacedAtOnce(s, r))
 	})
 }
+
+// Guards against a waiting step that is refused for the mean duration of calls, while the fastest engine has a place in
+// time.
+func TestHopelessnessIsJudgedByTheFastestEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{LoadControl: true}, engineAt("fast", "a", 8), engineAt("slow", "a", 8))
+		learnCalls(table, "fast", 500*time.Millisecond)
+		learnCalls(table, "slow", 10*time.Second)
+		setPeers(table, "fast", 100)
+		setPeers(table, "slow", 100)
+		granted := make(chan string, 2)
+		for _, program := range []string{"ahead", "behind"} {
+			go func() {
+				r := urgentRequest(program, 0, ordinaryLeft)
+				r.OutputHint, r.Deadline = tokensOut, time.Now().Add(3*time.Second)
+				g, refusal := s.Acquire(t.Context(), r)
+				if refusal != nil {
+					granted <- refusal.Message
+					return
+				}
+				granted <- g.Upstream
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(300 * time.Millisecond)
+		setPeers(table, "fast", 0)
+		s.OnLoadLowered()
+		is.Equal(<-granted, "fast")
+		is.Equal(<-granted, "fast")
+	})
+}
