Retry-After of a refused call leaves time for the retry

A call that no replica could do in time was told to come back in 1 s with 0.8 s left, so that its next try came after its end. The delay is at most half of the time left; a quota's (429) stays what it was, since nothing changes earlier.

TestRetryAfterLeavesTimeForTheRetry failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 		defer f.hold.Release()
 	}
 	result := f.serve(ctx)
+	f.boundRetryAfter(&result)
 	if ctx.Err() != nil && result.Outcome != Completed {
 		result.Outcome, result.Reason = CallerGone, CallerDisconnected
 		if g.shutdown.hasEnded() {
@@ -453,6 +454,14 @@
 // Fields implements log.Fielder.
 func (e *placementError) Fields() log.Fields { return e.refusal.Fields() }
 
+// boundRetryAfter shortens a delay after which too little time would be left for a retry: the load may fall sooner than
+// expected, and the call can't be served later.
+func (f *inFlightCall) boundRetryAfter(r *Result) {
+	if r.Outcome == NotRun && unreachedReasons[r.Reason] && !f.deadline.IsZero() {
+		r.RetryAfter = max(0, min(r.RetryAfter, time.Until(f.deadline)/2))
+	}
+}
+
 func (f *inFlightCall) result(outcome Outcome, reason Reason, status int) Result {
 	return Result{Outcome: outcome, Reason: reason, Status: status, Replica: f.lastReplica, Attempts: f.attempts}
 }
