A call that is placed again keeps its place in the order of arrival

Cause: each placement counted as a new arrival, so that each refusal by a replica sent the call to the end of the queue. The time for which it may wait for a better upstream began anew, too.

Change: the order goes by the arrival of the call at this instance, as it does under load control, and the wait counts over all placements of the call.

TestStepThatIsPlacedAgainKeepsItsPlaceInTheOrder failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -396,6 +396,7 @@
 		CallID:             f.call.ID,
 		Objective:          f.call.Program.Objective,
 		Arrived:            f.call.Arrived,
+		Waited:             f.stageTimes.placing,
 		Resent:             f.attempts > 0,
 		AtVersion:          f.streamVersion.fixed,
 		Version:            f.streamVersion.version,
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -85,3 +85,36 @@
 		}
 	})
 }
+
+// Guards against a step that loses its place in the queue each time that an upstream refuses it, so that later ones are
+// served and it is not.
+func TestStepThatIsPlacedAgainKeepsItsPlaceInTheOrder(t *testing.T) {
+	for _, loadControl := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestScheduler(Settings{LoadControl: loadControl}, engineAt("e", "a", 1))
+			running := fillSlots(t, s, 2)
+			arrived := time.Now()
+			time.Sleep(time.Second)
+			granted := make(chan string, 2)
+			acquire := func(r Request) {
+				go func() {
+					g, refusal := s.Acquire(t.Context(), r)
+					is.True(refusal == nil)
+					granted <- r.Program
+					g.Done(Feedback{Cancelled: true})
+				}()
+				synctest.Wait()
+			}
+			later, refused := testRequest("later"), testRequest("refused")
+			later.Arrived = time.Now()
+			refused.Arrived, refused.RefusedBy, refused.NotRun = arrived, []string{"e"}, true
+			acquire(later)
+			acquire(refused)
+			running[0].Done(Feedback{Cancelled: true})
+			is.Equal(<-granted, "refused")
+			running[1].Done(Feedback{Cancelled: true})
+			is.Equal(<-granted, "later")
+		})
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -129,7 +129,7 @@
 	attained, steps := s.programs.attained(rootOf(r), now)
 	w.step.LastUpstream = s.programs.lastUpstream(r.programKey(), now)
 	w.criteria = queue.Criteria{
-		Enqueued: now,
+		Enqueued: r.arrivedBy(now),
 		Attained: attained,
 		Deadline: r.Deadline,
 		Priority: r.Priority,
@@ -138,6 +138,14 @@
 	s.setWantedCopies(w, steps, now)
 }
 
+// arrivedBy returns when the step's call arrived, which is now if that is not known.
+func (r *Request) arrivedBy(now time.Time) time.Time {
+	if r.Arrived.IsZero() || r.Arrived.After(now) {
+		return now
+	}
+	return r.Arrived
+}
+
 // place queues the step and waits for a grant or a refusal.
 func (p *pool) place(ctx context.Context, w *waiter) (*Grant, *Refusal) {
 	if refusal := p.enqueue(w); refusal != nil {
@@ -302,7 +310,7 @@
 // tryPlace grants or refuses one step, or leaves it waiting. decided reports whether the step was
 // granted or refused, allFull whether all upstreams are full, so that no other step can be placed.
 func (p *pool) tryPlace(endpoints []*upstream.Endpoint, w *waiter, now time.Time) (decided, allFull bool) {
-	w.step.Waited = now.Sub(w.enqueued)
+	w.step.Waited = w.request.Waited + now.Sub(w.enqueued)
 	d := p.decide(endpoints, w, now)
 	if refusal := p.refuseIfLate(endpoints, w, &d, now); refusal != nil {
 		w.urgent.full = d.Rejections[placement.Full]
@@ -329,7 +337,7 @@
 		}
 	}
 	w.recordDecision(&d)
-	if !placement.AnyCapable(&d) && w.step.Waited >= noUpstreamWait {
+	if !placement.AnyCapable(&d) && now.Sub(w.enqueued) >= noUpstreamWait {
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,11 +104,14 @@
 	Deadline time.Time
 	// CallID is the id of the call in log lines; empty for none.
 	CallID string
-	// Objective is the time by which the program should have finished, Arrived when the call arrived
-	// at this instance; zero if unknown. Resent is set if an earlier attempt was refused or lost.
-	// They are used only with Settings.LoadControl.
-	Objective, Arrived time.Time
-	Resent             bool
+	// Arrived is when the call arrived at this instance; zero if unknown. A step that is placed again keeps its place in
+	// the order of arrival. Waited is how long the call has waited for its earlier placements.
+	Arrived time.Time
+	Waited  time.Duration
+	// Objective is the time by which the program should have finished; zero if unknown. Resent is set if an earlier
+	// attempt was refused or lost. They are used only with Settings.LoadControl.
+	Objective time.Time
+	Resent    bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
 	// RefusedBy is the names of the upstreams that refused the step for their load. They may get it again once they do
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -91,13 +91,10 @@
 		Objective: r.Objective,
 		Expected:  p.expectedDuration(w, endpoints),
 		Resent:    r.Resent,
-		Arrived:   w.enqueued,
+		Arrived:   r.arrivedBy(w.enqueued),
 		Deadline:  r.Deadline,
 		Attained:  w.criteria.Attained,
 	}
-	if !r.Arrived.IsZero() && r.Arrived.Before(w.enqueued) {
-		w.urgent.order.Arrived = r.Arrived
-	}
 	w.urgent.changesAt = w.urgent.order.ChangesAt(now)
 	w.setState(now)
 }
