Attained service delays a step by a quarter of its time at most

The queue puts a step behind later ones by half of the service that its program has had, up to 10 s. Turns have 5 s at most: one that continues a program with 10 s of service went behind each first turn that arrived within its time. The delay is at most a quarter of the time from the step's arrival to its deadline.

TestAttainedServiceDelaysAStepByAShareOfItsTime failed before.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -15,9 +15,10 @@
 	criticalAdvance = 500 * time.Millisecond
 	// attainedWeight is how much later the key is, in seconds per second of attained service.
 	attainedWeight = 0.5
-	// maxAttainedDelay bounds the delay by attained service, so that a long program is not delayed
-	// without limit.
+	// maxAttainedDelay and maxDelayShare, a share of the step's time, bound the delay by attained service, so that a
+	// long program is neither delayed without limit nor until its deadlines pass.
 	maxAttainedDelay = 10 * time.Second
+	maxDelayShare    = 0.25
 	// deadlineLead is how long before its deadline a step counts as enqueued at the latest.
 	deadlineLead = 10 * time.Second
 )
@@ -43,6 +44,9 @@
 // changes, while the keys of later steps grow with time, so no step starves.
 func (c *Criteria) Key() time.Time {
 	delay := min(maxAttainedDelay, time.Duration(attainedWeight*float64(c.Attained)))
+	if !c.Deadline.IsZero() {
+		delay = max(0, min(delay, time.Duration(maxDelayShare*float64(c.Deadline.Sub(c.Enqueued)))))
+	}
 	key := c.Enqueued.Add(delay - time.Duration(c.Priority)*priorityAdvance)
 	if c.Critical {
 		key = key.Add(-criticalAdvance)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"foxhall/internal/fuzzing"
@@ -100,3 +101,18 @@
 		}
 	})
 }
+
+// Guards against turns of a program that has had much service which miss their deadlines behind all turns that begin
+// within their time.
+func TestAttainedServiceDelaysAStepByAShareOfItsTime(t *testing.T) {
+	is := is.New(t)
+	began := time.Unix(1000, 0)
+	long := Criteria{Enqueued: began, Attained: time.Minute, Deadline: began.Add(4 * time.Second), Priority: 9}
+	first := func(after time.Duration) *Criteria {
+		return &Criteria{Enqueued: began.Add(after), Deadline: began.Add(after + 4*time.Second), Priority: 9}
+	}
+	is.True(first(900 * time.Millisecond).Key().Before(long.Key()))
+	is.True(long.Key().Before(first(1100 * time.Millisecond).Key()))
+	long.Deadline = time.Time{}
+	is.True(first(maxAttainedDelay - time.Second).Key().Before(long.Key()))
+}
