The first calls at a new upstream don't count as slowness

Cause: the slowness of an upstream is the ratio of measured to expected durations, and until an upstream has completed a call the expectation is the mean of the others, or a default. Calls that were placed at once with it, four of 8 s, made a slowness of 15.8, by which the speed learned from the same calls was multiplied.

Change: only calls placed by an upstream's own speed tell its slowness.

TestFirstCallsAtANewUpstreamDoNotCountAsSlowness failed before (15.8, now 1).

--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -54,6 +54,8 @@
 	sentAt       time.Time
 	batchSize    int
 	cachedTokens int
+	// speedKnown is set if the upstream had completed a call when the step was placed.
+	speedKnown bool
 	// moveFrom is the address of the engine from which the program's cache is to be fetched, or
 	// empty if the cache is not moved.
 	moveFrom    string
@@ -111,6 +113,7 @@
 		sentAt:          now,
 		batchSize:       c.Load.Total + 1,
 		cachedTokens:    c.CachedTokens,
+		speedKnown:      c.Speed.Samples > 0,
 	}
 	if w.request.Service != "" && w.request.Repeatable {
 		g.HedgeAfter = time.Duration(hedgeFactor * endpoint.Speed().CallSeconds * float64(time.Second))
@@ -262,7 +265,10 @@
 // response.
 func (s *Scheduler) learn(g *Grant, f Feedback, now time.Time) {
 	r := g.waiter.request
-	g.endpoint.Upstream.ObserveLatency(now, f.Total, g.Decision.Estimate.ExpectedDuration(&g.waiter.step, f.Output))
+	if g.speedKnown {
+		// Against the mean of other upstreams a new one is neither slow nor fast: its learned speed tells that.
+		g.endpoint.Upstream.ObserveLatency(now, f.Total, g.Decision.Estimate.ExpectedDuration(&g.waiter.step, f.Output))
+	}
 	sample := upstream.Sample{
 		Uncached: f.Prompt - f.CachedTokens, Output: f.Output, Batch: min(g.batchSize, max(1, g.endpoint.Upstream.Slots)),
 		FirstToken: f.FirstToken, Total: f.Total,
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -42,6 +42,24 @@
 	})
 }
 
+// Guards against a new upstream that counts as several times as slow as it is, since its first calls took longer than the
+// mean of the others: its learned speed includes that already.
+func TestFirstCallsAtANewUpstreamDoNotCountAsSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{}, engineAt("new", "a", 4))
+		calls := fillSlots(t, s, 4)
+		time.Sleep(8 * time.Second)
+		for _, g := range calls {
+			g.Done(Feedback{Prompt: 300, Output: tokensOut, FirstToken: 2 * time.Second, Total: 8 * time.Second})
+		}
+		u := table.Snapshot().Upstream("new")
+		is.Equal(u.Load(time.Now().UnixNano()).Slowness, 1.0)
+		call := u.Endpoint(testModel).Speed().CallSeconds
+		is.True(call > 7 && call < 9)
+	})
+}
+
 // Guards against an estimate that refuses for ever the steps that would correct it: it was learned from slow responses,
 // and none has come since.
 func TestOutdatedEstimateRefusesNothing(t *testing.T) {
