A measured slowness refuses nothing; refused steps wait where the free upstream is late

The least time by which a step counts as late leaves out the measured slowness: it may end at any moment, and the speeds that were learned meanwhile include it.

A step that all but a slow upstream refused went to that one, though it is expected to miss its deadline there: it now waits for those that refused it, too. Found by TestCallIsNotRefusedForTheOneReplicaThatDidNotRefuseIt once the slowness no longer hid it.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -136,7 +136,7 @@
 			bestFull = cheaper(candidates, bestFull, i)
 		}
 	}
-	if best < 0 && bestRefusing >= 0 {
+	if bestRefusing >= 0 && (best < 0 || !isInTime(&candidates[best], s)) {
 		bestFull = cheaper(candidates, bestFull, bestRefusing)
 	}
 	switch {
--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -22,7 +22,9 @@
 // They are 0 if what they would be estimated by is outdated: an estimate by which calls are refused gets no further
 // samples, and would refuse them for ever.
 func leastTimes(c *Candidate, s *Step) (all, own time.Duration) {
-	wait, call := seconds(c.Estimate.Wait), seconds(c.Estimate.Prefill+c.Estimate.Decode)
+	// A measured slowness may end at any moment, and speeds that were learned meanwhile include it.
+	slowness := max(1, c.Load.Slowness)
+	wait, call := seconds(c.Estimate.Wait/slowness), seconds((c.Estimate.Prefill+c.Estimate.Decode)/slowness)
 	if s.MeanCall > 0 {
 		call = 0 // calls of services vary so widely that only the wait before them is certain
 	}
@@ -30,8 +32,7 @@
 		if s.PoolAge < 0 || s.PoolAge > lifetime {
 			return 0, 0
 		}
-		fraction := otherFraction / max(1, c.Load.Slowness)
-		wait, call = time.Duration(fraction*float64(wait)), time.Duration(fraction*float64(call))
+		wait, call = time.Duration(otherFraction*float64(wait)), time.Duration(otherFraction*float64(call))
 	}
 	return urgency.CertainDuration(wait, call), urgency.CertainDuration(0, call)
 }
@@ -55,11 +56,16 @@
 	}
 }
 
+// isInTime reports whether the step is expected to be completed at the candidate by its deadline.
+func isInTime(c *Candidate, s *Step) bool {
+	return !s.HasDeadline || seconds(c.Estimate.Total()) <= s.Left
+}
+
 // leavesTimeFor reports whether a step that waits for a better candidate can still go to the free one later, or would
 // miss its deadline there anyway.
 func leavesTimeFor(free, better *Candidate, s *Step) bool {
 	if !s.HasDeadline || s.Left > seconds(free.Estimate.Total())+waitReserve {
 		return true
 	}
-	return seconds(free.Estimate.Total()) > s.Left && seconds(better.Estimate.Total()) <= s.Left
+	return !isInTime(free, s) && isInTime(better, s)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,8 +43,8 @@
 	ConnectCost time.Duration
 	// NoConnection is set if no connection is idle and no further one may be opened.
 	NoConnection bool
-	// HasRefused is set if the upstream refused this step before, for its load. The step waits for it only if no other
-	// upstream has a place.
+	// HasRefused is set if the upstream refused this step before, for its load. The step waits for it only if no upstream
+	// with a place is expected to complete it in time.
 	HasRefused bool
 	// SpeedAge is the time since the latest response from which Speed was learned; -1 if there was none.
 	SpeedAge time.Duration
