A refused call tries replicas in turn; an upstream that has not responded refuses nothing

- A call was sent 18 to 23 times to replicas that refused it, each again after its pause, since they are cheaper by estimate, while a slower one had a place.
Those that have not refused the call go first now if they are expected to be in time, then those that have, the longest ago first; after four refusals each 50 ms (100 ms before), so that a round of six takes 0.3 s.
- A call was refused beside an idle replica that had never responded, for half of the mean of the others, which took 15 times as long.
Nothing is held against an upstream that has not responded within the time that its estimate tells, or 1 s.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,10 +88,9 @@
 func (f *inFlightCall) allowAgain(a *attemptState) {
 	f.refusals++
 	replica := a.grant.Upstream
-	f.triedReplicas = slices.DeleteFunc(f.triedReplicas, func(tried string) bool { return tried == replica })
-	if !slices.Contains(f.refusedBy, replica) {
-		f.refusedBy = append(f.refusedBy, replica)
-	}
+	isIt := func(name string) bool { return name == replica }
+	f.triedReplicas = slices.DeleteFunc(f.triedReplicas, isIt)
+	f.refusedBy = append(slices.DeleteFunc(f.refusedBy, isIt), replica)
 }
 
 // mayFailOver reports whether the call may be sent to another replica although the granted one may
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,7 @@
 	// maxRapidRefusals is the number of attempts refused for replicas' load after which a call is placed again only
 	// each refusalBackoff: replicas have places again within a fraction of a call's duration.
 	maxRapidRefusals = 4
-	refusalBackoff   = 100 * time.Millisecond
+	refusalBackoff   = 50 * time.Millisecond
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -167,8 +167,8 @@
 	blocks []uint64
 	// fingerprint identifies the content that replicas receive.
 	fingerprint quarantine.Fingerprint
-	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load; refusals
-	// counts these attempts.
+	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load, the latest
+	// refusal last; refusals counts these attempts.
 	triedReplicas, refusedBy []string
 	refusals                 int
 	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -118,7 +118,7 @@
 }
 
 func chooseCost(candidates []Candidate, s *Step, d *Decision) {
-	best, bestFull, bestRefusing := -1, -1, -1
+	best, bestFull, bestAgain, bestFullAgain := -1, -1, -1, -1
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Rejection != Allowed && !c.Rejection.isFull() {
@@ -128,16 +128,23 @@
 		judgeLateness(candidates, i, s, d)
 		switch {
 		case c.Late:
-		case c.Rejection == Allowed:
+		case c.Rejection == Allowed && c.Refusal == 0:
 			best = cheaper(candidates, best, i)
-		case c.HasRefused:
-			bestRefusing = cheaper(candidates, bestRefusing, i)
-		default:
+		case c.Rejection == Allowed:
+			bestAgain = refusedEarlier(candidates, bestAgain, i)
+		case c.Refusal == 0:
 			bestFull = cheaper(candidates, bestFull, i)
+		default:
+			bestFullAgain = cheaper(candidates, bestFullAgain, i)
 		}
 	}
-	if bestRefusing >= 0 && (best < 0 || !isInTime(&candidates[best], s)) {
-		bestFull = cheaper(candidates, bestFull, bestRefusing)
+	if best < 0 || !isInTime(&candidates[best], s) {
+		if bestAgain >= 0 && (best < 0 || isInTime(&candidates[bestAgain], s)) {
+			best = bestAgain
+		}
+		if bestFullAgain >= 0 {
+			bestFull = cheaper(candidates, bestFull, bestFullAgain)
+		}
 	}
 	switch {
 	case best < 0 && bestFull < 0 && d.Soonest >= 0:
@@ -146,6 +153,8 @@
 		d.Chosen, d.ShouldWait = bestFull, true
 	case best < 0:
 		return
+	case best == bestAgain:
+		d.Chosen, d.Ties = best, 1
 	default:
 		d.Chosen = breakTie(candidates, best, s, d)
 	}
@@ -160,6 +169,15 @@
 	return best
 }
 
+// refusedEarlier returns the index of the one that refused the step longer ago, so that all are tried in turn. A best of
+// -1 means none yet.
+func refusedEarlier(candidates []Candidate, best, other int) int {
+	if best < 0 || candidates[other].Refusal < candidates[best].Refusal {
+		return other
+	}
+	return best
+}
+
 // worthWaiting reports whether the best full upstream is better than the best free one even with
 // the wait for it. The wait is bounded by the time that it saves, so that a wrong estimate of when
 // a slot becomes free costs at most as much again.
@@ -202,7 +220,7 @@
 }
 
 func tied(c *Candidate, limit float64) bool {
-	return c.Rejection == Allowed && !c.Late && c.Estimate.Cost <= limit
+	return c.Rejection == Allowed && !c.Late && c.Refusal == 0 && c.Estimate.Cost <= limit
 }
 
 // splitMix64 is the finalizer of SplitMix64 (Steele et al., 2014). It derives successive uniform
--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -10,30 +10,24 @@
 	// minEstimateLifetime is how long an estimate counts at least after the latest response that it was learned from. A
 	// longer one counts for the time that it tells.
 	minEstimateLifetime = time.Second
-	// otherFraction is the fraction of an estimate that a step takes at least at an upstream of which nothing recent is
-	// known, if others of the pool have responded of late.
-	otherFraction = 0.5
 	// waitReserve is the time before the last moment for an upstream with a place at which a step stops waiting for a
 	// better one: that of two scans of the queue.
 	waitReserve = 100 * time.Millisecond
 )
 
 // leastTimes returns the least time that the step takes at the candidate, and the part of it that is the call's own.
-// They are 0 if what they would be estimated by is outdated: an estimate by which calls are refused gets no further
-// samples, and would refuse them for ever.
+// They are 0 if the candidate has not responded of late: an estimate by which calls are refused gets no further samples,
+// and would refuse them for ever.
 func leastTimes(c *Candidate, s *Step) (all, own time.Duration) {
+	if c.SpeedAge < 0 || c.SpeedAge > max(minEstimateLifetime, seconds(c.Estimate.Total())) {
+		return 0, 0
+	}
 	// A measured slowness may end at any moment, and speeds that were learned meanwhile include it.
 	slowness := max(1, c.Load.Slowness)
 	wait, call := seconds(c.Estimate.Wait/slowness), seconds((c.Estimate.Prefill+c.Estimate.Decode)/slowness)
 	if s.MeanCall > 0 {
 		call = 0 // calls of services vary so widely that only the wait before them is certain
 	}
-	if lifetime := max(minEstimateLifetime, seconds(c.Estimate.Total())); c.SpeedAge < 0 || c.SpeedAge > lifetime {
-		if s.PoolAge < 0 || s.PoolAge > lifetime {
-			return 0, 0
-		}
-		wait, call = time.Duration(otherFraction*float64(wait)), time.Duration(otherFraction*float64(call))
-	}
 	return urgency.CertainDuration(wait, call), urgency.CertainDuration(0, call)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,9 +43,9 @@
 	ConnectCost time.Duration
 	// NoConnection is set if no connection is idle and no further one may be opened.
 	NoConnection bool
-	// HasRefused is set if the upstream refused this step before, for its load. The step waits for it only if no upstream
-	// with a place is expected to complete it in time.
-	HasRefused bool
+	// Refusal is set if the upstream refused this step before, for its load: the higher the later. It gets the step
+	// again, and is waited for, only if no other with a place is expected to complete it in time.
+	Refusal int
 	// SpeedAge is the time since the latest response from which Speed was learned; -1 if there was none.
 	SpeedAge time.Duration
 	// Estimate is set by Decide, and Late if the step can't be completed there by its deadline.
@@ -103,8 +103,6 @@
 	// Left is the time until the step's deadline, if HasDeadline is set.
 	Left        time.Duration
 	HasDeadline bool
-	// PoolAge is the time since the latest response of any upstream from which a speed was learned; -1 if there was none.
-	PoolAge time.Duration
 	// MoveTokensPerSecond is the rate at which the program's cache can be moved to another engine;
 	// 0 if it cannot be moved.
 	MoveTokensPerSecond float64
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -32,7 +32,6 @@
 	if !w.request.Deadline.IsZero() {
 		w.step.HasDeadline, w.step.Left = true, w.request.Deadline.Sub(now)
 	}
-	w.step.PoolAge = poolAge(endpoints, now)
 	p.scheduler.view.Lookup(w.blockHashes, &p.matches)
 	d := p.decideAmong(endpoints, w, now)
 	if len(w.request.Avoid) > 0 && !placement.AnyCapable(&d) {
@@ -125,7 +124,7 @@
 		Speed:        learnedOrMeanSpeed(endpoint),
 		CachedTokens: p.matches.Depth(u.ID) * engine.BlockTokens,
 		SpeedAge:     endpoint.SpeedAge(now),
-		HasRefused:   slices.Contains(w.request.RefusedBy, u.Name),
+		Refusal:      1 + slices.Index(w.request.RefusedBy, u.Name),
 	}
 	p.scheduler.setConnections(&c, u, w.request.MaxConnections)
 	if w.isFullFor(&c) {
--- a/internal/scheduler/refusal.go
+++ b/internal/scheduler/refusal.go
@@ -70,7 +70,10 @@
 func (r *Refusal) Fields() log.Fields {
 	fields := log.Fields{"placement": string(r.Cause)}
 	if e := r.Estimate; e != nil {
-		fields["need_ms"], fields["had_ms"], fields["estimate_age_ms"] = e.Need.Milliseconds(), e.Left.Milliseconds(), e.Age.Milliseconds()
+		fields["need_ms"], fields["had_ms"] = e.Need.Milliseconds(), e.Left.Milliseconds()
+		if e.Age >= 0 {
+			fields["estimate_age_ms"] = e.Age.Milliseconds()
+		}
 		if e.Upstream != "" {
 			fields["estimate_of"] = e.Upstream
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,8 +114,8 @@
 	Resent    bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
-	// RefusedBy is the names of the upstreams that refused the step for their load. They may get it again once they do
-	// not count as full any more; none is waited for while another upstream has a place and is expected to be in time.
+	// RefusedBy is the names of the upstreams that refused the step for their load, the latest refusal last. They may get
+	// it again once they do not count as full any more and no other upstream with a place is expected to be in time.
 	RefusedBy []string
 	// NotRun is set if all upstreams in Tried refused the step or could not be reached. It then draws on no retry
 	// budget: an upstream that refuses steps counts as full, so that they do not multiply its load.
