Isolated steps go to upstreams that refused them last

A step that is isolated goes to the upstream with the fewest calls. Since a refusal for load no longer leaves an upstream out, it would have gone to the same one each time. TestUpstreamsThatRefusedTheStepComeLast fails without the change.

--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -28,7 +28,8 @@
 	chooseBest(candidates, s, d, func(c *Candidate) int { return c.CachedTokens })
 }
 
-// chooseBest chooses a free candidate with the highest score, at random among equals.
+// chooseBest chooses a free candidate with the highest score, at random among equals. Those that refused the step come
+// last, the one that did so longest ago first.
 func chooseBest(candidates []Candidate, s *Step, d *Decision, score func(*Candidate) int) {
 	best := 0
 	random := s.Random
@@ -38,7 +39,10 @@
 			continue
 		}
 		value := score(c)
-		if d.Chosen < 0 || value > best {
+		if d.Chosen >= 0 && c.Refusal > candidates[d.Chosen].Refusal {
+			continue
+		}
+		if d.Chosen < 0 || c.Refusal < candidates[d.Chosen].Refusal || value > best {
 			d.Chosen, best, d.Ties = i, value, 1
 			continue
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -190,6 +190,19 @@
 	is.Equal(Decide(Cost, []Candidate{withErrorRate(0.58), busy}, step).Chosen, 1)
 }
 
+// Guards against an isolated step that goes again and again to the upstream with the fewest calls, which refuses it.
+func TestUpstreamsThatRefusedTheStepComeLast(t *testing.T) {
+	is := is.New(t)
+	candidates := []Candidate{
+		{Load: upstream.Load{Total: 0}, Refusal: 2},
+		{Load: upstream.Load{Total: 1}, Refusal: 1},
+		{Load: upstream.Load{Total: 3}},
+		{Load: upstream.Load{Total: 2}},
+	}
+	is.Equal(Decide(LeastInFlight, candidates, &Step{}).Chosen, 3)
+	is.Equal(Decide(LeastInFlight, candidates[:2], &Step{}).Chosen, 1)
+}
+
 // Guards against a step that waits again and again for an upstream that has refused it, beside one with a place.
 func TestUpstreamThatRefusedTheStepIsNotPreferredToOneWithAPlace(t *testing.T) {
 	is := is.New(t)
