A place that becomes free within a scan of the queue goes to the first step

TestLateCallGoesBeforeLaterArrivals was red now and then (-count=300: 3 of 3 runs, 1 of several hundred plays): the later call was granted first.

Cause: a call's end was counted at the upstream without the lock of the queue. In the traced plays the periodic scan ran at the moment at which the holder's call ended (both at 4.6 s): the scan found the engine full for the late call (9 of 9 calls in flight, key 4.0 s), then the call ended, and the ordinary step behind it (key 24.5 s) got the place in the same scan (8 of 9).

Change: the end of a call waits for a scan that runs.

TestPlaceThatBecomesFreeWithinAScanGoesToTheFirstCall ends a call within a scan. It releases all places before it compares, so that a failure is not followed by a panic.

--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -231,7 +231,7 @@
 	if g.prefillDone.CompareAndSwap(false, true) {
 		u.RecordPrefilled(g.uncachedTokens())
 	}
-	u.Finish(now.UnixNano())
+	g.pool.finish(u, now)
 	s := g.pool.scheduler
 	switch {
 	case f.Cancelled: // no evidence about the upstream
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -360,6 +360,14 @@
 	p.scheduleTick()
 }
 
+// finish records the end of a call, but not within a scan: the place would go to a step behind those for which
+// the scan has found the upstream full.
+func (p *pool) finish(u *upstream.Upstream, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u.Finish(now.UnixNano())
+}
+
 // slotFreed scans the queue after a granted step has ended.
 func (p *pool) slotFreed() {
 	p.mu.Lock()
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,29 +247,77 @@
 // Guards against a late call that starves: calls with little time left keep arriving, and one that arrives
 // more than 4 s after it must go behind it.
 func TestLateCallGoesBeforeLaterArrivals(t *testing.T) {
+	for _, left := range []time.Duration{tightLeft, ordinaryLeft} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s, table := newPressured(Settings{}, 1)
+			holder := holdOnePlace(t, s, table)
+			late := urgentRequest("late", 0, lateLeft)
+			late.Deadline = late.Arrived.Add(40 * time.Second)
+			grants := make(chan *Grant, 2)
+			acquire := func(r Request) {
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				g, _ := s.Acquire(ctx, r)
+				grants <- g
+			}
+			go acquire(late)
+			time.Sleep(4500 * time.Millisecond)
+			go acquire(urgentRequest("later", 0, left))
+			time.Sleep(100 * time.Millisecond)
+			holder.Done(Feedback{Cancelled: true})
+			g := <-grants
+			is.True(g != nil)
+			first := g.waiter.request.Program
+			g.Done(Feedback{Cancelled: true})
+			(<-grants).Done(Feedback{Cancelled: true})
+			is.Equal(first, "late")
+		})
+	}
+}
+
+// Guards against a place that becomes free while the queue is scanned and goes to a call behind those for which
+// the scan has found the engine full.
+func TestPlaceThatBecomesFreeWithinAScanGoesToTheFirstCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s, table := newPressured(Settings{}, 1)
+		var duringScan atomic.Pointer[func()]
+		s, table := newPressured(Settings{Connections: func(string, string, int) (idle, free bool) {
+			if f := duringScan.Swap(nil); f != nil {
+				(*f)()
+			}
+			return true, true
+		}}, 1)
 		holder := holdOnePlace(t, s, table)
-		late := urgentRequest("late", 0, lateLeft)
-		late.Deadline = late.Arrived.Add(40 * time.Second)
 		grants := make(chan *Grant, 2)
-		acquire := func(r Request) {
-			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-			defer cancel()
-			g, _ := s.Acquire(ctx, r)
-			grants <- g
+		for _, r := range []Request{urgentRequest("late", 0, lateLeft), urgentRequest("ordinary", 0, ordinaryLeft)} {
+			go func() {
+				g, refusal := s.Acquire(t.Context(), r)
+				if refusal != nil {
+					t.Errorf("%s: %+v", r.Program, refusal)
+				}
+				grants <- g
+			}()
+			synctest.Wait()
 		}
-		go acquire(late)
-		time.Sleep(4500 * time.Millisecond)
-		go acquire(urgentRequest("ordinary", 0, ordinaryLeft))
-		time.Sleep(100 * time.Millisecond)
-		holder.Done(Feedback{Cancelled: true})
+		is.Equal(s.Waiting(), 2)
+		// The next scan has looked at the engine's load for the late call when the holder's call ends.
+		endHolder := func() {
+			before := table.Snapshot().Upstream("e0").Load(time.Now().UnixNano()).Own
+			go holder.Done(Feedback{Cancelled: true})
+			for range 10000 {
+				runtime.Gosched()
+				if table.Snapshot().Upstream("e0").Load(time.Now().UnixNano()).Own < before {
+					return
+				}
+			}
+		}
+		duringScan.Store(&endHolder)
 		g := <-grants
-		is.True(g != nil)
-		is.Equal(g.waiter.request.Program, "late")
+		first := g.waiter.request.Program
 		g.Done(Feedback{Cancelled: true})
 		(<-grants).Done(Feedback{Cancelled: true})
+		is.Equal(first, "late")
 	})
 }
 
