A call cut off at its deadline confirms a longer estimate

Change: a call that had its upstream until its deadline renews an estimate that is longer than that. One call in the time that the estimate tells goes on to probe it.

TestCallsCutOffAtTheirDeadlineConfirmTheEstimate failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -263,7 +263,7 @@
 	case a.unfinished && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failure.Kind = upstream.Errored
 	default:
-		a.grant.Done(scheduler.Feedback{Cancelled: true})
+		a.grant.Done(scheduler.Feedback{Cancelled: true, DeadlinePassed: errors.Is(ctx.Err(), context.DeadlineExceeded)})
 		return
 	}
 	failure.Draining = a.response != nil && (a.response.Draining || a.response.Misdirected)
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -66,8 +66,9 @@
 
 // Feedback is the outcome of a granted step.
 type Feedback struct {
-	// Cancelled reports whether the caller gave up, which is no evidence about the upstream.
-	Cancelled bool
+	// Cancelled reports whether the caller gave up, which is no evidence about the upstream. DeadlinePassed is set if
+	// that was for the call's deadline.
+	Cancelled, DeadlinePassed bool
 	// Failure is set if there is no complete response.
 	Failure *upstream.Failure
 	// Prompt, Output and CachedTokens are the token counts of the response.
@@ -234,7 +235,10 @@
 	g.pool.finish(u, now)
 	s := g.pool.scheduler
 	switch {
-	case f.Cancelled: // no evidence about the upstream
+	case f.Cancelled: // no evidence about the upstream's health
+		if f.DeadlinePassed {
+			g.confirmSpeed(now)
+		}
 	case f.Failure != nil:
 		failure := *f.Failure
 		failure.SentAt = g.sentAt
@@ -253,6 +257,16 @@
 	g.pool.slotFreed()
 }
 
+// confirmSpeed records that the call took at least as long as until now, if its estimate is longer.
+//
+// It prevents the following failure: calls with too little time are sent to a slow upstream and cut off, one after the
+// other, since none of them ends in a response from which an outdated estimate would be renewed.
+func (g *Grant) confirmSpeed(now time.Time) {
+	if g.speedKnown && g.Decision.Estimate.Total() > now.Sub(g.sentAt).Seconds() {
+		g.endpoint.ConfirmSpeed(now)
+	}
+}
+
 // markModelUnloaded excludes an engine that does not have the model loaded, until its state reports
 // the model again.
 func (g *Grant) markModelUnloaded(f *upstream.Failure) {
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -136,3 +136,26 @@
 		})
 	}
 }
+
+// Guards against steps that are sent for ever to an upstream that is too slow for them: none of them ends in a response
+// that would renew its estimate.
+func TestCallsCutOffAtTheirDeadlineConfirmTheEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const call, left, steps = 8 * time.Second, 2 * time.Second, 40
+		s, table := newTestScheduler(Settings{}, engineAt("slow", "a", 4))
+		learnCalls(table, "slow", call)
+		time.Sleep(20 * time.Second)
+		sent := 0
+		for range steps {
+			g, refusal := s.Acquire(t.Context(), hurriedRequest("p", left))
+			time.Sleep(left)
+			if refusal == nil {
+				sent++
+				g.Done(Feedback{Cancelled: true, DeadlinePassed: true})
+			}
+		}
+		is.True(sent <= steps*int(left/time.Second)/int(call/time.Second)+1) // one in the time that the estimate tells
+		is.True(sent > 1)
+	})
+}
--- a/internal/upstream/speed.go
+++ b/internal/upstream/speed.go
@@ -58,7 +58,7 @@
 type learnedSpeed struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Speed]
-	// learnedAt is when the latest response was learned from, in Unix nanoseconds; 0 for never.
+	// learnedAt is when the speed was learned or confirmed last, in Unix nanoseconds; 0 for never.
 	learnedAt atomic.Int64
 	// left is set once the endpoint is removed from the table.
 	left bool
@@ -96,6 +96,9 @@
 	}
 }
 
+// ConfirmSpeed records that a call at the endpoint took at least as long as its speed tells.
+func (e *Endpoint) ConfirmSpeed(now time.Time) { e.speed.learnedAt.Store(now.UnixNano()) }
+
 // SpeedAge returns the time since the latest response that the speed was learned from; -1 if there was none.
 func (e *Endpoint) SpeedAge(now time.Time) time.Duration { return ageOf(&e.speed.learnedAt, now) }
 
