Refused calls crowd out no others, and cost one retry

- Four calls that no replica accepts (429, not run) raised the time of others from 0.5 to 6.4 s at a load of 0.6: each refusal made a replica count as full at its present number of calls, and the refused ones went first in each place that became free.
- Each placement after a refusal took a retry or a hedge from the budget: one call left 1 of 10 others their retry, and one silent attempt took 25 hedges.
The first placement has paid; a call has four hedges at most.

TestCallsThatAreAlwaysRefusedDoNotCrowdOutOthers and TestRefusalsOfACallThatMayHaveRunCostOneRetry failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,6 +80,14 @@
 	return a.response.Status == http.StatusServiceUnavailable || a.response.Status == http.StatusTooManyRequests
 }
 
+// refusalBackoff returns the delay before a call is placed again that replicas have refused for their load.
+func refusalBackoff(refusals int) time.Duration {
+	if refusals < maxRapidRefusals {
+		return 0
+	}
+	return min(maxRefusalBackoff, minRefusalBackoff<<min(8, (refusals-maxRapidRefusals)/refusalsPerBackoff))
+}
+
 // allowAgain allows further attempts at a replica that refused one for its load. The scheduler keeps the call from it
 // until it may have a place.
 //
@@ -87,6 +95,7 @@
 // is refused for the rest of its time although they have places again milliseconds later.
 func (f *inFlightCall) allowAgain(a *attemptState) {
 	f.refusals++
+	f.placeAgain = true // the attempt has drawn on its budget, if on any
 	replica := a.grant.Upstream
 	isIt := func(name string) bool { return name == replica }
 	f.triedReplicas = slices.DeleteFunc(f.triedReplicas, isIt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,10 +31,15 @@
 	buffersFullRetryAfter = 500 * time.Millisecond
 	// maxAttempts bounds the attempts of one call that were not refused for a replica's load.
 	maxAttempts = 4
+	// maxHedges bounds the attempts of one call that are hedges, refused ones included.
+	maxHedges = 4
 	// maxRapidRefusals is the number of attempts refused for replicas' load after which a call is placed again only
-	// each refusalBackoff: replicas have places again within a fraction of a call's duration.
-	maxRapidRefusals = 4
-	refusalBackoff   = 50 * time.Millisecond
+	// after a delay: replicas have places again within a fraction of a call's duration. The delay doubles from
+	// minRefusalBackoff to maxRefusalBackoff each refusalsPerBackoff further refusals.
+	maxRapidRefusals   = 4
+	refusalsPerBackoff = 12
+	minRefusalBackoff  = 50 * time.Millisecond
+	maxRefusalBackoff  = 200 * time.Millisecond
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -177,8 +182,8 @@
 	repeatedPlacements int
 	// lastUpstream is the engine that most likely has the prompt cached.
 	lastUpstream string
-	// attempts counts the attempts so far.
-	attempts int
+	// attempts counts the attempts so far, hedges those that were hedges.
+	attempts, hedges int
 	// possibleRuns are the replicas that may have run the call, open the attempts that have not ended.
 	possibleRuns replicaNames
 	open         []*attemptState
@@ -381,6 +386,7 @@
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
 		RefusedBy:          f.refusedBy,
+		Refusals:           f.refusals,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
 		Again:              f.placeAgain,
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -266,7 +266,7 @@
 // the silent attempt, which is shared then, since a response or a connection alone may be lost. nil means
 // that there is none.
 func (f *inFlightCall) placeHedge(ctx context.Context, silent *attemptState, cause error) (at *place, shared bool) {
-	if f.attempts-f.refusals >= maxAttempts || f.isOutOfTime() || f.mayEndTooMany() {
+	if f.attempts-f.refusals >= maxAttempts || f.hedges >= maxHedges || f.isOutOfTime() || f.mayEndTooMany() {
 		return nil, false
 	}
 	if f.mayFailOver(silent.grant) {
@@ -297,6 +297,7 @@
 // be a hedge of it, or the verdict of one that has failed.
 func (f *inFlightCall) tryHedge(ctx context.Context, at *place, shared bool, x *exchange) (*attemptState, verdict) {
 	f.gateway.attempts.hedges.Inc(1)
+	f.hedges++
 	if !shared {
 		f.triedReplicas = append(f.triedReplicas, at.grant.Upstream)
 		at.grant.MarkSent()
@@ -344,6 +345,9 @@
 		return
 	}
 	takenBack := next == nil && v == noFreeConnection && f.takeBack(a)
+	if takenBack {
+		f.hedges--
+	}
 	if a.sharesPlace {
 		return
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,8 +39,8 @@
 	// Once the call may not be sent any more, since this instance stops, it waits for nothing.
 	ctx, release := f.gateway.shutdown.whileAccepted(ctx, f.deadline)
 	defer release()
-	if f.refusals >= maxRapidRefusals {
-		sleep(ctx, refusalBackoff)
+	if delay := refusalBackoff(f.refusals); delay > 0 {
+		sleep(ctx, delay)
 	}
 	for {
 		if !f.isAccepted() {
--- a/internal/gateway/refusals_momentary_test.go
+++ b/internal/gateway/refusals_momentary_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"foxhall/internal/httpconn"
 	"foxhall/internal/routing"
 )
 
@@ -130,3 +132,83 @@
 		is.True(got.result.RetryAfter <= 400*time.Millisecond)
 	})
 }
+
+// Guards against calls that no replica accepts and that keep all others waiting: each of their refusals made a replica
+// count as full, and they went first in each place that became free.
+func TestCallsThatAreAlwaysRefusedDoNotCrowdOutOthers(t *testing.T) {
+	const rejected, calls, every = 4, 180, 50 * time.Millisecond
+	for _, loadControl := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			replicas := newBusyReplicas()
+			for _, name := range testReplicas {
+				replicas.takes[name] = 500 * time.Millisecond
+			}
+			var sent atomic.Int64
+			service := routing.Service{Name: "s", Engine: &routing.Engine{TokensPerEvent: 2}}
+			w := newTestGateway(service, nil, Settings{LoadControl: loadControl}, routing.Route{Kind: routing.Stream, Attempts: 1, Timeout: 10 * time.Second}, &fakeTurns{}, func(ctx context.Context, a *Attempt) (*Response, error) {
+				if a.Call.ID == "rejected" {
+					sent.Add(1)
+					return refuses(ctx, a)
+				}
+				return replicas.send(ctx, a)
+			})
+			var running sync.WaitGroup
+			var took atomic.Int64
+			serve := func(id string) {
+				call := Call{ID: id, Host: "h", Path: "/x", Arrived: time.Now(), MaxOutputTokens: 2 * pacedEventCount}
+				w.gateway.Serve(t.Context(), &call, &fakeCaller{})
+				if id != "rejected" {
+					took.Add(int64(time.Since(call.Arrived)))
+				}
+			}
+			for range rejected {
+				running.Go(func() { serve("rejected") })
+			}
+			for i := range calls {
+				running.Go(func() {
+					time.Sleep(time.Duration(i) * every)
+					serve(fmt.Sprint("call-", i))
+				})
+			}
+			running.Wait()
+			is.True(time.Duration(took.Load()/calls) < time.Second) // twice what a call takes
+			is.True(sent.Load() <= rejected*100)                    // ten a second for each call
+			time.Sleep(settleTimeout)
+		})
+	}
+}
+
+// Guards against one call whose refusals use up the retries of all others.
+func TestRefusalsOfACallThatMayHaveRunCostOneRetry(t *testing.T) {
+	const savedUp, later = 300, 10
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var fullUntil time.Time
+		lost := map[string]bool{}
+		w := newTestGateway(routing.Service{Name: "s"}, nil, Settings{}, routing.Route{Kind: routing.Idempotent, Attempts: 2, Timeout: 5 * time.Second}, nil, func(ctx context.Context, a *Attempt) (*Response, error) {
+			time.Sleep(time.Millisecond)
+			if a.Call.Method == "loses" && !lost[a.Call.ID] {
+				lost[a.Call.ID] = true
+				return failsWith(httpconn.ErrResponseLost)(ctx, a)
+			}
+			if time.Now().Before(fullUntil) {
+				return refuses(ctx, a)
+			}
+			return succeedsWith("x")(ctx, a)
+		})
+		serve := func(id, method string) Outcome {
+			call := Call{ID: id, Method: method, Host: "h", Path: "/x", Arrived: time.Now()}
+			return w.gateway.Serve(t.Context(), &call, &fakeCaller{}).Outcome
+		}
+		for i := range savedUp {
+			serve(fmt.Sprint("saves-", i), "")
+		}
+		fullUntil = time.Now().Add(2 * time.Second)
+		is.Equal(serve("refused", "loses"), Completed)
+		for i := range later {
+			is.Equal(serve(fmt.Sprint("later-", i), "loses"), Completed)
+		}
+		time.Sleep(settleTimeout)
+	})
+}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -242,6 +243,7 @@
 	case f.Failure != nil:
 		failure := *f.Failure
 		failure.SentAt = g.sentAt
+		failure.Repeated = slices.Contains(g.waiter.request.RefusedBy, u.Name)
 		u.RecordFailure(now, failure)
 		g.markModelUnloaded(f.Failure)
 	default:
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -138,12 +138,24 @@
 	s.setWantedCopies(w, steps, now)
 }
 
-// arrivedBy returns when the step's call arrived, which is now if that is not known.
+const (
+	// freeRefusals is the number of refusals by upstreams that cost a step nothing of its place in the order of arrival;
+	// each further one costs refusalDelay.
+	freeRefusals = 4
+	refusalDelay = 100 * time.Millisecond
+)
+
+// arrivedBy returns when the step counts as arrived: when its call did, which is now if that is not known, or later if
+// upstreams have refused it often. A step that none accepts would else take each place first that becomes free.
 func (r *Request) arrivedBy(now time.Time) time.Time {
-	if r.Arrived.IsZero() || r.Arrived.After(now) {
+	if r.Arrived.IsZero() {
+		return now
+	}
+	arrived := r.Arrived.Add(time.Duration(max(0, r.Refusals-freeRefusals)) * refusalDelay)
+	if arrived.After(now) {
 		return now
 	}
-	return r.Arrived
+	return arrived
 }
 
 // place queues the step and waits for a grant or a refusal.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,6 +117,8 @@
 	// RefusedBy is the names of the upstreams that refused the step for their load, the latest refusal last. They may get
 	// it again once they do not count as full any more and no other upstream with a place is expected to be in time.
 	RefusedBy []string
+	// Refusals is the number of these refusals.
+	Refusals int
 	// NotRun is set if all upstreams in Tried refused the step or could not be reached. It then draws on no retry
 	// budget: an upstream that refuses steps counts as full, so that they do not multiply its load.
 	NotRun bool
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -95,8 +95,9 @@
 	}
 	switch f.Kind {
 	case Refused:
-		if !f.Draining {
-			u.refusals.record(now.UnixNano(), u.inFlight.Load())
+		// A call that is refused again and again may be refused for its own sake, and would keep all others away.
+		if !f.Draining && !f.Repeated {
+			u.refusals.record(now.UnixNano(), f.SentAt.UnixNano(), u.inFlight.Load())
 		}
 		return
 	case Invalid:
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -36,6 +36,8 @@
 	SentAt time.Time
 	// Draining indicates that the upstream drains.
 	Draining bool
+	// Repeated indicates that the upstream refused the same call before.
+	Repeated bool
 	// NotLoaded indicates that the engine has not loaded the model.
 	NotLoaded bool
 }
--- a/internal/upstream/refusal.go
+++ b/internal/upstream/refusal.go
@@ -6,23 +6,35 @@
 )
 
 const (
-	// refusalPause is how long an upstream that has refused a call gets no further ones.
-	refusalPause = 100 * time.Millisecond
+	// refusalPause is how long an upstream that has refused a call gets no further ones, maxRefusalPause after it has
+	// refused a later one, too.
+	refusalPause    = 100 * time.Millisecond
+	maxRefusalPause = 2 * refusalPause
 	// refusalMemory is how long a refusal counts.
 	refusalMemory = time.Second
 )
 
 // refusals is what the refusals of an upstream show of its load. Other instances' calls may take its places, of which
 // load reports tell late. Until it has accepted a call that was sent after a refusal, it gets as many calls of this
-// instance as it had then, and after each refusalPause one more.
+// instance as it had then, and after each pause one more.
 type refusals struct {
 	// last is when the upstream refused a call last, in Unix nanoseconds; 0 once it has accepted a later one.
 	last atomic.Int64
 	// inFlight is the number of this instance's other calls then.
 	inFlight atomic.Int32
+	// pause is the pause after the last refusal, in nanoseconds.
+	pause atomic.Int64
 }
 
-func (r *refusals) record(now int64, inFlight int32) {
+// record records a refusal at now of a call that was sent at sentAt, in Unix nanoseconds.
+func (r *refusals) record(now, sentAt int64, inFlight int32) {
+	last := r.last.Load()
+	switch {
+	case last == 0:
+		r.pause.Store(int64(refusalPause))
+	case sentAt > last:
+		r.pause.Store(int64(maxRefusalPause))
+	}
 	r.inFlight.Store(inFlight)
 	r.last.Store(now)
 }
@@ -39,7 +51,7 @@
 func (r *refusals) expected(now int64, own int) bool {
 	last := r.last.Load()
 	age := time.Duration(now - last)
-	return last != 0 && age < refusalMemory && own >= int(r.inFlight.Load())+int(age/refusalPause)
+	return last != 0 && age < refusalMemory && own >= int(r.inFlight.Load())+int(age/time.Duration(r.pause.Load()))
 }
 
 // RecordAccepted records that the upstream began to run a call that was sent at sentAt.
