--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -22,9 +22,7 @@
 	if c.SpeedAge < 0 || c.SpeedAge > max(minEstimateLifetime, seconds(c.Estimate.Total())) {
 		return 0, 0
 	}
-	// A measured slowness may end at any moment, and speeds that were learned meanwhile include it.
-	slowness := max(1, c.Load.Slowness)
-	wait, call := seconds(c.Estimate.Wait/slowness), seconds((c.Estimate.Prefill+c.Estimate.Decode)/slowness)
+	wait, call := seconds(c.Estimate.Wait), seconds(c.Estimate.Prefill+c.Estimate.Decode)
 	if s.MeanCall > 0 {
 		call = 0 // calls of services vary so widely that only the wait before them is certain
 	}
