An isolated step is refused if it is late at all upstreams

Isolated steps go to the upstream with the fewest calls, a choice that judged no time since the estimate is taken over all upstreams (found by the review): a step that may end its upstream was sent with 1 s left to one that takes 8 s. TestIsolatedStepIsRefusedIfLate failed before.

--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// judgeAll records whether the step is late at all candidates, of which none was chosen by its estimate.
+func judgeAll(candidates []Candidate, s *Step, d *Decision) {
+	inTime := false
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Rejection != Allowed && !c.Rejection.isFull() {
+			continue
+		}
+		c.Estimate = EstimateCost(c, s, d.BestCached)
+		judgeLateness(candidates, i, s, d)
+		inTime = inTime || !c.Late
+	}
+	d.Late = d.Soonest >= 0 && !inTime
+}
+
 // isInTime reports whether the step is expected to be completed at the candidate by its deadline.
 func isInTime(c *Candidate, s *Step) bool {
 	return !s.HasDeadline || seconds(c.Estimate.Total()) <= s.Left
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -236,5 +236,8 @@
 	if d.Chosen >= 0 && policy != Cost {
 		d.Estimate = EstimateCost(&candidates[d.Chosen], s, d.BestCached)
 	}
+	if policy == LeastInFlight {
+		judgeAll(candidates, s, &d)
+	}
 	return d
 }
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -159,3 +159,17 @@
 		is.True(sent > 1)
 	})
 }
+
+// Guards against an isolated step, which may end its upstream, that is sent although it can't be done in time.
+func TestIsolatedStepIsRefusedIfLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, table := newTestScheduler(Settings{}, engineAt("e", "a", 4))
+		learnCalls(table, "e", 8*time.Second)
+		r := hurriedRequest("p", time.Second)
+		r.Isolated = true
+		_, refusal := s.Acquire(t.Context(), r)
+		is.True(refusal != nil)
+		is.Equal(refusal.Cause, Late)
+	})
+}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -136,7 +136,7 @@
 // refuseIfLate refuses a step that no upstream can complete by its deadline, not even once it has a place. If sent, it
 // would take a slot from steps that can still meet theirs.
 func (p *pool) refuseIfLate(endpoints []*upstream.Endpoint, w *waiter, d *placement.Decision, now time.Time) *Refusal {
-	if !d.Late {
+	if !d.Late || p.scheduler.settings.Policy != placement.Cost {
 		return nil
 	}
 	refusal := refuse(Late, step.CodeDeadline, 504, "the deadline can't be met; not run", time.Second)
