A step that arrives is refused by the wait for those that go before it

Callers were refused on arrival ("the step can't be done by its deadline") though their step would have gone first, or though fast upstreams serve the queue in time.

Cause: the wait was estimated by the whole queue, also by steps that go behind the new one, and by the mean duration of a call over all upstreams: one of 20 s beside three of 0.2 s made it 5 s.

Change: the steps that go before it count, and the wait is their number by the rate at which the usable upstreams complete calls.

TestHurriedStepIsNotRefusedForStepsBehindIt and TestSlowUpstreamDoesNotDecideTheWaitOfTheQueue failed before.

--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,3 +175,56 @@
 		is.Equal(refusal.Cause, Late)
 	})
 }
+
+// runStep acquires a place for a step and runs it for as long as its upstream takes.
+func runStep(t *testing.T, s *Scheduler, r Request, takes map[string]time.Duration) *Refusal {
+	g, refusal := s.Acquire(t.Context(), r)
+	if refusal != nil {
+		return refusal
+	}
+	call := takes[g.Upstream]
+	time.Sleep(call)
+	g.Done(Feedback{Prompt: 300, Output: tokensOut, FirstToken: call / 4, Total: call})
+	return nil
+}
+
+// Guards against a step that is refused on arrival for the length of the queue, though it goes before the others.
+func TestHurriedStepIsNotRefusedForStepsBehindIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const call = 500 * time.Millisecond
+		takes := map[string]time.Duration{"e": call}
+		s, table := newTestScheduler(Settings{}, engineAt("e", "a", 4))
+		learnCalls(table, "e", call)
+		var running sync.WaitGroup
+		for i := range 60 {
+			running.Go(func() { runStep(t, s, hurriedRequest(fmt.Sprint("patient-", i), time.Minute), takes) })
+		}
+		time.Sleep(call + call/5)
+		is.True(runStep(t, s, hurriedRequest("hurried", 3*call), takes) == nil)
+		running.Wait()
+	})
+}
+
+// Guards against steps that are refused on arrival for the mean duration of calls, which one slow upstream makes long,
+// while the fast ones serve the queue in time.
+func TestSlowUpstreamDoesNotDecideTheWaitOfTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const fast, slow = 200 * time.Millisecond, 20 * time.Second
+		takes := map[string]time.Duration{"f1": fast, "f2": fast, "f3": fast, "slow": slow}
+		s, table := newTestScheduler(Settings{}, engineAt("f1", "a", 4), engineAt("f2", "a", 4), engineAt("f3", "a", 4), engineAt("slow", "a", 4))
+		for name, call := range takes {
+			learnCalls(table, name, call)
+		}
+		var running sync.WaitGroup
+		for i := range 60 { // the fast ones do 15 at a time
+			running.Go(func() {
+				if refusal := runStep(t, s, hurriedRequest(fmt.Sprint("step-", i), 1500*time.Millisecond), takes); refusal != nil {
+					t.Errorf("step %d: %v", i, refusal.Fields())
+				}
+			})
+			synctest.Wait()
+		}
+		running.Wait()
+	})
+}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -8,6 +8,7 @@
 
 	"foxhall/internal/engine"
 	"foxhall/internal/placement"
+	"foxhall/internal/queue"
 	"foxhall/internal/step"
 	"foxhall/internal/upstream"
 	"foxhall/internal/urgency"
@@ -109,7 +110,7 @@
 	if p.queue.Len() >= p.scheduler.settings.QueueLimit {
 		return refuse(QueueFull, step.CodeOverloaded, 503, "too many steps wait", p.overloadRetryAfter())
 	}
-	wait := p.expectedWait()
+	wait := p.expectedWait(p.countAhead(p.queueKey(w)))
 	if p.scheduler.settings.Policy != placement.Cost || w.request.Deadline.IsZero() || w.request.AtVersion || wait == 0 {
 		// Estimates for all upstreams say nothing of those of one version; a step that is next is left to the scan.
 		return nil
@@ -158,56 +159,42 @@
 	return e
 }
 
-// expectedWait returns how long a step that arrives now is expected to wait in the queue.
-func (p *pool) expectedWait() time.Duration {
-	slots := p.usableSlots()
-	free := slots - p.running
-	if p.queue.Len() < free {
+// expectedWait returns how long a step that arrives now is expected to wait in the queue behind the given number of steps.
+func (p *pool) expectedWait(ahead int) time.Duration {
+	slots, rate := p.usableCapacity()
+	if ahead < slots-p.running || rate <= 0 {
 		return 0
 	}
-	position := float64(p.queue.Len() + 1)
-	return time.Duration(position * p.expectedCallTime().Seconds() / float64(max(1, slots)) * float64(time.Second))
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
 
-func (p *pool) overloadRetryAfter() time.Duration { return max(time.Second, p.expectedWait()) }
-
-// expectedCallTime returns the mean duration of a call over the usable upstreams, or a default
-// before any call has completed. It is for estimates of the waiting time from the queue length.
-func (p *pool) expectedCallTime() time.Duration {
-	if learned := p.learnedCallTime(); learned > 0 {
-		return learned
-	}
-	return time.Duration(upstream.DefaultSpeed.CallSeconds * float64(time.Second))
+func (p *pool) overloadRetryAfter() time.Duration {
+	return max(time.Second, p.expectedWait(p.queue.Len()))
 }
 
-// learnedCallTime returns the mean duration of a call over the usable upstreams that have completed
-// one, or 0 if none has: a step that has no other step before it must not be refused because of a
-// default.
-func (p *pool) learnedCallTime() time.Duration {
-	now := time.Now().UnixNano()
-	sum, n := 0.0, 0
-	for _, endpoint := range p.scheduler.endpoints(p.key) {
-		speed := endpoint.Speed()
-		if speed.Samples > 0 && endpoint.Upstream.Load(now).Condition <= upstream.Full {
-			sum += speed.CallSeconds
-			n++
+// countAhead returns the number of waiting steps that go before one with the key.
+func (p *pool) countAhead(key time.Time) int {
+	ahead := 0
+	p.queue.Sample(func(item *queue.Item[*waiter], weight int) {
+		if item.Key().Compare(queue.Key{At: key}) <= 0 {
+			ahead += weight
 		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return time.Duration(sum / float64(n) * float64(time.Second))
+	})
+	return ahead
 }
 
-func (p *pool) usableSlots() int {
+// usableCapacity returns the number of calls that the usable upstreams may have in flight, and how many they complete per
+// second then. Before any call has completed it is by default speeds: estimates of the wait depend on the queue's length
+// more than on them.
+func (p *pool) usableCapacity() (slots int, rate float64) {
 	now := time.Now().UnixNano()
-	n := 0
 	for _, endpoint := range p.scheduler.endpoints(p.key) {
 		if l := endpoint.Upstream.Load(now); l.Condition <= upstream.Full {
-			n += l.Limit
+			slots += l.Limit
+			rate += urgency.CallRate(0, l.Limit, learnedOrMeanSpeed(endpoint).CallSeconds)
 		}
 	}
-	return n
+	return slots, rate
 }
 
 // refuseIfVersionGone refuses a step if no upstream has the version that it needs: a further wait would not
