A replica that was not reached at one moment may get the call again

Cause: an attempt that was not sent (connection refused or not accepted in time) left its replica out for the rest of the call, as refusals for load did before. A call alone spent its four attempts within 4 ms of a moment at which no replica accepted connections, and was refused with 5 s left; beside others, the calls that made the attempts were refused while those that waited for the circuit breaker were served.

Change: such an attempt leaves the replica out only while its circuit breaker does. A call that has reached no replica for 2 s, and has had four attempts, is still refused, so that its caller has time for another entry: the time counts from the first such attempt, also over later placements.

TestHedgeMachine failed with the change: its replica that accepts no connection reported a lost response where the call's time was up before the connection was given up. httpconn reports that as not sent (Pool.acquire), and so does the fixture now; its checks are as they were.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -208,8 +208,8 @@
 		case next == nil && v == noFreeConnection && f.takeBack(a):
 		case v != complete:
 			f.reportFailure(ctx, a, v)
-			if a.refusedForLoad(v) {
-				f.allowAgain(a)
+			if a.mayAcceptLater(v) {
+				f.allowAgain(a, v)
 			}
 		}
 		a.place.leave()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,24 +69,36 @@
 	if len(f.possibleRuns) > 0 && (!f.route.Repeatable() || len(f.possibleRuns) >= f.route.Attempts) {
 		return false
 	}
+	if f.attempts >= maxAttempts && !f.unreachedSince.IsZero() && time.Since(f.unreachedSince) >= maxUnreached {
+		return false
+	}
 	return f.attempts-f.refusals < maxAttempts && !f.isOutOfTime() && ctx.Err() == nil
 }
 
-// refusedForLoad reports whether the replica refused the attempt for its load, and may accept the call in a moment.
-func (a *attemptState) refusedForLoad(v verdict) bool {
+// mayAcceptLater reports whether the replica may accept the call in a moment: it refused the attempt for its load, or
+// the attempt was not sent.
+func (a *attemptState) mayAcceptLater(v verdict) bool {
+	if v == notSent {
+		return true
+	}
 	if v != notRun || a.response == nil || a.response.Misdirected || a.response.Draining {
 		return false
 	}
 	return a.response.Status == http.StatusServiceUnavailable || a.response.Status == http.StatusTooManyRequests
 }
 
-// allowAgain allows further attempts at a replica that refused one for its load. The scheduler keeps the call from it
-// until it may have a place.
+// allowAgain allows further attempts at a replica that may accept the call later. The scheduler keeps the call from one
+// that refused it until it may have a place, and from one that was not reached while its circuit breaker is open.
 //
 // It prevents the following failure: all replicas refuse a call at one moment, or all but a slow one do, and the call
-// is refused for the rest of its time although they have places again milliseconds later.
-func (f *inFlightCall) allowAgain(a *attemptState) {
+// is refused for the rest of its time although they accept calls again milliseconds later.
+func (f *inFlightCall) allowAgain(a *attemptState, v verdict) {
 	f.refusals++
+	if v != notSent {
+		f.unreachedSince = time.Time{}
+	} else if f.unreachedSince.IsZero() {
+		f.unreachedSince = time.Now()
+	}
 	replica := a.grant.Upstream
 	isIt := func(name string) bool { return name == replica }
 	f.triedReplicas = slices.DeleteFunc(f.triedReplicas, isIt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,12 +29,15 @@
 	// buffersFullRetryAfter is the retry delay given to callers while the memory for calls is in use:
 	// a call of usual size ends in about that time.
 	buffersFullRetryAfter = 500 * time.Millisecond
-	// maxAttempts bounds the attempts of one call that were not refused for a replica's load.
+	// maxAttempts bounds the attempts of one call that reached a replica and were not refused for its load.
 	maxAttempts = 4
-	// maxRapidRefusals is the number of attempts refused for replicas' load after which a call is placed again only
-	// each refusalBackoff: replicas have places again within a fraction of a call's duration.
+	// maxRapidRefusals is the number of attempts refused for replicas' load, or not sent, after which a call is placed
+	// again only each refusalBackoff: replicas have places again within a fraction of a call's duration.
 	maxRapidRefusals = 4
 	refusalBackoff   = 50 * time.Millisecond
+	// maxUnreached is how long a call is sent on without reaching a replica once it has had maxAttempts. Its caller has
+	// time for another instance then, which may reach some.
+	maxUnreached = 2 * time.Second
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -167,10 +170,12 @@
 	blocks []uint64
 	// fingerprint identifies the content that replicas receive.
 	fingerprint quarantine.Fingerprint
-	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load, the latest
-	// refusal last; refusals counts these attempts.
+	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load or were not
+	// reached, the latest last; refusals counts these attempts. unreachedSince is when a replica was not reached first,
+	// if none has been since.
 	triedReplicas, refusedBy []string
 	refusals                 int
+	unreachedSince           time.Time
 	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
 	// use. repeatedPlacements counts how often that happened.
 	placeAgain         bool
@@ -381,6 +386,7 @@
 		Deadline:           f.deadline,
 		Tried:              f.triedReplicas,
 		RefusedBy:          f.refusedBy,
+		UnreachedSince:     f.unreachedSince,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
 		Again:              f.placeAgain,
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -349,9 +349,9 @@
 	}
 	if !takenBack {
 		f.reportFailure(ctx, a, v)
-	}
-	if a.refusedForLoad(v) {
-		f.allowAgain(a)
+		if a.mayAcceptLater(v) {
+			f.allowAgain(a, v)
+		}
 	}
 	a.place.leave()
 }
--- a/internal/gateway/hedge_machine_test.go
+++ b/internal/gateway/hedge_machine_test.go
@@ -55,7 +55,7 @@
 		sound := s.sends(randomUpTo(random, maxWorldDelay), randomUpTo(random, maxWorldPause), length, worldEvents...)
 		choices := []replicaBehaviour{
 			{"sound", true, sound}, {"sound", true, sound}, {"hangs", true, hangs}, {"refuses", false, refuses},
-			{"accepts no connection", false, delayed(700*time.Millisecond, failsWith(httpconn.ErrNotSent))},
+			{"accepts no connection", false, failsAfter(700*time.Millisecond, httpconn.ErrNotSent)},
 			{"loses the response", true, failsWith(httpconn.ErrResponseLost)},
 			{"fails", true, respondsWith(Response{Status: 500, Verified: true, Executed: true}, worldFailure)},
 			{"breaks off after its header", true, breaksOffWithNothing},
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -24,8 +24,8 @@
 	// scanInterval is how often the queue is scanned without an event. Load reports age, circuit
 	// breakers reach their half-open trial and concurrency limits ramp up with time alone.
 	scanInterval = 50 * time.Millisecond
-	// noUpstreamWait is how long a step waits while no upstream is usable. It is also the
-	// Retry-After value of the refusal that follows.
+	// noUpstreamWait is how long a step waits while no upstream is usable, which leaves it time at another
+	// instance that may reach some. It is also the Retry-After value of the refusal that follows.
 	noUpstreamWait = 2 * time.Second
 	// demandRetention is how long a model counts as in demand after its last step. Without it, a
 	// model would not be loaded if all its callers are refused until it is.
@@ -337,13 +337,21 @@
 		}
 	}
 	w.recordDecision(&d)
-	if !placement.AnyCapable(&d) && now.Sub(w.enqueued) >= noUpstreamWait {
+	if !placement.AnyCapable(&d) && now.Sub(w.unreachedSince()) >= noUpstreamWait {
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
 	}
 	return false, d.FullCount() > 0 && d.FullCount() == len(p.candidates)
 }
 
+// unreachedSince returns from when on the step has reached no upstream.
+func (w *waiter) unreachedSince() time.Time {
+	if since := w.request.UnreachedSince; !since.IsZero() && since.Before(w.enqueued) {
+		return since
+	}
+	return w.enqueued
+}
+
 func (p *pool) scheduleTick() {
 	if p.tickScheduled || p.queue.Len() == 0 {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,9 +114,12 @@
 	Resent    bool
 	// Tried is the names of the upstreams that failed the step before, or have it.
 	Tried []string
-	// RefusedBy is the names of the upstreams that refused the step for their load, the latest refusal last. They may get
-	// it again once they do not count as full any more and no other upstream with a place is expected to be in time.
+	// RefusedBy is the names of the upstreams that refused the step for their load or could not be reached, the latest
+	// last. They may get it again once they do not count as full or broken any more and no other upstream with a place is
+	// expected to be in time.
 	RefusedBy []string
+	// UnreachedSince is when the step could not reach an upstream first, if it has reached none since; zero otherwise.
+	UnreachedSince time.Time
 	// NotRun is set if all upstreams in Tried refused the step or could not be reached. It then draws on no retry
 	// budget: an upstream that refuses steps counts as full, so that they do not multiply its load.
 	NotRun bool
