foxhall serve: an upstream that refused a step at one moment may get it again

Each upstream that refused a step or was not reached was left out for the rest of the step, and each of these attempts drew on the retry budget: with two replicas a step was given up within milliseconds of a moment at which both were full, with a minute left.

Change: an upstream that refuses a step for its load (503, 429) or is not reached may get it again once the scheduler has a place there, unless an attempt may have run; attempts that have not run cost no retry. After four of them a step is placed again each 50 ms only, and one that has reached no upstream for 2 s is given up. Other refusals leave the upstream out, as before; the client of tool services tells them apart.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -3,15 +3,27 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"foxhall/internal/owner"
 	"foxhall/internal/quarantine"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/step"
+	"foxhall/internal/upstream"
 	"foxhall/internal/usage"
 )
 
+const (
+	// maxRapidRefusals is the number of attempts that were refused or not sent after which a step is placed again only
+	// each refusalBackoff: upstreams have places again within a fraction of a call's duration.
+	maxRapidRefusals = 4
+	refusalBackoff   = 50 * time.Millisecond
+	// maxUnreached is how long a step is sent on without reaching an upstream once it had maxRapidRefusals attempts.
+	maxUnreached = 2 * time.Second
+)
+
 // admission holds the resources of a step from Admit until the step ends: its admission by the
 // gate, its reservation and its current grant.
 type admission struct {
@@ -25,13 +37,19 @@
 	grant       *scheduler.Grant
 	// fingerprint identifies the content that upstreams receive.
 	fingerprint quarantine.Fingerprint
-	// tried are the upstreams of earlier attempts.
-	tried []string
+	// tried are the upstreams of earlier attempts that get no further one, refusedBy those that refused one or were not
+	// reached, the latest last; refusals counts these attempts. unreachedSince is when an upstream was not reached first,
+	// if none has been since.
+	tried, refusedBy []string
+	refusals         int
+	unreachedSince   time.Time
+	// anyMayHaveRun is set once any attempt may have run.
+	anyMayHaveRun bool
 	// end makes sure that the resources are released once.
 	end sync.Once
 }
 
-// acquireUpstream acquires a grant for an upstream that the step has not tried yet.
+// acquireUpstream acquires a grant for an upstream that may take the step.
 func (a *admission) acquireUpstream(ctx context.Context) *step.Result {
 	grant, refusal := a.executor.opt.Scheduler.Acquire(ctx, a.request())
 	if refusal != nil {
@@ -57,8 +75,12 @@
 		Priority:   w.Call.Plan.Priority,
 		Deadline:   w.Deadline,
 		Tried:      a.tried,
+		RefusedBy:  a.refusedBy,
+		NotRun:     !a.anyMayHaveRun,
 		Repeatable: w.Repeatable,
 		Isolated:   a.standing().Suspected(),
+
+		UnreachedSince: a.unreachedSince,
 	}
 	if w.Call.Tool != nil {
 		r.Service = w.Call.Tool.Service
@@ -93,13 +115,54 @@
 	})
 }
 
-// acquireNext moves the step to another upstream after a failed attempt that may be repeated, and
+// recordFailure records a failed attempt at an upstream. One that refused the attempt for its load or was not reached may
+// get the step again, unless another attempt may have run; the scheduler keeps the step from it until it may have a place.
+//
+// It prevents the following failure: all upstreams refuse a step at one moment, and it fails although they accept calls
+// again milliseconds later.
+func (a *admission) recordFailure(name string, f upstream.Failure) {
+	isIt := func(other string) bool { return other == name }
+	momentary := f.Kind == upstream.NotSent || f.Overloaded
+	a.anyMayHaveRun = a.anyMayHaveRun || f.Kind != upstream.NotSent && f.Kind != upstream.Refused
+	if !momentary || a.anyMayHaveRun {
+		a.tried = append(a.tried, name)
+		return
+	}
+	a.refusals++
+	a.refusedBy = append(slices.DeleteFunc(a.refusedBy, isIt), name)
+	if f.Kind != upstream.NotSent {
+		a.unreachedSince = time.Time{}
+	} else if a.unreachedSince.IsZero() {
+		a.unreachedSince = time.Now()
+	}
+}
+
+// pauseAfterRefusals waits before a step that was refused often is placed again. It reports false if the step has reached
+// no upstream for too long, or ctx has ended.
+func (a *admission) pauseAfterRefusals(ctx context.Context) bool {
+	if a.refusals < maxRapidRefusals {
+		return ctx.Err() == nil
+	}
+	if !a.unreachedSince.IsZero() && time.Since(a.unreachedSince) >= maxUnreached {
+		return false
+	}
+	timer := time.NewTimer(refusalBackoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// acquireNext moves the step to another upstream after an attempt that failed at one and may be repeated, and
 // reports whether it got one. The owner's MaySend is checked after the grant, which may take long:
 // if the process was paused, a successor may have continued the program, and the step must not be
 // sent any more.
-func (a *admission) acquireNext(ctx context.Context) bool {
-	a.tried = append(a.tried, a.grant.Upstream)
-	if ctx.Err() != nil || a.standing().Rejected() || a.acquireUpstream(ctx) != nil {
+func (a *admission) acquireNext(ctx context.Context, failed string, f upstream.Failure) bool {
+	a.recordFailure(failed, f)
+	if !a.pauseAfterRefusals(ctx) || a.standing().Rejected() || a.acquireUpstream(ctx) != nil {
 		return false
 	}
 	if a.work.MaySend != nil && !a.work.MaySend() {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -13,6 +13,7 @@
 	"foxhall/internal/plan"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/step"
+	"foxhall/internal/upstream"
 )
 
 const (
@@ -43,17 +44,17 @@
 // fails before anything was passed to the caller is repeated on another engine.
 func (m *modelStep) Run(ctx context.Context, sink step.Sink) step.Result {
 	for {
-		upstream := m.grant.Upstream
+		engineName := m.grant.Upstream
 		response, err := m.attempt(ctx, sink)
 		if err == nil {
-			return m.complete(upstream, response)
+			return m.complete(engineName, response)
 		}
 		m.mayHaveRun = m.mayHaveRun || engine.MayHaveRun(err)
 		if errors.Is(err, engine.ErrRejected) {
-			return m.finishRejected(upstream, err)
+			return m.finishRejected(engineName, err)
 		}
-		if m.streamed || !m.acquireNext(ctx) {
-			r := m.failedResult(ctx, m.mayHaveRun, upstream, err)
+		if m.streamed || !m.acquireNext(ctx, engineName, upstream.FailureOf(err)) {
+			r := m.failedResult(ctx, m.mayHaveRun, engineName, err)
 			r.Price = m.settleFailed()
 			return r
 		}
--- a/internal/dispatch/tool.go
+++ b/internal/dispatch/tool.go
@@ -36,7 +36,7 @@
 			return t.complete(a)
 		}
 		mayHaveRun = mayHaveRun || a.mayHaveRun
-		if a.mayHaveRun && !t.work.Repeatable || !t.acquireNext(ctx) {
+		if a.mayHaveRun && !t.work.Repeatable || !t.acquireNext(ctx, a.grant.Upstream, *failureOf(a.err)) {
 			cost := Cost{}
 			if mayHaveRun {
 				cost = t.price.worstCase(t.work)
@@ -95,7 +95,7 @@
 	// The failure of the second attempt proves nothing about the first. If the first response was
 	// lost and the second replica is unreachable, the result must not be "not run".
 	second.mayHaveRun = second.mayHaveRun || first.mayHaveRun
-	t.tried = append(t.tried, first.grant.Upstream, second.grant.Upstream)
+	t.recordFailure(first.grant.Upstream, *failureOf(first.err))
 	return second
 }
 
@@ -147,7 +147,7 @@
 	if err == nil {
 		return nil
 	}
-	return &upstream.Failure{Kind: kindOf(err), Draining: errors.Is(err, tool.ErrDraining)}
+	return &upstream.Failure{Kind: kindOf(err), Draining: errors.Is(err, tool.ErrDraining), Overloaded: errors.Is(err, tool.ErrOverloaded)}
 }
 
 func kindOf(err error) upstream.FailureKind {
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -43,6 +43,8 @@
 	ErrRefused = errors.New("tool: refused by the service")
 	// ErrDraining is an ErrRefused from a service that drains.
 	ErrDraining = errors.WithMessage(ErrRefused, "tool: leaving")
+	// ErrOverloaded is an ErrRefused from a service that refuses calls for its load.
+	ErrOverloaded = errors.WithMessage(ErrRefused, "tool: overloaded")
 	// ErrUnknown indicates that the call may have run.
 	ErrUnknown = errors.New("tool: outcome unknown")
 	// ErrBroken is an ErrUnknown: the service closed or reset the connection, as one that ends does.
@@ -184,6 +186,9 @@
 		if resp.Header.Get(HeaderDraining) == "true" {
 			return Response{}, ErrDraining
 		}
+		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+			return Response{}, errors.Wrap(ErrOverloaded, resp.Status)
+		}
 		return Response{}, errors.Wrap(ErrRefused, resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBodyBytes+1))
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -36,6 +36,8 @@
 	SentAt time.Time
 	// Draining indicates that the upstream drains.
 	Draining bool
+	// Overloaded indicates that the upstream refused the call for its load.
+	Overloaded bool
 	// NotLoaded indicates that the engine has not loaded the model.
 	NotLoaded bool
 }
@@ -53,6 +55,7 @@
 		f.Kind = NotSent
 	case errors.Is(err, engine.ErrNotRun):
 		f.Kind = Refused
+		f.Overloaded = !f.Draining && failure != nil && (failure.Status == http.StatusServiceUnavailable || failure.Status == http.StatusTooManyRequests)
 	case errors.Is(err, engine.ErrRejected):
 		f.Kind = Invalid
 	}
