A step waits for upstreams whose circuit breakers have just opened

Cause: the estimate by which a step counts as late looked at the upstreams with a place or full, and not at those whose circuit breakers had opened a moment ago. With three fast replicas that refused connections for 300 ms and a slow fourth, a call with 5 s left was refused at once ("needs 12.2 s, has 5.0 s", one allowed, three broken): those whose own attempts were refused, and those that came 10 ms later, without any attempt. First turns and ones that continue others alike.

Change: a step that would be late waits if the breaker of some upstream opened at most 2 s ago, counted from the first failure after a success, so that failed trials don't prolong it; the refusal on arrival follows, and the fastest engine of a pool is looked for among these, too. Once that time is over, the step is refused as before.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -119,8 +119,12 @@
 
 func chooseCost(candidates []Candidate, s *Step, d *Decision) {
 	best, bestFull, bestAgain, bestFullAgain := -1, -1, -1, -1
+	mayReopen := false
 	for i := range candidates {
 		c := &candidates[i]
+		if c.Rejection == CircuitOpen && c.Load.MayReopen {
+			mayReopen = true
+		}
 		if c.Rejection != Allowed && !c.Rejection.isFull() {
 			continue
 		}
@@ -147,6 +151,9 @@
 		}
 	}
 	switch {
+	case best < 0 && bestFull < 0 && d.Soonest >= 0 && mayReopen:
+		d.AwaitsReopening = true
+		return
 	case best < 0 && bestFull < 0 && d.Soonest >= 0:
 		d.Late, d.Chosen, d.ShouldWait = true, d.Soonest, candidates[d.Soonest].Rejection != Allowed
 	case worthWaiting(candidates, best, bestFull, s):
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -131,6 +131,9 @@
 	Late            bool
 	Soonest         int
 	Least, LeastOwn time.Duration
+	// AwaitsReopening is set if the step would be late, but for upstreams whose circuit breakers may close soon. It waits
+	// for them.
+	AwaitsReopening bool
 	// Ties is the number of candidates among which the choice was random.
 	Ties int
 	// BestCached is the largest number of the prompt's tokens that an allowed or full candidate
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -50,7 +50,7 @@
 	if samples {
 		p.fillSample(endpoints, w, now)
 		d := placement.Decide(policy, p.candidates, &w.step)
-		if placement.AnyCapable(&d) && !d.Late {
+		if placement.AnyCapable(&d) && !d.Late && !d.AwaitsReopening {
 			return d
 		}
 	}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -121,7 +121,7 @@
 	}
 	d := p.decide(endpoints, w, now)
 	need := max(d.Least, urgency.CertainDuration(wait, 0)+max(0, d.LeastOwn))
-	if need <= w.step.Left {
+	if need <= w.step.Left || d.AwaitsReopening {
 		return nil
 	}
 	refusal := refuse(LateOnArrival, step.CodeOverloaded, 503, "the step can't be done by its deadline", max(time.Second, need-w.step.Left))
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -242,8 +242,8 @@
 	free [urgency.MaxAllowance + 1]int
 	// learned is set if some engine has completed a call.
 	learned bool
-	// shortest is the least of the engines' mean durations of a call, in seconds, and fastest its share of the mean over
-	// all of them, at most 1.
+	// shortest is the least of the engines' mean durations of a call, in seconds, those included that may be back soon,
+	// and fastest its share of the mean over all of them, at most 1.
 	shortest, fastest float64
 }
 
@@ -309,7 +309,7 @@
 // no connection don't count: steps that wait for connections would else be held until their deadlines.
 func (c *capacity) add(endpoint *upstream.Endpoint, maxConnections int, now int64) {
 	l := endpoint.Upstream.Load(now)
-	if l.Condition > upstream.Full || !endpoint.Serving().Ready {
+	if l.Condition > upstream.Full && !l.MayReopen || !endpoint.Serving().Ready {
 		return
 	}
 	slots := max(1, endpoint.Upstream.Slots)
@@ -317,6 +317,9 @@
 	if speed.Samples > 0 && (!c.learned || speed.CallSeconds < c.shortest) {
 		c.learned, c.shortest = true, speed.CallSeconds
 	}
+	if l.MayReopen {
+		return
+	}
 	c.calls += l.Total
 	c.own += l.Own
 	c.rate += urgency.CallRate(l.Total, slots, speed.CallSeconds)
--- a/internal/upstream/breaker.go
+++ b/internal/upstream/breaker.go
@@ -18,6 +18,9 @@
 	// openWhileProbed is how long the breaker stays open for an unreachable upstream that is probed.
 	// Probes detect its recovery without putting a program's step at risk.
 	openWhileProbed = time.Minute
+	// reopenTime is how long an upstream whose breaker has opened is expected to be back soon: link failures and restarts
+	// mostly end within it.
+	reopenTime = 2 * time.Second
 	// rampDuration is the time of slow start: the limit of a recovered upstream rises from rampStart
 	// of its full value to all of it, so that the backlog does not overload a cold engine.
 	rampDuration = 10 * time.Second
@@ -138,6 +141,9 @@
 		b.delay.InitialInterval = openMin
 		b.delay.MaxInterval = openMax
 	}
+	if !b.open {
+		u.brokenSince.Store(now.UnixNano())
+	}
 	b.open, b.openedAt = true, now
 	open := b.delay.NextBackOff()
 	if b.unreachable && u.probedAt.Load() != 0 {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,10 +49,11 @@
 
 	draining atomic.Bool
 	// probedAt, openUntil and rampFrom are in Unix nanoseconds; 0 stands for never probed, for a
-	// closed breaker and for no slow start.
-	probedAt  atomic.Int64
-	openUntil atomic.Int64
-	rampFrom  atomic.Int64
+	// closed breaker and for no slow start. brokenSince is when the breaker opened last after it was closed.
+	probedAt    atomic.Int64
+	openUntil   atomic.Int64
+	rampFrom    atomic.Int64
+	brokenSince atomic.Int64
 	// trial is the number of the half-open trial in progress, 0 for none; trials counts all trials.
 	trial  atomic.Uint64
 	trials atomic.Uint64
@@ -148,6 +149,8 @@
 // Load is the known load of an upstream at one moment.
 type Load struct {
 	Condition Condition
+	// MayReopen is set for CircuitOpen if the breaker has opened so recently that the upstream may be back soon.
+	MayReopen bool
 	// Own is the number of this instance's calls in flight; Total includes those of other instances.
 	Own, Total int
 	// Limit is the number of calls that the upstream may have in flight at present.
@@ -176,6 +179,7 @@
 		l.ErrorRate = silentErrorRate
 	}
 	l.Condition = u.condition(now, l)
+	l.MayReopen = l.Condition == CircuitOpen && now-u.brokenSince.Load() < int64(reopenTime)
 	return l
 }
 
