--- a/internal/gateway/continued_rows_test.go
+++ b/internal/gateway/continued_rows_test.go
@@ -195,3 +195,23 @@
 		}
 	})
 }
+
+// Guards against further tries of turns that go to the replica again at which the one before got no byte, since their
+// prompt is cached there, while first turns are served elsewhere.
+func TestContinuedTurnsLeaveASilentReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		replicas := &rowReplicas{way: hangs, failing: []string{promptReplica}, until: time.Now().Add(time.Hour), runs: map[string][]string{}}
+		w := rowEntry(replicas, 1)
+		for try := range 2 {
+			got := serveRow(w, fmt.Sprint(try))
+			is.Equal(got.first.Outcome, Completed)
+			for _, r := range got.continued {
+				is.True(try == 0 || r.Outcome == Completed)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(settleTimeout)
+		synctest.Wait()
+	})
+}
