--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,17 +29,20 @@
 	// buffersFullRetryAfter is the retry delay given to callers while the memory for calls is in use:
 	// a call of usual size ends in about that time.
 	buffersFullRetryAfter = 500 * time.Millisecond
-	// maxAttempts bounds the attempts of one call that were not refused for a replica's load.
+	// maxAttempts bounds the attempts of one call that reached a replica and were not refused for its load.
 	maxAttempts = 4
 	// maxHedges bounds the attempts of one call that are hedges, refused ones included.
 	maxHedges = 4
-	// maxRapidRefusals is the number of attempts refused for replicas' load after which a call is placed again only
-	// after a delay: replicas have places again within a fraction of a call's duration. The delay doubles from
-	// minRefusalBackoff to maxRefusalBackoff each refusalsPerBackoff further refusals.
+	// maxRapidRefusals is the number of attempts refused for replicas' load, or not sent, after which a call is placed
+	// again only after a delay: replicas have places again within a fraction of a call's duration. The delay doubles from
+	// minRefusalBackoff to maxRefusalBackoff each refusalsPerBackoff further ones.
 	maxRapidRefusals   = 4
 	refusalsPerBackoff = 12
 	minRefusalBackoff  = 50 * time.Millisecond
 	maxRefusalBackoff  = 200 * time.Millisecond
+	// maxUnreached is how long a call is sent on without reaching a replica once it has had maxAttempts. Its caller has
+	// time for another instance then, which may reach some.
+	maxUnreached = 2 * time.Second
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -172,10 +175,12 @@
 	blocks []uint64
 	// fingerprint identifies the content that replicas receive.
 	fingerprint quarantine.Fingerprint
-	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load, the latest
-	// refusal last; refusals counts these attempts.
+	// triedReplicas are those that get no further attempt, refusedBy those that refused one for their load or were not
+	// reached, the latest last; refusals counts these attempts. unreachedSince is when a replica was not reached first,
+	// if none has been since.
 	triedReplicas, refusedBy []string
 	refusals                 int
+	unreachedSince           time.Time
 	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
 	// use. repeatedPlacements counts how often that happened.
 	placeAgain         bool
@@ -387,6 +392,7 @@
 		Tried:              f.triedReplicas,
 		RefusedBy:          f.refusedBy,
 		Refusals:           f.refusals,
+		UnreachedSince:     f.unreachedSince,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
 		Again:              f.placeAgain,
