A call without a place is refused before its deadline

A call that all replicas refuse, or that waits in the queue, was refused at its deadline, when its caller has gone. It is refused 20 ms before (a twentieth of its time at most). TestRefusalComesBeforeTheDeadline failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,10 @@
 	maxUnreached = 2 * time.Second
 	// minTimeLeft is the shortest time before the deadline at which another attempt starts.
 	minTimeLeft = 5 * time.Millisecond
+	// answerTime is how long before its deadline a call is refused at the latest that has no place, so that its caller
+	// hears of it in time, and answerShare the most of its time that this may take.
+	answerTime  = 20 * time.Millisecond
+	answerShare = 0.05
 )
 
 // Gateway serves calls. It is safe for concurrent use.
@@ -388,7 +392,7 @@
 		Customer:           f.customerName(),
 		Program:            f.call.Program.ID,
 		Priority:           maxPriority - min(maxPriority, f.priority()),
-		Deadline:           f.deadline,
+		Deadline:           f.placementDeadline(),
 		Tried:              f.triedReplicas,
 		RefusedBy:          f.refusedBy,
 		Refusals:           f.refusals,
@@ -430,6 +434,12 @@
 	return f.gateway.scheduler.Acquire(ctx, r)
 }
 
+// placementDeadline returns until when the call may wait for a place.
+func (f *inFlightCall) placementDeadline() time.Time {
+	reserve := time.Duration(answerShare * float64(f.deadline.Sub(f.call.Arrived)))
+	return f.deadline.Add(-max(0, min(answerTime, reserve)))
+}
+
 // sharedBlocks returns the number of the prompt's blocks before its last part. Only that part is
 // new in this call.
 func (f *inFlightCall) sharedBlocks() int {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,7 +39,7 @@
 	// Once the call may not be sent any more, since this instance stops, it waits for nothing.
 	ctx, release := f.gateway.shutdown.whileAccepted(ctx, f.deadline)
 	defer release()
-	if delay := refusalBackoff(f.refusals); delay > 0 {
+	if delay := min(refusalBackoff(f.refusals), time.Until(f.placementDeadline())); delay > 0 {
 		sleep(ctx, delay)
 	}
 	for {
--- a/internal/gateway/refusals_momentary_test.go
+++ b/internal/gateway/refusals_momentary_test.go
@@ -213,3 +213,18 @@
 		time.Sleep(settleTimeout)
 	})
 }
+
+// Guards against refusals that come after the caller has given up.
+func TestRefusalComesBeforeTheDeadline(t *testing.T) {
+	for _, left := range []time.Duration{100 * time.Millisecond, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			replicas := newBusyReplicas()
+			w := newTestGateway(routing.Service{Name: "s"}, nil, Settings{}, routing.Route{Kind: routing.Idempotent, Attempts: 2}, &fakeTurns{}, replicas.send)
+			replicas.busyFor(time.Minute, testReplicas...)
+			got := w.serve(&fakeCaller{}, Call{ID: "r", Deadline: time.Now().Add(left)})
+			is.Equal(got.result.Outcome, NotRun)
+			is.True(got.duration < left)
+		})
+	}
+}
