Calls wait for a majority that was heard a moment ago

Cause: an instance that hears less than half of the others has a small part of each quota, and refused what goes beyond it at once (quota_unknown), to come back when the calls of before have left the window: after half of the call's time, 1.8 to 2.5 s. After a pause of the machine the others are heard again within 0.1 s, and the quota holds again three rounds of reports later: the tries of a turn and of its siblings were spent within one cause.

Change: for the first 2 s of hearing too few others a call waits as after a start, up to a second (half of its time), and comes back in 400 ms if it is refused. Nothing more is admitted. An instance that is cut off for long refuses at once as before.

The test failed before the change. go test ./internal/gateway ./internal/limit ./internal/node ./internal/joined is green.

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -198,3 +198,46 @@
 		})
 	}
 }
+
+// Guards against a caller that spends all its tries within a short silence of the others, of a process or a machine
+// that was paused: each was refused at once, and told to come back when the calls of before have left the window.
+func TestCallWaitsUntilAnInstanceHearsTheOthersAgain(t *testing.T) {
+	const longSilence = 5 * time.Second
+	for _, c := range []struct {
+		silence, calledAfter time.Duration
+		outcome              Outcome
+		waits                time.Duration
+	}{
+		{silence: 600 * time.Millisecond, outcome: Completed, waits: 600 * time.Millisecond},
+		{silence: 1500 * time.Millisecond, calledAfter: 900 * time.Millisecond, outcome: Completed, waits: 600 * time.Millisecond},
+		{silence: time.Minute, outcome: NotRun, waits: maxMajorityWait},
+		{silence: time.Minute, calledAfter: longSilence, outcome: NotRun},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			quotas := limit.NewQuotas("a", 1, limit.Tolerance{Window: 10 * time.Second})
+			quotas.Set(map[string]limit.Quota{"one": {Rate: 100, Burst: 100}}, time.Now())
+			hear := func(entries int) { quotas.SetFleet(entries, 8, 0, time.Now()) }
+			hear(8)
+			hear(8)
+			time.Sleep(20 * time.Second)
+			for range 50 {
+				verdict, _ := quotas.Admit(limit.Call{Customer: "one"}, time.Now())
+				is.Equal(verdict, limit.Admitted)
+			}
+			hear(1)
+			time.AfterFunc(c.silence, func() { hear(8); hear(8) })
+			time.Sleep(c.calledAfter)
+			customers := newCustomers(t, routing.Customer{Name: "one", Keys: []routing.KeyDigest{*digestOf("k1")}})
+			route := routing.Route{Kind: routing.AtMostOnce, Attempts: 1}
+			w := newTestGateway(routing.Service{Name: "s"}, customers, Settings{Quotas: quotas}, route, nil, succeedsWith("done"))
+			got := w.serve(&fakeCaller{}, Call{ID: "r", Key: digestOf("k1")})
+			is.Equal(got.result.Outcome, c.outcome)
+			is.True(got.duration >= c.waits && got.duration <= c.waits+majorityPollInterval)
+			if c.outcome == NotRun {
+				is.Equal(got.result.Reason, QuotaUndetermined)
+			}
+			time.Sleep(c.silence)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -244,15 +244,15 @@
 const maxReportWait = 400 * time.Millisecond
 
 const (
-	// maxMajorityWait bounds how long a call waits until this instance, which has started, has heard a majority of
-	// the others.
+	// maxMajorityWait bounds how long a call waits until this instance, which has started or heard too few others
+	// for a short time, has heard a majority of them.
 	maxMajorityWait      = time.Second
 	majorityPollInterval = 50 * time.Millisecond
 )
 
 // admit checks the call against its customer's quota. It returns nil if the call is admitted. A
-// call that the quota may still cover waits for the reports of other instances, after a start until a majority of them
-// has been heard.
+// call that the quota may still cover waits for the reports of other instances, after a start or a short silence of
+// the others until a majority of them has been heard.
 //
 // It prevents the following failure: a customer below its quota whose calls arrive at one instance
 // at once is refused there, although the other instances use nothing of the quota.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -52,6 +52,9 @@
 	// instances is read, and a round of reports received, within about that time. A caller that came back
 	// sooner would use up its tries.
 	startRetryAfter = 400 * time.Millisecond
+	// maxBriefMinority is how long calls wait for a majority that was heard before: the pause of a process or a
+	// machine, and the reports after it. Callers are diverted from an instance that hears none for longer.
+	maxBriefMinority = 2 * time.Second
 	// maxReturnDelay is how long after its admission a call may be returned.
 	maxReturnDelay = 500 * time.Millisecond
 	// peerUsageRetention is how long a peer's count for a customer is kept: far longer than a
@@ -102,6 +105,8 @@
 	// risingSince is when the reachable instances began to allow a larger fraction; zero if they do
 	// not.
 	risingSince time.Time
+	// minoritySince is when the fraction fell below majorityFraction; zero if it is not below.
+	minoritySince time.Time
 	// newInstances are instances that have started and are yet to be sent the counts of the window.
 	newInstances []string
 	fleetSize    int
@@ -150,7 +155,8 @@
 	// AwaitsReports means that this instance has used its share of the quota's rest, and that other
 	// instances may leave more of it. Their reports arrive within the returned delay.
 	AwaitsReports
-	// AwaitsMajority is Undetermined since the start: a majority of the instances has yet to be heard.
+	// AwaitsMajority is Undetermined since the start, or for a short time: a majority of the instances has yet to be
+	// heard.
 	AwaitsMajority
 )
 
@@ -180,7 +186,7 @@
 	delay := m.reportDelay(now, q.reportRound)
 	full := m.recent.sum+1 > limit || m.bucket < 1 || starting && !m.canStartProgram(now, limit)
 	switch {
-	case full && q.fraction < majorityFraction && q.observedSince.IsZero():
+	case full && q.fraction < majorityFraction && (q.observedSince.IsZero() || now.Sub(q.minoritySince) < maxBriefMinority):
 		return AwaitsMajority, startRetryAfter
 	case full && q.fraction < majorityFraction:
 		return Undetermined, m.retryAfter(q.fraction, observed)
@@ -273,6 +279,12 @@
 		return
 	}
 	q.fraction = fraction
+	switch {
+	case fraction >= majorityFraction:
+		q.minoritySince = time.Time{}
+	case q.minoritySince.IsZero():
+		q.minoritySince = now
+	}
 }
 
 // settlingTime returns how long newly reachable instances have to report their calls; the lock is
