A hedge that replicas refused goes on without another hedge of the budget

Cause: a hedge that was refused or not sent drew on the budget of hedges again for its next attempt, although nothing of it ran. Where the budget was used up it was given up, and the silent call waited for a second and more.

Change: the attempt that follows a hedge that was refused for a replica's load or not sent draws on no budget.

TestHedgeThatReplicasRefuseGoesOnAtOnce failed before in both rows (more than 300 ms after the hedge began).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,9 @@
 	// use. repeatedPlacements counts how often that happened.
 	placeAgain         bool
 	repeatedPlacements int
+	// hedgeAgain is set if the latest hedge was refused for a replica's load or not sent, so that the next one stands
+	// for it.
+	hedgeAgain bool
 	// lastUpstream is the engine that most likely has the prompt cached.
 	lastUpstream string
 	// attempts counts the attempts so far.
@@ -389,7 +392,7 @@
 		UnreachedSince:     f.unreachedSince,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
-		Again:              f.placeAgain,
+		Again:              f.placeAgain || hedges && f.hedgeAgain,
 		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
 		OutputHint:         min(f.call.OutputHint, f.call.MaxOutputTokens),
@@ -419,6 +422,9 @@
 		r.Service = f.service.Name
 	}
 	f.placeAgain = false
+	if hedges {
+		f.hedgeAgain = false
+	}
 	began := time.Now()
 	defer func() { f.stageTimes.placing += time.Since(began) }()
 	return f.gateway.scheduler.Acquire(ctx, r)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -127,7 +127,7 @@
 	// limit. An upstream to which so many are in use is full.
 	MaxConnections int
 	// Again is set if the step was granted before and not sent, since all connections to the upstream were
-	// in use. It draws on no retry budget.
+	// in use, or if it is a hedge that was refused or not sent. It draws on no retry budget.
 	Again bool
 	// Hedge is set if an attempt of the step is under way. Hedges have a retry budget of their own, so that
 	// many silent upstreams leave the budget of failed attempts untouched.
