--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,13 +185,10 @@
 	triedReplicas, refusedBy []string
 	refusals                 int
 	unreachedSince           time.Time
-	// placeAgain is set if the call was placed and not sent, since all connections to the replica were in
-	// use. repeatedPlacements counts how often that happened.
+	// placeAgain is set if the latest attempt had no connection, was refused for a replica's load or was not sent: the
+	// next one stands for it and draws on no budget. repeatedPlacements counts those without a connection.
 	placeAgain         bool
 	repeatedPlacements int
-	// hedgeAgain is set if the latest hedge was refused for a replica's load or not sent, so that the next one stands
-	// for it.
-	hedgeAgain bool
 	// lastUpstream is the engine that most likely has the prompt cached.
 	lastUpstream string
 	// attempts counts the attempts so far, hedges those that were hedges.
@@ -402,7 +399,7 @@
 		UnreachedSince:     f.unreachedSince,
 		MaxConnections:     f.placementLimit(),
 		NotRun:             len(f.possibleRuns) == 0,
-		Again:              f.placeAgain || hedges && f.hedgeAgain,
+		Again:              f.placeAgain,
 		Hedge:              hedges,
 		MaxOutputTokens:    f.call.MaxOutputTokens,
 		OutputHint:         min(f.call.OutputHint, f.call.MaxOutputTokens),
@@ -432,9 +429,6 @@
 		r.Service = f.service.Name
 	}
 	f.placeAgain = false
-	if hedges {
-		f.hedgeAgain = false
-	}
 	began := time.Now()
 	defer func() { f.stageTimes.placing += time.Since(began) }()
 	return f.gateway.scheduler.Acquire(ctx, r)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -355,7 +355,6 @@
 		f.reportFailure(ctx, a, v)
 		if a.mayAcceptLater(v) {
 			f.allowAgain(a, v)
-			f.hedgeAgain = true
 		}
 	}
 	a.place.leave()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,8 +128,8 @@
 	// MaxConnections is the number of connections that this instance may have to one upstream; 0 for no
 	// limit. An upstream to which so many are in use is full.
 	MaxConnections int
-	// Again is set if the step was granted before and not sent, since all connections to the upstream were
-	// in use, or if it is a hedge that was refused or not sent. It draws on no retry budget.
+	// Again is set if the step was granted before and not sent, or refused for the upstream's load. It draws on no retry
+	// budget: the placement before did.
 	Again bool
 	// Hedge is set if an attempt of the step is under way. Hedges have a retry budget of their own, so that
 	// many silent upstreams leave the budget of failed attempts untouched.
