Steps that their sample can't serve in time look at all upstreams ten times a second

A decision is made over a sample of a fleet of more than 128. Where no upstream of the sample can complete the step by its deadline, all are looked at, since an estimate must not refuse what another upstream can do. That was done in each scan for each such step that waits: 73 to 91 µs at 440 engines and 323 to 388 µs at 2,200 instead of 13 to 16 and 21 to 28 µs (five runs on a shared machine), for up to 48 steps a scan.

Change: after a decision over all upstreams that left it waiting, a step is decided by samples alone for 0.1 s, and neither placed nor refused by a late one.

TestStepLateAtItsSampleSeldomLooksAtAllUpstreams failed before. The benchmark of decisions has cases with a deadline that can be met and one that can't; there is no allocation in any of them. One that can't be met costs the figures above still at the step's arrival.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -21,6 +21,10 @@
 	// maxRecent is the number of upstreams used last that a decision considers beside the sample. In a
 	// fleet of thousands the sample hardly ever has one with an open connection.
 	maxRecent = 16
+	// searchInterval is the least time between two decisions over all upstreams for a step that waits for one that can
+	// complete it by its deadline, while none in the sample can. Their cost grows with the fleet, and a queue of such
+	// steps would else take most of a core.
+	searchInterval = 100 * time.Millisecond
 )
 
 // decide makes one decision over a sample of the upstreams, or over all of them if none in the
@@ -50,7 +54,12 @@
 	if samples {
 		p.fillSample(endpoints, w, now)
 		d := placement.Decide(policy, p.candidates, &w.step)
-		if placement.AnyCapable(&d) && !d.Late && !d.AwaitsReopening {
+		switch {
+		case !placement.AnyCapable(&d):
+		case !d.Late && !d.AwaitsReopening:
+			return d
+		case now.Sub(w.searchedAt) < searchInterval:
+			d.Late, d.ShouldWait = false, true
 			return d
 		}
 	}
--- a/internal/scheduler/decision_bench_test.go
+++ b/internal/scheduler/decision_bench_test.go
@@ -14,28 +14,38 @@
 )
 
 // BenchmarkDecision measures one complete decision for a history of 120,000 tokens, including the
-// lookup in the cache view and the collection of the candidates.
+// lookup in the cache view and the collection of the candidates, without a deadline, with one that can be met
+// and with one that no engine can meet.
 func BenchmarkDecision(b *testing.B) {
+	deadlines := []struct {
+		name string
+		left time.Duration
+	}{{"", 0}, {"-deadline", time.Hour}, {"-late", time.Millisecond}}
 	for _, c := range []struct {
 		n           int
 		loadControl bool
 	}{{20, false}, {440, false}, {2200, false}, {20, true}, {440, true}, {2200, true}} {
-		name := fmt.Sprint(c.n)
-		if c.loadControl {
-			name += "-load-control"
-		}
-		b.Run(name, func(b *testing.B) {
-			p, w, endpoints := newDecisionFixture(c.n, Settings{DataCentre: "a", LoadControl: c.loadControl})
-			now := time.Now()
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				w.step.Random++
-				if d := p.decide(endpoints, w, now); d.Chosen < 0 {
-					b.Fatal("no decision")
-				}
+		for _, d := range deadlines {
+			name := fmt.Sprint(c.n)
+			if c.loadControl {
+				name += "-load-control"
 			}
-		})
+			b.Run(name+d.name, func(b *testing.B) {
+				p, w, endpoints := newDecisionFixture(c.n, Settings{DataCentre: "a", LoadControl: c.loadControl})
+				now := time.Now()
+				if d.left != 0 {
+					w.request.Deadline = now.Add(d.left)
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					w.step.Random++
+					if d := p.decide(endpoints, w, now); d.Chosen < 0 {
+						b.Fatal("no decision")
+					}
+				}
+			})
+		}
 	}
 }
 
--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,57 @@
 		running.Wait()
 	})
 }
+
+// Guards against a queue of steps that takes most of a core: none of their samples of a large fleet can serve them in
+// time, and each scan looks at all upstreams for each of them. The one that can must be found soon all the same.
+func TestStepLateAtItsSampleSeldomLooksAtAllUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const engines, slots, scans = 440, 8, 100
+		var looked atomic.Int64
+		var listed []usage.Upstream
+		for i := range engines {
+			listed = append(listed, engineAt(fmt.Sprint("e", i), "a", slots))
+		}
+		s, table := newTestScheduler(Settings{Connections: func(string, string, int) (idle, free bool) {
+			looked.Add(1)
+			return true, true
+		}}, listed...)
+		fast := table.Snapshot().Model(testModel)[1].Upstream // the first sample begins at 0
+		for _, endpoint := range table.Snapshot().Model(testModel) {
+			call := time.Minute
+			if endpoint.Upstream == fast {
+				call = time.Second
+			}
+			learnCalls(table, endpoint.Upstream.Name, call)
+		}
+		for fast.Load(time.Now().UnixNano()).Condition == upstream.Usable {
+			fast.Begin(time.Now().UnixNano(), 0, time.Hour)
+		}
+		r := testRequest("p")
+		r.OutputHint, r.Deadline = tokensOut, time.Now().Add(10*time.Second)
+		grants := make(chan *Grant, 1)
+		go func() {
+			g, refusal := s.Acquire(t.Context(), r)
+			if refusal != nil {
+				t.Errorf("%+v", refusal)
+			}
+			grants <- g
+		}()
+		synctest.Wait()
+		is.Equal(s.Waiting(), 1)
+		is.True(looked.Load() >= engines) // the step is not left waiting without a look at all
+		looked.Store(0)
+		for range scans {
+			s.pool(&r).scanIfWaiting()
+		}
+		is.True(looked.Load() <= scans*(sampleSize+maxCacheHolders+maxRecent))
+		fast.Finish(time.Now().UnixNano())
+		freed := time.Now()
+		g := <-grants
+		is.True(g != nil)
+		is.Equal(g.Upstream, fast.Name)
+		is.True(time.Since(freed) <= searchInterval+scanInterval)
+		g.Done(Feedback{Cancelled: true})
+	})
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -71,7 +71,9 @@
 	blockHashes  []uint64
 	promptTokens int
 	enqueued     time.Time
-	criteria     queue.Criteria
+	// searchedAt is when the latest decision over all upstreams left the step waiting.
+	searchedAt time.Time
+	criteria   queue.Criteria
 	// urgent is set only if byUrgency is.
 	byUrgency bool
 	urgent    urgentStep
@@ -349,6 +351,9 @@
 		}
 	}
 	w.recordDecision(&d)
+	if len(p.candidates) == len(endpoints) {
+		w.searchedAt = now
+	}
 	if !placement.AnyCapable(&d) && now.Sub(w.unreachedSince()) >= noUpstreamWait {
 		w.refused <- noUpstreamRefusal(&d)
 		return true, false
