--- a/internal/history/allowance_test.go
+++ b/internal/history/allowance_test.go
@@ -142,3 +142,36 @@
 		m.advance(pause)
 	}
 }
+
+// Guards against a program that is refused for its budget because of tokens that an entry holds which it has left.
+func TestLeftAllowancesRefuseNoTurn(t *testing.T) {
+	m := &budgetModel{now: time.Unix(1_000_000, 0), state: newState(), entries: [2]*allowances{newAllowances(), newAllowances()}}
+	customer := ""
+	turn := func(entry *allowances) bool {
+		m.turns++
+		id := fmt.Sprint("t", m.turns)
+		r := gateway.Reservation{Program: "p", Turn: id, MaxOutputTokens: modelTurn, Budget: modelBudget, Retention: modelRetention}
+		if entry.beginTurn(r, m.now) {
+			a, _ := entry.settleTurn(gateway.Settlement{Program: "p", Turn: id, OutputTokens: modelTurn})
+			m.draw(entry, a, false, false)
+			return true
+		}
+		request := &historypb.ReserveRequest{Program: "p", Customer: &customer, Turn: id, Most: modelTurn, Budget: modelBudget, RetentionMs: modelRetention.Milliseconds()}
+		if verdict, _ := m.state.reserve(request, m.now); verdict != historypb.Verdict_DONE {
+			return false
+		}
+		m.draw(entry, entry.getOrCreate(r, m.now), false, false)
+		m.state.settle(&historypb.SettleRequest{Program: "p", Customer: &customer, Turn: id, Made: modelTurn, RetentionMs: modelRetention.Milliseconds()}, m.now)
+		return true
+	}
+	if !turn(m.entries[0]) {
+		t.Fatal("first turn refused")
+	}
+	handed := modelTurn
+	for m.advance(2 * time.Second); handed+modelTurn <= modelBudget; handed += modelTurn {
+		if !turn(m.entries[1]) {
+			t.Fatalf("refused after %d of %d tokens, 2 s after the turn at the other entry ended", handed, modelBudget)
+		}
+		m.advance(100 * time.Millisecond)
+	}
+}
