review: case 7, a turn that its client resumed is kept without its beginning

Looked for: turns that are put together from several attempts. A caller that resumes a turn on a route with retain and resumable has it kept with the events of the last attempt alone.

--- a/review/_driver2/cutstream.go
+++ b/review/_driver2/cutstream.go
@@ -20,8 +20,8 @@
 	eventPause    = 60 * time.Millisecond
 	streamClients = 390
 	streamSeconds = 50
-	streamCrashes = 5
-	streamEvery   = 9 * time.Second
+	streamCrashes = 7
+	streamEvery   = 6500 * time.Millisecond
 	streamDown    = 5 * time.Second
 )
 
--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -14,6 +15,9 @@
 	unable = 2
 )
 
+// Instances end with the thread that started them, which is the main one.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	if len(os.Args) == 3 {
 		switch os.Args[1] {
@@ -29,7 +33,7 @@
 		fmt.Println("usage: driver CASE RECORD")
 		os.Exit(unable)
 	}
-	cases := map[string]func(*system, *record, bool) (int, error){"twin-refusal": twinRefusal, "cut-stream": cutStream, "cut-page": cutPage}
+	cases := map[string]func(*system, *record, bool) (int, error){"twin-refusal": twinRefusal, "cut-stream": cutStream, "cut-page": cutPage, "resumed-turn": resumedTurn}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Println("no such case")
--- a/review/_driver2/system.go
+++ b/review/_driver2/system.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"foxhall/platform/standin"
@@ -32,7 +33,15 @@
 	storeAddress string
 	portBase     int
 	network      int
-	instances    map[string]*instance
+
+	mu        sync.Mutex
+	instances map[string]*instance
+}
+
+func (s *system) instance(name string) *instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances[name]
 }
 
 var zones = []string{"sul-a", "sul-b", "sul-c"}
@@ -83,7 +92,7 @@
 }
 
 func (s *system) front(name string) string {
-	return fmt.Sprintf("%s:%d", s.instances[name].ip, s.portBase)
+	return fmt.Sprintf("%s:%d", s.instance(name).ip, s.portBase)
 }
 
 // startAll starts entries and keepers for the first time, and waits until the entries are ready.
@@ -111,7 +120,7 @@
 }
 
 func (s *system) start(name string, first bool) error {
-	i := s.instances[name]
+	i := s.instance(name)
 	settings := map[string]any{
 		"node": name, "role": "entry", "machine_class": "edge", "serves": []string{"edge", "control_plane"},
 		"ip": i.ip, "zone": i.zone, "region": "sul", "zones": map[string]string{"sul-a": "sul", "sul-b": "sul", "sul-c": "sul"},
@@ -151,13 +160,14 @@
 	i.command = exec.Command("target/foxhall", "run")
 	i.command.Env = append(os.Environ(), "FOXHALL_CONFIG="+path)
 	i.command.Stdout, i.command.Stderr = log, log
+	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the driver
 	return i.command.Start()
 }
 
 func (s *system) awaitReady(name string) error {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		r, err := client.Get(fmt.Sprintf("http://%s:%d/ready", s.instances[name].ip, s.portBase+1))
+		r, err := client.Get(fmt.Sprintf("http://%s:%d/ready", s.instance(name).ip, s.portBase+1))
 		if err != nil {
 			continue
 		}
