review: case 6, no turn is served after the last keeper was removed for good

Looked for: losses that overlap beyond the tolerance, with one disk lost. The copies of a sole holder's changes are used only if its keeper is live with another disk; one that was removed for good never is. Run: review/6/run.sh five times (45 s each): kept turns out of reach and no first turn served after recovery_s in 5 of 5 (20 of 20 kept turns; 0 of 40 first turns). TROUBLE=0, once: none. With an empty disk at the old address in place of the new machine, once: all served. In a longer run turns were served again 58 s after the return.

--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -33,7 +33,7 @@
 		fmt.Println("usage: driver CASE RECORD")
 		os.Exit(unable)
 	}
-	cases := map[string]func(*system, *record, bool) (int, error){"twin-refusal": twinRefusal, "cut-stream": cutStream, "cut-page": cutPage, "resumed-turn": resumedTurn}
+	cases := map[string]func(*system, *record, bool) (int, error){"twin-refusal": twinRefusal, "cut-stream": cutStream, "cut-page": cutPage, "resumed-turn": resumedTurn, "sole-gone": soleGone}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Println("no such case")
