Count opened connections to replicas and skipped responses

Neither the log nor the metrics showed how many connections an entry opens to replicas, and how often it skips a response that belongs to another call. Both are needed to judge a change of which connection a call is sent over.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -178,6 +178,7 @@
 			return response, nil
 		}
 		first = false
+		c.pool.meters.stray.Inc(1)
 		if err := skipBody(response); err != nil {
 			return nil, c.strayLost(err)
 		}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -19,6 +19,7 @@
 	address string
 	// receive bounds the unread bytes of the connections; nil for a bound of each one alone.
 	receive *ReceiveBudget
+	meters  *Meters
 
 	mu        sync.Mutex
 	idle      []*conn
@@ -36,7 +37,14 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(address string) *Pool { return &Pool{address: address} }
+func NewPool(address string) *Pool { return newPool(address, nil) }
+
+func newPool(address string, receive *ReceiveBudget) *Pool {
+	return &Pool{address: address, receive: receive, meters: unregistered}
+}
+
+// SetMeters sets the meters. It must be called before the first call.
+func (p *Pool) SetMeters(m *Meters) { p.meters = m }
 
 // OpenedCount returns the number of connections opened so far.
 func (p *Pool) OpenedCount() int64 {
@@ -159,9 +167,15 @@
 	if p.openCount >= limit {
 		return nil, false
 	}
+	p.reserveLocked()
+	return nil, true
+}
+
+// reserveLocked counts a new connection, which the caller opens; the lock is held.
+func (p *Pool) reserveLocked() {
 	p.openCount++
 	p.openedCount++
-	return nil, true
+	p.meters.opened.Inc(1)
 }
 
 // dial opens the connection that takeIdleOrReserve reserved. forCall is set if a call is sent over it at once.
--- a/internal/httpconn/probe.go
+++ b/internal/httpconn/probe.go
@@ -106,7 +106,6 @@
 	if p.openCount >= limit {
 		return false
 	}
-	p.openCount++
-	p.openedCount++
+	p.reserveLocked()
 	return true
 }
--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -35,7 +35,7 @@
 func NewReceiveBudget(limit int64) *ReceiveBudget { return &ReceiveBudget{free: limit} }
 
 // NewPool returns a pool without connections whose connections share the budget.
-func (b *ReceiveBudget) NewPool(address string) *Pool { return &Pool{address: address, receive: b} }
+func (b *ReceiveBudget) NewPool(address string) *Pool { return newPool(address, b) }
 
 // take returns the receive buffer of a new connection.
 func (b *ReceiveBudget) take() int {
