A connection to a replica carries a call once

What callers saw: nothing, which is the fault.

Cause: a response is taken for the call's own if its Request-Id is the call's. The ID is that of the caller's request and the same for all its sendings. A replica rejects the call, the entry sends it to that replica again over the same connection, and a late copy of the rejection comes there first: the entry goes on to another replica while the first one runs the call.

Any status fits, and any sending whose connection was kept: rejected, resumed, or one with the ID of an earlier call of another caller.

Change: each connection remembers the calls that it has carried, as hashes of their IDs, for as long as it lasts, and is closed after 1,024 of them. A call is sent over the idle connection used last that has not carried it, else over a new one. Where the share of the connections is in use up to idle ones that have carried it, the one that was idle for longest gives way: an entry never has more open than before, so that max_connections holds over all entries.

Why this works: a response that comes over a connection is for a sending on that connection, and only one of the call was there. Nothing is inferred from time, status or number of copies.

--- a/internal/httpconn/cancel_reuse_test.go
+++ b/internal/httpconn/cancel_reuse_test.go
@@ -35,7 +35,7 @@
 	c := newConn(NewPool(""), n)
 	c.idleSince = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
-	c.beginCall(ctx)
+	c.beginCall(ctx, get("/"))
 	c.bodyUnwritten = true
 	cancel()
 	<-n.closing
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -74,6 +74,9 @@
 
 // Call is one HTTP call.
 type Call struct {
+	// ID is the ID by which responses name the call; empty if they name none. A connection carries one call of an ID,
+	// once: a response may arrive a second time, in place of that to a later sending of the same call.
+	ID     string
 	Method string
 	// Target is the path and query, sent unchanged.
 	Target string
@@ -118,6 +121,8 @@
 	idleSince   time.Time
 	// proven is set once the connection's server was proven to be the one that is meant.
 	proven bool
+	// carried are the calls that were sent over the connection.
+	carried carriedCalls
 
 	mu sync.Mutex
 	// callCount counts the calls on the connection and numbers the current one. Ending a call
@@ -136,7 +141,8 @@
 }
 
 // beginCall starts the connection's next call.
-func (c *conn) beginCall(ctx context.Context) {
+func (c *conn) beginCall(ctx context.Context, call *Call) {
+	c.carried.add(call.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.callCount++
@@ -353,7 +359,7 @@
 	if !c.finishCall(callNumber) {
 		return
 	}
-	reusable := !closeAfter && c.prepareForIdle()
+	reusable := !closeAfter && !c.carried.isFull() && c.prepareForIdle()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -76,12 +76,7 @@
 // longest first; the lock is held.
 func (p *Pool) setLimitLocked(limit int) {
 	p.limit = limit
-	excess := min(len(p.idle), max(0, p.openCount-limit))
-	for _, c := range p.idle[:excess] {
-		c.netConn.Close()
-	}
-	p.openCount -= excess
-	p.idle = slices.Delete(p.idle, 0, excess)
+	p.closeIdleLocked(min(len(p.idle), max(0, p.openCount-limit)))
 }
 
 // Close closes idle connections; those in use are closed when their calls end.
@@ -117,14 +112,14 @@
 	return p.closed
 }
 
-// Do sends the call over an idle connection, or over a new one if fewer than limit are open. When
-// ctx ends, the connection is closed immediately, which tells the server to stop its work.
+// Do sends the call over an idle connection that has not carried a call of its ID, or over a new one if fewer than limit
+// are in use. When ctx ends, the connection is closed immediately, which tells the server to stop its work.
 func (p *Pool) Do(ctx context.Context, call *Call, limit int) (*Response, error) {
-	c, err := p.acquireProven(ctx, call.Proof, limit)
+	c, err := p.acquireProven(ctx, call, limit)
 	if err != nil {
 		return nil, err
 	}
-	c.beginCall(ctx)
+	c.beginCall(ctx, call)
 	response, err := c.exchange(call)
 	if err != nil {
 		c.discard(c.callCount)
@@ -133,9 +128,10 @@
 	return c.newResponse(response), nil
 }
 
-func (p *Pool) acquire(ctx context.Context, limit int) (*conn, error) {
+// acquire returns a connection for a call with the ID.
+func (p *Pool) acquire(ctx context.Context, id string, limit int) (*conn, error) {
 	for {
-		c, dial := p.takeIdleOrReserve(limit)
+		c, dial := p.takeIdleOrReserve(id, limit)
 		switch {
 		case c == nil && !dial:
 			return nil, ErrConnectionLimit
@@ -152,25 +148,39 @@
 	}
 }
 
-// takeIdleOrReserve returns the idle connection that was used last. If there is none and fewer than
-// limit are open, it reserves a new connection and returns dial, for the caller to open it.
-func (p *Pool) takeIdleOrReserve(limit int) (c *conn, dial bool) {
+// takeIdleOrReserve returns the idle connection that was used last of those that may carry a call with the ID. If there
+// is none and fewer than limit are in use, it reserves a new connection and returns dial, for the caller to open it. If
+// limit are open, it closes the idle connection that was used least recently in favor of the new one.
+func (p *Pool) takeIdleOrReserve(id string, limit int) (c *conn, dial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.publishLocked()
 	p.setLimitLocked(limit)
-	if n := len(p.idle); n > 0 {
-		c = p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, false
+	for i, c := range slices.Backward(p.idle) {
+		if c.carried.mayCarry(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, false
+		}
 	}
 	if p.openCount >= limit {
-		return nil, false
+		if len(p.idle) == 0 {
+			return nil, false
+		}
+		p.closeIdleLocked(1)
 	}
 	p.reserveLocked()
 	return nil, true
 }
 
+// closeIdleLocked closes the n idle connections that were used least recently; the lock is held.
+func (p *Pool) closeIdleLocked(n int) {
+	for _, c := range p.idle[:n] {
+		c.netConn.Close()
+	}
+	p.openCount -= n
+	p.idle = slices.Delete(p.idle, 0, n)
+}
+
 // reserveLocked counts a new connection, which the caller opens; the lock is held.
 func (p *Pool) reserveLocked() {
 	p.openCount++
--- a/internal/httpconn/proof.go
+++ b/internal/httpconn/proof.go
@@ -40,15 +40,16 @@
 // maxProofs bounds the connections on which one call is proven, for servers that close them after the proof.
 const maxProofs = 3
 
-// acquireProven returns a connection that is proven to lead to the server that is meant, if proof is not nil.
-// The proof and the call go over the same connection: the server may start anew between the two.
-func (p *Pool) acquireProven(ctx context.Context, proof *Proof, limit int) (*conn, error) {
+// acquireProven returns a connection for the call that is proven to lead to the server that is meant, if the call has a
+// proof. The proof and the call go over the same connection: the server may start anew between the two.
+func (p *Pool) acquireProven(ctx context.Context, call *Call, limit int) (*conn, error) {
+	proof := call.Proof
 	for range maxProofs {
-		c, err := p.acquire(ctx, limit)
+		c, err := p.acquire(ctx, call.ID, limit)
 		if err != nil || proof == nil || c.proven {
 			return c, err
 		}
-		c.beginCall(ctx)
+		c.beginCall(ctx, proof.Call)
 		judgement, reusable, err := c.prove(proof)
 		if err == nil && reusable && c.finishCall(c.callCount) {
 			c.proven = true
@@ -61,7 +62,7 @@
 			return nil, err
 		case judgement == Unclear:
 			proof.notifyGiven()
-			return p.acquire(ctx, limit)
+			return p.acquire(ctx, call.ID, limit)
 		}
 	}
 	return nil, errors.Wrap(ErrNotSent, "the server closes its connections after the proof")
--- a/internal/httpconn/status_test.go
+++ b/internal/httpconn/status_test.go
@@ -143,7 +143,7 @@
 		pool := NewPool("")
 		c := newConn(pool, bytesConn{bytes.NewReader(input)})
 		pool.openCount++
-		c.beginCall(context.Background())
+		c.beginCall(context.Background(), get("/"))
 		response, err := c.exchange(get("/"))
 		if err != nil {
 			if response != nil || !errors.Is(err, ErrResponseLost) {
