Calls to tool services share no connections

Cause: a tool service's response does not name its call. Repeatable calls and look-ups of the outcome of a step went over pooled connections, so that a response that arrives a second time was taken for that to the next call: a step gets the result of another one, or counts as done by the look-up of another.

Change: each call has a connection of its own, as calls that may not be repeated had already. The resending that net/http does on a reused connection that breaks is gone with it, and so is the flag that told the two kinds apart; the test that played both plays the one that is left.

TestCopyOfAResponseIsNotTheResultOfTheNextCall fails before ("/lookup?key=%2Fcall-0 != /lookup?key=%2Fcall-1") and passes after.

--- a/internal/dispatch/tool.go
+++ b/internal/dispatch/tool.go
@@ -121,10 +121,9 @@
 	grant.MarkSent()
 	started := time.Now()
 	response, err := t.executor.opt.Tools.Call(ctx, tool.Call{
-		Address:    grant.Address,
-		Request:    t.work.Call.Tool,
-		Key:        t.work.IdempotencyKey,
-		Repeatable: t.work.Repeatable,
+		Address: grant.Address,
+		Request: t.work.Call.Tool,
+		Key:     t.work.IdempotencyKey,
 	})
 	duration := time.Since(started)
 	t.recordAttempt(ctx, grant, started, err)
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -14,7 +14,6 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,16 +64,12 @@
 	Request *step.ToolRequest
 	// Key identifies the step. It is the same for all attempts.
 	Key string
-	// Repeatable indicates that the call may be sent more than once.
-	Repeatable bool
 }
 
-// Client calls services over HTTP.
+// Client calls services over HTTP, each call over a connection of its own.
 type Client struct {
-	// pooled reuses connections. unpooled does not, which calls that must not be repeated need.
-	pooled       *http.Client
-	unpooled     *http.Client
-	transports   []*http.Transport
+	http         *http.Client
+	transport    *http.Transport
 	maxBodyBytes int64
 }
 
@@ -82,27 +77,20 @@
 // maxBodyBytes.
 func NewClient(dialTimeout time.Duration, maxBodyBytes int64) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := reportingResets(dialer.DialContext)
-	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
-	// When a reused connection breaks, net/http resends a request that has an idempotency key: the
-	// service would get a charge twice and no error would be reported. A transport that never reuses
-	// a connection never resends.
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	// No connection is reused. A response does not name its call, so that a late one would be taken for that to the
+	// next call. And when a reused connection breaks, net/http resends a request that has an idempotency key: the
+	// service would get a charge twice and no error would be reported.
+	transport := &http.Transport{DialContext: reportingResets(dialer.DialContext), DisableKeepAlives: true}
 	return &Client{
-		pooled:       &http.Client{Transport: httpconn.NewTransport(pooled), CheckRedirect: returnRedirect},
-		unpooled:     &http.Client{Transport: httpconn.NewTransport(unpooled), CheckRedirect: returnRedirect},
-		transports:   []*http.Transport{pooled, unpooled},
+		http:         &http.Client{Transport: httpconn.NewTransport(transport), CheckRedirect: returnRedirect},
+		transport:    transport,
 		maxBodyBytes: maxBodyBytes,
 	}
 }
 
 // SetDialer replaces the client's dial function. It must be called before the first call. Tests
 // use it to run the client on a simulated network with faults.
-func (c *Client) SetDialer(dial dialFunc) {
-	for _, t := range c.transports {
-		t.DialContext = reportingResets(dial)
-	}
-}
+func (c *Client) SetDialer(dial dialFunc) { c.transport.DialContext = reportingResets(dial) }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -118,7 +106,7 @@
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // returnRedirect makes the client return a redirect as the response. Following it would send a call
 // a second time, which is wrong for a call that must not be repeated.
@@ -133,7 +121,7 @@
 	if err != nil {
 		return Response{}, errors.Wrap(ErrNotSent, err.Error())
 	}
-	resp, err := c.httpClientFor(call).Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil && !connected.Load() {
 		return Response{}, errors.Wrap(ErrNotSent, err.Error())
 	}
@@ -146,20 +134,12 @@
 
 // unknown returns the error of a call that was sent and got no complete response.
 func unknown(err error) error {
-	// net/http resends a repeatable call whose connection broke, and then reports the refusal alone.
-	if httpconn.IsBroken(err) || errors.Is(err, syscall.ECONNREFUSED) {
+	if httpconn.IsBroken(err) {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
 	return errors.Wrap(ErrUnknown, err.Error())
 }
 
-func (c *Client) httpClientFor(call Call) *http.Client {
-	if call.Repeatable {
-		return c.pooled
-	}
-	return c.unpooled
-}
-
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	r := call.Request
 	target := "http://" + call.Address + "/" + trimLeadingSlashes(r.Path)
@@ -228,7 +208,7 @@
 	if err != nil {
 		return LookupResponse{}, errors.Wrap(err, "tool: lookup")
 	}
-	resp, err := c.pooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return LookupResponse{}, errors.Wrap(err, "tool: lookup")
 	}
