Calls to engines share no connections

Cause: as for tool services, an engine's response does not name its call. A rejection that arrives a second time was taken for the response to the next call on the connection: that call counted as not run, was sent on, and ran twice.

Change: each call has a connection of its own. A completion takes far longer than a connection.

TestCopyOfARejectionIsNotTheResponseToTheNextCall fails before (a call counts as not run though it ran) and passes after.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,27 +19,25 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// maxIdlePerEngine is the number of idle connections kept per engine, enough for a full batch.
-	maxIdlePerEngine = 64
 	// maxResponseBytes bounds a non-streaming response.
 	maxResponseBytes = 16 << 20
 	// maxErrorMessageBytes bounds how much is read of an engine's error message.
 	maxErrorMessageBytes = 512
 )
 
-// Client calls engines over HTTP. It is safe for concurrent use.
+// Client calls engines over HTTP, each call over a connection of its own: a response does not name its call, so that a
+// late one would be taken for that to the next call. It is safe for concurrent use.
 type Client struct {
 	http      *http.Client
 	transport *http.Transport
 }
 
-// NewClient returns a client with its own connection pool.
+// NewClient returns a client.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 	return &Client{http: &http.Client{Transport: httpconn.NewTransport(transport)}, transport: transport}
 }
