A turn that its caller resumes is retained with the events that the caller has

What callers saw: a program whose connection broke within a retained turn resumed it at another entry with Last-Event-Id and got the rest.

Cause: streamRecord.eventData begins empty in each call. What an earlier call has forwarded is known only to the entry that served it, which forgets it as the caller leaves, so that a resumed turn was retained with the events of its last call alone. The record of the case shows it: the rest is served from event 3 on, and the next body has the events from 3 on.

Change: - An entry holds what it forwards of a turn that may be resumed (a route that retains turns and allows resumption) from before each event is written until twice the longest time of a call has passed, 10 s to 5 min; after the end of the call at most 8 MiB of it, the oldest giving way (internal/output). - The account of the program, which each reservation changes anyway, lists the calls at such turns with their entries: 42 bytes more in an account of 346 while no turn is resumed (TestListedAttemptsTakeFewBytes), nothing on routes without resumption. - The reservation of a resumed turn brings the list. The entry asks those that served the calls, all at once and for 0.4 s at most, cuts the events at the caller's last one, and retains the turn with them. - It refuses the call (503 `output_unknown`, not run, at once) if the events aren't known: an entry that may have them is gone or out of reach, several calls that can't be told apart have forwarded the last event, or calls may be missing in the list, as instances of the version before are there.

Why this works: a caller resumes a turn after it has left the call before. So its events are those up to its last one at the only call that it can have read last; where more than one can be, nothing is retained. Running the turn again would give other events, so that no replica is asked for what the caller has.

Tests: TestResumedTurnIsRetainedWithTheEventsOfItsCaller and TestResumedTurnWithUnknownEventsIsRefusedAtOnce fail with restoreOutput left out ("[3 of run 2 ...] != [1 of run 1 2 of run 1 3 of run 2 ...]"; each run of their replica writes other events).

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -29,12 +29,14 @@
 	Output
 	// Header is the part of a call's header beyond the usual size.
 	Header
+	// Resumable is the output of a turn that has ended, while its caller may resume it.
+	Resumable
 	kindCount
 )
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string {
-	return [...]string{"request", "prompt", "response", "stream", "event", "output", "header"}[k]
+	return [...]string{"request", "prompt", "response", "stream", "event", "output", "header", "resumable"}[k]
 }
 
 var (
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,6 +21,8 @@
 // Program describes the agent program that a call belongs to, as stated by the call.
 type Program struct {
 	ID string
+	// Session is the ID of the program's line of turns that the call belongs to; empty if the call states none.
+	Session string
 	// Budget is the number of tokens that all its turns may generate; 0 for no limit.
 	Budget int
 	// Objective is the time by which the program should have finished; zero if unknown.
@@ -121,8 +123,10 @@
 	TurnNotRetained          Reason = "not_kept"
 	// VersionUnknown: it can't be told at which version of the software the stream began. VersionGone: no
 	// replica runs it any more.
-	VersionUnknown     Reason = "version_unknown"
-	VersionGone        Reason = "version_gone"
+	VersionUnknown Reason = "version_unknown"
+	VersionGone    Reason = "version_gone"
+	// OutputUnknown: it can't be told which events the caller has of the turn that it resumes.
+	OutputUnknown      Reason = "output_unknown"
 	CallerDisconnected Reason = "caller_left"
 	// Stopping: the instance stops before the call is certain to end.
 	Stopping Reason = "stopping"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	RunsVersion func(service, version string) bool
 	// Origins knows at which version resumable streams began; nil if they may go on at any.
 	Origins Origins
+	// Outputs holds the output of turns that callers may resume; nil if they may resume none.
+	Outputs Outputs
 }
 
 // Quotas enforces customers' quotas over all instances.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"foxhall/internal/buffer"
 	"foxhall/internal/httpconn"
+	"foxhall/internal/output"
 	"foxhall/internal/scheduler"
 	"foxhall/internal/upstream"
 )
@@ -25,6 +26,8 @@
 	eventCount  int
 	eventData   [][]byte
 	lastEventID string
+	// output holds the events for a caller that resumes the turn at another instance; nil if it can't.
+	output *output.Record
 	// settle is called before the end of a complete response is forwarded; nil for none. If it
 	// returns false, the response ends as truncated.
 	settle func() bool
@@ -41,6 +44,7 @@
 		}
 		r.eventData = append(r.eventData, e.Data)
 	}
+	r.output.Add(output.Event{ID: e.ID, Data: e.Data})
 	r.eventCount++
 	if e.ID != "" {
 		r.lastEventID = e.ID
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -31,13 +31,23 @@
 // new input, and retains the turn before the response ends.
 func (f *inFlightCall) serveTurn(ctx context.Context) Result {
 	var reserved Reserved
+	attempt := f.beginAttempt()
+	defer attempt.record.End()
 	refusal := f.awaitWhileAccepted(ctx, func(ctx context.Context) (refusal *Result) {
-		reserved, refusal = f.reserveTurn(ctx)
+		reserved, refusal = f.reserveTurn(ctx, attempt)
 		return refusal
 	})
 	if refusal != nil {
 		return *refusal
 	}
+	rec := &streamRecord{retainData: f.route.RetainsTurns, hold: f.hold, output: attempt.record}
+	refusal = f.awaitWhileAccepted(ctx, func(ctx context.Context) *Result {
+		return f.restoreOutput(ctx, attempt, reserved, rec)
+	})
+	if refusal != nil {
+		f.settleInBackground(&streamRecord{})
+		return *refusal
+	}
 	f.lastUpstream = reserved.LastUpstream
 	if err := f.hold.Grow(buffer.Prompt, chainSize(reserved.Chain)); err != nil {
 		f.settleInBackground(&streamRecord{})
@@ -48,7 +58,6 @@
 	if len(reserved.Chain) > 0 {
 		f.setBody(joinChain(reserved.Chain, f.call.Body))
 	}
-	rec := &streamRecord{retainData: f.route.RetainsTurns, hold: f.hold}
 	var carriedChain []Turn
 	if reserved.CarryChain {
 		carriedChain = reserved.Chain
@@ -76,7 +85,7 @@
 }
 
 // reserveTurn reserves the turn's tokens. It returns the call's result if it can't.
-func (f *inFlightCall) reserveTurn(ctx context.Context) (Reserved, *Result) {
+func (f *inFlightCall) reserveTurn(ctx context.Context, attempt turnAttempt) (Reserved, *Result) {
 	reservation := Reservation{
 		Customer:        f.customerName(),
 		Program:         f.call.Program.ID,
@@ -88,6 +97,9 @@
 
 		Retain:    f.route.RetainsTurns,
 		Retention: f.route.Retention,
+
+		Attempt:     attempt.listed,
+		AttemptLife: attempt.life,
 	}
 	began := time.Now()
 	reserved, err := f.gateway.turns.Reserve(ctx, reservation)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/output"
 )
 
 // Turn is a retained turn: the input and the output of its engine.
@@ -37,6 +39,9 @@
 	Retain bool
 	// Retention is how long the program's account is retained after its last turn.
 	Retention time.Duration
+	// Attempt is the call as it is listed for callers that resume the turn, for AttemptLife; nil if they can't.
+	Attempt     *output.Attempt
+	AttemptLife time.Duration
 }
 
 // Reserved is a granted reservation.
@@ -48,6 +53,10 @@
 	CarryChain bool
 	// LastUpstream is the engine that most likely has the prompt cached; empty if unknown.
 	LastUpstream string
+	// Attempts are the other calls that are listed for the turn. AttemptsComplete is set if no call is missing whose caller
+	// may resume the turn.
+	Attempts         []output.Attempt
+	AttemptsComplete bool
 }
 
 // Settlement settles a reservation.
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -138,6 +138,9 @@
 		Most:        int64(r.MaxOutputTokens),
 		Budget:      int64(r.Budget),
 		RetentionMs: accountRetention(r, time.Now()).Milliseconds(),
+
+		Attempt:       encodeAttempt(r.Attempt, r.AttemptLife),
+		TellsAttempts: true,
 	}
 	response, err := c.reserveAfterSettlements(ctx, request, r.Deadline)
 	if err != nil {
@@ -150,6 +153,7 @@
 	if response.Verdict != historypb.Verdict_NO_TURN {
 		return gateway.Reserved{
 			Chain: decodeTurns(response.Chain), CarryChain: mayExpireBefore(response.Chain, r.Deadline), LastUpstream: response.Replica,
+			Attempts: decodeAttempts(response.Attempts), AttemptsComplete: response.AttemptsComplete,
 		}, verdictError(response.Verdict)
 	}
 	chain, search, err := c.search(ctx, r.Customer, r.Previous, reserveTimeoutFor(r.Deadline))
@@ -161,7 +165,10 @@
 	if err != nil {
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
-	reserved := gateway.Reserved{Chain: decodeTurns(chain), CarryChain: true, LastUpstream: response.Replica}
+	reserved := gateway.Reserved{
+		Chain: decodeTurns(chain), CarryChain: true, LastUpstream: response.Replica,
+		Attempts: decodeAttempts(response.Attempts), AttemptsComplete: response.AttemptsComplete,
+	}
 	if last := chain[len(chain)-1]; last.Replica != "" {
 		reserved.LastUpstream = last.Replica
 	}
@@ -169,9 +176,9 @@
 }
 
 // accountRetention returns how long the keepers keep the program's account after the reservation: the
-// turn may run until its deadline, and the retention begins at its end.
+// turn may run until its deadline, and the retention begins at its end. The attempts at a turn are a part of it.
 func accountRetention(r gateway.Reservation, now time.Time) time.Duration {
-	return r.Retention + max(0, r.Deadline.Sub(now))
+	return max(r.Retention+max(0, r.Deadline.Sub(now)), r.AttemptLife)
 }
 
 // ownsChain reports whether the customer may continue all turns of the chain. Keepers of an older
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -43,7 +43,10 @@
 	replica := s.state.preferredReplica(r.Customer, r.Program, chain)
 	e := k.replicate(s, []*historypb.Record{accountRecord(r.Slice, account)})
 	k.mu.Unlock()
-	return &historypb.ReserveResponse{Verdict: verdictAfterCommit(ctx, e, historypb.Verdict_DONE), Chain: chain, Replica: replica}, nil
+	response := &historypb.ReserveResponse{Chain: chain, Replica: replica}
+	addAttempts(response, account, r)
+	response.Verdict = verdictAfterCommit(ctx, e, historypb.Verdict_DONE)
+	return response, nil
 }
 
 // verdictAfterCommit returns the verdict once the change is committed, and NOT_NOW if that fails.
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -53,6 +53,7 @@
 	next := s.nextAccountVersion(old, r.Customer, r.Program)
 	next.Open = append(next.Open, &historypb.OpenTurn{Id: r.Turn, Most: r.Most})
 	next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
+	listAttempt(next, old, r, now)
 	s.putAccount(next)
 	return historypb.Verdict_DONE, next
 }
@@ -211,6 +212,9 @@
 		TouchedUnixMs: old.TouchedUnixMs,
 		RetentionMs:   old.RetentionMs,
 		Replica:       old.Replica,
+
+		Attempts:            slices.Clone(old.Attempts),
+		AttemptsSinceUnixMs: old.AttemptsSinceUnixMs,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"foxhall/internal/mirror"
 	"foxhall/internal/netdial"
 	"foxhall/internal/origin"
+	"foxhall/internal/output"
 	"foxhall/internal/peerload"
 	"foxhall/internal/quarantine"
 	"foxhall/internal/routing"
@@ -126,6 +127,8 @@
 	quarantine *quarantine.Table
 	// origins knows at which version of their service streams began.
 	origins *origin.Registry
+	// outputs holds the output of turns that callers may resume.
+	outputs *output.Registry
 	turns   *history.Client
 	gateway *gateway.Gateway
 	// buffers is the memory that calls under way may hold.
@@ -228,6 +231,7 @@
 	n.fleet.onSilence = n.keeperSilence.onSilence
 	n.buffers = buffer.NewBudget(int64(bufferShare*float64(n.settings.Memory)), n.registry)
 	n.turns = history.NewClient(n.fleet, n.assignment, n.logger)
+	n.outputs = output.NewRegistry(n.settings.Instance, n.fleet, n.buffers, n.logger, n.registry)
 	n.gateway = gateway.New(gateway.Settings{
 		Table:           n.table.Load,
 		TableIsCurrent:  n.configView.IsCurrent,
@@ -245,6 +249,7 @@
 		Turn:        n.fleet.turn,
 		RunsVersion: n.replicas.versions.Runs,
 		Origins:     n.origins,
+		Outputs:     n.outputs,
 	}, sched, n.adapter.Replicas, n.turns, n.logger, n.registry)
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,6 +10,7 @@
 	"foxhall/internal/history/historypb"
 	"foxhall/internal/httpconn"
 	"foxhall/internal/mirror/mirrorpb"
+	"foxhall/internal/output/outputpb"
 )
 
 // maxPeerBytes bounds the body of a message between instances, in bytes. The largest are turns with
@@ -50,6 +51,8 @@
 		mux.HandleFunc(viaPath, n.fleet.forwardToKeeper)
 		witness := historypb.NewWitnessServer(n.fleet)
 		mux.Handle(witness.PathPrefix(), witness)
+		outputs := outputpb.NewOutputsServer(n.outputs)
+		mux.Handle(outputs.PathPrefix(), outputs)
 	}
 	if n.keeper != nil {
 		keeper := historypb.NewKeeperServer(n.keeper)
