An account that begins with a release lists all attempts, too

A reservation of which no keeper's answer came back is released.

A program without an account has had no attempt that was granted, whatever the account's first change is. Only what an instance of an older version writes, or an entry of one reserves, lacks attempts.

--- a/internal/history/attempt.go
+++ b/internal/history/attempt.go
@@ -12,18 +12,16 @@
 // resumed then until their lives have passed.
 const maxAttempts = 64
 
-// listsAllSince is since when an account lists all attempts that has listed them since its first turn.
+// listsAllSince is since when an account lists all attempts that has listed them from its first change on.
 const listsAllSince = 1
 
 // listAttempt adds the attempt of a reservation to a new version of the account, without those that nobody can resume any
-// more: whoever continues a turn has it whole. old is the version before; nil for a new account.
-func listAttempt(next, old *historypb.Account, r *historypb.ReserveRequest, now time.Time) {
+// more: whoever continues a turn has it whole.
+func listAttempt(next *historypb.Account, r *historypb.ReserveRequest, now time.Time) {
 	at := now.UnixMilli()
 	switch {
 	case !r.TellsAttempts:
 		next.AttemptsSinceUnixMs = 0
-	case old == nil:
-		next.AttemptsSinceUnixMs = listsAllSince
 	case next.AttemptsSinceUnixMs == 0: // an instance of an older version has made or written the account
 		next.AttemptsSinceUnixMs = at
 	}
--- a/internal/history/attempt_test.go
+++ b/internal/history/attempt_test.go
@@ -60,6 +60,16 @@
 	is.True(complete)
 }
 
+// Guards against resumptions that are refused, since the first change of the account was not a reservation: one that was not
+// known to be granted was released.
+func TestAccountOfAReleasedReservationListsAllAttempts(t *testing.T) {
+	is := is.New(t)
+	a := &attemptAccounts{newState(), time.Now()}
+	a.state.settle(&historypb.SettleRequest{Program: "p", Customer: new(string), Turn: "released"}, a.now)
+	_, complete := a.reserve("first", "", attemptLine, "")
+	is.True(complete)
+}
+
 // Guards against a caller that is taken for another one: an attempt that would tell them apart is not listed, as an
 // instance of an older version has taken the call or kept the account, or as the program has too many.
 func TestAccountTellsThatAttemptsAreMissing(t *testing.T) {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -53,7 +53,7 @@
 	next := s.nextAccountVersion(old, r.Customer, r.Program)
 	next.Open = append(next.Open, &historypb.OpenTurn{Id: r.Turn, Most: r.Most})
 	next.TouchedUnixMs, next.RetentionMs = now.UnixMilli(), max(next.RetentionMs, r.RetentionMs)
-	listAttempt(next, old, r, now)
+	listAttempt(next, r, now)
 	s.putAccount(next)
 	return historypb.Verdict_DONE, next
 }
@@ -196,7 +196,7 @@
 func (s *state) nextAccountVersion(old *historypb.Account, customer *string, program string) *historypb.Account {
 	first := s.primaryEpoch<<epochShift + s.diskStarts<<startShift
 	if old == nil {
-		return &historypb.Account{Program: program, Customer: customer, Version: first + 1}
+		return &historypb.Account{Program: program, Customer: customer, Version: first + 1, AttemptsSinceUnixMs: listsAllSince}
 	}
 	if customer == nil {
 		// The request is from an entry of an older version, which sends no customer.
