Attempts of one ID can't be resumed

A caller's ID that comes twice to an entry gave its second call no record, while the first one's stayed: a resumption would have taken the events of the first call, whichever of the two the caller has read. Neither is resumed now.

TestAttemptsOfOneIDAreAmbiguous fails before (found in place of ambiguous, by reading; the record had no such flag) and passes.

--- a/internal/output/record.go
+++ b/internal/output/record.go
@@ -22,6 +22,8 @@
 	// The fields below are guarded by the registry's lock.
 	root, parent string
 	events       []Event
+	// contested is set once there was another attempt of the same ID.
+	contested bool
 	// size is the memory in bytes that the record takes.
 	size int
 	// expires is when the caller can't resume the turn any more. element is the place among the ended ones; nil before
@@ -68,13 +70,13 @@
 
 // answer returns what is held up to the event with the ID; the lock is held.
 func (r *Record) answer(after string) *Answer {
-	a := &Answer{Root: r.root, Parent: r.parent, Empty: len(r.events) == 0}
+	a := &Answer{Root: r.root, Parent: r.parent, Empty: len(r.events) == 0 && !r.contested, Ambiguous: r.contested}
 	has := func(e Event) bool { return e.ID == after }
 	i := slices.IndexFunc(r.events, has)
 	if i < 0 {
 		return a
 	}
-	a.Repeated = slices.ContainsFunc(r.events[i+1:], has)
+	a.Ambiguous = a.Ambiguous || slices.ContainsFunc(r.events[i+1:], has)
 	a.Events = r.events[: i+1 : i+1]
 	return a
 }
--- a/internal/output/registry.go
+++ b/internal/output/registry.go
@@ -69,14 +69,16 @@
 	return len(r.records)
 }
 
-// Begin begins the record of an attempt, which is held for life at least, if there is room. It returns nil if there is one
-// of the same ID. after is the ID of the last event that the caller has.
+// Begin begins the record of an attempt, which is held for life at least, if there is room. after is the ID of the last
+// event that the caller has. If there is a record of the same ID, Begin returns nil, and neither attempt can be resumed:
+// nothing tells which of them the caller has read.
 func (r *Registry) Begin(key Key, after string, life time.Duration) *Record {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expireLocked(now)
-	if r.records[key] != nil {
+	if present := r.records[key]; present != nil {
+		present.contested = true
 		return nil
 	}
 	record := &Record{registry: r, key: key, expires: now.Add(life), size: recordOverhead}
--- a/internal/output/remote.go
+++ b/internal/output/remote.go
@@ -12,7 +12,7 @@
 func (r *Registry) Find(_ context.Context, q *outputpb.FindRequest) (*outputpb.FindResponse, error) {
 	response := &outputpb.FindResponse{}
 	for call, a := range r.lookup(q.Customer, q.Program, q.After, q.Calls) {
-		o := &outputpb.Output{Call: call, Root: a.Root, Parent: a.Parent, Empty: a.Empty, Repeated: a.Repeated}
+		o := &outputpb.Output{Call: call, Root: a.Root, Parent: a.Parent, Empty: a.Empty, Ambiguous: a.Ambiguous}
 		for _, e := range a.Events {
 			o.Events = append(o.Events, &outputpb.Event{Id: e.ID, Data: e.Data})
 		}
@@ -38,7 +38,7 @@
 	}
 	answers := map[string]*Answer{}
 	for _, o := range response.Outputs {
-		a := &Answer{Root: o.Root, Parent: o.Parent, Empty: o.Empty, Repeated: o.Repeated}
+		a := &Answer{Root: o.Root, Parent: o.Parent, Empty: o.Empty, Ambiguous: o.Ambiguous}
 		for _, e := range o.Events {
 			a.Events = append(a.Events, Event{ID: e.Id, Data: e.Data})
 		}
--- a/internal/output/resolve.go
+++ b/internal/output/resolve.go
@@ -19,8 +19,8 @@
 	Root, Parent string
 	// Empty is set if the attempt has taken over and forwarded nothing.
 	Empty bool
-	// Repeated is set if several of its events have the ID asked for.
-	Repeated bool
+	// Ambiguous is set if several of its events have the ID asked for, or there was another attempt of its ID.
+	Ambiguous bool
 	// Events are those up to the one with the ID asked for; nil if there is none.
 	Events []Event
 }
@@ -75,7 +75,7 @@
 		case c.answer == nil && !isParent(c.Call, candidates):
 			return Resolution{Source: Unreachable}
 		case c.answer == nil:
-		case c.answer.Repeated:
+		case c.answer.Ambiguous:
 			return Resolution{Source: Ambiguous}
 		case c.answer.Events != nil && !isLeftBefore(&c, candidates):
 			holders = append(holders, c)
--- a/internal/output/resolve_test.go
+++ b/internal/output/resolve_test.go
@@ -33,6 +33,17 @@
 	is.Equal(resolve(q, []Attempt{{Call: "one", Line: machineLine}}, answers).Source, Ambiguous)
 }
 
+// Guards against events of another attempt: a caller's ID comes twice.
+func TestAttemptsOfOneIDAreAmbiguous(t *testing.T) {
+	is := is.New(t)
+	m := &machine{}
+	r := m.newRegistry(0)
+	r.Begin(Key{Call: "one"}, "", machineLife).Add(Event{ID: "1", Data: []byte("a")})
+	is.Equal(r.Begin(Key{Call: "one"}, "", machineLife), nil)
+	q := &Question{Attempt: Attempt{Call: "next", Line: machineLine, After: "1"}}
+	is.Equal(resolve(q, []Attempt{{Call: "one", Line: machineLine}}, r.lookup("", "", "1", []string{"one"})).Source, Ambiguous)
+}
+
 // Guards against output of callers that never come back, which would take ever more memory.
 func TestEndedOutputIsBounded(t *testing.T) {
 	is := is.New(t)
