Tests of acknowledged turns whose last holders are lost, known red

Keepers stop one after the other until no more are left than disks may be lost. Then these lose their disks, or are removed for good, and the others start.

--- /dev/null
+++ b/internal/history/small_ensemble_test.go
@@ -0,0 +1,113 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// stopInterval is the time between the losses of two keepers, within which shards are reassigned.
+	stopInterval = 700 * time.Millisecond
+	// recoveryBound is the longest time from the start of all keepers that are left until each retained turn is
+	// in reach again.
+	recoveryBound = 15 * time.Second
+)
+
+// newTenKeeperCluster returns a cluster of ten keepers in three data centres.
+func newTenKeeperCluster(t *testing.T, maxDiskFailures int) *cluster {
+	cl := newCluster(t, 10, maxDiskFailures)
+	for i, m := range cl.machines {
+		m.dataCentre = []string{east, west, north}[i%3]
+	}
+	return cl
+}
+
+// shrinkTo stops keepers one after the other until the given number is left, and retains a turn of each of some
+// programs meanwhile. It returns the turns that were acknowledged and the keepers that are left.
+func (cl *cluster) shrinkTo(left int) (acknowledged []string, rest []*machine) {
+	c := cl.client(entryIn(north))
+	retain := func(round int) {
+		for p := range 6 {
+			program := fmt.Sprintf("p%d", p)
+			if turn := fmt.Sprintf("%s-%d", program, round); retainTurn(c, program, turn, "") == nil {
+				acknowledged = append(acknowledged, turn)
+			}
+		}
+	}
+	retain(0)
+	stopped := len(cl.machines) - left
+	for i, m := range cl.machines[:stopped] {
+		began := time.Now()
+		m.stop()
+		retain(i + 1)
+		time.Sleep(time.Until(began.Add(stopInterval)))
+	}
+	time.Sleep(soleHolderTime)
+	retain(stopped + 1)
+	return acknowledged, cl.machines[stopped:]
+}
+
+// checkTurns checks that all turns are found.
+func (cl *cluster) checkTurns(turns []string, fail func(error)) {
+	lost := slices.DeleteFunc(slices.Clone(turns), func(turn string) bool { return findTurn(cl, turn) == nil })
+	if len(lost) > 0 {
+		fail(errors.Errorf("%d of %d acknowledged turns not found: %v", len(lost), len(turns), lost))
+		fail(findTurn(cl, lost[0]))
+	}
+}
+
+// testShrunken runs a test on ten keepers after all of them but the given number were stopped.
+func testShrunken(t *testing.T, left, maxDiskFailures int, test func(cl *cluster, acknowledged []string, rest []*machine, fail func(error))) {
+	build := func(t *testing.T) *cluster { return newTenKeeperCluster(t, maxDiskFailures) }
+	testOnCluster(t, build, func(cl *cluster, fail func(error)) {
+		acknowledged, rest := cl.shrinkTo(left)
+		if want := 12; len(acknowledged) < want {
+			fail(errors.Errorf("%d turns acknowledged, want %d at least", len(acknowledged), want))
+		}
+		test(cl, acknowledged, rest, fail)
+	})
+}
+
+// Guards against the loss of acknowledged turns with as many disks as may be lost: the last keepers of a shard number no
+// more than that, and lose their disks.
+func TestDisksOfAllHoldersOfASmallEnsembleLoseNoTurn(t *testing.T) {
+	for _, row := range []struct{ left, maxDiskFailures int }{{1, 1}, {1, 2}, {2, 2}, {2, 3}, {3, 3}} {
+		t.Run(fmt.Sprintf("%d left, %d may be lost", row.left, row.maxDiskFailures), func(t *testing.T) {
+			testShrunken(t, row.left, row.maxDiskFailures, func(cl *cluster, acknowledged []string, rest []*machine, fail func(error)) {
+				for _, m := range rest {
+					m.wipe()
+				}
+				for _, m := range cl.machines {
+					m.restart()
+				}
+				time.Sleep(recoveryBound)
+				cl.checkTurns(acknowledged, fail)
+			})
+		})
+	}
+}
+
+// Guards against turns that are out of reach for as long as turns are retained: the last keepers of a shard, no more than
+// may be lost, never come back.
+func TestHoldersOfASmallEnsembleGoneForGoodLeaveTurnsInReach(t *testing.T) {
+	for _, row := range []struct{ left, maxDiskFailures int }{{1, 1}, {2, 2}, {3, 3}} {
+		t.Run(fmt.Sprintf("%d left, %d may be lost", row.left, row.maxDiskFailures), func(t *testing.T) {
+			testShrunken(t, row.left, row.maxDiskFailures, func(cl *cluster, acknowledged []string, rest []*machine, fail func(error)) {
+				for _, m := range rest {
+					m.stop()
+				}
+				for _, m := range cl.machines {
+					if !slices.Contains(rest, m) {
+						m.restart()
+					}
+				}
+				time.Sleep(recoveryBound)
+				cl.checkTurns(acknowledged, fail)
+			})
+		})
+	}
+}
