Log on how many disks a shard's changes are, and whether lost disks were tolerated

'more disks lost than tolerated' was logged for each earlier ensemble without a recovery quorum, also where two disks were lost and two may be. The lines could not tell an ensemble that commits on too few disks from a loss that nobody promised to bear.

--- a/internal/explain/reach.go
+++ b/internal/explain/reach.go
@@ -22,6 +22,8 @@
 var shardMessages = []string{
 	assignmentMessage, "recovery of the shard failed; retrying", "disk of a sole holder lost; its changes are taken from the store",
 	"shard lost on more disks than tolerated; continuing with the records that are left",
+	"more disks lost than tolerated; committed changes of the epoch may be lost",
+	"committed changes of the epoch may be lost, though no more disks are lost than tolerated",
 }
 
 // keeperMessages are the messages for which a keeper may not serve its shards.
--- a/internal/history/ensemble.go
+++ b/internal/history/ensemble.go
@@ -53,6 +53,9 @@
 // requiredAcks returns the number of backups that must acknowledge a change to commit it.
 func (e *Ensemble) requiredAcks() int { return len(e.Backups) - e.OptionalBackups }
 
+// disksPerChange returns the least number of disks that a committed change is on.
+func (e *Ensemble) disksPerChange() int { return 1 + e.requiredAcks() }
+
 // sameReplicaSet reports whether the other ensemble has the same primary and backups, in any order,
 // on the same disks, and as many optional backups.
 func (e *Ensemble) sameReplicaSet(other *Ensemble) bool {
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -122,13 +122,20 @@
 	go k.recoverShard(ctx, s, s.role.Epoch, from, lostDisks)
 }
 
-// logLostCommits logs the earlier ensembles that lost more disks than may fail at once: changes
-// that were on these disks only are lost. The lock is held.
+// logLostCommits logs the earlier ensembles of which changes may be lost, with the disks that are gone. The lock is held.
 func (k *Keeper) logLostCommits(s *shard, assessments map[string]assessment) {
 	for _, e := range s.role.Previous {
-		if e.Epoch >= s.epochState.base && !e.isSole() && !e.isRecoveryQuorum(k.intactHolders(s, &e, assessments)) {
-			k.settings.Logger.WithField("slice", s.id).WithField("epoch", e.Epoch).WithField("holders", e.holders()).
-				WithField("kept", k.intactHolders(s, &e, assessments)).Error("more disks lost than tolerated; committed changes of the epoch may be lost")
+		intact := k.intactHolders(s, &e, assessments)
+		if e.Epoch < s.epochState.base || e.isSole() || e.isRecoveryQuorum(intact) {
+			continue
+		}
+		lost := len(e.holders()) - len(intact)
+		line := k.settings.Logger.WithField("slice", s.id).WithField("epoch", e.Epoch).WithField("holders", e.holders()).WithField("kept", intact).
+			WithField("disks", e.disksPerChange()).WithField("lost", lost).WithField("tolerated", k.maxDiskFailures())
+		if lost > k.maxDiskFailures() {
+			line.Error("more disks lost than tolerated; committed changes of the epoch may be lost")
+		} else {
+			line.Error("committed changes of the epoch may be lost, though no more disks are lost than tolerated")
 		}
 	}
 }
