A change is on more disks than may be lost at once, or in the store, too

Callers got 404 for turns that had been acknowledged in the last seconds, though no more disks were lost than may be: keepers stopped one after the other, the last ones made up an ensemble of no more holders than disks may be lost, committed by themselves, and lost their disks. Where they were removed for good instead, recovery waited a minute for them.

Copies in the store were a rule for sole holders only, and an ensemble of two where two disks may be lost had no third disk and no copy. Now one rule holds for each size: the primary copies each change to the store as long as a committed change is on no more disks than may fail at once. Such an ensemble says so in the assignment (Copied), since a successor may rely on it.

A successor can read the copies without its predecessor's disk, so that the predecessor may be alive: after each copy it reads the assignment, and completes the changes only if it is still the primary by it. The successor changes the assignment before it lists the copies. The same confirmation holds for answers that a turn is absent. Where the holders are silent, the store is used only by a keeper that may replace silent keepers: a test of a retiring sole holder showed the smaller side of a partition take its shards over.

Rewritten copies now hold all shards that may need this keeper's copies, not only those of which it is the sole holder at the moment; readings are decoded once for all shards, and have 6 s.

--- a/internal/explain/reach.go
+++ b/internal/explain/reach.go
@@ -20,7 +20,7 @@
 
 // shardMessages are the messages about one shard.
 var shardMessages = []string{
-	assignmentMessage, "recovery of the shard failed; retrying", "disk of a sole holder lost; its changes are taken from the store",
+	assignmentMessage, "recovery of the shard failed; retrying", "holders of an earlier epoch out of reach; its changes are taken from the store",
 	"shard lost on more disks than tolerated; continuing with the records that are left",
 	"more disks lost than tolerated; committed changes of the epoch may be lost",
 	"committed changes of the epoch may be lost, though no more disks are lost than tolerated",
--- a/internal/history/copies.go
+++ b/internal/history/copies.go
@@ -58,8 +58,8 @@
 	return disk
 }
 
-// copier copies the changes that this keeper makes as a sole holder to the store. The keeper's lock guards
-// pending; the rest is used by one goroutine.
+// copier copies the changes that this keeper makes as a primary to the store while they are on no more disks than may
+// fail at once. The keeper's lock guards pending; the rest is used by one goroutine.
 type copier struct {
 	pending []copyRequest
 	wake    chan struct{}
@@ -76,9 +76,9 @@
 	commit *pendingCommit
 }
 
-// copyIfSole requests a copy of a change if this keeper is the shard's sole holder; the lock is held.
-func (k *Keeper) copyIfSole(s *shard, e *pendingCommit) {
-	if !k.isSoleHolder(s) || len(e.records) == 0 || e.copyRequested {
+// copyIfNeeded requests a copy of a change if it is committed only with one; the lock is held.
+func (k *Keeper) copyIfNeeded(s *shard, e *pendingCommit) {
+	if !s.copiesChanges || s.role.Primary != k.settings.Name || e.copyRequested {
 		return
 	}
 	e.copyRequested = true
@@ -124,7 +124,7 @@
 	return batch
 }
 
-// copyBatch writes one copy, as often as it takes, and completes its changes.
+// copyBatch writes one copy, as often as it takes, and completes its changes. A batch without records writes none.
 func (k *Keeper) copyBatch(ctx context.Context, batch []copyRequest) {
 	var records []*historypb.Record
 	for _, r := range batch {
@@ -134,7 +134,7 @@
 		k.settings.Logger.WithField("bytes", recordsSize(records)).Warn("change too large for a copy in the store; not acknowledged without a backup")
 		return
 	}
-	if !k.writeCopy(ctx, records) {
+	if len(records) > 0 && !k.writeCopy(ctx, records) || !k.confirmRoles(ctx) {
 		return
 	}
 	k.mu.Lock()
@@ -146,6 +146,22 @@
 	}
 }
 
+// confirmRoles reads the assignment until the store answers, and applies it: changes of shards of which this keeper is
+// no longer the primary are aborted. A successor changes the assignment before it reads the copies, so that it has each
+// copy that was written before the assignment still named this keeper. It returns false if ctx ends before.
+func (k *Keeper) confirmRoles(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		a, version, err := k.assignments.Read(ctx)
+		if err == nil && version > 0 {
+			k.ApplyAssignment(a, version)
+			return true
+		}
+		k.settings.Logger.WithError(err).Warn("assignment not confirmed by the store; copied changes wait")
+		sleep(ctx, copyRetryInterval)
+	}
+	return false
+}
+
 // writeCopy writes one copy until the store acknowledges it. It returns false if ctx ends before.
 func (k *Keeper) writeCopy(ctx context.Context, records []*historypb.Record) bool {
 	data := encodeCopy(records)
@@ -157,7 +173,7 @@
 			k.copier.written, k.copier.size = append(k.copier.written, Copy{Name: name, Version: version}), k.copier.size+len(data)
 			return true
 		}
-		k.settings.Logger.WithError(err).Warn("copy of a sole holder's changes not written to the store; retrying")
+		k.settings.Logger.WithError(err).Warn("copy of changes not written to the store; retrying")
 		sleep(ctx, copyRetryInterval)
 	}
 	return false
@@ -171,7 +187,7 @@
 	}
 	replaced := c.written
 	c.written, c.size = nil, 0
-	for _, part := range k.retainedAsSole() {
+	for _, part := range k.retainedWithCopies() {
 		if !k.writeCopy(ctx, part) {
 			return
 		}
@@ -185,20 +201,20 @@
 	c := &k.copier
 	for range min(obsoletePerCopy, len(c.obsolete)) {
 		if err := k.settings.Copies.DeleteCopy(ctx, c.obsolete[0]); err != nil {
-			k.settings.Logger.WithError(err).Warn("replaced copy of a sole holder's changes not deleted; it is left for the cleanup")
+			k.settings.Logger.WithError(err).Warn("replaced copy of changes not deleted; it is left for the cleanup")
 		}
 		c.obsolete = c.obsolete[1:]
 	}
 }
 
-// retainedAsSole returns the records of the shards of which this keeper is the sole holder, in parts that
-// fit a copy.
-func (k *Keeper) retainedAsSole() [][]*historypb.Record {
+// retainedWithCopies returns the records of the shards that may be recovered from the copies of this keeper, in parts
+// that fit a copy.
+func (k *Keeper) retainedWithCopies() [][]*historypb.Record {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	parts, size := [][]*historypb.Record{nil}, 0
 	for _, s := range k.shards {
-		if !k.isSoleHolder(s) {
+		if !s.role.needsCopiesOf(k.disk) {
 			continue
 		}
 		for _, r := range s.state.records(s.id) {
@@ -217,35 +233,57 @@
 	s.uncopied = slices.DeleteFunc(s.uncopied, func(other *pendingCommit) bool { return other == e })
 }
 
-// lostSoleDisks returns the disks of the earlier sole holders of a shard that are lost: only the store has
-// what they acknowledged. The lock is held.
-func (k *Keeper) lostSoleDisks(s *shard, assessments map[string]assessment) []string {
-	var disks []string
+// copiesToRead names the disks of the primaries whose copies in the store are needed to recover a shard.
+type copiesToRead struct {
+	disks []string
+	// version is that of an assignment that names this keeper as the successor of these primaries. Copies that are
+	// listed after it was written are complete.
+	version store.Version
+}
+
+// copiesToRead returns the copies that this keeper needs to recover a shard: those of the earlier ensembles whose
+// changes it can't fetch from their holders. The lock is held.
+func (k *Keeper) copiesToRead(s *shard, assessments map[string]assessment) copiesToRead {
+	c := copiesToRead{version: k.version}
 	for _, e := range s.role.Previous {
-		if e.Epoch >= s.epochState.base && e.isSole() && !e.isRecoveryQuorum(k.intactHolders(s, &e, assessments)) {
-			disks = append(disks, e.diskOf(e.Primary))
+		disk := e.diskOf(e.Primary)
+		if e.Epoch >= s.epochState.base && disk != "" && !e.isRecoveryQuorum(k.intactHolders(s, &e, assessments)) && !slices.Contains(c.disks, disk) {
+			c.disks = append(c.disks, disk)
 		}
 	}
-	return disks
+	return c
+}
+
+// needsCopiesOf reports whether the copies made by the keeper with the disk may be needed to recover the shard.
+func (r *ShardAssignment) needsCopiesOf(disk string) bool {
+	return slices.ContainsFunc(r.ensembles(), func(e Ensemble) bool { return e.isInStore() && e.diskOf(e.Primary) == disk })
 }
 
 // fetchCopies returns the records of a shard that the keeper with the disk copied to the store. Shards that
-// are recovered at the same time share one reading.
-func (k *Keeper) fetchCopies(ctx context.Context, shardID uint32, disk string) ([]*historypb.Record, error) {
-	copies, err, _ := k.copyReads.Do(disk, func() (any, error) { return k.settings.Copies.ListCopies(ctx, copyPrefix(disk)) })
+// are recovered by the same version of the assignment share one reading.
+func (k *Keeper) fetchCopies(ctx context.Context, shardID uint32, disk string, version store.Version) ([]*historypb.Record, error) {
+	key := fmt.Sprintf("%s at %d", disk, version)
+	records, err, _ := k.copyReads.Do(key, func() (any, error) { return k.readCopies(ctx, disk) })
 	if err != nil {
-		return nil, errors.Wrap(err, "copies of a sole holder's changes")
+		return nil, errors.Wrap(err, "copies of changes")
 	}
-	var records []*historypb.Record
-	for _, c := range copies.([]Copy) {
+	return records.(map[uint32][]*historypb.Record)[shardID], nil
+}
+
+// readCopies returns the records that the keeper with the disk copied to the store, by shard.
+func (k *Keeper) readCopies(ctx context.Context, disk string) (map[uint32][]*historypb.Record, error) {
+	copies, err := k.settings.Copies.ListCopies(ctx, copyPrefix(disk))
+	if err != nil {
+		return nil, err
+	}
+	records := map[uint32][]*historypb.Record{}
+	for _, c := range copies {
 		all, err := decodeCopy(c.Data)
 		if err != nil {
 			return nil, errors.Wrapf(err, "copy %s", c.Name)
 		}
 		for _, r := range all {
-			if r.Slice == shardID {
-				records = append(records, r)
-			}
+			records[r.Slice] = append(records[r.Slice], r)
 		}
 	}
 	return records, nil
@@ -259,13 +297,13 @@
 			continue // alone, all copies are needed
 		}
 		if err := k.cleanUpCopies(ctx); err != nil {
-			k.settings.Logger.WithError(err).Warn("copies of sole holders' changes not cleaned up; retrying")
+			k.settings.Logger.WithError(err).Warn("copies of changes not cleaned up; retrying")
 		}
 	}
 }
 
 // cleanUpCopies deletes the copies that no shard needs. The assignment is read after the copies are listed:
-// a copy is written only after the assignment names its keeper as a sole holder.
+// a copy is written only after the assignment names its keeper as the primary of an ensemble that needs copies.
 func (k *Keeper) cleanUpCopies(ctx context.Context) error {
 	copies, err := k.settings.Copies.ListCopies(ctx, "")
 	if err != nil || len(copies) == 0 {
@@ -275,7 +313,7 @@
 	if err != nil {
 		return err
 	}
-	needed := k.neededSoleDisks(&a)
+	needed := k.disksWithNeededCopies(&a)
 	for _, c := range copies {
 		if needed[diskOfCopy(c.Name)] {
 			continue
@@ -287,19 +325,17 @@
 	return nil
 }
 
-// neededSoleDisks returns the disks of the sole holders whose changes are not on enough other disks yet.
-func (k *Keeper) neededSoleDisks(a *Assignment) map[string]bool {
+// disksWithNeededCopies returns the disks of the primaries whose copied changes are not on enough other disks yet.
+func (k *Keeper) disksWithNeededCopies(a *Assignment) map[string]bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	assessments := k.assessPeers(time.Now())
 	needed := map[string]bool{}
 	for id := range a.Shards {
 		role := &a.Shards[id]
-		if k.isReplicated(k.shards[id], role, assessments) {
-			continue
-		}
+		isReplicated := !role.Copied && k.isReplicated(k.shards[id], role, assessments)
 		for _, e := range role.ensembles() {
-			if e.isSole() {
+			if !isReplicated && (e.isInStore() || !e.survives(k.maxDiskFailures())) {
 				needed[e.diskOf(e.Primary)] = true
 			}
 		}
--- a/internal/history/ensemble.go
+++ b/internal/history/ensemble.go
@@ -15,6 +15,9 @@
 	// OptionalBackups is the number of backups that need not acknowledge a change before it is
 	// committed.
 	OptionalBackups int `json:"spare,omitempty"`
+	// Copied means that the primary commits a change only once it is in the platform's store, too, and
+	// the store has confirmed the assignment after that. Set where changes are on no more disks than may fail at once.
+	Copied bool `json:"copied,omitempty"`
 }
 
 // ShardAssignment names the holders of a shard.
@@ -35,9 +38,16 @@
 // hasBackup reports whether a keeper is a backup.
 func (e *Ensemble) hasBackup(name string) bool { return slices.Contains(e.Backups, name) }
 
-// isSole reports whether the ensemble is a keeper alone, whose changes are copied to the store.
+// isSole reports whether the ensemble is a keeper alone. Older versions copy the changes of these only, and don't mark
+// them as copied.
 func (e *Ensemble) isSole() bool { return len(e.Backups) == 0 && len(e.Disks) == 1 && e.Disks[0] != "" }
 
+// isInStore reports whether all committed changes of the ensemble are in the platform's store.
+func (e *Ensemble) isInStore() bool { return e.Copied || e.isSole() }
+
+// survives reports whether a committed change is on more disks than the given number, which may fail at once.
+func (e *Ensemble) survives(diskFailures int) bool { return e.disksPerChange() > diskFailures }
+
 // hasHolder reports whether a keeper is the primary or a backup.
 func (e *Ensemble) hasHolder(name string) bool { return e.Primary == name || e.hasBackup(name) }
 
@@ -57,9 +67,9 @@
 func (e *Ensemble) disksPerChange() int { return 1 + e.requiredAcks() }
 
 // sameReplicaSet reports whether the other ensemble has the same primary and backups, in any order,
-// on the same disks, and as many optional backups.
+// on the same disks, as many optional backups, and copies its changes likewise.
 func (e *Ensemble) sameReplicaSet(other *Ensemble) bool {
-	if e.Primary != other.Primary || e.OptionalBackups != other.OptionalBackups || len(e.Backups) != len(other.Backups) {
+	if e.Primary != other.Primary || e.OptionalBackups != other.OptionalBackups || e.Copied != other.Copied || len(e.Backups) != len(other.Backups) {
 		return false
 	}
 	for _, name := range e.holders() {
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -59,6 +59,7 @@
 	}
 	backups = k.withCurrentBackups(s, backups, selector.keepers, assessments)
 	role := ShardAssignment{Ensemble: newEnsemble(s.role.Epoch+1, self, backups, k.maxDiskFailures()), Previous: s.role.ensembles()}
+	role.Copied = !role.survives(k.maxDiskFailures())
 	switch {
 	case k.earlierEpochsReplicated(s, assessments):
 		role.Previous = []Ensemble{s.role.Ensemble}
@@ -191,7 +192,7 @@
 		return false
 	case s.role.Primary != k.settings.Name && !k.primaryFailed(s, assessments, now):
 		return false
-	case k.canRecover(s, assessments):
+	case k.canRecover(s, assessments, now):
 		// The primary fetches what it lacks itself, unless its disk was replaced.
 		s.unrecoverableSince = time.Time{}
 		return s.role.Primary != k.settings.Name && !k.isBehind(s, assessments)
@@ -213,6 +214,9 @@
 			return true
 		}
 	}
+	if s.role.Copied == s.role.survives(k.maxDiskFailures()) {
+		return true
+	}
 	surplus := len(s.role.Backups) > k.maxDiskFailures()+1 || len(s.role.Backups) > k.maxDiskFailures() && s.role.OptionalBackups == 0
 	return surplus || k.underReplicated(s, assessments) || k.shouldSpread(s, assessments, now)
 }
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -77,7 +77,7 @@
 	// CanBeReached reports whether this keeper listens for other instances; nil for always. Until then it makes no
 	// assignment, since that would name it as a holder.
 	CanBeReached func() bool
-	// Copies stores what this keeper acknowledges as a sole holder.
+	// Copies stores what this keeper acknowledges while too few disks have it.
 	Copies Copies
 	Logger log.Interface
 }
@@ -151,8 +151,10 @@
 	role       ShardAssignment
 	// streams are the replication streams to the backups, by name.
 	streams map[string]*backupStream
-	// uncopied are the changes of this keeper as a sole holder that are not in the store yet.
-	uncopied []*pendingCommit
+	// copiesChanges means that this keeper, as the primary, commits a change only once it is in the store, too.
+	// uncopied are the changes that are not.
+	copiesChanges bool
+	uncopied      []*pendingCommit
 	// primaryTerm is incremented when an assignment or a promised epoch ends this keeper's time as
 	// the shard's primary. A change of an earlier term can't be committed by it.
 	primaryTerm int
@@ -178,7 +180,8 @@
 	// whose disks it is.
 	durableLocally bool
 	ackedBy        []string
-	// copyRequested means that the change is to be copied to the store, copied that it is.
+	// copyRequested means that the change is to be copied to the store, copied that it is, and that the store has
+	// confirmed after that that this keeper is the primary.
 	copyRequested, copied bool
 	completed             bool
 	// aborted means that this keeper ceased to be the primary before the commit.
@@ -309,14 +312,14 @@
 }
 
 // replicate starts to replicate a change to the disks of the shard; the lock is held. Without
-// records it only confirms with the backups that this keeper is still the primary.
+// records it only confirms with the backups, or with the store, that this keeper is still the primary.
 func (k *Keeper) replicate(s *shard, records []*historypb.Record) *pendingCommit {
 	e := &pendingCommit{records: records, began: time.Now(), primaryTerm: s.primaryTerm, done: make(chan struct{})}
 	for _, backup := range s.role.Backups {
 		s.streamTo(backup).enqueue(e)
 		k.wakeSender(backup)
 	}
-	k.copyIfSole(s, e)
+	k.copyIfNeeded(s, e)
 	if len(records) > 0 {
 		k.persist(records, func() {
 			e.durableLocally = true
@@ -329,12 +332,13 @@
 	return e
 }
 
-// completeIfCommitted completes a change that is on enough disks; the lock is held.
+// completeIfCommitted completes a change that is on enough disks, and in the store where these may fail at once; the
+// lock is held.
 func (s *shard) completeIfCommitted(e *pendingCommit) {
 	if e.completed || !e.durableLocally || e.primaryTerm != s.primaryTerm {
 		return
 	}
-	if len(s.role.Backups) == 0 && len(e.records) > 0 && !e.copied {
+	if s.copiesChanges && !e.copied {
 		return
 	}
 	acks := 0
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -15,6 +15,8 @@
 	// recoveryTimeout is how long a live primary may be incomplete before another keeper takes its
 	// shard over.
 	recoveryTimeout = 2 * time.Second
+	// copyReadTimeout bounds the reading of copies from the store, of up to some 50 MB.
+	copyReadTimeout = 6 * time.Second
 	// incompleteRounds is the number of status rounds in which a primary on a disk of unknown name
 	// must be incomplete before it is replaced, since its known status lags behind.
 	incompleteRounds = 3
@@ -39,13 +41,18 @@
 }
 
 // canRecover reports whether this keeper has, or can fetch, all committed changes of the shard; the
-// lock is held.
-func (k *Keeper) canRecover(s *shard, assessments map[string]assessment) bool {
+// lock is held. Where the holders of an ensemble are silent, it reads their changes from the store only if it may replace
+// silent keepers, see contactPeriod.isEstablished: they may be serving on the larger side of a network partition.
+func (k *Keeper) canRecover(s *shard, assessments map[string]assessment, now time.Time) bool {
 	if s.epochState.base == 0 || s.epochState.base < s.role.minBase() {
 		return false
 	}
 	for _, e := range s.role.ensembles() {
-		if e.Epoch >= s.epochState.base && !e.isRecoveryQuorum(k.intactHolders(s, &e, assessments)) && !k.allIntactReachable(s, &e, assessments) {
+		if e.Epoch < s.epochState.base || e.isRecoveryQuorum(k.intactHolders(s, &e, assessments)) {
+			continue
+		}
+		inStore := e.Copied && k.witnessContact.isEstablished(now)
+		if !inStore && !k.allIntactReachable(s, &e, assessments) {
 			return false
 		}
 	}
@@ -92,7 +99,7 @@
 				from[name] = e.diskOf(name)
 			}
 		}
-		if !e.isRecoveryQuorum(intact) && !forced && !k.allIntactReachable(s, &e, assessments) {
+		if !e.isRecoveryQuorum(intact) && !forced && !e.Copied && !k.allIntactReachable(s, &e, assessments) {
 			return nil, false
 		}
 	}
@@ -113,20 +120,20 @@
 		return
 	}
 	k.logLostCommits(s, assessments)
-	lostDisks := k.lostSoleDisks(s, assessments)
-	if len(from) == 0 && len(lostDisks) == 0 {
+	copies := k.copiesToRead(s, assessments)
+	if len(from) == 0 && len(copies.disks) == 0 {
 		k.markComplete(s)
 		return
 	}
 	s.recovering = true
-	go k.recoverShard(ctx, s, s.role.Epoch, from, lostDisks)
+	go k.recoverShard(ctx, s, s.role.Epoch, from, copies)
 }
 
 // logLostCommits logs the earlier ensembles of which changes may be lost, with the disks that are gone. The lock is held.
 func (k *Keeper) logLostCommits(s *shard, assessments map[string]assessment) {
 	for _, e := range s.role.Previous {
 		intact := k.intactHolders(s, &e, assessments)
-		if e.Epoch < s.epochState.base || e.isSole() || e.isRecoveryQuorum(intact) {
+		if e.Epoch < s.epochState.base || e.isInStore() || e.isRecoveryQuorum(intact) {
 			continue
 		}
 		lost := len(e.holders()) - len(intact)
@@ -141,12 +148,12 @@
 }
 
 // recoverShard fetches the records of a shard from the keepers, given with the names of their
-// disks, and from the copies of the sole holders whose disks are lost. After that, this keeper is complete.
-func (k *Keeper) recoverShard(ctx context.Context, s *shard, epoch uint64, from map[string]string, lostDisks []string) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+// disks, and from the copies in the store. After that, this keeper is complete.
+func (k *Keeper) recoverShard(ctx context.Context, s *shard, epoch uint64, from map[string]string, copies copiesToRead) {
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout(copies))
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	responses := make(chan *historypb.FetchResponse, len(from)+len(lostDisks))
+	responses := make(chan *historypb.FetchResponse, len(from)+len(copies.disks))
 	k.mu.Lock()
 	have := s.state.inventory()
 	k.mu.Unlock()
@@ -162,11 +169,11 @@
 			return err
 		})
 	}
-	for _, disk := range lostDisks {
+	for _, disk := range copies.disks {
 		group.Go(func() error {
-			records, err := k.fetchCopies(ctx, s.id, disk)
+			records, err := k.fetchCopies(ctx, s.id, disk, copies.version)
 			if err == nil {
-				k.settings.Logger.WithField("slice", s.id).WithField("disk", disk).WithField("records", len(records)).Warn("disk of a sole holder lost; its changes are taken from the store")
+				k.settings.Logger.WithField("slice", s.id).WithField("disk", disk).WithField("records", len(records)).Warn("holders of an earlier epoch out of reach; its changes are taken from the store")
 				responses <- &historypb.FetchResponse{Records: records}
 			}
 			return err
@@ -236,6 +243,14 @@
 	return o.lastContact.Sub(s.primaryIncompleteSince) > limit
 }
 
+// recoverTimeout bounds one attempt to recover a shard.
+func recoverTimeout(copies copiesToRead) time.Duration {
+	if len(copies.disks) > 0 {
+		return copyReadTimeout
+	}
+	return commitTimeout
+}
+
 // mustForceRecovery reports whether the shard can't be recovered in full, and this keeper has to
 // continue with the records that are left. If all holders are live, this takes forceRecoveryAfter,
 // and otherwise the time for which the records of the unresponsive holders are retained. More disks
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -67,9 +67,10 @@
 func (k *Keeper) applyRole(s *shard, next ShardAssignment) {
 	k.settings.Logger.WithField("slice", s.id).WithField("epoch", next.Epoch).
 		WithField("primary", next.Primary).WithField("partners", next.Backups).
-		WithField("spare", next.OptionalBackups).WithField("disks", next.disksPerChange()).WithField("tolerated", k.maxDiskFailures()).WithField("mark", s.epochState.promised).WithField("base", s.epochState.base).Info("shard assigned")
+		WithField("spare", next.OptionalBackups).WithField("disks", next.disksPerChange()).WithField("tolerated", k.maxDiskFailures()).WithField("copied", next.Copied).WithField("mark", s.epochState.promised).WithField("base", s.epochState.base).Info("shard assigned")
 	continues := k.isPrimary(s) && next.Epoch == s.role.Epoch+1 && next.Primary == k.settings.Name
 	s.role = next
+	s.copiesChanges = next.Copied || !next.survives(k.maxDiskFailures())
 	s.unrecoverableSince, s.primaryIncompleteSince = time.Time{}, time.Time{}
 	if !continues {
 		s.abortPending()
@@ -114,11 +115,11 @@
 		}
 		k.wakeSender(name)
 	}
-	if len(s.role.Backups) > 0 {
+	if !s.copiesChanges {
 		s.uncopied = nil
 	}
 	for _, e := range waiting {
-		k.copyIfSole(s, e)
+		k.copyIfNeeded(s, e)
 		s.completeIfCommitted(e)
 	}
 }
--- a/internal/history/small_ensemble_test.go
+++ b/internal/history/small_ensemble_test.go
@@ -1,12 +1,15 @@
 package history
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foxhall/internal/history/historypb"
 )
 
 const (
@@ -91,6 +94,51 @@
 	}
 }
 
+// knownAssignment returns the assignment that the keeper knows.
+func (k *Keeper) knownAssignment() (Assignment, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.known, true
+}
+
+// Guards against a turn that is acknowledged and lost, and against one that is answered as unknown, by a sole holder
+// whose successor has read its changes from the store: it is isolated, and has not learnt of its successor.
+func TestReplacedSoleHolderAcknowledgesNothing(t *testing.T) {
+	testOnThreeKeepers(t, 1, func(cl *cluster, fail func(error)) {
+		cl.setDataCentreIsolated(east, true)
+		time.Sleep(soleHolderTime)
+		cl.mu.Lock()
+		cl.mirrorStalledAt = "c"
+		cl.mu.Unlock()
+		cl.setDataCentreIsolated(east, false)
+		cl.setDataCentreIsolated(west, true)
+		k, programs := cl.machine("c").process.keeper, 0
+		var acknowledged []string
+		for began := time.Now(); time.Since(began) < 2*witnessValidity; programs++ {
+			program := fmt.Sprintf("p%d", programs)
+			atC := NewClient(&entry{cluster: cl, name: entryIn(west), onlyKeeper: "c"}, k.knownAssignment, cl.logger("entry"))
+			if retainTurnWithin(callTimeout, atC, program, program, "") == nil {
+				acknowledged = append(acknowledged, program)
+			}
+			replaced := cl.roleOf("p").Primary != "c"
+			response, err := k.Find(context.Background(), &historypb.FindRequest{Turn: "unknown"})
+			fail(err)
+			if replaced && slices.Contains(response.Absent, ShardOf("p")) {
+				fail(errors.New("the replaced holder confirms that a turn is absent"))
+			}
+		}
+		if len(acknowledged) == 0 || cl.roleOf("p").Primary == "c" {
+			fail(errors.Errorf("%d turns acknowledged, primary %s; want some, and another one", len(acknowledged), cl.roleOf("p").Primary))
+		}
+		cl.mu.Lock()
+		cl.mirrorStalledAt = ""
+		cl.mu.Unlock()
+		cl.setDataCentreIsolated(west, false)
+		time.Sleep(convergenceTime)
+		cl.checkTurns(acknowledged, fail)
+	})
+}
+
 // Guards against turns that are out of reach for as long as turns are retained: the last keepers of a shard, no more than
 // may be lost, never come back.
 func TestHoldersOfASmallEnsembleGoneForGoodLeaveTurnsInReach(t *testing.T) {
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -63,6 +63,8 @@
 	storeUnavailable bool
 	// storeUnreachableFrom names a machine or a data centre from which the store is unreachable.
 	storeUnreachableFrom string
+	// mirrorStalledAt names a machine that learns of no assignment but by its own calls to the store.
+	mirrorStalledAt string
 	// storeCalls counts the calls to the store, and storeReads the reads among them.
 	storeCalls int
 	storeReads int
@@ -196,7 +198,7 @@
 		sleep(p.ctx, mirrorDelay)
 		cl := m.cluster
 		cl.mu.Lock()
-		a, version, unavailable := cl.assignment, cl.version, cl.storeUnavailable || cl.storeUnreachableFrom == m.name || cl.storeUnreachableFrom == m.dataCentre
+		a, version, unavailable := cl.assignment, cl.version, cl.storeUnavailable || cl.storeUnreachableFrom == m.name || cl.storeUnreachableFrom == m.dataCentre || cl.mirrorStalledAt == m.name
 		cl.mu.Unlock()
 		if !unavailable && version > 0 {
 			p.keeper.ApplyAssignment(a, version)
