A turn that may have been lost with its disks is refused for now, not unknown

After the loss of more disks than may be lost, a shard goes on with the records that are left, and turns that were lost were answered 404: a promise that there is no such turn. A keeper that takes a shard over and finds that committed changes may be gone now says when in the assignment (lost_at). Until what may have been lost would have expired, an absent turn is not confirmed: by keepers for the least retention, since they know that of no lost turn, and by entries for that of the route that continues it. Callers get 503.

--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -157,6 +157,9 @@
 		}, verdictError(response.Verdict)
 	}
 	chain, search, err := c.search(ctx, r.Customer, r.Previous, reserveTimeoutFor(r.Deadline))
+	if errors.Is(err, gateway.ErrNoSuchTurn) && c.mayHaveLost(r.Retention, time.Now()) {
+		err = ErrNoKeeperResult
+	}
 	if err != nil {
 		return gateway.Reserved{}, c.afterSearch(err, request.Slice, search)
 	}
@@ -175,6 +178,13 @@
 	return reserved, verdictError(response.Verdict)
 }
 
+// mayHaveLost reports whether a turn that no shard has may have been retained for the time and lost with its disks. The
+// keepers know the retention of no turn that they lost.
+func (c *Client) mayHaveLost(retention time.Duration, now time.Time) bool {
+	a, _ := c.assignment()
+	return slices.ContainsFunc(a.Shards[:], func(r ShardAssignment) bool { return r.mayLack(retention, now) })
+}
+
 // accountRetention returns how long the keepers keep the program's account after the reservation: the
 // turn may run until its deadline, and the retention begins at its end. The attempts at a turn are a part of it.
 func accountRetention(r gateway.Reservation, now time.Time) time.Duration {
--- a/internal/history/ensemble.go
+++ b/internal/history/ensemble.go
@@ -1,6 +1,9 @@
 package history
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Ensemble is the replica set of a shard in one epoch.
 type Ensemble struct {
@@ -26,6 +29,8 @@
 	// Previous lists earlier ensembles, the oldest first, that may hold committed changes which the
 	// primary has to fetch before it serves.
 	Previous []Ensemble `json:"before,omitempty"`
+	// LostAtUnixMs is when committed changes may have been lost last, with more disks than may fail at once; 0 if never.
+	LostAtUnixMs int64 `json:"lost_at,omitempty"`
 }
 
 // maxOptionalBackups is the largest OptionalBackups. Any two holders of an ensemble then have all
@@ -104,6 +109,11 @@
 // ensembles returns the ensembles that may hold committed changes, the oldest first.
 func (r *ShardAssignment) ensembles() []Ensemble { return append(slices.Clone(r.Previous), r.Ensemble) }
 
+// mayLack reports whether a turn that the shard lacks may be one that was retained for the time and lost with its disks.
+func (r *ShardAssignment) mayLack(retention time.Duration, now time.Time) bool {
+	return r.LostAtUnixMs > 0 && now.UnixMilli() < r.LostAtUnixMs+(retention+retentionMargin).Milliseconds()
+}
+
 // allHolders returns the holders of all these ensembles.
 func (r *ShardAssignment) allHolders() map[string]bool {
 	names := map[string]bool{}
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -60,6 +60,7 @@
 	backups = k.withCurrentBackups(s, backups, selector.keepers, assessments)
 	role := ShardAssignment{Ensemble: newEnsemble(s.role.Epoch+1, self, backups, k.maxDiskFailures()), Previous: s.role.ensembles()}
 	role.Copied = !role.survives(k.maxDiskFailures())
+	role.LostAtUnixMs = k.lostAt(s, &role, assessments, now)
 	switch {
 	case k.earlierEpochsReplicated(s, assessments):
 		role.Previous = []Ensemble{s.role.Ensemble}
@@ -200,6 +201,7 @@
 		return false
 	case s.role.Primary == k.settings.Name && s.role.diskOf(k.settings.Name) == k.disk:
 		s.forcedEpoch = s.role.Epoch
+		s.role.LostAtUnixMs = now.UnixMilli()
 		return false
 	default:
 		return true
--- /dev/null
+++ b/internal/history/lost_test.go
@@ -0,0 +1,48 @@
+package history
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foxhall/internal/gateway"
+)
+
+// lostRetention is the retention of the turn that is lost. No keeper that is left retains another one for so long.
+const lostRetention = 3 * defaultRetention
+
+// continueAs looks a turn up by a call of a route with the retention.
+func continueAs(cl *cluster, turn string, retention time.Duration) error {
+	_, err := cl.client("entry").Reserve(context.Background(), gateway.Reservation{
+		Program: "heir", Turn: "heir", Previous: turn, MaxOutputTokens: 1, Retention: retention,
+	})
+	return err
+}
+
+// Guards against a turn that was acknowledged and is answered as unknown: more disks are lost than may be, among them all
+// that had the turn. Turns that never were are answered as unknown again once all that was lost would have expired.
+func TestTurnsLostWithTheirDisksAreNotAnsweredAsUnknown(t *testing.T) {
+	testOnFourKeepers(t, func(cl *cluster, fail func(error)) {
+		fail(retainTurn(cl.client("entry"), "p", "first", ""))
+		role := cl.roleOf("p")
+		for _, name := range role.holders() {
+			cl.machine(name).wipe()
+		}
+		for _, m := range cl.machines {
+			m.restart()
+		}
+		for began := time.Now(); time.Since(began) < lostRetention; time.Sleep(time.Second) {
+			if err := continueAs(cl, "first", lostRetention); err == nil || errors.Is(err, gateway.ErrNoSuchTurn) {
+				fail(errors.Errorf("a lost turn %v after the loss: got %v, want a refusal for now", time.Since(began), err))
+			}
+		}
+		fail(retainTurn(cl.client("entry"), "p", "second", ""))
+		fail(findTurn(cl, "second"))
+		time.Sleep(forceRecoveryAfter + retentionMargin + convergenceTime)
+		if err := continueAs(cl, "first", lostRetention); !errors.Is(err, gateway.ErrNoSuchTurn) {
+			fail(errors.Errorf("a turn that expired: got %v, want %v", err, gateway.ErrNoSuchTurn))
+		}
+	})
+}
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// lostAt returns when changes of a shard were lost last in the role that this keeper proposes, in Unix milliseconds: now
+// if some may be on no disk that is left and not in the store. The lock is held.
+func (k *Keeper) lostAt(s *shard, role *ShardAssignment, assessments map[string]assessment, now time.Time) int64 {
+	losesEpoch := func(e Ensemble) bool {
+		return e.Epoch >= s.epochState.base && !e.isInStore() && !e.isRecoveryQuorum(k.intactHolders(s, &e, assessments))
+	}
+	if !k.isPrimary(s) && (s.forcedEpoch == role.Epoch || slices.ContainsFunc(role.Previous, losesEpoch)) {
+		return now.UnixMilli()
+	}
+	return s.role.LostAtUnixMs
+}
+
 // recoverShard fetches the records of a shard from the keepers, given with the names of their
 // disks, and from the copies in the store. After that, this keeper is complete.
 func (k *Keeper) recoverShard(ctx context.Context, s *shard, epoch uint64, from map[string]string, copies copiesToRead) {
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -124,7 +124,7 @@
 			gap.Slice = s.id
 			response.Gaps = append(response.Gaps, gap)
 		}
-		if k.isPrimary(s) && !k.isUncertainSoleHolder(s, now) {
+		if k.isPrimary(s) && !k.isUncertainSoleHolder(s, now) && !s.role.mayLack(defaultRetention, now) {
 			pending[s.id] = k.replicate(s, nil)
 		}
 	}
