Earlier holders of a shard are not forgotten after eight reassignments

An assignment lists the earlier ensembles that a successor may have to ask, until as many backups are complete as disks may be lost. Beyond eight of them those were removed that the primary itself did not need: ten keepers that stop in series reach that before one backup is filled. What these held was then on the primary's disk alone, and keepers that had all of it could not take the shard over, since their base was below the oldest ensemble listed. The shard waited 10 s and went on 'with the records that are left'.

The bound is 24 now, and passing it is an error in the log. It is a bound of the assignment's size (32 shards, 24 ensembles of some 200 bytes: below 200 KB, worked out), of 1 MB that the store takes.

TestHoldersBeforeManyReassignmentsAreNotForgotten, 16 changes, then the disks of the primary and a backup: before, the shard went on as if changes were lost; now it is recovered in full.

--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -65,14 +65,16 @@
 	case k.earlierEpochsReplicated(s, assessments):
 		role.Previous = []Ensemble{s.role.Ensemble}
 	case len(role.Previous) > maxPreviousEnsembles:
+		k.settings.Logger.WithField("slice", s.id).WithField("ensembles", len(role.Previous)).Error("too many reassignments without complete backups; earlier holders are forgotten")
 		role.Previous = slices.DeleteFunc(role.Previous, func(e Ensemble) bool { return e.Epoch < s.epochState.base })
 	}
 	return role, true
 }
 
 // maxPreviousEnsembles is the number of earlier ensembles beyond which those that this keeper does
-// not need itself are removed.
-const maxPreviousEnsembles = 8
+// not need itself are removed: changes of these may be on its disk alone then. It bounds the size of the assignment,
+// which stays below 200 KB.
+const maxPreviousEnsembles = 24
 
 // earlierEpochsReplicated reports whether this keeper is the shard's primary and at least
 // maxDiskFailures backups have all changes committed before its epoch. A successor then needs none of
--- a/internal/history/lost_test.go
+++ b/internal/history/lost_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"foxhall/internal/gateway"
+	"foxhall/internal/history/historypb"
 )
 
 // lostRetention is the retention of the turn that is lost. No keeper that is left retains another one for so long.
@@ -46,3 +48,42 @@
 		}
 	})
 }
+
+// Guards against acknowledged turns that are out of reach on a disk that nobody asks: the holders of a shard change many
+// times before any backup is filled, and then the primary loses its disk.
+func TestHoldersBeforeManyReassignmentsAreNotForgotten(t *testing.T) {
+	build := func(t *testing.T) *cluster { return newTenKeeperCluster(t, 2) }
+	testOnCluster(t, build, func(cl *cluster, fail func(error)) {
+		fail(retainTurn(cl.client("entry"), "p", "first", ""))
+		cl.mu.Lock()
+		cl.failsAppend = func(r *historypb.AppendRequest) bool {
+			return slices.ContainsFunc(r.Slices, func(s *historypb.SliceAppend) bool { return s.Complete })
+		}
+		cl.mu.Unlock()
+		const changes = 16
+		for range changes {
+			role := cl.roleOf("p")
+			lost := cl.machine(role.Backups[0])
+			lost.stop()
+			time.Sleep(soleHolderTime)
+			lost.start()
+		}
+		role := cl.roleOf("p")
+		if len(role.Previous) < changes {
+			fail(errors.Errorf("%d earlier ensembles, want %d at least", len(role.Previous), changes))
+		}
+		cl.machine(role.Primary).wipe()
+		cl.machine(role.Backups[0]).wipe()
+		cl.mu.Lock()
+		cl.failsAppend = nil
+		cl.mu.Unlock()
+		for _, m := range cl.machines {
+			m.restart()
+		}
+		time.Sleep(recoveryBound)
+		fail(findTurn(cl, "first"))
+		if role := cl.roleOf("p"); role.LostAtUnixMs > 0 {
+			fail(errors.New("the shard goes on as if changes were lost"))
+		}
+	})
+}
