A retiring keeper is drained only once more disks are left than may be lost

It reported so, and had its disk removed, once each shard was complete on two others, also where two disks may be lost: turns of before were then on no more disks than that, though the removal is no loss. Three keepers left of ten, one of them to be removed: before, drained with two holders; now it waits for a third.

TestRetiringKeeperIsNotDrainedBesideASmallEnsemble.

--- a/internal/history/leave.go
+++ b/internal/history/leave.go
@@ -23,7 +23,7 @@
 }
 
 // Drained reports whether this keeper holds no shards and all holders of each shard are complete. A
-// retiring keeper is removed with its disk, so that a sole holder doesn't suffice; one that only
+// retiring keeper is removed with its disk, so that more disks than may fail at once must be left; one that only
 // stops returns with its disk.
 func (k *Keeper) Drained() bool {
 	k.mu.Lock()
@@ -33,7 +33,7 @@
 	}
 	assessments, retiring := k.assessPeers(time.Now()), k.settings.IsRetiring(k.settings.Name)
 	for id, r := range k.known.Shards {
-		if r.Epoch == 0 || r.hasHolder(k.settings.Name) || retiring && len(r.Backups) == 0 {
+		if r.Epoch == 0 || r.hasHolder(k.settings.Name) || retiring && !r.survives(k.maxDiskFailures()) {
 			return false
 		}
 		for _, name := range r.holders() {
--- a/internal/history/lost_test.go
+++ b/internal/history/lost_test.go
@@ -87,3 +87,25 @@
 		}
 	})
 }
+
+// Guards against turns that are left on no more disks than may be lost: the disk of a retiring keeper is removed once it
+// reports that it is drained.
+func TestRetiringKeeperIsNotDrainedBesideASmallEnsemble(t *testing.T) {
+	testShrunken(t, 3, 2, func(cl *cluster, acknowledged []string, rest []*machine, fail func(error)) {
+		retiring := rest[0]
+		cl.setRetiring(retiring.name)
+		time.Sleep(convergenceTime)
+		if retiring.process.keeper.Drained() {
+			fail(errors.Errorf("%s drained; shard assigned to %v", retiring.name, cl.roleOf("p0")))
+		}
+		for _, m := range cl.machines {
+			m.restart()
+		}
+		time.Sleep(2 * convergenceTime)
+		if !retiring.process.keeper.Drained() {
+			fail(errors.Errorf("%s not drained; shard assigned to %v", retiring.name, cl.roleOf("p0")))
+		}
+		retiring.wipe()
+		cl.checkTurns(acknowledged, fail)
+	})
+}
