Test of the calls to the store while as few keepers are left as may be lost

Two of ten keepers are left, two may be lost; 64 programs run one turn after the other for 10 s of virtual time (1 ms between keepers, 4 ms to the store, no time for disks).

--- a/internal/history/small_ensemble_test.go
+++ b/internal/history/small_ensemble_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +161,41 @@
 		})
 	}
 }
+
+// Guards against copies that use up the store's rate: the calls of the last two of ten keepers don't grow with their
+// turns, which go on.
+func TestCopiesOfASmallEnsembleAreBoundedInRate(t *testing.T) {
+	const (
+		programs = 64
+		length   = 10 * time.Second
+	)
+	testShrunken(t, 2, 2, func(cl *cluster, _ []string, rest []*machine, fail func(error)) {
+		cl.mu.Lock()
+		before := cl.storeCalls
+		cl.mu.Unlock()
+		var served, refused atomic.Int64
+		var calls sync.WaitGroup
+		began := time.Now()
+		for p := range programs {
+			calls.Go(func() {
+				c, program := cl.client(entryIn(north)), fmt.Sprintf("busy-%d", p)
+				for n := 0; time.Since(began) < length; n++ {
+					if retainTurn(c, program, fmt.Sprintf("%s-%d", program, n), "") == nil {
+						served.Add(1)
+					} else {
+						refused.Add(1)
+					}
+				}
+			})
+		}
+		calls.Wait()
+		cl.mu.Lock()
+		made := cl.storeCalls - before
+		cl.mu.Unlock()
+		most := len(rest) * 2 * int(length/copyInterval)
+		if made > most+most/10 || refused.Load() > 0 || served.Load() < programs*int64(length/time.Second) {
+			fail(errors.Errorf("%d calls to the store, want %d at most; %d turns served, %d refused", made, most, served.Load(), refused.Load()))
+		}
+		t.Logf("%d turns in %v, %d calls to the store", served.Load(), length, made)
+	})
+}
