Copies stay for as long as the assignment lists their ensemble

The cleanup removed copies once its keeper heard that enough holders were complete, while the assignment still listed the ensemble. A successor reads there that the store has its changes: an incomplete holder of a large ensemble could have taken the shard over without them (found by reading; it takes the loss of two disks and the silence of a third holder after that). Now the primary removes such ensembles from the assignment as soon as enough backups are complete, and the cleanup goes by the assignment alone.

An older version removes copies of ensembles with several holders at once, and writes none, so that an ensemble must not be marked beside one: statuses have a new field 'copies'. A keeper whose version isn't known counts as a new one.

--- a/internal/history/copies.go
+++ b/internal/history/copies.go
@@ -254,6 +254,11 @@
 	return c
 }
 
+// mayNeedCopies reports whether copies of earlier ensembles may be needed to recover the shard.
+func (r *ShardAssignment) mayNeedCopies() bool {
+	return slices.ContainsFunc(r.Previous, func(e Ensemble) bool { return e.isInStore() })
+}
+
 // needsCopiesOf reports whether the copies made by the keeper with the disk may be needed to recover the shard.
 func (r *ShardAssignment) needsCopiesOf(disk string) bool {
 	return slices.ContainsFunc(r.ensembles(), func(e Ensemble) bool { return e.isInStore() && e.diskOf(e.Primary) == disk })
@@ -313,7 +318,7 @@
 	if err != nil {
 		return err
 	}
-	needed := k.disksWithNeededCopies(&a)
+	needed := a.disksWithCopies()
 	for _, c := range copies {
 		if needed[diskOfCopy(c.Name)] {
 			continue
@@ -325,17 +330,13 @@
 	return nil
 }
 
-// disksWithNeededCopies returns the disks of the primaries whose copied changes are not on enough other disks yet.
-func (k *Keeper) disksWithNeededCopies(a *Assignment) map[string]bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	assessments := k.assessPeers(time.Now())
+// disksWithCopies returns the disks of the primaries whose copies may be needed. Once enough backups are complete, the
+// primary removes the earlier ensembles from the assignment.
+func (a *Assignment) disksWithCopies() map[string]bool {
 	needed := map[string]bool{}
 	for id := range a.Shards {
-		role := &a.Shards[id]
-		isReplicated := !role.Copied && k.isReplicated(k.shards[id], role, assessments)
-		for _, e := range role.ensembles() {
-			if !isReplicated && (e.isInStore() || !e.survives(k.maxDiskFailures())) {
+		for _, e := range a.Shards[id].ensembles() {
+			if e.isInStore() {
 				needed[e.diskOf(e.Primary)] = true
 			}
 		}
@@ -343,19 +344,6 @@
 	return needed
 }
 
-// isReplicated reports whether more holders of a shard than may lose their disks at once have all of it;
-// the lock is held.
-func (k *Keeper) isReplicated(s *shard, role *ShardAssignment, assessments map[string]assessment) bool {
-	complete := 0
-	for _, name := range role.holders() {
-		own := name == k.settings.Name && s.epochState.isComplete(role.Epoch)
-		if own || name != k.settings.Name && assessments[name].isComplete(int(s.id), role.Epoch) {
-			complete++
-		}
-	}
-	return complete > k.maxDiskFailures()
-}
-
 // recordsSize returns the length of the records in a copy, in bytes.
 func recordsSize(records []*historypb.Record) int {
 	size := 0
--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -22,7 +22,7 @@
 		switch {
 		case !found:
 			unplaceable++
-		case s.forcedEpoch == role.Epoch || !role.sameReplicaSet(&s.role.Ensemble):
+		case s.forcedEpoch == role.Epoch || !role.sameReplicaSet(&s.role.Ensemble) || s.role.mayNeedCopies() && !role.mayNeedCopies():
 			next.Shards[s.id] = role
 			changed = true
 		}
@@ -59,7 +59,7 @@
 	}
 	backups = k.withCurrentBackups(s, backups, selector.keepers, assessments)
 	role := ShardAssignment{Ensemble: newEnsemble(s.role.Epoch+1, self, backups, k.maxDiskFailures()), Previous: s.role.ensembles()}
-	role.Copied = !role.survives(k.maxDiskFailures())
+	role.Copied = k.marksCopies(&role.Ensemble)
 	role.LostAtUnixMs = k.lostAt(s, &role, assessments, now)
 	switch {
 	case k.earlierEpochsReplicated(s, assessments):
@@ -92,6 +92,19 @@
 	return have >= k.maxDiskFailures()
 }
 
+// marksCopies reports whether successors may recover an ensemble of this keeper from the store: its changes are on no more
+// disks than may fail at once, and no other keeper is known to be of a version that would remove the copies. The lock is
+// held.
+func (k *Keeper) marksCopies(e *Ensemble) bool {
+	if e.survives(k.maxDiskFailures()) {
+		return false
+	}
+	return !slices.ContainsFunc(k.otherKeepers(), func(name string) bool {
+		v := k.views[name]
+		return v != nil && v.status != nil && !v.status.Copies
+	})
+}
+
 // logUnplaceable logs that shards which need other holders keep theirs, because no keeper is eligible
 // and it is not certain that this one is the last, with the evidence on each other keeper.
 func (k *Keeper) logUnplaceable(shards int, assessments map[string]assessment, now time.Time) {
@@ -218,7 +231,7 @@
 			return true
 		}
 	}
-	if s.role.Copied == s.role.survives(k.maxDiskFailures()) {
+	if s.role.Copied != k.marksCopies(&s.role.Ensemble) || s.role.mayNeedCopies() && k.earlierEpochsReplicated(s, assessments) {
 		return true
 	}
 	surplus := len(s.role.Backups) > k.maxDiskFailures()+1 || len(s.role.Backups) > k.maxDiskFailures() && s.role.OptionalBackups == 0
--- a/internal/history/serve.go
+++ b/internal/history/serve.go
@@ -250,7 +250,7 @@
 
 // status returns this keeper's status; the lock is held.
 func (k *Keeper) status() *historypb.StatusResponse {
-	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.draining, StalledMs: k.stalledFor().Milliseconds(), Disk: k.disk, Spares: true}
+	response := &historypb.StatusResponse{Name: k.settings.Name, Leaving: k.draining, StalledMs: k.stalledFor().Milliseconds(), Disk: k.disk, Spares: true, Copies: true}
 	for i, s := range k.shards {
 		response.Slices = append(response.Slices, encodeEpochState(s.id, s.epochState))
 		if k.broadcastStates[i] != s.epochState {
--- a/internal/history/small_ensemble_test.go
+++ b/internal/history/small_ensemble_test.go
@@ -199,3 +199,69 @@
 		t.Logf("%d turns in %v, %d calls to the store", served.Load(), length, made)
 	})
 }
+
+// Guards against copies that are removed while a successor may rely on them: the backups that returned are not filled yet.
+func TestCopiesStayWhileTheAssignmentListsTheirEnsemble(t *testing.T) {
+	testShrunken(t, 2, 2, func(cl *cluster, acknowledged []string, rest []*machine, fail func(error)) {
+		cl.mu.Lock()
+		cl.failsAppend = func(r *historypb.AppendRequest) bool {
+			return slices.ContainsFunc(r.Slices, func(s *historypb.SliceAppend) bool { return s.Complete })
+		}
+		cl.mu.Unlock()
+		for _, m := range cl.machines {
+			m.restart()
+		}
+		time.Sleep(2 * copyCleanupInterval)
+		if n, _ := cl.copyCount(); n == 0 {
+			fail(errors.New("the copies are gone while no backup is filled"))
+		}
+		for _, m := range rest {
+			m.wipe()
+		}
+		cl.mu.Lock()
+		cl.failsAppend = nil
+		cl.mu.Unlock()
+		time.Sleep(recoveryBound)
+		cl.checkTurns(acknowledged, fail)
+		for _, m := range rest {
+			m.restart()
+		}
+		time.Sleep(2*copyCleanupInterval + convergenceTime)
+		a := cl.currentAssignment()
+		if n, _ := cl.copyCount(); n > 0 || len(a.disksWithCopies()) > 0 {
+			fail(errors.Errorf("%d copies are left, of the disks %v", n, a.disksWithCopies()))
+		}
+		cl.checkTurns(acknowledged, fail)
+	})
+}
+
+// Guards against the loss of turns beside a keeper of an older version, which removes the copies of an ensemble with several
+// holders: such an ensemble must be recovered from its disks, and is marked as copied once no such keeper is left.
+func TestNoEnsembleIsMarkedAsCopiedBesideAnOlderVersion(t *testing.T) {
+	build := func(t *testing.T) *cluster {
+		cl := newThreeKeeperCluster(t, 2)
+		cl.olderVersion = "a"
+		return cl
+	}
+	testOnCluster(t, build, func(cl *cluster, fail func(error)) {
+		cl.machine("a").stop()
+		time.Sleep(soleHolderTime)
+		for s, role := range cl.currentAssignment().Shards {
+			if role.Copied {
+				fail(errors.Errorf("shard %d is marked as copied: %v", s, role))
+			}
+		}
+		cl.mu.Lock()
+		cl.olderVersion = ""
+		cl.mu.Unlock()
+		cl.machine("a").start()
+		time.Sleep(convergenceTime)
+		cl.machine("a").stop()
+		time.Sleep(soleHolderTime)
+		for s, role := range cl.currentAssignment().Shards {
+			if !role.Copied {
+				fail(errors.Errorf("shard %d is not marked as copied: %v", s, role))
+			}
+		}
+	})
+}
--- a/internal/history/views.go
+++ b/internal/history/views.go
@@ -143,7 +143,7 @@
 
 // sameStatus reports whether two statuses agree in all that affects role decisions.
 func sameStatus(a, b *historypb.StatusResponse) bool {
-	if a == nil || a.Leaving != b.Leaving || a.Disk != b.Disk || a.Spares != b.Spares || len(a.Slices) != len(b.Slices) {
+	if a == nil || a.Leaving != b.Leaving || a.Disk != b.Disk || a.Spares != b.Spares || a.Copies != b.Copies || len(a.Slices) != len(b.Slices) {
 		return false
 	}
 	stalled := func(s *historypb.StatusResponse) bool { return s.StalledMs > diskStallTimeout.Milliseconds() }
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -63,6 +63,8 @@
 	storeUnavailable bool
 	// storeUnreachableFrom names a machine or a data centre from which the store is unreachable.
 	storeUnreachableFrom string
+	// olderVersion names a keeper whose statuses are those of a version without copies of several holders.
+	olderVersion string
 	// mirrorStalledAt names a machine that learns of no assignment but by its own calls to the store.
 	mirrorStalledAt string
 	// storeCalls counts the calls to the store, and storeReads the reads among them.
@@ -419,16 +421,26 @@
 		return nil, err
 	}
 	return call(ctx, m.cluster, m.name, name, func(ctx context.Context, k *Keeper) (*historypb.StatusResponse, error) {
-		return k.Status(ctx, r)
+		status, err := k.Status(ctx, r)
+		return m.cluster.asSent(status), err
 	})
 }
 
+// asSent returns a keeper's status as its version sends it.
+func (cl *cluster) asSent(status *historypb.StatusResponse) *historypb.StatusResponse {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	status.Copies = status.Copies && status.Name != cl.olderVersion
+	return status
+}
+
 // BroadcastStatus implements Peers.
 func (m *machine) BroadcastStatus(status *historypb.StatusResponse) {
 	cl := m.cluster
 	if !cl.isRunning(m.name) {
 		return
 	}
+	status = cl.asSent(status)
 	for _, other := range cl.machines {
 		if other == m || cl.isLinkDown(m.name, other.name) || cl.datagramLost() {
 			continue
