explain leads from an unknown turn to its shard, epoch, holders and disks

A call that is answered 404 names the turn before, and nothing led from there to the keepers: the entry's line has no shard. Where the log has the end of that turn, its program gives the shard, and explain prints what keepers logged of it from then on. 'shard assigned' and the lines of lost changes name the disks (disks); the number of disks that a change is on is durable_on.

explain.TestStoryOfAnUnknownTurn.

--- a/internal/explain/reach.go
+++ b/internal/explain/reach.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"foxhall/internal/history"
 )
 
 const (
@@ -48,6 +50,9 @@
 	var refusals []shardRefusal
 	for i := range lines {
 		line := &lines[i]
+		if r := absenceOf(line, lines); r != nil {
+			refusals = append(refusals, *r)
+		}
 		if line.Message != callMessage || line.Fields["slice"] == nil {
 			continue
 		}
@@ -65,6 +70,25 @@
 	return refusals
 }
 
+// noSuchTurn is the reason of a call that continues a turn which no keeper has.
+const noSuchTurn = "no_such_turn"
+
+// absenceOf returns the story of the shard that should have the turn which a refused call continues, from the end of
+// that turn on; nil unless the call was refused as there is no such turn, and another line has its end.
+func absenceOf(refused *Line, lines []Line) *shardRefusal {
+	if refused.Message != callMessage || refused.Text("reason") != noSuchTurn {
+		return nil
+	}
+	for i := range lines {
+		end := &lines[i]
+		if end.Message == callMessage && end.Text("request") == refused.Text("previous") && end.Text("program") != "" && mayHaveRun(end) {
+			shard := float64(history.ShardOf(end.Text("program")))
+			return &shardRefusal{from: end.Time.Add(-beforeRefusal), to: refused.Time.Add(afterRefusal), slice: shard, keepers: map[string]bool{}}
+		}
+	}
+	return nil
+}
+
 // concerns reports whether a line tells what happened to the shard, or to one of its keepers.
 func (r *shardRefusal) concerns(line *Line) bool {
 	if line.Time.Before(r.from) || line.Time.After(r.to) {
--- a/internal/explain/reach_test.go
+++ b/internal/explain/reach_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"foxhall/internal/history"
 )
 
 const outOfReachText = `
@@ -37,3 +40,24 @@
 	is.NoErr(WriteTrace(&out, l.Trace("r1")))
 	is.True(strings.Contains(out.String(), "turn t: run by no replica in these lines; 1 calls refused at 1 instances: 1 turns_unreached"))
 }
+
+const unknownTurnText = `
+{"time":"2026-03-02T21:07:00.0Z","message":"shard assigned","fields":{"instance":"k1","slice":9,"epoch":2}}
+{"time":"2026-03-02T21:07:01.0Z","message":"call","fields":{"instance":"e1","outcome":"answered","request":"t","program":"p","ms":700,"sends":1}}
+{"time":"2026-03-02T21:07:02.0Z","message":"shard assigned","fields":{"instance":"k2","slice":SHARD,"epoch":8,"primary":"k2","disks":["d2","d3"],"durable_on":2,"tolerated":2}}
+{"time":"2026-03-02T21:07:09.0Z","message":"more disks lost than tolerated; committed changes of the epoch may be lost","fields":{"instance":"k4","slice":SHARD,"epoch":8,"holders":["k2","k3"]}}
+{"time":"2026-03-02T21:07:10.0Z","message":"call","fields":{"instance":"e1","outcome":"not-run","reason":"no_such_turn","request":"r1","program":"q","previous":"t","ms":20,"sends":0}}`
+
+// Guards against an unknown turn whose story does not lead to the shard, the epoch and the disks that had it.
+func TestStoryOfAnUnknownTurn(t *testing.T) {
+	is := is.New(t)
+	text := strings.ReplaceAll(unknownTurnText, "SHARD", fmt.Sprint(history.ShardOf("p")))
+	l, err := Read(strings.NewReader(text))
+	is.NoErr(err)
+	var out bytes.Buffer
+	is.NoErr(WriteTrace(&out, l.Trace("t")))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(rows), 4)
+	is.True(strings.Contains(rows[1], "disks=[d2 d3]") && strings.Contains(rows[1], "epoch=8"))
+	is.True(strings.Contains(rows[2], "more disks lost than tolerated"))
+}
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -138,7 +138,7 @@
 		}
 		lost := len(e.holders()) - len(intact)
 		line := k.settings.Logger.WithField("slice", s.id).WithField("epoch", e.Epoch).WithField("holders", e.holders()).WithField("kept", intact).
-			WithField("disks", e.disksPerChange()).WithField("lost", lost).WithField("tolerated", k.maxDiskFailures())
+			WithField("disks", e.Disks).WithField("durable_on", e.disksPerChange()).WithField("lost", lost).WithField("tolerated", k.maxDiskFailures())
 		if lost > k.maxDiskFailures() {
 			line.Error("more disks lost than tolerated; committed changes of the epoch may be lost")
 		} else {
--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -67,7 +67,7 @@
 func (k *Keeper) applyRole(s *shard, next ShardAssignment) {
 	k.settings.Logger.WithField("slice", s.id).WithField("epoch", next.Epoch).
 		WithField("primary", next.Primary).WithField("partners", next.Backups).
-		WithField("spare", next.OptionalBackups).WithField("disks", next.disksPerChange()).WithField("tolerated", k.maxDiskFailures()).WithField("copied", next.Copied).WithField("mark", s.epochState.promised).WithField("base", s.epochState.base).Info("shard assigned")
+		WithField("spare", next.OptionalBackups).WithField("disks", next.Disks).WithField("durable_on", next.disksPerChange()).WithField("tolerated", k.maxDiskFailures()).WithField("copied", next.Copied).WithField("mark", s.epochState.promised).WithField("base", s.epochState.base).Info("shard assigned")
 	continues := k.isPrimary(s) && next.Epoch == s.role.Epoch+1 && next.Primary == k.settings.Name
 	s.role = next
 	s.copiesChanges = next.Copied || !next.survives(k.maxDiskFailures())
