A change that waits while its shard's holders change needs a new copy

A copy made in one epoch counted in a later one, after an epoch without copies, in which it may have been removed.

--- a/internal/history/roles.go
+++ b/internal/history/roles.go
@@ -119,6 +119,10 @@
 		s.uncopied = nil
 	}
 	for _, e := range waiting {
+		if !s.copiesChanges {
+			// Its copy may be removed before another epoch needs one.
+			e.copyRequested, e.copied = false, false
+		}
 		k.copyIfNeeded(s, e)
 		s.completeIfCommitted(e)
 	}
