Copies of small ensembles: large records, long rewritings and repeated tries stop no others

Found by the reviewer of the fix, each by a test that was red before: - TestTurnLargerThanACopyStopsNoOthers: a retained turn larger than an object of the store got a part of its own as copies were replaced; the store refuses it, and the keeper acknowledged nothing any more. Only what the copies of this process hold is written again now. - TestReplacingCopiesDelaysNoTurn: all of it was written between two batches; a turn was refused after 1.74 s (94 MB retained, store at 20 ms). Now two parts with each batch. - TestChangesTriedAgainDuringAStoreOutageDelayNone: each try of a change was copied once the store answered, 3,816 for 300 turns, the last one acknowledged 6.6 s later. Changes whose callers have given up are left out. - TestChainLargerThanACopyIsCarried: a turn that carries a chain of 1 MB to another shard was never settled; a change is split into several copies. - A reading of copies that shards share ended with the first shard's recovery (by reading). - A loss that comes after a successor was named and before it has fetched is recorded (by reading). TestSmallEnsembleWhosePrimaryDoesNotReachTheStoreServes stays red and is listed.

--- a/internal/history/copies.go
+++ b/internal/history/copies.go
@@ -25,6 +25,8 @@
 	// minCopiesRewritten is the size in bytes of a keeper's copies from which on they are replaced by
 	// copies of what it still retains.
 	minCopiesRewritten = 16 << 20
+	// rewrittenPerCopy is how many copies of what is retained are written with each new one.
+	rewrittenPerCopy = 2
 	// obsoletePerCopy is how many replaced copies are deleted with each new one.
 	obsoletePerCopy = 3
 	// copyCleanupInterval is the time between two removals of copies that are not needed any more.
@@ -68,6 +70,34 @@
 	written, obsolete []Copy
 	size, limit       int
 	count             int
+	// copied are the records in them.
+	copied map[copiedRecord]struct{}
+	// rewrite is the replacement of copies that is under way, or nil.
+	rewrite *rewrite
+}
+
+// rewrite replaces copies by copies of what is retained.
+type rewrite struct {
+	parts    [][]*historypb.Record
+	replaced []Copy
+}
+
+// copiedRecord identifies a turn or an account of a shard.
+type copiedRecord struct {
+	shard     uint32
+	isAccount bool
+	key       string
+}
+
+// identify returns the identity of a record, which is that of all versions of an account.
+func identify(r *historypb.Record) copiedRecord {
+	if a := r.GetAccount(); a != nil {
+		return copiedRecord{shard: r.Slice, isAccount: true, key: recordKey(a.Customer, a.Program)}
+	}
+	if t := r.GetTurn(); t != nil {
+		return copiedRecord{shard: r.Slice, key: recordKey(t.Customer, t.Id)}
+	}
+	return copiedRecord{shard: r.Slice}
 }
 
 // copyRequest is a change that is to be copied.
@@ -104,7 +134,8 @@
 	}
 }
 
-// nextCopies returns changes that are to be copied together, at least one unless there is none.
+// nextCopies returns changes that are to be copied together, at least one unless there is none. It leaves out those whose
+// callers have given up: they make them again, and would wait for these.
 func (k *Keeper) nextCopies() []copyRequest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -112,6 +143,11 @@
 	size := 0
 	for len(k.copier.pending) > 0 {
 		r := k.copier.pending[0]
+		if time.Since(r.commit.began) > commitTimeout {
+			k.copier.pending = k.copier.pending[1:]
+			r.shard.forgetUncopied(r.commit)
+			continue
+		}
 		size += recordsSize(r.commit.records)
 		if len(batch) > 0 && size > maxCopySize {
 			break
@@ -124,17 +160,23 @@
 	return batch
 }
 
-// copyBatch writes one copy, as often as it takes, and completes its changes. A batch without records writes none.
+// copyBatch writes the records of a batch to copies, as often as it takes, and completes its changes. A batch without
+// records writes none, one with a single large change may need several.
 func (k *Keeper) copyBatch(ctx context.Context, batch []copyRequest) {
 	var records []*historypb.Record
 	for _, r := range batch {
 		records = append(records, r.commit.records...)
 	}
-	if recordsSize(records) > maxCopySize {
-		k.settings.Logger.WithField("bytes", recordsSize(records)).Warn("change too large for a copy in the store; not acknowledged without a backup")
-		return
+	for _, part := range splitRecords(records) {
+		if size := recordsSize(part); size > maxCopySize {
+			k.settings.Logger.WithField("bytes", size).Warn("record too large for a copy in the store; not acknowledged without more backups")
+			return
+		}
+		if !k.writeCopy(ctx, part) {
+			return
+		}
 	}
-	if len(records) > 0 && !k.writeCopy(ctx, records) || !k.confirmRoles(ctx) {
+	if !k.confirmRoles(ctx) {
 		return
 	}
 	k.mu.Lock()
@@ -171,6 +213,9 @@
 		version, err := k.settings.Copies.WriteCopy(ctx, name, data)
 		if err == nil {
 			k.copier.written, k.copier.size = append(k.copier.written, Copy{Name: name, Version: version}), k.copier.size+len(data)
+			for _, r := range records {
+				k.copier.copied[identify(r)] = struct{}{}
+			}
 			return true
 		}
 		k.settings.Logger.WithError(err).Warn("copy of changes not written to the store; retrying")
@@ -179,20 +224,27 @@
 	return false
 }
 
-// rewriteCopies replaces the copies of this process, once they are large, by copies of what is retained.
+// rewriteCopies replaces the copies of this process, once they are large, by copies of what is retained of them: some
+// with each batch, so that changes don't wait for all.
 func (k *Keeper) rewriteCopies(ctx context.Context) {
 	c := &k.copier
-	if c.size < max(minCopiesRewritten, c.limit) {
-		return
+	if c.rewrite == nil {
+		if c.size < max(minCopiesRewritten, c.limit) {
+			return
+		}
+		c.rewrite = &rewrite{parts: splitRecords(k.retainedCopied()), replaced: c.written}
+		c.written, c.size = nil, 0
 	}
-	replaced := c.written
-	c.written, c.size = nil, 0
-	for _, part := range k.retainedWithCopies() {
-		if !k.writeCopy(ctx, part) {
+	for range min(rewrittenPerCopy, len(c.rewrite.parts)) {
+		if !k.writeCopy(ctx, c.rewrite.parts[0]) {
 			return
 		}
+		c.rewrite.parts = c.rewrite.parts[1:]
+	}
+	if len(c.rewrite.parts) == 0 {
+		c.limit, c.obsolete = 2*c.size, append(c.obsolete, c.rewrite.replaced...)
+		c.rewrite = nil
 	}
-	c.limit, c.obsolete = 2*c.size, append(c.obsolete, replaced...)
 }
 
 // deleteObsolete deletes a few of the copies that were replaced: more than come with each new one. What it
@@ -207,23 +259,46 @@
 	}
 }
 
-// retainedWithCopies returns the records of the shards that may be recovered from the copies of this keeper, in parts
-// that fit a copy.
-func (k *Keeper) retainedWithCopies() [][]*historypb.Record {
+// retainedCopied returns the records of this process's copies that are still retained, in shards that may be recovered from
+// them.
+func (k *Keeper) retainedCopied() []*historypb.Record {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	parts, size := [][]*historypb.Record{nil}, 0
-	for _, s := range k.shards {
-		if !s.role.needsCopiesOf(k.disk) {
+	var records []*historypb.Record
+	for c := range k.copier.copied {
+		s := k.shards[c.shard]
+		r := s.state.record(c)
+		if r == nil || !s.role.needsCopiesOf(k.disk) {
+			delete(k.copier.copied, c)
 			continue
 		}
-		for _, r := range s.state.records(s.id) {
-			n := recordsSize([]*historypb.Record{r})
-			if size+n > maxCopySize && size > 0 {
-				parts, size = append(parts, nil), 0
-			}
-			parts[len(parts)-1], size = append(parts[len(parts)-1], r), size+n
+		records = append(records, r)
+	}
+	return records
+}
+
+// record returns the present record with the identity, or nil.
+func (s *state) record(c copiedRecord) *historypb.Record {
+	if a := s.accounts[c.key]; c.isAccount && a != nil {
+		return accountRecord(c.shard, a)
+	}
+	if t := s.turns[c.key]; !c.isAccount && t != nil {
+		return turnRecord(c.shard, t.turn)
+	}
+	return nil
+}
+
+// splitRecords splits records into parts that fit a copy, unless a single record doesn't.
+func splitRecords(records []*historypb.Record) [][]*historypb.Record {
+	var parts [][]*historypb.Record
+	size := 0
+	for _, r := range records {
+		n := recordsSize([]*historypb.Record{r})
+		if len(parts) == 0 || size+n > maxCopySize {
+			parts, size = append(parts, nil), 0
 		}
+		last := len(parts) - 1
+		parts[last], size = append(parts[last], r), size+n
 	}
 	return parts
 }
@@ -266,9 +341,13 @@
 
 // fetchCopies returns the records of a shard that the keeper with the disk copied to the store. Shards that
 // are recovered by the same version of the assignment share one reading.
-func (k *Keeper) fetchCopies(ctx context.Context, shardID uint32, disk string, version store.Version) ([]*historypb.Record, error) {
+func (k *Keeper) fetchCopies(shardID uint32, disk string, version store.Version) ([]*historypb.Record, error) {
 	key := fmt.Sprintf("%s at %d", disk, version)
-	records, err, _ := k.copyReads.Do(key, func() (any, error) { return k.readCopies(ctx, disk) })
+	records, err, _ := k.copyReads.Do(key, func() (any, error) {
+		ctx, cancel := context.WithTimeout(k.ctx, copyReadTimeout)
+		defer cancel()
+		return k.readCopies(ctx, disk)
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "copies of changes")
 	}
--- a/internal/history/copies_world_test.go
+++ b/internal/history/copies_world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
 	"strings"
 
@@ -10,15 +11,21 @@
 	"foxhall/internal/store"
 )
 
-var errResponseLost = errors.New("no response of the store")
+var (
+	errResponseLost   = errors.New("no response of the store")
+	errObjectTooLarge = errors.New("object too large for the store")
+)
+
+// maxObjectBytes is the largest object of the store, in bytes. The records of a copy are in it as base64.
+const maxObjectBytes = 1 << 20
 
 // storeCall makes a call to the store, during which the lock is held.
 func (m *machine) storeCall(ctx context.Context, f func(cl *cluster) error) error {
 	if err := m.waitWhilePaused(ctx); err != nil {
 		return err
 	}
-	sleep(ctx, 4*messageDelay)
 	cl := m.cluster
+	sleep(ctx, 4*messageDelay+cl.storeDelay)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.storeCalls++
@@ -31,6 +38,9 @@
 // WriteCopy implements Copies.
 func (m *machine) WriteCopy(ctx context.Context, name string, data []byte) (store.Version, error) {
 	return 1, m.storeCall(ctx, func(cl *cluster) error {
+		if base64.StdEncoding.EncodedLen(len(data)) > maxObjectBytes {
+			return errObjectTooLarge
+		}
 		if cl.copies[name] == nil {
 			cl.copies[name] = data
 		}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -208,7 +208,7 @@
 		wakeReconciler: make(chan struct{}, 1),
 		wakeReader:     make(chan struct{}, 1),
 		storeBackoff:   newStoreBackoff(),
-		copier:         copier{wake: make(chan struct{}, 1)},
+		copier:         copier{wake: make(chan struct{}, 1), copied: map[copiedRecord]struct{}{}},
 		edition:        rand.Uint64(),
 	}
 	for i := range k.shards {
--- a/internal/history/recover.go
+++ b/internal/history/recover.go
@@ -119,7 +119,7 @@
 	if !found {
 		return
 	}
-	k.logLostCommits(s, assessments)
+	k.noteLostCommits(s, assessments)
 	copies := k.copiesToRead(s, assessments)
 	if len(from) == 0 && len(copies.disks) == 0 {
 		k.markComplete(s)
@@ -129,13 +129,15 @@
 	go k.recoverShard(ctx, s, s.role.Epoch, from, copies)
 }
 
-// logLostCommits logs the earlier ensembles of which changes may be lost, with the disks that are gone. The lock is held.
-func (k *Keeper) logLostCommits(s *shard, assessments map[string]assessment) {
+// noteLostCommits logs the earlier ensembles of which changes may be lost, with the disks that are gone, and records the
+// loss, which may have come after the assignment was proposed. The lock is held.
+func (k *Keeper) noteLostCommits(s *shard, assessments map[string]assessment) {
 	for _, e := range s.role.Previous {
 		intact := k.intactHolders(s, &e, assessments)
 		if e.Epoch < s.epochState.base || e.isInStore() || e.isRecoveryQuorum(intact) {
 			continue
 		}
+		s.role.LostAtUnixMs = time.Now().UnixMilli()
 		lost := len(e.holders()) - len(intact)
 		line := k.settings.Logger.WithField("slice", s.id).WithField("epoch", e.Epoch).WithField("holders", e.holders()).WithField("kept", intact).
 			WithField("disks", e.Disks).WithField("durable_on", e.disksPerChange()).WithField("lost", lost).WithField("tolerated", k.maxDiskFailures())
@@ -183,7 +185,7 @@
 	}
 	for _, disk := range copies.disks {
 		group.Go(func() error {
-			records, err := k.fetchCopies(ctx, s.id, disk, copies.version)
+			records, err := k.fetchCopies(s.id, disk, copies.version)
 			if err == nil {
 				k.settings.Logger.WithField("slice", s.id).WithField("disk", disk).WithField("records", len(records)).Warn("holders of an earlier epoch out of reach; its changes are taken from the store")
 				responses <- &historypb.FetchResponse{Records: records}
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -61,6 +61,8 @@
 	assignment       Assignment
 	version          store.Version
 	storeUnavailable bool
+	// storeDelay is added to the time of each call about copies. It is set before the keepers start.
+	storeDelay time.Duration
 	// storeUnreachableFrom names a machine or a data centre from which the store is unreachable.
 	storeUnreachableFrom string
 	// olderVersion names a keeper whose statuses are those of a version without copies of several holders.
