Earlier ensembles that a later one covers are left out of the assignment

An ensemble is left out if whatever recovers a later one recovers it, too: the same replica set, or fewer holders of the same primary where both are copied. The first one stays, since it bounds the base of successors.

--- a/internal/history/ensemble.go
+++ b/internal/history/ensemble.go
@@ -85,6 +85,31 @@
 	return true
 }
 
+// covers reports whether whatever recovers this ensemble also recovers an earlier one of the same primary: the same replica
+// set, or fewer holders where all have each change and the store has it under the same name.
+func (e *Ensemble) covers(earlier *Ensemble) bool {
+	if e.sameReplicaSet(earlier) {
+		return true
+	}
+	sameCopies := e.Copied && earlier.Copied && e.OptionalBackups == 0 && earlier.OptionalBackups == 0 && e.Primary == earlier.Primary
+	return sameCopies && !slices.ContainsFunc(e.holders(), func(name string) bool {
+		return !earlier.hasHolder(name) || e.diskOf(name) == "" || e.diskOf(name) != earlier.diskOf(name)
+	})
+}
+
+// withoutCovered returns the ensembles but for those that a later one covers. The first stays, since its epoch bounds the
+// base of successors.
+func withoutCovered(ensembles []Ensemble) []Ensemble {
+	var left []Ensemble
+	for i := range ensembles {
+		covered := slices.ContainsFunc(ensembles[i+1:], func(later Ensemble) bool { return later.covers(&ensembles[i]) })
+		if i == 0 || !covered {
+			left = append(left, ensembles[i])
+		}
+	}
+	return left
+}
+
 // isIntact reports whether a keeper with the disk and the base still has everything that it
 // acknowledged in the ensemble.
 func (e *Ensemble) isIntact(name, disk string, base uint64) bool {
