Test that turns which aren't resumed need no output of attempts before

A turn that a new program continues after a restart of all instances is refused with output_unknown only if its caller names an event that it has.

--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -232,3 +232,27 @@
 		})
 	}
 }
+
+// Guards against turns that are refused since events of others aren't known, though their callers have none: all instances
+// have lost the output of the attempts before.
+func TestTurnsThatAreNotResumedNeedNoOutput(t *testing.T) {
+	for name, listed := range map[string]func(*listingTurns){
+		"attempts of lost instances listed": func(*listingTurns) {},
+		"no attempts listed":                func(l *listingTurns) { l.listed = nil },
+		"not all attempts listed":           func(l *listingTurns) { l.outdated = true },
+	} {
+		for _, input := range []string{"ask", "another input"} {
+			t.Run(name+", "+input, func(t *testing.T) {
+				inResumedSystem(t, func(is *is.I, s *resumedSystem, _ *leavingCaller) {
+					for instance := range s.outputs {
+						s.lost[instance] = true
+					}
+					listed(s.turns)
+					anew := &leavingCaller{}
+					is.Equal(s.send("c", "anew", input, "", nil, anew).Outcome, Completed)
+					s.isRetained(is, "anew", anew.got)
+				})
+			})
+		}
+	}
+}
