--- a/internal/limit/quota_world_test.go
+++ b/internal/limit/quota_world_test.go
@@ -406,14 +406,19 @@
 	} else {
 		c.stuckSince = time.Time{}
 	}
-	expected := w.demand[c.customer] * c.demandFraction * tick.Seconds()
+	for range w.callsInTick(w.demand[c.customer] * c.demandFraction) {
+		w.sendCall(c)
+	}
+}
+
+// callsInTick draws the number of calls within one tick at a rate in calls per second.
+func (w *quotaWorld) callsInTick(rate float64) int {
+	expected := rate * tick.Seconds()
 	n := int(expected)
 	if w.random.Float64() < expected-float64(n) {
 		n++
 	}
-	for range n {
-		w.sendCall(c)
-	}
+	return n
 }
 
 func (w *quotaWorld) sendCall(c *quotaClient) {
