--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -668,6 +668,9 @@
 func (r *run) describeHolders(turn string) string {
 	var b strings.Builder
 	for _, m := range r.machines {
+		if m.process == nil {
+			continue
+		}
 		k := m.process.keeper
 		k.mu.Lock()
 		for _, s := range k.shards {
--- a/internal/history/world_test.go
+++ b/internal/history/world_test.go
@@ -110,6 +110,8 @@
 	dataCentre string
 	dir        string
 
+	// onOpen is called with the log that a process has opened; nil for nothing.
+	onOpen func(ctx context.Context, l *diskLog) error
 	// lifecycleMu serialises starts and stops of the process.
 	lifecycleMu sync.Mutex
 	// The cluster's lock guards the rest. process is nil while none runs. paused is nil unless the
@@ -184,6 +186,11 @@
 		cl.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	if m.onOpen != nil {
+		if err := m.onOpen(ctx, k.log); err != nil {
+			cl.t.Fatal(err)
+		}
+	}
 	p := &process{keeper: k, ctx: ctx, kill: cancel, done: make(chan struct{})}
 	p.connections, p.closeConnections = context.WithCancel(context.Background())
 	cl.mu.Lock()
