--- a/internal/history/small_machine_test.go
+++ b/internal/history/small_machine_test.go
@@ -161,7 +161,15 @@
 	close(r.ended)
 	r.calls.Wait()
 	r.recover()
-	time.Sleep(recoveryBound)
+	recovered := time.Now().Add(recoveryBound)
+	for range 8 { // each turn ends within 6 s
+		for p := range programCount {
+			r.calls.Go(func() { r.runTurn(action{Kind: "turn", A: p, B: 1}) })
+		}
+		time.Sleep(time.Second)
+	}
+	r.calls.Wait()
+	time.Sleep(time.Until(recovered))
 	r.countRecoveries()
 	r.checkAll()
 	r.events["plans"]++
