--- a/internal/history/holders.go
+++ b/internal/history/holders.go
@@ -22,7 +22,7 @@
 		switch {
 		case !found:
 			unplaceable++
-		case s.forcedEpoch == role.Epoch || !role.sameReplicaSet(&s.role.Ensemble) || s.role.mayNeedCopies() && !role.mayNeedCopies(), role.LostAtUnixMs > k.known.Shards[s.id].LostAtUnixMs:
+		case s.forcedEpoch == role.Epoch || k.mustPublish(s, &role):
 			next.Shards[s.id] = role
 			changed = true
 		}
@@ -31,6 +31,13 @@
 	return next, changed
 }
 
+// mustPublish reports whether a shard's next assignment differs from the present one in more than its epoch; the lock is
+// held.
+func (k *Keeper) mustPublish(s *shard, next *ShardAssignment) bool {
+	needsNoCopiesNow := s.role.mayNeedCopies() && !next.mayNeedCopies()
+	return !next.sameReplicaSet(&s.role.Ensemble) || needsNoCopiesNow || next.LostAtUnixMs > k.known.Shards[s.id].LostAtUnixMs
+}
+
 // newBackupSelector returns a selector among the live keepers; the lock is held.
 func (k *Keeper) newBackupSelector(next *Assignment, assessments map[string]assessment) *backupSelector {
 	c := &backupSelector{assignment: next, keepers: k.candidates(assessments), maxDiskFailures: k.maxDiskFailures(), shardsHeld: map[string]int{}}
@@ -231,10 +238,9 @@
 			return true
 		}
 	}
-	if s.role.LostAtUnixMs > k.known.Shards[s.id].LostAtUnixMs {
-		return true
-	}
-	if s.role.Copied != k.marksCopies(&s.role.Ensemble) || s.role.mayNeedCopies() && k.earlierEpochsReplicated(s, assessments) {
+	hasLost := s.role.LostAtUnixMs > k.known.Shards[s.id].LostAtUnixMs
+	needsNoCopiesNow := s.role.mayNeedCopies() && k.earlierEpochsReplicated(s, assessments)
+	if hasLost || needsNoCopiesNow || s.role.Copied != k.marksCopies(&s.role.Ensemble) {
 		return true
 	}
 	surplus := len(s.role.Backups) > k.maxDiskFailures()+1 || len(s.role.Backups) > k.maxDiskFailures() && s.role.OptionalBackups == 0
