A turn whose caller gave up is copied once all the same

Changes whose callers have given up were left out of the copies. A turn among them is in the primary's memory and may be continued by another one, whose chain would then be on the disks of a small ensemble alone. TestTurnWhoseCallerGaveUpIsCopiedForThoseThatContinueIt is red without it.

--- a/internal/history/copies.go
+++ b/internal/history/copies.go
@@ -135,15 +135,16 @@
 }
 
 // nextCopies returns changes that are to be copied together, at least one unless there is none. It leaves out those whose
-// callers have given up: they make them again, and would wait for these.
+// callers have given up: they make them again, and would wait for these. A turn is copied once all the same, since
+// another one may continue it.
 func (k *Keeper) nextCopies() []copyRequest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var batch []copyRequest
-	size := 0
+	size, planned := 0, map[copiedRecord]bool{}
 	for len(k.copier.pending) > 0 {
 		r := k.copier.pending[0]
-		if time.Since(r.commit.began) > commitTimeout {
+		if time.Since(r.commit.began) > commitTimeout && !k.copier.lacksTurn(r.commit, planned) {
 			k.copier.pending = k.copier.pending[1:]
 			r.shard.forgetUncopied(r.commit)
 			continue
@@ -155,11 +156,23 @@
 		k.copier.pending = k.copier.pending[1:]
 		if r.commit.primaryTerm == r.shard.primaryTerm && !r.commit.completed {
 			batch = append(batch, r)
+			for _, record := range r.commit.records {
+				planned[identify(record)] = true
+			}
 		}
 	}
 	return batch
 }
 
+// lacksTurn reports whether a change has a turn that is neither copied nor among the planned records.
+func (c *copier) lacksTurn(e *pendingCommit, planned map[copiedRecord]bool) bool {
+	return slices.ContainsFunc(e.records, func(r *historypb.Record) bool {
+		id := identify(r)
+		_, isCopied := c.copied[id]
+		return r.GetTurn() != nil && !isCopied && !planned[id]
+	})
+}
+
 // copyBatch writes the records of a batch to copies, as often as it takes, and completes its changes. A batch without
 // records writes none, one with a single large change may need several.
 func (k *Keeper) copyBatch(ctx context.Context, batch []copyRequest) {
--- a/internal/history/copies_failure_test.go
+++ b/internal/history/copies_failure_test.go
@@ -279,3 +279,35 @@
 		cl.checkTurns(acknowledged, fail)
 	})
 }
+
+// Guards against an acknowledged turn whose chain is lost: it continues one whose caller gave up while the store did not
+// answer, and which is in no copy.
+func TestTurnWhoseCallerGaveUpIsCopiedForThoseThatContinueIt(t *testing.T) {
+	testShrunken(t, 2, 2, func(cl *cluster, _ []string, rest []*machine, fail func(error)) {
+		c, ctx := cl.client(entryIn(north)), context.Background()
+		_, err := c.Reserve(ctx, gateway.Reservation{Program: "p", Turn: "given-up", MaxOutputTokens: 1, Retention: time.Hour})
+		fail(err)
+		cl.setStoreUnavailable(true)
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		go func() {
+			_, _ = c.Reserve(short, gateway.Reservation{Program: "p", Turn: "before", MaxOutputTokens: 1, Retention: time.Hour})
+		}()
+		time.Sleep(copyInterval)
+		turn := &gateway.Turn{ID: "given-up", Input: []byte("given-up"), Ended: time.Now()}
+		if c.Settle(short, gateway.Settlement{Program: "p", Turn: "given-up", RetainedTurn: turn, Retention: time.Hour}) == nil {
+			fail(errors.New("settled without the store"))
+		}
+		time.Sleep(2 * commitTimeout)
+		cl.setStoreUnavailable(false)
+		fail(retainTurn(c, "p", "next", "given-up"))
+		for _, m := range rest {
+			m.wipe()
+		}
+		for _, m := range cl.machines {
+			m.restart()
+		}
+		time.Sleep(recoveryBound)
+		fail(findTurn(cl, "next"))
+	})
+}
